--- /dev/null
+++ b/cmd/gypsumpitchd/main.go
@@ -0,0 +1,10 @@
+// Command gypsumpitchd is the daemon that runs on every entry host.
+package main
+
+import (
+	"os"
+
+	"gypsumpitch.example/gypsumpitch/internal/program/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/control/core/adopt.go
@@ -0,0 +1,101 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/coldstart"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+)
+
+// adopt puts a newer document in force and passes it on; an older one is ignored.
+func (c *Core) adopt(doc *tables.Document) []Effect {
+	if doc == nil || doc.Version <= c.doc.Version {
+		return nil
+	}
+	c.doc = doc
+	c.view.Forget(doc.Members())
+	c.tracker.Retain(func(k placement.Key) bool {
+		_, ok := doc.Pools[k.Pool].Servers[k.Server]
+		return ok
+	})
+	c.preferred = c.choosePreferred()
+	c.updateTransferWait()
+	return c.pushAll()
+}
+
+// updateTransferWait follows the longest request that any route lets run.
+func (c *Core) updateTransferWait() {
+	longest := clock.Millis(0)
+	for _, r := range c.doc.Routes {
+		longest = max(longest, clock.Millis(r.RequestLimitMs))
+	}
+	c.transfer.SetWait(c.cfg.ConfirmWindow + longest)
+}
+
+// pushAll spreads a newly adopted document; each daemon does so once a version.
+func (c *Core) pushAll() []Effect {
+	var effects []Effect
+	for _, member := range c.pickPeers(c.cfg.PushFanout) {
+		effects = append(effects, PushDocument{Member: member, Address: c.doc.Hosts[member].PeerAddress, Document: c.doc})
+	}
+	return effects
+}
+
+// choosePreferred picks this daemon's subset of each pool. A server prefers
+// the daemons that own its cold-start slots, so that every slot is reachable.
+func (c *Core) choosePreferred() map[placement.Key]bool {
+	preferred := make(map[placement.Key]bool)
+	members := c.doc.Members()
+	for pool, p := range c.doc.Pools {
+		type weighted struct {
+			key    placement.Key
+			owns   int
+			weight uint64
+		}
+		var list []weighted
+		for name, server := range p.Servers {
+			owns := 0
+			if len(p.Servers) > c.cfg.SubsetSize {
+				owns = coldstart.Slots(name, server.ColdSlots, members, c.cfg.Self)
+			}
+			list = append(list, weighted{placement.Key{Pool: pool, Server: name}, owns, container.Hash(c.cfg.Self, name)})
+		}
+		slices.SortFunc(list, func(a, b weighted) int {
+			return cmp.Or(cmp.Compare(b.owns, a.owns), cmp.Compare(b.weight, a.weight))
+		})
+		for _, w := range list[:min(len(list), c.cfg.SubsetSize)] {
+			preferred[w.key] = true
+		}
+	}
+	return preferred
+}
+
+// pickPeers returns up to n other members; all of them where n allows.
+func (c *Core) pickPeers(n int) []string {
+	var peers []string
+	for _, member := range c.doc.Members() {
+		if member != c.cfg.Self {
+			peers = append(peers, member)
+		}
+	}
+	if len(peers) <= n {
+		return peers
+	}
+	for i := range n {
+		j := i + int(c.random()%uint64(len(peers)-i))
+		peers[i], peers[j] = peers[j], peers[i]
+	}
+	return peers[:n]
+}
+
+func (c *Core) random() uint64 {
+	c.seed += 0x9e3779b97f4a7c15
+	x := c.seed
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/control/core/core.go
@@ -0,0 +1,174 @@
+package core
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/coldstart"
+	"gypsumpitch.example/gypsumpitch/internal/decision/membership"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+const never clock.Millis = -1 << 60
+
+// Core is the control state of one daemon. It belongs to one goroutine.
+type Core struct {
+	cfg      Config
+	started  clock.Millis
+	doc      *tables.Document
+	view     *membership.View
+	tracker  *placement.Tracker
+	transfer *coldstart.Transfer
+	tripped  map[string]int64 // model@version to the document version it tripped under
+	sends    map[string]map[placement.Key]int
+	notices  map[placement.Key]notice
+	schedule schedule
+	seed     uint64
+	stopping bool
+
+	storeDownSince clock.Millis
+	preferred      map[placement.Key]bool
+}
+
+// notice is a server seen cold or leaving, kept for peers that pull later.
+type notice struct {
+	coldAt    clock.Millis
+	leavingAt clock.Millis
+}
+
+// New returns the core of a daemon that has just started.
+func New(cfg Config, now clock.Millis) *Core {
+	return &Core{
+		cfg:      cfg,
+		started:  now,
+		doc:      &tables.Document{},
+		view:     membership.NewView(cfg.Self, cfg.ConfirmWindow, now),
+		tracker:  placement.NewTracker(cfg.LoadStale),
+		transfer: coldstart.NewTransfer(cfg.ConfirmWindow, now),
+		tripped:  make(map[string]int64),
+		sends:    make(map[string]map[placement.Key]int),
+		notices:  make(map[placement.Key]notice),
+		schedule: newSchedule(now),
+		seed:     cfg.Incarnation,
+	}
+}
+
+// Handle takes in one event and returns what is to be done.
+func (c *Core) Handle(now clock.Millis, event Event) []Effect {
+	switch e := event.(type) {
+	case Tick:
+		return c.tick(now)
+	case StoreRead:
+		return c.handleStoreRead(now, e)
+	case PeerState:
+		return c.handlePeerState(now, e)
+	case DocumentPushed:
+		return c.adopt(e.Document)
+	case LoadReported:
+		c.handleLoad(now, e)
+	case HostsListed:
+		c.handleHosts(e)
+	case ServerSeen:
+		c.handleSeen(now, e)
+	case VersionTripped:
+		c.tripped[e.Name] = c.doc.Version
+	case SelfStopping:
+		c.stopping = true
+	}
+	return nil
+}
+
+// Version returns the version of the document in force.
+func (c *Core) Version() int64 { return c.doc.Version }
+
+// Document returns the document in force; its version is 0 before the first.
+func (c *Core) Document() *tables.Document { return c.doc }
+
+// Synced tells whether the daemon knows the configuration since its start.
+func (c *Core) Synced() bool { return c.view.Synced() }
+
+// Adopters returns how many members are known to have adopted the version.
+func (c *Core) Adopters(version int64, now clock.Millis) int {
+	return c.view.Adopters(c.doc.Members(), c.doc.Version, version, now)
+}
+
+// Accepted tells whether a majority of the members before and after the edit
+// has adopted the version.
+func (c *Core) Accepted(before *tables.Document, version int64, now clock.Millis) bool {
+	if c.Adopters(version, now) < c.doc.Majority() {
+		return false
+	}
+	if before == nil || before.Version == 0 {
+		return true
+	}
+	return c.view.Adopters(before.Members(), c.doc.Version, version, now) >= before.Majority()
+}
+
+// Snapshot makes the immutable view for traffic goroutines.
+func (c *Core) Snapshot(now clock.Millis) *Snapshot {
+	s := &Snapshot{
+		Document:       c.doc,
+		Synced:         c.view.Synced(),
+		StoreDownSince: c.storeDownSince,
+		Servers:        c.tracker.States(),
+		ColdSlots:      c.coldSlots(now),
+		Preferred:      c.preferred,
+		Tripped:        make(map[string]bool, len(c.tripped)),
+		Sightings:      c.view.Sightings(),
+		LivePeers:      c.livePeers(now),
+		Self:           c.cfg.Self,
+		DataCentre:     c.cfg.DataCentre,
+		Stopping:       c.stopping,
+		ConfirmedUntil: never,
+	}
+	if c.view.Synced() && c.doc.Version > 0 {
+		s.ConfirmedUntil = c.view.ConfirmedAt() + c.cfg.ConfirmWindow
+	}
+	for name, version := range c.tripped {
+		s.Tripped[name] = c.tripHolds(name, version)
+	}
+	return s
+}
+
+// tripHolds tells whether a trip still counts: an operator's later edit of the
+// version's row overrides it.
+func (c *Core) tripHolds(name string, underVersion int64) bool {
+	model, version := tables.SplitVersion(name)
+	row, ok := c.doc.Models[model].Versions[version]
+	return ok && row.ChangedIn <= underVersion
+}
+
+func (c *Core) livePeers(now clock.Millis) []string {
+	var live []string
+	for _, s := range c.view.Sightings() {
+		if now-s.At < c.cfg.ConfirmWindow {
+			live = append(live, s.Member)
+		}
+	}
+	return live
+}
+
+func (c *Core) coldSlots(now clock.Millis) map[placement.Key]int {
+	members := c.doc.Members()
+	slots := make(map[placement.Key]int)
+	for k, server := range c.servers() {
+		state := c.tracker.Get(k)
+		bears := server.ColdSlots
+		if state.Known && state.Load.Cold {
+			bears = min(bears, state.Load.Bears)
+		}
+		idle := state.Known && state.Load.Running == 0 && state.LoadAt >= c.started+c.cfg.LoadLag
+		own := coldstart.Slots(k.Server, bears, members, c.cfg.Self)
+		slots[k] = c.transfer.Usable(k.String(), own, idle, now)
+	}
+	return slots
+}
+
+func (c *Core) servers() map[placement.Key]tables.BackendServer {
+	all := make(map[placement.Key]tables.BackendServer)
+	for pool, p := range c.doc.Pools {
+		for name, server := range p.Servers {
+			all[placement.Key{Pool: pool, Server: name}] = server
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/control/core/handle.go
@@ -0,0 +1,206 @@
+package core
+
+import (
+	"net"
+	"slices"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/membership"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+func (c *Core) handleStoreRead(now clock.Millis, e StoreRead) []Effect {
+	if e.Failed {
+		if c.storeDownSince == 0 {
+			c.storeDownSince = now
+		}
+		return nil
+	}
+	c.storeDownSince = 0
+	effects := c.adopt(e.Document)
+	if e.Version <= c.doc.Version {
+		c.view.ConfirmByStore(e.AskedAt)
+	}
+	return effects
+}
+
+func (c *Core) handlePeerState(now clock.Millis, e PeerState) []Effect {
+	for _, s := range e.State.Sightings {
+		c.view.Learn(membership.Sighting{
+			Member:      s.Member,
+			Incarnation: s.Incarnation,
+			Synced:      s.Synced,
+			Version:     s.Version,
+			At:          e.AskedAt - clock.Millis(max(s.AgeMs, 0)),
+		})
+	}
+	c.learnNotices(e)
+	c.learnTrips(e.State.Tripped)
+	c.learnSends(e.State)
+	c.confirm(now)
+	host, ok := c.doc.Hosts[e.State.Member]
+	if ok && e.State.Version > c.doc.Version {
+		return []Effect{FetchDocument{Member: e.State.Member, Address: host.PeerAddress}}
+	}
+	return nil
+}
+
+func (c *Core) confirm(now clock.Millis) {
+	if c.doc.Version > 0 {
+		c.view.ConfirmByPeers(c.doc.Members(), c.doc.Majority(), c.doc.Version, now)
+	}
+}
+
+func (c *Core) learnNotices(e PeerState) {
+	for _, n := range e.State.Notices {
+		at := e.AskedAt - clock.Millis(max(n.AgeMs, 0))
+		if n.Leaving {
+			c.noteLeaving(n.Server, at)
+			continue
+		}
+		c.noteCold(n.Server, at)
+	}
+}
+
+// noteCold acts on news only: a warm report that is younger than the notice stands.
+func (c *Core) noteCold(k placement.Key, at clock.Millis) {
+	if state := c.tracker.Get(k); state.Known && !state.Cold && state.LoadAt > at {
+		return
+	}
+	if n := c.notices[k]; at > n.coldAt {
+		n.coldAt = at
+		c.notices[k] = n
+	}
+	c.tracker.NoteCold(k, at)
+}
+
+func (c *Core) noteLeaving(k placement.Key, at clock.Millis) {
+	if state := c.tracker.Get(k); state.Known && !state.Load.Leaving && state.LoadAt > at+c.cfg.LoadLag {
+		return
+	}
+	if n := c.notices[k]; at > n.leavingAt {
+		n.leavingAt = at
+		c.notices[k] = n
+	}
+	c.tracker.NoteLeaving(k, at)
+}
+
+func (c *Core) learnTrips(trips []TripNotice) {
+	for _, t := range trips {
+		if t.Version > c.tripped[t.Name] {
+			c.tripped[t.Name] = t.Version
+		}
+	}
+}
+
+func (c *Core) learnSends(s State) {
+	sends := make(map[placement.Key]int, len(s.Sends))
+	for _, send := range s.Sends {
+		sends[send.Server] = send.Count
+	}
+	c.sends[s.Member] = sends
+	total := make(map[placement.Key]int)
+	for member, byServer := range c.sends {
+		if _, ok := c.doc.Hosts[member]; !ok {
+			delete(c.sends, member)
+			continue
+		}
+		for k, n := range byServer {
+			total[k] += n
+		}
+	}
+	c.tracker.SetPeerSends(total)
+}
+
+func (c *Core) handleLoad(now clock.Millis, e LoadReported) {
+	if e.Failed {
+		c.tracker.NoteFailure(e.Server, now)
+		return
+	}
+	if !c.tracker.Report(e.Server, e.Load, e.AskedAt) {
+		return
+	}
+	n := c.notices[e.Server]
+	if e.Load.Leaving {
+		n.leavingAt = e.AskedAt
+	} else {
+		n.coldAt = e.AskedAt
+	}
+	c.notices[e.Server] = n
+}
+
+func (c *Core) handleHosts(e HostsListed) {
+	if e.Failed {
+		return
+	}
+	for k, server := range c.servers() {
+		host, _, err := net.SplitHostPort(server.Address)
+		if err != nil {
+			continue
+		}
+		if slices.Contains(e.Leaving, host) || slices.Contains(e.Leaving, server.Address) {
+			c.noteLeaving(k, e.AskedAt)
+		}
+	}
+}
+
+func (c *Core) handleSeen(now clock.Millis, e ServerSeen) {
+	switch e.Outcome {
+	case Served:
+		c.tracker.NoteSuccess(e.Server)
+	case Failed:
+		// A broken connection may mean a restart, after which the server is cold.
+		c.tracker.NoteFailure(e.Server, now)
+		c.noteCold(e.Server, now)
+	case SaidCold:
+		c.noteCold(e.Server, now)
+	case SaidLeaving:
+		c.noteLeaving(e.Server, now)
+	}
+}
+
+// State returns what this daemon tells a peer that pulls it.
+func (c *Core) State(now clock.Millis, sends map[placement.Key]int) State {
+	s := State{Member: c.cfg.Self, Version: c.doc.Version}
+	s.Sightings = append(s.Sightings, WireSighting{
+		Member:      c.cfg.Self,
+		Incarnation: c.cfg.Incarnation,
+		Synced:      c.view.Synced(),
+		Version:     c.doc.Version,
+	})
+	for _, sighting := range c.view.Sightings() {
+		age := now - sighting.At
+		if age < c.cfg.ConfirmWindow {
+			s.Sightings = append(s.Sightings, WireSighting{
+				Member:      sighting.Member,
+				Incarnation: sighting.Incarnation,
+				Synced:      sighting.Synced,
+				Version:     sighting.Version,
+				AgeMs:       int64(age),
+			})
+		}
+	}
+	s.Notices = c.freshNotices(now)
+	for name, version := range c.tripped {
+		if c.tripHolds(name, version) {
+			s.Tripped = append(s.Tripped, TripNotice{Name: name, Version: version})
+		}
+	}
+	for k, n := range sends {
+		s.Sends = append(s.Sends, WireSend{Server: k, Count: n})
+	}
+	return s
+}
+
+func (c *Core) freshNotices(now clock.Millis) []WireNotice {
+	var fresh []WireNotice
+	for k, n := range c.notices {
+		if age := now - n.coldAt; n.coldAt > 0 && age < c.cfg.ConfirmWindow {
+			fresh = append(fresh, WireNotice{Server: k, AgeMs: int64(age)})
+		}
+		if age := now - n.leavingAt; n.leavingAt > 0 && age < c.cfg.ConfirmWindow {
+			fresh = append(fresh, WireNotice{Server: k, Leaving: true, AgeMs: int64(age)})
+		}
+	}
+	return fresh
+}
--- /dev/null
+++ b/internal/control/core/schedule.go
@@ -0,0 +1,65 @@
+package core
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+const millisPerSecond = 1000
+
+// schedule holds when each kind of periodic work is due.
+type schedule struct {
+	pull     clock.Millis
+	store    clock.Millis
+	hostList clock.Millis
+	loads    map[placement.Key]clock.Millis
+}
+
+func newSchedule(now clock.Millis) schedule {
+	return schedule{pull: now, store: now, hostList: now, loads: make(map[placement.Key]clock.Millis)}
+}
+
+func (c *Core) tick(now clock.Millis) []Effect {
+	c.tracker.Age(now)
+	c.confirm(now)
+	var effects []Effect
+	if now >= c.schedule.store {
+		c.schedule.store = now + c.jitter(c.storePeriod())
+		effects = append(effects, ReadStore{Version: c.doc.Version})
+	}
+	if now >= c.schedule.pull {
+		c.schedule.pull = now + c.jitter(c.cfg.PullPeriod)
+		for _, member := range c.pickPeers(c.cfg.PullFanout) {
+			effects = append(effects, PullPeer{Member: member, Address: c.doc.Hosts[member].PeerAddress})
+		}
+	}
+	if now >= c.schedule.hostList {
+		c.schedule.hostList = now + c.jitter(c.cfg.HostListRead)
+		effects = append(effects, ReadHostList{})
+	}
+	return append(effects, c.pollLoads(now)...)
+}
+
+func (c *Core) pollLoads(now clock.Millis) []Effect {
+	var effects []Effect
+	for k := range c.preferred {
+		if now < c.schedule.loads[k] {
+			continue
+		}
+		c.schedule.loads[k] = now + c.jitter(c.cfg.LoadPoll)
+		effects = append(effects, PollLoad{Server: k, Address: c.doc.Pools[k.Pool].Servers[k.Server].Address})
+	}
+	return effects
+}
+
+// storePeriod keeps the reads of all daemons together within the budget.
+func (c *Core) storePeriod() clock.Millis {
+	shared := clock.Millis(millisPerSecond * len(c.doc.Hosts) / max(c.cfg.StoreBudget, 1))
+	return max(c.cfg.StoreRead, shared)
+}
+
+// jitter spreads a period by a tenth each way, so that daemons don't fall into step.
+func (c *Core) jitter(period clock.Millis) clock.Millis {
+	tenth := max(period/10, 1)
+	return period - tenth + clock.Millis(c.random()%uint64(2*tenth+1))
+}
--- /dev/null
+++ b/internal/control/core/snapshot.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/membership"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+// Snapshot is what traffic goroutines decide by. It is immutable.
+type Snapshot struct {
+	Document       *tables.Document
+	ConfirmedUntil clock.Millis
+	Synced         bool
+	StoreDownSince clock.Millis // 0 while the last read went well
+	Servers        map[placement.Key]placement.ServerState
+	ColdSlots      map[placement.Key]int
+	Preferred      map[placement.Key]bool // this daemon's subset of each pool
+	Tripped        map[string]bool        // model@version found bad under this document
+	Sightings      []membership.Sighting
+	LivePeers      []string // members seen within the window, newest document or not
+	Self           string
+	DataCentre     string
+	Stopping       bool
+}
+
+// Confirmed tells whether new work may be taken at that instant.
+func (s *Snapshot) Confirmed(now clock.Millis) bool {
+	return s.Document != nil && now < s.ConfirmedUntil
+}
+
+// MayRun tells whether new work of the account may run on the version now.
+func (s *Snapshot) MayRun(account, model, version string) bool {
+	return s.Document.MayRun(account, model, version) && !s.Tripped[tables.JoinVersion(model, version)]
+}
+
+// MayUse tells whether the backend server may get new work at that instant.
+func (s *Snapshot) MayUse(k placement.Key, now clock.Millis) bool {
+	server, ok := s.Document.Pools[k.Pool].Servers[k.Server]
+	if !ok || !s.Document.ServerInService(server) {
+		return false
+	}
+	state, known := s.Servers[k]
+	return !known || (!state.Leaving && now >= state.EjectUntil)
+}
+
+// Limit returns how many requests this daemon may have under way at the server.
+func (s *Snapshot) Limit(k placement.Key) int {
+	server := s.Document.Pools[k.Pool].Servers[k.Server]
+	state, known := s.Servers[k]
+	if !known || state.Cold {
+		return s.ColdSlots[k]
+	}
+	return server.Slots
+}
+
+// Load estimates the requests a slot at the server: what it reported or what
+// the daemons are known to have sent, whichever is more.
+func (s *Snapshot) Load(k placement.Key, own int) float64 {
+	server := s.Document.Pools[k.Pool].Servers[k.Server]
+	state := s.Servers[k]
+	requests := max(state.Load.Running+state.Load.Waiting, state.PeerSends+own)
+	return float64(requests) / float64(max(server.Slots, 1))
+}
--- /dev/null
+++ b/internal/control/core/state.go
@@ -0,0 +1,54 @@
+package core
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+)
+
+// State is what one daemon tells another that pulls it.
+type State struct {
+	Sightings []WireSighting  `json:"s"`
+	Notices   []WireNotice    `json:"n,omitempty"`
+	Tripped   []TripNotice    `json:"t,omitempty"`
+	Sends     []WireSend      `json:"q,omitempty"`
+	Counts    []cascade.Count `json:"c,omitempty"`
+	Evidence  []VersionScore  `json:"e,omitempty"`
+	Member    string          `json:"m"`
+	Version   int64           `json:"v"`
+}
+
+// WireSighting is a sighting with its age in place of an instant, since the
+// daemons' clocks can't be compared.
+type WireSighting struct {
+	Member      string `json:"m"`
+	Incarnation uint64 `json:"i"`
+	Synced      bool   `json:"y"`
+	Version     int64  `json:"v"`
+	AgeMs       int64  `json:"a"`
+}
+
+// WireNotice says that a server was seen cold or leaving some time ago.
+type WireNotice struct {
+	Server  placement.Key `json:"k"`
+	Leaving bool          `json:"l"`
+	AgeMs   int64         `json:"a"`
+}
+
+// TripNotice says that a version was found bad under that document version.
+type TripNotice struct {
+	Name    string `json:"n"`
+	Version int64  `json:"v"`
+}
+
+// WireSend is the sender's requests under way at a server.
+type WireSend struct {
+	Server placement.Key `json:"k"`
+	Count  int           `json:"n"`
+}
+
+// VersionScore is the sender's evidence about a version.
+type VersionScore struct {
+	Name    string  `json:"n"` // model@version
+	Answers int     `json:"a"`
+	Score   float64 `json:"s"`
+}
--- /dev/null
+++ b/internal/control/driver/driver.go
@@ -0,0 +1,162 @@
+// Package driver does the work that one daemon does for all, under a lease in
+// the table service: it withdraws versions that proved bad, widens canaries and
+// orders engines to hold what the pools table says.
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/loop"
+	"gypsumpitch.example/gypsumpitch/internal/control/operator"
+	"gypsumpitch.example/gypsumpitch/internal/decision/lease"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
+	"gypsumpitch.example/gypsumpitch/internal/platform/tableservice"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/quality"
+)
+
+// The lease that the driver works under.
+const (
+	LeasesTable = "leases"
+	LeaseName   = "driver"
+)
+
+// rounds is how often the lease is renewed within its life.
+const rounds = 4
+
+// Driver is one daemon's candidate for the lease.
+type Driver struct {
+	common  *common.Common
+	table   tableservice.Table
+	loop    *loop.Loop
+	editor  *operator.Editor
+	quality *quality.Keeper
+	orders  *Orders
+
+	mu     sync.Mutex
+	keeper *lease.Keeper
+}
+
+// New returns a driver that holds nothing.
+func New(c *common.Common, incarnation uint64, table tableservice.Table, l *loop.Loop, e *operator.Editor, q *quality.Keeper, o *Orders) *Driver {
+	life := clock.Millis(c.Settings.Control.LeaseMs)
+	return &Driver{
+		common:  c,
+		table:   table,
+		loop:    l,
+		editor:  e,
+		quality: q,
+		orders:  o,
+		keeper:  lease.NewKeeper(c.Settings.Host, incarnation, life),
+	}
+}
+
+// Held lists the leases that this daemon holds now.
+func (d *Driver) Held() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.keeper.Held(d.common.Clock.Now()) {
+		return nil
+	}
+	return []string{fmt.Sprintf("%s (fencing %d)", LeaseName, d.keeper.Fencing())}
+}
+
+// Run bids for the lease and does the work while it is held, until the context ends.
+func (d *Driver) Run(ctx context.Context) {
+	period := clock.Millis(d.common.Settings.Control.LeaseMs / rounds).Duration()
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := d.renew(ctx); err != nil {
+			d.common.Log.Debug("lease", "error", err)
+		}
+		if d.held() {
+			d.work(ctx)
+		}
+	}
+}
+
+func (d *Driver) held() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.keeper.Held(d.common.Clock.Now())
+}
+
+// renew reads the lease's row, then writes it where the keeper says so.
+func (d *Driver) renew(ctx context.Context) error {
+	row, version, err := d.read(ctx)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	now := d.common.Clock.Now()
+	d.keeper.Observe(row, version, now)
+	bid, ok := d.keeper.Next(now)
+	d.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	return d.write(ctx, bid)
+}
+
+func (d *Driver) read(ctx context.Context) (lease.Row, int64, error) {
+	var row lease.Row
+	stored, err := d.table.Get(ctx, LeasesTable, LeaseName)
+	if errors.Is(err, tableservice.ErrNotFound) {
+		return row, 0, nil
+	}
+	if err != nil {
+		return row, 0, err
+	}
+	return row, stored.Version, errors.Wrap(json.Unmarshal(stored.Value, &row), "decode lease")
+}
+
+func (d *Driver) write(ctx context.Context, bid lease.Bid) error {
+	condition := tableservice.IfVersion
+	if bid.Version == 0 {
+		condition = tableservice.IfAbsent
+	}
+	w, err := tableservice.NewWrite(LeasesTable, LeaseName, bid.Row, condition, bid.Version)
+	if err != nil {
+		return err
+	}
+	applied, err := d.table.Commit(ctx, tableservice.Batch{Writes: []tableservice.Write{w}})
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if applied[0].Applied {
+		d.keeper.Won(bid, applied[0].Row.Version)
+	}
+	return nil
+}
+
+// Release gives the lease up at a shutdown, so that another daemon need not
+// wait it out.
+func (d *Driver) Release(ctx context.Context) {
+	d.mu.Lock()
+	bid, ok := d.keeper.Release(d.common.Clock.Now())
+	d.mu.Unlock()
+	if ok {
+		// Where this fails, the lease lapses.
+		_ = d.write(ctx, bid)
+	}
+}
+
+func (d *Driver) mayOrder(life clock.Millis, checksFencing bool) (int64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.keeper.Fencing(), d.keeper.MayOrder(d.common.Clock.Now(), life, checksFencing)
+}
--- /dev/null
+++ b/internal/control/driver/orders.go
@@ -0,0 +1,98 @@
+package driver
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/core"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/backend"
+)
+
+// ordersARound keeps loads within what the weight store gives out.
+const ordersARound = 2
+
+// Orders makes engines hold what the pools table says.
+type Orders struct {
+	common *common.Common
+	client *http.Client
+}
+
+// NewOrders returns an order sender.
+func NewOrders(c *common.Common) *Orders {
+	limit := clock.Millis(c.Settings.Control.OrderLimitMs).Duration()
+	return &Orders{common: c, client: &http.Client{Timeout: limit, Transport: backend.NewFreshTransport()}}
+}
+
+// Reconcile compares each engine's report with the pools table and sends a few
+// orders. An order goes out only while it is sure to end within the lease.
+func (o *Orders) Reconcile(ctx context.Context, s *core.Snapshot, may mayOrderFunc) {
+	sent := 0
+	for pool, p := range s.Document.Pools {
+		if p.Kind != tables.KindModel {
+			continue
+		}
+		for name, server := range p.Servers {
+			state := s.Servers[placement.Key{Pool: pool, Server: name}]
+			if !state.Known || state.Load.Holds == nil || state.Leaving {
+				continue
+			}
+			verb, what, ok := difference(server.Holds, state.Load.Holds)
+			if !ok {
+				continue
+			}
+			if sent == ordersARound {
+				return
+			}
+			if o.send(ctx, server, verb, what, may) {
+				sent++
+			}
+		}
+	}
+}
+
+// difference returns one order that brings the engine nearer to what it should
+// hold. Loads go before unloads.
+func difference(want, have []string) (verb, name string, ok bool) {
+	for _, name := range want {
+		if !slices.Contains(have, name) {
+			return "load", name, true
+		}
+	}
+	for _, name := range have {
+		if !slices.Contains(want, name) {
+			return "unload", name, true
+		}
+	}
+	return "", "", false
+}
+
+func (o *Orders) send(ctx context.Context, server tables.BackendServer, verb, name string, may mayOrderFunc) bool {
+	life := clock.Millis(o.common.Settings.Control.OrderLimitMs)
+	fencing, ok := may(life, server.ChecksFencing)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, life.Duration())
+	defer cancel()
+	url := fmt.Sprintf("http://%s/v1/orders/%s/%s", server.Address, verb, name)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return false
+	}
+	request.Header.Set(backend.HeaderFencing, strconv.FormatInt(fencing, 10))
+	response, err := o.client.Do(request)
+	if err != nil {
+		o.common.Log.Warn("order failed", "server", server.Address, "order", verb, "name", name, "error", err)
+		return true
+	}
+	_ = response.Body.Close()
+	o.common.Log.Info("order", "server", server.Address, "order", verb, "name", name, "fencing", fencing, "status", response.StatusCode)
+	return true
+}
--- /dev/null
+++ b/internal/control/operator/server.go
@@ -0,0 +1,232 @@
+package operator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/negroni/v3"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+	"gypsumpitch.example/gypsumpitch/internal/platform/objectstore"
+	"gypsumpitch.example/gypsumpitch/internal/platform/rest"
+	"gypsumpitch.example/gypsumpitch/internal/platform/tableservice"
+)
+
+const (
+	maxTablesBytes = 16 << 20
+	maxScanRows    = 1000
+)
+
+// Sources is what the server shows besides the tables.
+type Sources struct {
+	Status  func() Status
+	All     func(*http.Request) []Status // of every daemon
+	Ready   func() bool
+	Metrics func(io.Writer)
+}
+
+// Server serves operators over HTTP. It is safe for concurrent use.
+type Server struct {
+	common  *common.Common
+	editor  *Editor
+	table   tableservice.Table
+	objects *objectstore.Client
+	sources Sources
+}
+
+// NewServer returns a server.
+func NewServer(c *common.Common, e *Editor, table tableservice.Table, objects *objectstore.Client, s Sources) *Server {
+	return &Server{common: c, editor: e, table: table, objects: objects, sources: s}
+}
+
+// Handler returns the HTTP handler for operators.
+func (s *Server) Handler() http.Handler {
+	guarded := http.NewServeMux()
+	guarded.HandleFunc("GET /operator/v1/tables", s.getTables)
+	guarded.HandleFunc("PUT /operator/v1/tables", s.putTables)
+	guarded.HandleFunc("POST /operator/v1/acts", s.postAct)
+	guarded.HandleFunc("GET /operator/v1/history/{version}", s.getHistory)
+	guarded.HandleFunc("GET /operator/v1/status", s.getStatus)
+	guarded.HandleFunc("GET /operator/v1/rows/{table}", s.getRows)
+	n := negroni.New()
+	n.UseFunc(s.authenticate)
+	n.UseHandler(guarded)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", s.getReady)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.sources.Metrics(w) })
+	mux.Handle("/operator/", n)
+	return mux
+}
+
+// authenticate knows operators by the document in the table service. Before
+// the first document, the peers' key lets an operator in; on loopback without
+// such a key, anybody may put the first one.
+func (s *Server) authenticate(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	doc, err := s.editor.Current(r.Context())
+	if err != nil {
+		s.authenticateByMemory(w, r, key, next, err)
+		return
+	}
+	name, known := doc.HasOperator(key)
+	first := doc.Version == 0 && key == s.common.Settings.Peer.Key
+	if !known && !first {
+		result.Write(w, result.New(result.UnknownCredential, "send the operator's key as Authorization: Bearer KEY"), "")
+		return
+	}
+	s.common.Log.Info("operator", "name", name, "method", r.Method, "path", r.URL.Path)
+	next(w, r)
+}
+
+// authenticateByMemory lets operators read while the table service is away.
+func (s *Server) authenticateByMemory(w http.ResponseWriter, r *http.Request, key string, next http.HandlerFunc, cause error) {
+	doc := s.editor.loop.Snapshot().Document
+	if _, known := doc.HasOperator(key); known && r.Method == http.MethodGet {
+		next(w, r)
+		return
+	}
+	result.Write(w, result.Wrap(cause, result.StoreUnavailable), "")
+}
+
+func (s *Server) getReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.sources.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (s *Server) getTables(w http.ResponseWriter, r *http.Request) {
+	doc, err := s.editor.Current(r.Context())
+	if err != nil {
+		// The daemon's own copy is at least a confirmed one.
+		doc = s.editor.loop.Snapshot().Document
+	}
+	writeJSON(w, http.StatusOK, doc)
+}
+
+func (s *Server) putTables(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTablesBytes))
+	if err != nil {
+		result.Write(w, result.New(result.BodyTooLarge, "tables are over %d bytes", maxTablesBytes), "")
+		return
+	}
+	doc, err := tables.Parse(text)
+	if err != nil {
+		result.Write(w, result.Wrap(err, result.EditInvalid), "")
+		return
+	}
+	base, err := baseVersion(r)
+	if err != nil {
+		result.Write(w, result.Wrap(err, result.MalformedRequest), "")
+		return
+	}
+	s.edit(w, r, base, func(*tables.Document) (*tables.Document, error) { return doc, nil })
+}
+
+// baseVersion is the version that the operator edited.
+func baseVersion(r *http.Request) (int64, error) {
+	text := r.URL.Query().Get("base_version")
+	if text == "" {
+		return 0, errors.New("base_version: must be given with the whole tables")
+	}
+	base, err := strconv.ParseInt(text, 10, 64)
+	return base, errors.Wrap(err, "base_version")
+}
+
+func (s *Server) postAct(w http.ResponseWriter, r *http.Request) {
+	var act tables.Act
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTablesBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&act); err != nil {
+		result.Write(w, result.Wrap(err, result.MalformedRequest), "")
+		return
+	}
+	s.edit(w, r, AnyVersion, act.Apply)
+}
+
+// EditReply is the answer to an edit.
+type EditReply struct {
+	Version int64    `json:"version"`
+	EditID  string   `json:"edit_id"`
+	Changes []string `json:"changes"`
+}
+
+func (s *Server) edit(w http.ResponseWriter, r *http.Request, base int64, change Change) {
+	editID := r.URL.Query().Get("edit_id")
+	if editID == "" {
+		result.Write(w, result.New(result.MalformedRequest, "edit_id: must be given, so that the edit can be sent again safely"), "")
+		return
+	}
+	var changes []string
+	noting := func(before *tables.Document) (*tables.Document, error) {
+		after, err := change(before)
+		if err == nil {
+			changes = tables.Diff(before, after)
+		}
+		return after, err
+	}
+	doc, err := s.editor.Edit(r.Context(), editID, base, noting)
+	if err != nil {
+		result.Write(w, result.From(err), editID)
+		return
+	}
+	writeJSON(w, http.StatusOK, EditReply{Version: doc.Version, EditID: editID, Changes: changes})
+}
+
+func (s *Server) getHistory(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseInt(r.PathValue("version"), 10, 64)
+	if err != nil {
+		result.Write(w, result.New(result.MalformedRequest, "version: %v", err), "")
+		return
+	}
+	text, err := s.objects.Get(r.Context(), ArchiveName(version))
+	switch {
+	case rest.StatusOf(err) == http.StatusNotFound:
+		result.Write(w, result.New(result.NoRoute, "version %d is not in the archive", version), "")
+	case err != nil:
+		result.Write(w, result.Wrap(err, result.StoreUnavailable), "")
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(text)
+	}
+}
+
+func (s *Server) getStatus(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("all") != "" {
+		writeJSON(w, http.StatusOK, s.sources.All(r))
+		return
+	}
+	writeJSON(w, http.StatusOK, []Status{s.sources.Status()})
+}
+
+// shownTables are the tables that operators may list.
+var shownTables = map[string]bool{"bills": true, "pins": true, "claims": true, "leases": true}
+
+func (s *Server) getRows(w http.ResponseWriter, r *http.Request) {
+	table := r.PathValue("table")
+	if !shownTables[table] {
+		result.Write(w, result.New(result.NoRoute, "table %q is not shown", table), "")
+		return
+	}
+	rows, err := s.table.Scan(r.Context(), table, r.URL.Query().Get("after"), maxScanRows)
+	if err != nil {
+		result.Write(w, result.Wrap(err, result.StoreUnavailable), "")
+		return
+	}
+	writeJSON(w, http.StatusOK, rows)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The operator may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/control/operator/status.go
@@ -0,0 +1,103 @@
+package operator
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/control/core"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+// Status is one daemon's account of itself.
+type Status struct {
+	Host            string         `json:"host"`
+	DataCentre      string         `json:"data_centre"`
+	Incarnation     uint64         `json:"incarnation"`
+	Version         int64          `json:"version"`
+	ConfirmedAgeMs  int64          `json:"confirmed_age_ms"` // below 0: never
+	Ready           bool           `json:"ready"`
+	Stopping        bool           `json:"stopping"`
+	StoreDownMs     int64          `json:"store_down_ms"`
+	OpenRequests    int64          `json:"open_requests"`
+	Waiting         map[string]int `json:"waiting"`
+	BillsOwn        int            `json:"bills_own"`
+	BillsHeld       int            `json:"bills_held"`
+	ClaimsUnwritten int            `json:"claims_unwritten"`
+	LeasesHeld      []string       `json:"leases_held"`
+	Peers           []PeerLine     `json:"peers"`
+	Servers         []ServerLine   `json:"servers"`
+	Tripped         []string       `json:"tripped"`
+	Unreachable     string         `json:"unreachable,omitempty"`
+}
+
+// PeerLine is what the daemon knows of another.
+type PeerLine struct {
+	Host    string `json:"host"`
+	Version int64  `json:"version"`
+	AgeMs   int64  `json:"age_ms"`
+	Synced  bool   `json:"synced"`
+}
+
+// ServerLine is what the daemon knows of a backend server.
+type ServerLine struct {
+	Server    string `json:"server"`
+	State     string `json:"state"` // warm, cold, leaving, ejected or out
+	Running   int    `json:"running"`
+	Own       int    `json:"own"`
+	PeerSends int    `json:"peer_sends"`
+	ColdSlots int    `json:"cold_slots"`
+	AgeMs     int64  `json:"age_ms"`
+}
+
+// NewStatus returns what the snapshot tells.
+func NewStatus(snapshot *core.Snapshot, window, now clock.Millis) Status {
+	s := Status{
+		Host:           snapshot.Self,
+		DataCentre:     snapshot.DataCentre,
+		Version:        snapshot.Document.Version,
+		Stopping:       snapshot.Stopping,
+		ConfirmedAgeMs: -1,
+	}
+	if snapshot.Synced {
+		s.ConfirmedAgeMs = int64(now - (snapshot.ConfirmedUntil - window))
+	}
+	if snapshot.StoreDownSince > 0 {
+		s.StoreDownMs = int64(now - snapshot.StoreDownSince)
+	}
+	for _, p := range snapshot.Sightings {
+		s.Peers = append(s.Peers, PeerLine{Host: p.Member, Version: p.Version, AgeMs: int64(now - p.At), Synced: p.Synced})
+	}
+	for name, holds := range snapshot.Tripped {
+		if holds {
+			s.Tripped = append(s.Tripped, name)
+		}
+	}
+	return s
+}
+
+// NewServerLine returns what the snapshot tells of a backend server.
+func NewServerLine(snapshot *core.Snapshot, key placement.Key, own int, now clock.Millis) ServerLine {
+	state := snapshot.Servers[key]
+	return ServerLine{
+		Server:    key.String(),
+		State:     describe(snapshot, key, state, now),
+		Running:   state.Load.Running,
+		Own:       own,
+		PeerSends: state.PeerSends,
+		ColdSlots: snapshot.ColdSlots[key],
+		AgeMs:     int64(now - state.LoadAt),
+	}
+}
+
+func describe(snapshot *core.Snapshot, key placement.Key, state placement.ServerState, now clock.Millis) string {
+	switch {
+	case !snapshot.Document.ServerInService(snapshot.Document.Pools[key.Pool].Servers[key.Server]):
+		return "out"
+	case state.Leaving:
+		return "leaving"
+	case now < state.EjectUntil:
+		return "ejected"
+	case !state.Known || state.Cold:
+		return "cold"
+	default:
+		return "warm"
+	}
+}
--- /dev/null
+++ b/internal/control/peer/frame.go
@@ -0,0 +1,66 @@
+// Package peer speaks the protocol between daemons: frames of msgpack over TCP.
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	frameHeaderBytes = 4
+	maxFrameBytes    = 64 << 20
+)
+
+// writeFrame sends the length and the msgpack form of the value in one write.
+func writeFrame(w io.Writer, value any) error {
+	var b bytes.Buffer
+	b.Write(make([]byte, frameHeaderBytes))
+	encoder := msgpack.NewEncoder(&b)
+	encoder.SetCustomStructTag("json")
+	if err := encoder.Encode(value); err != nil {
+		return errors.Wrap(err, "encode frame")
+	}
+	frame := b.Bytes()
+	size := len(frame) - frameHeaderBytes
+	if size > maxFrameBytes {
+		return errors.Errorf("frame of %d bytes is over the limit of %d", size, maxFrameBytes)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(size)) //nolint:gosec // Bounded above.
+	_, err := w.Write(frame)
+	return errors.Wrap(err, "write frame")
+}
+
+// readFrame reads one frame into the value.
+func readFrame(r io.Reader, value any) error {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return errors.Wrap(err, "read frame header")
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > maxFrameBytes {
+		return errors.Errorf("frame of %d bytes is over the limit of %d", size, maxFrameBytes)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return errors.Wrap(err, "read frame")
+	}
+	return decode(body, value)
+}
+
+func decode(body []byte, value any) error {
+	decoder := msgpack.NewDecoder(bytes.NewReader(body))
+	decoder.SetCustomStructTag("json")
+	return errors.Wrap(decoder.Decode(value), "decode frame")
+}
+
+func encode(value any) ([]byte, error) {
+	var b bytes.Buffer
+	encoder := msgpack.NewEncoder(&b)
+	encoder.SetCustomStructTag("json")
+	err := encoder.Encode(value)
+	return b.Bytes(), errors.Wrap(err, "encode message")
+}
--- /dev/null
+++ b/internal/control/peer/message.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/control/core"
+	"gypsumpitch.example/gypsumpitch/internal/decision/billing"
+	"gypsumpitch.example/gypsumpitch/internal/decision/session"
+	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
+)
+
+// Kind names a call between daemons.
+type Kind string
+
+// The calls between daemons.
+const (
+	KindPull         Kind = "pull"
+	KindPush         Kind = "push_document"
+	KindFetch        Kind = "fetch_document"
+	KindHoldBills    Kind = "hold_bills"
+	KindReleaseBills Kind = "release_bills"
+	KindGetPins      Kind = "get_pins"
+	KindPutPins      Kind = "put_pins"
+)
+
+// Nothing is the body of calls that carry none.
+type Nothing struct{}
+
+// PullReply is the answer to a pull.
+type PullReply struct {
+	State core.State `json:"state"`
+}
+
+// DocumentMessage carries a document.
+type DocumentMessage struct {
+	Document *tables.Document `json:"document"`
+}
+
+// HoldBills asks a peer to keep bill records as a replica.
+type HoldBills struct {
+	Records []billing.Record `json:"records"`
+}
+
+// Held says whether a peer keeps them.
+type Held struct {
+	Held bool `json:"held"`
+}
+
+// ReleaseBills says that records have been written.
+type ReleaseBills struct {
+	IDs []string `json:"ids"`
+}
+
+// PinsMessage carries the pins of a session, or asks for them.
+type PinsMessage struct {
+	Session string       `json:"session"`
+	Pins    session.Pins `json:"pins"`
+}
+
+// envelope wraps each call and each answer.
+type envelope struct {
+	ID    uint64 `json:"id"`
+	Kind  Kind   `json:"kind,omitempty"`
+	Error string `json:"error,omitempty"`
+	Body  []byte `json:"body"`
+}
--- /dev/null
+++ b/internal/decision/billing/record.go
@@ -0,0 +1,13 @@
+// Package billing keeps bill records until the table service has them.
+package billing
+
+// Record is the bill of one request. The table service takes it once by its id.
+type Record struct {
+	ID         string `json:"id"`
+	Account    string `json:"account"`
+	Route      string `json:"route"`
+	Version    string `json:"version,omitempty"` // model@version that answered
+	Tokens     int64  `json:"tokens"`
+	CostMicros int64  `json:"cost_micros"` // millionths of the billing unit
+	Steps      int    `json:"steps"`       // models that ran, cascade steps included
+}
--- /dev/null
+++ b/internal/decision/membership/sighting.go
@@ -0,0 +1,16 @@
+// Package membership decides from what is known of the other daemons whether
+// this daemon's configuration is current.
+package membership
+
+import "gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+
+// Sighting is what a member was known to be at an instant of the local clock.
+// The instant is never later than when it was true: relayed sightings count
+// from before this daemon asked for them.
+type Sighting struct {
+	Member      string
+	Incarnation uint64
+	Synced      bool // the member knows the configuration since its start
+	Version     int64
+	At          clock.Millis
+}
--- /dev/null
+++ b/internal/decision/tables/edit.go
@@ -0,0 +1,140 @@
+package tables
+
+import (
+	"github.com/pkg/errors"
+)
+
+// maxMemberChanges keeps the majorities of neighbouring versions overlapping.
+const maxMemberChanges = 1
+
+// CheckStep reports what an edit may not do relative to the document before it.
+func CheckStep(before, after *Document) Problems {
+	var problems Problems
+	changes := countMissing(before.Hosts, after.Hosts) + countMissing(after.Hosts, before.Hosts)
+	if before.Version > 0 && changes > maxMemberChanges {
+		problems.add("hosts", "%d entry hosts added or removed, at most %d in one edit", changes, maxMemberChanges)
+	}
+	return problems
+}
+
+func countMissing[V any](from, in map[string]V) int {
+	missing := 0
+	for name := range from {
+		if _, ok := in[name]; !ok {
+			missing++
+		}
+	}
+	return missing
+}
+
+// ActKind names an operator's act.
+type ActKind string
+
+// The acts that operators can take without editing the tables as text.
+const (
+	ActDataCentreOut   ActKind = "data_centre_out"
+	ActDataCentreIn    ActKind = "data_centre_in"
+	ActHostOut         ActKind = "host_out"
+	ActHostIn          ActKind = "host_in"
+	ActServerOut       ActKind = "server_out"
+	ActServerIn        ActKind = "server_in"
+	ActVersionStart    ActKind = "version_start"
+	ActVersionShare    ActKind = "version_share"
+	ActVersionPause    ActKind = "version_pause"
+	ActVersionPromote  ActKind = "version_promote"
+	ActVersionWithdraw ActKind = "version_withdraw"
+)
+
+// Act is one change to the document.
+type Act struct {
+	Kind    ActKind `json:"kind"`
+	Name    string  `json:"name"`               // data centre, host, pool or model
+	Part    string  `json:"part,omitempty"`     // backend server or version
+	Share   int     `json:"share,omitempty"`    // for version_start and version_share
+	CostPer int64   `json:"cost_per,omitempty"` // millionths a token, for version_start
+}
+
+// Apply returns the document after the act; the version number is unchanged.
+func (a Act) Apply(d *Document) (*Document, error) {
+	switch a.Kind {
+	case ActDataCentreOut, ActDataCentreIn:
+		return a.applyDataCentre(d)
+	case ActHostOut, ActHostIn:
+		return a.applyHost(d)
+	case ActServerOut, ActServerIn:
+		return a.applyServer(d)
+	default:
+		return a.applyVersion(d)
+	}
+}
+
+func (a Act) applyDataCentre(d *Document) (*Document, error) {
+	if _, ok := d.DataCentres[a.Name]; !ok {
+		return nil, errors.Errorf("name: data centre %q is not in data_centres", a.Name)
+	}
+	return d.WithDataCentreState(a.Name, stateFor(a.Kind == ActDataCentreIn)), nil
+}
+
+func (a Act) applyHost(d *Document) (*Document, error) {
+	if _, ok := d.Hosts[a.Name]; !ok {
+		return nil, errors.Errorf("name: host %q is not in hosts", a.Name)
+	}
+	return d.WithHostState(a.Name, stateFor(a.Kind == ActHostIn)), nil
+}
+
+func (a Act) applyServer(d *Document) (*Document, error) {
+	if _, ok := d.Pools[a.Name].Servers[a.Part]; !ok {
+		return nil, errors.Errorf("part: backend server %q is not in pools.%s", a.Part, a.Name)
+	}
+	return d.WithServerState(a.Name, a.Part, stateFor(a.Kind == ActServerIn)), nil
+}
+
+func stateFor(in bool) ServiceState {
+	if in {
+		return In
+	}
+	return Out
+}
+
+func (a Act) applyVersion(d *Document) (*Document, error) {
+	m, ok := d.Models[a.Name]
+	if !ok {
+		return nil, errors.Errorf("name: model %q is not in models", a.Name)
+	}
+	row, ok := m.Versions[a.Part]
+	if !ok && a.Kind != ActVersionStart {
+		return nil, errors.Errorf("part: version %q is not in models.%s.versions", a.Part, a.Name)
+	}
+	switch a.Kind {
+	case ActVersionStart:
+		row.State, row.Share = Canary, a.Share
+		if a.CostPer > 0 {
+			row.CostMicrosPerToken = a.CostPer
+		}
+	case ActVersionShare:
+		row.Share = a.Share
+	case ActVersionPause:
+		row.State = Paused
+	case ActVersionPromote:
+		return promote(d, a.Name, a.Part, row), nil
+	case ActVersionWithdraw:
+		row.State, row.Share = Withdrawn, 0
+	default:
+		return nil, errors.Errorf("kind: %q is not an act", a.Kind)
+	}
+	return d.WithVersion(a.Name, a.Part, row), nil
+}
+
+// promote makes the version the one for new sessions; the versions that were
+// active keep their sessions until they are withdrawn.
+func promote(d *Document, model, version string, row ModelVersion) *Document {
+	for other, otherRow := range d.Models[model].Versions {
+		if other != version && otherRow.State == Active {
+			otherRow.State = Paused
+			d = d.WithVersion(model, other, otherRow)
+		}
+	}
+	row.State = Active
+	row.Share = max(row.Share, 1)
+	return d.WithVersion(model, version, row)
+}
--- /dev/null
+++ b/internal/decision/tables/parse.go
@@ -0,0 +1,49 @@
+package tables
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+// Parse reads a document from JSON with comments. Errors name the field and the line.
+func Parse(text []byte) (*Document, error) {
+	standard, err := hujson.Standardize(bytes.Clone(text))
+	if err != nil {
+		return nil, errors.Wrap(err, "tables")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	doc := &Document{}
+	if err := decoder.Decode(doc); err != nil {
+		line := 1 + bytes.Count(standard[:min(int(decoder.InputOffset()), len(standard))], []byte("\n"))
+		return nil, errors.Wrapf(err, "tables: line %d", line)
+	}
+	problems := doc.Validate()
+	for i := range problems {
+		problems[i].Line = FindLine(text, problems[i].Path)
+	}
+	if len(problems) > 0 {
+		return doc, problems
+	}
+	return doc, nil
+}
+
+// FindLine returns the line on which the path's last known member stands, or 0.
+func FindLine(text []byte, path string) int {
+	value, err := hujson.Parse(text)
+	if err != nil {
+		return 0
+	}
+	parts := strings.Split(path, ".")
+	for n := len(parts); n > 0; n-- {
+		found := value.Find("/" + strings.Join(parts[:n], "/"))
+		if found != nil {
+			return 1 + bytes.Count(text[:found.StartOffset], []byte("\n"))
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/experiment/load/report.go
@@ -0,0 +1,146 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Outcome is how one request went.
+type Outcome struct {
+	Kind      ItemKind
+	Code      string // result code, or "cut" or "no_connection"
+	OK        bool
+	First     time.Duration
+	Whole     time.Duration
+	Version   string
+	Session   string
+	WrongBody bool
+}
+
+// Report is what a run measured.
+type Report struct {
+	Sent         int                `json:"sent"`
+	Served       int                `json:"served"`
+	Cut          int                `json:"cut"`           // answers that ended before their end
+	NoConnection int                `json:"no_connection"` // no daemon took the connection
+	WrongAnswers int                `json:"wrong_answers"` // answers to another request
+	MovedSession int                `json:"moved_sessions"`
+	Codes        map[string]int     `json:"codes"`
+	Versions     map[string]int     `json:"versions"`
+	FirstMs      map[string]float64 `json:"first_ms"` // p50, p95, p99
+	WholeMs      map[string]float64 `json:"whole_ms"`
+	Histogram    []Bin              `json:"histogram"`
+	PostKeys     []string           `json:"-"`
+}
+
+// Bin is one bar of the histogram of whole latencies.
+type Bin struct {
+	UpToMs float64 `json:"up_to_ms"`
+	Count  int     `json:"count"`
+}
+
+// collector gathers outcomes; it is safe for concurrent use.
+type collector struct {
+	mu       sync.Mutex
+	outcomes []Outcome
+}
+
+func (c *collector) add(o Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+}
+
+func (c *collector) report() Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := Report{Sent: len(c.outcomes), Codes: map[string]int{}, Versions: map[string]int{}}
+	var first, whole []float64
+	sessions := map[string]string{}
+	for _, o := range c.outcomes {
+		r.Codes[o.Code]++
+		switch {
+		case o.Code == "cut":
+			r.Cut++
+		case o.Code == "no_connection":
+			r.NoConnection++
+		}
+		if o.WrongBody {
+			r.WrongAnswers++
+		}
+		if !o.OK {
+			continue
+		}
+		r.Served++
+		first = append(first, millis(o.First))
+		whole = append(whole, millis(o.Whole))
+		if o.Version != "" {
+			r.Versions[o.Version]++
+		}
+		if o.Session != "" && moved(sessions, o) {
+			r.MovedSession++
+		}
+	}
+	r.FirstMs, r.WholeMs = percentiles(first), percentiles(whole)
+	r.Histogram = bins(whole)
+	return r
+}
+
+// moved tells whether a session was answered by another version of the model
+// than before.
+func moved(seen map[string]string, o Outcome) bool {
+	model, _, _ := strings.Cut(o.Version, "@")
+	key := o.Session + " " + model
+	before, ok := seen[key]
+	seen[key] = o.Version
+	return ok && before != o.Version
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func percentiles(values []float64) map[string]float64 {
+	if len(values) == 0 {
+		return map[string]float64{}
+	}
+	slices.Sort(values)
+	at := func(p float64) float64 { return values[min(int(p*float64(len(values))), len(values)-1)] }
+	return map[string]float64{"p50": at(0.50), "p95": at(0.95), "p99": at(0.99)}
+}
+
+func bins(values []float64) []Bin {
+	var list []Bin
+	for limit := 1.0; limit <= 1<<16; limit *= 2 {
+		n := 0
+		for _, v := range values {
+			if v <= limit && v > limit/2 || limit == 1 && v <= 1 {
+				n++
+			}
+		}
+		if n > 0 {
+			list = append(list, Bin{limit, n})
+		}
+	}
+	return list
+}
+
+// WriteText prints the report for people.
+func (r Report) WriteText(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "sent %d, served %d, cut %d, no connection %d, wrong answers %d, moved sessions %d\n",
+		r.Sent, r.Served, r.Cut, r.NoConnection, r.WrongAnswers, r.MovedSession)
+	_, _ = fmt.Fprintf(w, "first byte  p50 %.1f ms  p95 %.1f ms  p99 %.1f ms\n", r.FirstMs["p50"], r.FirstMs["p95"], r.FirstMs["p99"])
+	_, _ = fmt.Fprintf(w, "whole       p50 %.1f ms  p95 %.1f ms  p99 %.1f ms\n", r.WholeMs["p50"], r.WholeMs["p95"], r.WholeMs["p99"])
+	for _, code := range slices.Sorted(maps.Keys(r.Codes)) {
+		_, _ = fmt.Fprintf(w, "code %-14s %d\n", code, r.Codes[code])
+	}
+	for _, version := range slices.Sorted(maps.Keys(r.Versions)) {
+		_, _ = fmt.Fprintf(w, "version %-14s %d\n", version, r.Versions[version])
+	}
+	for _, b := range r.Histogram {
+		_, _ = fmt.Fprintf(w, "up to %6.0f ms %6d %s\n", b.UpToMs, b.Count, strings.Repeat("#", min(60, 1+60*b.Count/max(r.Served, 1))))
+	}
+}
--- /dev/null
+++ b/internal/foundation/result/body.go
@@ -0,0 +1,57 @@
+package result
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// Headers that carry a result to callers.
+const (
+	HeaderCode = "X-Result-Code"
+	HeaderRun  = "X-Run"
+)
+
+// Body is the JSON form of a refusal. Its error object has the members that
+// clients of the chat-completions shape expect.
+type Body struct {
+	Error BodyError `json:"error"`
+}
+
+// BodyError describes the failure.
+type BodyError struct {
+	Message      string `json:"message"`
+	Type         string `json:"type"`
+	Code         string `json:"code"`
+	Number       int    `json:"number"`
+	Run          Run    `json:"run"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	RequestID    string `json:"request_id,omitempty"`
+}
+
+// NewBody returns the JSON form of e.
+func NewBody(e *Error, requestID string) Body {
+	return Body{Error: BodyError{
+		Message:      e.Detail,
+		Type:         "gypsumpitch_error",
+		Code:         e.Code.Name,
+		Number:       e.Code.Number,
+		Run:          e.Code.Run,
+		RetryAfterMs: e.Code.RetryAfterMs,
+		RequestID:    requestID,
+	}}
+}
+
+// Write sends e as the whole answer.
+func Write(w http.ResponseWriter, e *Error, requestID string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderCode, strconv.Itoa(e.Code.Number))
+	h.Set(HeaderRun, string(e.Code.Run))
+	if e.Code.RetryAfterMs > 0 {
+		h.Set("Retry-After", strconv.FormatInt((e.Code.RetryAfterMs+999)/1000, 10))
+	}
+	w.WriteHeader(e.Code.HTTPStatus)
+	// The caller may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(NewBody(e, requestID))
+}
--- /dev/null
+++ b/internal/foundation/result/error.go
@@ -0,0 +1,41 @@
+package result
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Error is a failure with its numbered code.
+type Error struct {
+	Code   Code
+	Detail string
+	cause  error
+}
+
+// New returns an error with the code and a formatted detail.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error with the code whose detail is the cause's text.
+func Wrap(cause error, code Code) *Error {
+	return &Error{Code: code, Detail: cause.Error(), cause: cause}
+}
+
+// Error gives number, name and detail.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%d %s: %s", e.Code.Number, e.Code.Name, e.Detail)
+}
+
+// Unwrap returns the cause, which may be nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// From returns err as a numbered error; one without a number becomes Internal.
+func From(err error) *Error {
+	var numbered *Error
+	if errors.As(err, &numbered) {
+		return numbered
+	}
+	return Wrap(err, Internal)
+}
--- /dev/null
+++ b/internal/foundation/settings/check.go
@@ -0,0 +1,82 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"slices"
+	"strings"
+)
+
+const minPeerKeyBytes = 16
+
+// Check returns one line for each field that is wrong.
+func (s Settings) Check() []string {
+	var lines []string
+	report := func(path, format string, args ...any) {
+		lines = append(lines, path+": "+fmt.Sprintf(format, args...))
+	}
+	if s.Host == "" {
+		report("host", "must not be empty")
+	}
+	if s.DataCentre == "" {
+		report("data_centre", "must not be empty")
+	}
+	s.checkListen(report)
+	s.checkPlatform(report)
+	checkRanges(s, report)
+	if s.Control.PullMs*2 > s.Control.ConfirmWindowMs {
+		report("control.confirm_window_ms", "is %d, must be at least twice control.pull_ms, %d ms", s.Control.ConfirmWindowMs, 2*s.Control.PullMs)
+	}
+	if (s.TLS.CertFile == "") != (s.TLS.KeyFile == "") {
+		report("tls", "cert_file and key_file go together")
+	}
+	if !slices.Contains([]string{"trace", "debug", "info", "warn", "error"}, s.Log.Level) {
+		report("log.level", "is %q, must be trace, debug, info, warn or error", s.Log.Level)
+	}
+	return lines
+}
+
+func (s Settings) checkListen(report func(path, format string, args ...any)) {
+	listens := []struct{ path, address string }{
+		{"listen.caller", s.Listen.Caller},
+		{"listen.operator", s.Listen.Operator},
+		{"listen.peer", s.Listen.Peer},
+	}
+	for _, l := range listens {
+		host, _, err := net.SplitHostPort(l.address)
+		ip := net.ParseIP(host)
+		if err != nil || ip == nil {
+			report(l.path, "%q is not an IP number with a port", l.address)
+			continue
+		}
+		if !ip.IsLoopback() {
+			s.checkExposed(l.path, report)
+		}
+	}
+}
+
+// checkExposed wants the keys without which nothing may be reachable off loopback.
+func (s Settings) checkExposed(path string, report func(path, format string, args ...any)) {
+	if len(s.Peer.Key) < minPeerKeyBytes {
+		report("peer.key", "must have at least %d bytes, since %s is not a loopback address", minPeerKeyBytes, path)
+	}
+	if s.TLS.CertFile == "" {
+		report("tls.cert_file", "must be given, since %s is not a loopback address", path)
+	}
+}
+
+func (s Settings) checkPlatform(report func(path, format string, args ...any)) {
+	urls := []struct{ path, text string }{
+		{"platform.table_service", s.Platform.TableService},
+		{"platform.object_store", s.Platform.ObjectStore},
+		{"platform.host_list", s.Platform.HostList},
+		{"platform.rating", s.Platform.Rating},
+	}
+	for _, u := range urls {
+		parsed, err := url.Parse(u.text)
+		if err != nil || !strings.HasPrefix(parsed.Scheme, "http") || parsed.Host == "" {
+			report(u.path, "%q is not an http or https URL", u.text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/foundation/settings/settings.go
@@ -0,0 +1,96 @@
+// Package settings holds what a daemon is told at start-up: its own name and
+// addresses, where the platform's services are, and its limits.
+package settings
+
+// Settings is the whole settings file of a daemon, JSON with comments.
+type Settings struct {
+	Host       string   `json:"host" doc:"name of this host in the hosts table"`
+	DataCentre string   `json:"data_centre" doc:"data centre that this host stands in"`
+	Listen     Listen   `json:"listen"`
+	TLS        TLS      `json:"tls"`
+	Peer       Peer     `json:"peer"`
+	Platform   Platform `json:"platform"`
+	Limits     Limits   `json:"limits"`
+	Control    Control  `json:"control"`
+	Bills      Bills    `json:"bills"`
+	Stop       Stop     `json:"stop"`
+	Log        Log      `json:"log"`
+}
+
+// Listen gives the addresses to listen on.
+type Listen struct {
+	Caller   string `json:"caller" doc:"IP and port for callers"`
+	Operator string `json:"operator" doc:"IP and port for operators"`
+	Peer     string `json:"peer" doc:"IP and port for other daemons"`
+}
+
+// TLS turns on TLS on every listener where both files are given.
+type TLS struct {
+	CertFile string `json:"cert_file" doc:"certificate chain in PEM; empty turns TLS off"`
+	KeyFile  string `json:"key_file" doc:"private key in PEM"`
+	CAFile   string `json:"ca_file" doc:"certificates in PEM that peers must be signed by"`
+}
+
+// Peer holds what daemons need to trust each other.
+type Peer struct {
+	Key string `json:"key" doc:"secret that all daemons share; at least 16 bytes off loopback"`
+}
+
+// Platform gives the base URLs of the platform's services.
+type Platform struct {
+	TableService string `json:"table_service" doc:"base URL of the table service"`
+	ObjectStore  string `json:"object_store" doc:"base URL of the object store"`
+	HostList     string `json:"host_list" doc:"base URL of the list of live and leaving hosts"`
+	Rating       string `json:"rating" doc:"base URL of the rating service"`
+	TimeoutMs    int64  `json:"timeout_ms" doc:"limit of one call to the platform" unit:"ms" min:"10" max:"60000"`
+}
+
+// Limits bounds what callers can make the daemon hold.
+type Limits struct {
+	MaxBodyBytes   int64 `json:"max_body_bytes" doc:"largest request body" unit:"bytes" min:"1024" max:"1073741824"`
+	MaxHeaderBytes int64 `json:"max_header_bytes" doc:"largest request header" unit:"bytes" min:"1024" max:"1048576"`
+	MaxAnswerBytes int64 `json:"max_answer_bytes" doc:"largest whole answer from a backend server" unit:"bytes" min:"1024" max:"1073741824"`
+	HeaderReadMs   int64 `json:"header_read_ms" doc:"time in which a caller must send its header" unit:"ms" min:"10" max:"600000"`
+	BodyReadMs     int64 `json:"body_read_ms" doc:"time in which a caller must send its body" unit:"ms" min:"10" max:"600000"`
+	MaxInFlight    int64 `json:"max_in_flight" doc:"requests that one daemon has under way" unit:"requests" min:"1" max:"1000000"`
+	QueueMs        int64 `json:"queue_ms" doc:"longest wait for a backend server" unit:"ms" min:"0" max:"60000"`
+	RetryPercent   int64 `json:"retry_percent" doc:"retries as a share of first attempts" unit:"%" min:"0" max:"100"`
+	PinCache       int64 `json:"pin_cache" doc:"session pins kept in memory" unit:"pins" min:"16" max:"10000000"`
+}
+
+// Control paces the daemon's control work.
+type Control struct {
+	TickMs          int64 `json:"tick_ms" doc:"period of the control goroutine's clock" unit:"ms" min:"10" max:"10000"`
+	PullMs          int64 `json:"pull_ms" doc:"period of asking peers for their state" unit:"ms" min:"10" max:"60000"`
+	PullFanout      int64 `json:"pull_fanout" doc:"peers asked in one period" unit:"peers" min:"1" max:"1000"`
+	PushFanout      int64 `json:"push_fanout" doc:"peers told of a new document by each daemon" unit:"peers" min:"1" max:"1000"`
+	ConfirmWindowMs int64 `json:"confirm_window_ms" doc:"how long a confirmed version lets new work in" unit:"ms" min:"100" max:"60000"`
+	StoreReadMs     int64 `json:"store_read_ms" doc:"shortest period of reading the document's version" unit:"ms" min:"50" max:"600000"`
+	StoreReadBudget int64 `json:"store_read_budget" doc:"such reads of all daemons together" unit:"reads/s" min:"1" max:"2000"`
+	LoadPollMs      int64 `json:"load_poll_ms" doc:"period of asking a backend server for its load" unit:"ms" min:"10" max:"60000"`
+	HostListMs      int64 `json:"host_list_ms" doc:"period of reading the host list" unit:"ms" min:"50" max:"600000"`
+	SubsetSize      int64 `json:"subset_size" doc:"backend servers of a pool that one daemon prefers" unit:"servers" min:"1" max:"100000"`
+	LeaseMs         int64 `json:"lease_ms" doc:"life of a lease" unit:"ms" min:"200" max:"600000"`
+	OrderLimitMs    int64 `json:"order_limit_ms" doc:"longest life of an order in flight to an engine" unit:"ms" min:"10" max:"600000"`
+	RatingMs        int64 `json:"rating_ms" doc:"period of reading new ratings" unit:"ms" min:"50" max:"600000"`
+}
+
+// Bills paces the writing of bill records.
+type Bills struct {
+	FlushMs      int64 `json:"flush_ms" doc:"period of writing a batch" unit:"ms" min:"10" max:"600000"`
+	BatchRows    int64 `json:"batch_rows" doc:"rows in one write" unit:"rows" min:"1" max:"10000"`
+	MaxPending   int64 `json:"max_pending" doc:"unwritten records at which new work is refused" unit:"records" min:"1" max:"10000000"`
+	HolderWaitMs int64 `json:"holder_wait_ms" doc:"age at which a replica holder writes a record itself" unit:"ms" min:"100" max:"3600000"`
+}
+
+// Stop paces a graceful shutdown.
+type Stop struct {
+	BalancerWaitMs int64 `json:"balancer_wait_ms" doc:"time for the balancer to see that the daemon isn't ready" unit:"ms" min:"0" max:"600000"`
+	DrainMs        int64 `json:"drain_ms" doc:"longest wait for requests under way" unit:"ms" min:"0" max:"86400000"`
+}
+
+// Log sets what is logged.
+type Log struct {
+	Level string `json:"level" doc:"trace, debug, info, warn or error"`
+	JSON  bool   `json:"json" doc:"log lines as JSON"`
+}
--- /dev/null
+++ b/internal/program/client/load.go
@@ -0,0 +1,45 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"gypsumpitch.example/gypsumpitch/internal/experiment/load"
+)
+
+// registerLoad adds the load tool.
+func registerLoad(app *kingpin.Application, e *environment) {
+	command := app.Command("load", "Send an open-loop load and print histograms and the four measures.")
+	file := command.Flag("plan", "Load plan in JSON with comments.").Required().String()
+	duration := command.Flag("for", "How long to send.").Default("10s").Duration()
+	rate := command.Flag("rate", "Requests a second.").Default("50").Float64()
+	seed := command.Flag("seed", "Seed of the mix.").Default("1").Uint64()
+	command.Action(action(func() error {
+		plan, err := readPlan(*file)
+		if err != nil {
+			return err
+		}
+		plan.Duration, plan.Rate, plan.Seed = *duration, *rate, *seed
+		report := load.Run(context.Background(), plan)
+		return e.print(report, func(w io.Writer) { report.WriteText(w) })
+	}))
+}
+
+func readPlan(file string) (load.Plan, error) {
+	var plan load.Plan
+	text, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return plan, errors.Wrap(err, "plan")
+	}
+	standard, err := hujson.Standardize(text)
+	if err != nil {
+		return plan, errors.Wrap(err, "plan")
+	}
+	return plan, errors.Wrap(json.Unmarshal(standard, &plan), "plan")
+}
--- /dev/null
+++ b/internal/program/daemon/main.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Main runs the daemon's command line and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	app := kingpin.New("gypsumpitchd", "Model-aware router for versions and cascades.")
+	app.Terminate(nil)
+	app.UsageWriter(stderr)
+	run := app.Command("run", "Serve until SIGTERM, then shut down gracefully.")
+	runFile := run.Arg("file", "Settings file.").Required().String()
+	check := app.Command("check-settings", "Check a settings file.")
+	checkFile := check.Arg("file", "Settings file.").Required().String()
+	settingsPage := app.Command("print-settings-page", "Print docs/SETTINGS.md.")
+	codesPage := app.Command("print-codes-page", "Print docs/RESULT_CODES.md.")
+
+	command, err := app.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "gypsumpitchd:", err)
+		return exitUsage
+	}
+	switch command {
+	case run.FullCommand():
+		err = serve(*runFile)
+	case check.FullCommand():
+		_, err = settings.Load(*checkFile)
+	case settingsPage.FullCommand():
+		_, _ = fmt.Fprint(stdout, settings.Page())
+	case codesPage.FullCommand():
+		_, _ = fmt.Fprint(stdout, result.Page())
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "gypsumpitchd:", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func serve(file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	d, err := Assemble(s)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/internal/program/daemon/providers.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/core"
+	"gypsumpitch.example/gypsumpitch/internal/control/driver"
+	"gypsumpitch.example/gypsumpitch/internal/control/loop"
+	"gypsumpitch.example/gypsumpitch/internal/control/operator"
+	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/platform/hostlist"
+	"gypsumpitch.example/gypsumpitch/internal/platform/objectstore"
+	"gypsumpitch.example/gypsumpitch/internal/platform/rating"
+	"gypsumpitch.example/gypsumpitch/internal/platform/tableservice"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/app"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/bills"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/caller"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/claims"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/dispatch"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/engine"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/pins"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/quality"
+)
+
+// staleLoadPeriods is how many missed load reports make a server count as cold.
+const staleLoadPeriods = 8
+
+// longestLoadLag bounds the age of what a load report says.
+const longestLoadLag = 500 * clock.Millis(1)
+
+// PeerTLS holds the TLS configurations between daemons; both are nil without TLS.
+type PeerTLS struct {
+	Server *tls.Config
+	Client *tls.Config
+}
+
+func newPeerTLS(s settings.Settings) (*PeerTLS, error) {
+	if s.TLS.CertFile == "" {
+		return &PeerTLS{}, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.TLS.CertFile, s.TLS.KeyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "tls")
+	}
+	t := &PeerTLS{
+		Server: &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12},
+		Client: &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12},
+	}
+	if s.TLS.CAFile == "" {
+		return t, nil
+	}
+	text, err := os.ReadFile(s.TLS.CAFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "tls.ca_file")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.New("tls.ca_file: no certificate in the file")
+	}
+	t.Client.RootCAs = pool
+	return t, nil
+}
+
+func newCore(c *common.Common, incarnation Incarnation) *core.Core {
+	control := c.Settings.Control
+	return core.New(core.Config{
+		Self:          c.Settings.Host,
+		DataCentre:    c.Settings.DataCentre,
+		Incarnation:   uint64(incarnation),
+		ConfirmWindow: clock.Millis(control.ConfirmWindowMs),
+		PullPeriod:    clock.Millis(control.PullMs),
+		PullFanout:    int(control.PullFanout),
+		PushFanout:    int(control.PushFanout),
+		StoreRead:     clock.Millis(control.StoreReadMs),
+		StoreBudget:   int(control.StoreReadBudget),
+		LoadPoll:      clock.Millis(control.LoadPollMs),
+		LoadStale:     staleLoadPeriods * clock.Millis(control.LoadPollMs),
+		LoadLag:       longestLoadLag,
+		HostListRead:  clock.Millis(control.HostListMs),
+		SubsetSize:    int(control.SubsetSize),
+	}, c.Clock.Now())
+}
+
+func newTable(s settings.Settings) tableservice.Table {
+	return tableservice.NewClient(s.Platform.TableService, clock.Millis(s.Platform.TimeoutMs))
+}
+
+func newObjects(s settings.Settings) *objectstore.Client {
+	return objectstore.NewClient(s.Platform.ObjectStore, clock.Millis(s.Platform.TimeoutMs))
+}
+
+func newHostList(s settings.Settings) *hostlist.Client {
+	return hostlist.NewClient(s.Platform.HostList, clock.Millis(s.Platform.TimeoutMs))
+}
+
+func newRating(s settings.Settings) quality.Service {
+	return rating.NewClient(s.Platform.Rating, clock.Millis(s.Platform.TimeoutMs))
+}
+
+func newPeerClient(s settings.Settings, t *PeerTLS) *peer.Client {
+	return peer.NewClient(s.Peer.Key, t.Client)
+}
+
+func newPeerServer(c *common.Common) *peer.Server {
+	return peer.NewServer(c.Log, c.Settings.Peer.Key)
+}
+
+func newSnapshots(l *loop.Loop) func() *core.Snapshot { return l.Snapshot }
+
+func newDispatcher(c *common.Common, snapshots func() *core.Snapshot, counters *placement.Counters) *dispatch.Dispatcher {
+	return dispatch.NewDispatcher(c.Clock, snapshots, counters, placement.Scored{}, clock.Millis(c.Settings.Limits.QueueMs))
+}
+
+func newEngines(s settings.Settings) *engine.Client { return engine.NewClient(s.Limits.MaxAnswerBytes) }
+
+func newApps(s settings.Settings) *app.Client { return app.NewClient(s.Limits.MaxAnswerBytes) }
+
+func newCallers(
+	c *common.Common, incarnation Incarnation, l *loop.Loop, snapshots func() *core.Snapshot,
+	d *dispatch.Dispatcher, engines *engine.Client, apps *app.Client,
+	b *bills.Keeper, p *pins.Keeper, k *claims.Keeper, q *quality.Keeper, m *caller.Metrics,
+) *caller.Server {
+	return caller.NewServer(caller.Dependencies{
+		Common:      c,
+		Incarnation: uint64(incarnation),
+		Snapshots:   snapshots,
+		Notify:      l.Notify,
+		Dispatcher:  d,
+		Engines:     engines,
+		Apps:        apps,
+		Bills:       b,
+		Pins:        p,
+		Claims:      k,
+		Quality:     q,
+		Metrics:     m,
+	})
+}
+
+func newDriver(
+	c *common.Common, incarnation Incarnation, table tableservice.Table, l *loop.Loop,
+	e *operator.Editor, q *quality.Keeper, o *driver.Orders,
+) *driver.Driver {
+	return driver.New(c, uint64(incarnation), table, l, e, q, o)
+}
+
+func newPerformer(a *loop.Adapter) loop.Performer { return a }
--- /dev/null
+++ b/internal/program/daemon/status.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/core"
+	"gypsumpitch.example/gypsumpitch/internal/control/operator"
+	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+const (
+	kindStatus  peer.Kind = "status"
+	statusLimit           = 2 * time.Second
+)
+
+// status is this daemon's account of itself.
+func (d *Daemon) status() operator.Status {
+	now := d.Common.Clock.Now()
+	snapshot := d.Loop.Snapshot()
+	s := operator.NewStatus(snapshot, clock.Millis(d.Common.Settings.Control.ConfirmWindowMs), now)
+	s.Incarnation = uint64(d.Incarnation)
+	s.Ready = d.Callers.Ready()
+	s.OpenRequests = d.Callers.Open()
+	s.Waiting = d.Dispatcher.Waiting()
+	s.BillsOwn, s.BillsHeld = d.Bills.Sizes()
+	s.ClaimsUnwritten = d.Backlog.Len()
+	s.LeasesHeld = d.Driver.Held()
+	s.Servers = d.serverLines(snapshot, now)
+	return s
+}
+
+func (d *Daemon) serverLines(snapshot *core.Snapshot, now clock.Millis) []operator.ServerLine {
+	var lines []operator.ServerLine
+	for pool, p := range snapshot.Document.Pools {
+		for name := range p.Servers {
+			key := placement.Key{Pool: pool, Server: name}
+			lines = append(lines, operator.NewServerLine(snapshot, key, d.Counters.Get(key), now))
+		}
+	}
+	sort.Slice(lines, func(i, j int) bool { return lines[i].Server < lines[j].Server })
+	return lines
+}
+
+func (d *Daemon) peerStatus(context.Context, peer.Nothing) (operator.Status, error) {
+	return d.status(), nil
+}
+
+// allStatus asks every other daemon for its account; one that doesn't answer
+// is listed with its name alone.
+func (d *Daemon) allStatus(r *http.Request) []operator.Status {
+	ctx, cancel := context.WithTimeout(r.Context(), statusLimit)
+	defer cancel()
+	snapshot := d.Loop.Snapshot()
+	list := []operator.Status{d.status()}
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for name, host := range snapshot.Document.Hosts {
+		if name == snapshot.Self {
+			continue
+		}
+		asking.Add(1)
+		go func() {
+			defer asking.Done()
+			s, err := peer.Call[peer.Nothing, operator.Status](ctx, d.Peers, host.PeerAddress, kindStatus, peer.Nothing{})
+			if err != nil {
+				s = operator.Status{Host: name, DataCentre: host.DataCentre, ConfirmedAgeMs: -1, Unreachable: err.Error()}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			list = append(list, s)
+		}()
+	}
+	asking.Wait()
+	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
+	return list
+}
+
+func (d *Daemon) newOperatorServer() *http.Server {
+	server := operator.NewServer(d.Common, d.Editor, d.Table, d.Objects, operator.Sources{
+		Status:  d.status,
+		All:     d.allStatus,
+		Ready:   d.Callers.Ready,
+		Metrics: func(w io.Writer) { d.Metrics.Write(w) },
+	})
+	return &http.Server{
+		Handler:           server.Handler(),
+		ReadHeaderTimeout: clock.Millis(d.Common.Settings.Limits.HeaderReadMs).Duration(),
+		MaxHeaderBytes:    int(d.Common.Settings.Limits.MaxHeaderBytes),
+	}
+}
+
+// registerGauges shows the sizes that matter in an outage.
+func (d *Daemon) registerGauges() {
+	set := d.Metrics.Set()
+	set.GetOrCreateGauge("gypsumpitch_open_requests", func() float64 { return float64(d.Callers.Open()) })
+	set.GetOrCreateGauge("gypsumpitch_config_version", func() float64 { return float64(d.Loop.Snapshot().Document.Version) })
+	set.GetOrCreateGauge("gypsumpitch_confirmed_age_ms", func() float64 { return float64(d.status().ConfirmedAgeMs) })
+	set.GetOrCreateGauge("gypsumpitch_bills_unwritten", func() float64 {
+		own, held := d.Bills.Sizes()
+		return float64(own + held)
+	})
+	set.GetOrCreateGauge("gypsumpitch_claims_unwritten", func() float64 { return float64(d.Backlog.Len()) })
+	set.GetOrCreateGauge("gypsumpitch_peer_bytes", func() float64 { return float64(d.Peers.Bytes()) })
+}
--- /dev/null
+++ b/internal/program/daemon/wire.go
@@ -0,0 +1,56 @@
+//go:build wireinject
+
+package daemon
+
+import (
+	"github.com/google/wire"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/driver"
+	"gypsumpitch.example/gypsumpitch/internal/control/loop"
+	"gypsumpitch.example/gypsumpitch/internal/control/operator"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/bills"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/caller"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/claims"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/pins"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/quality"
+)
+
+// Assemble makes a daemon from its settings.
+func Assemble(s settings.Settings) (*Daemon, error) {
+	wire.Build(
+		common.New,
+		NewIncarnation,
+		newPeerTLS,
+		newTable,
+		newObjects,
+		newHostList,
+		newRating,
+		newPeerClient,
+		newPeerServer,
+		newCore,
+		placement.NewCounters,
+		quality.NewKeeper,
+		loop.NewAdapter,
+		newPerformer,
+		loop.New,
+		newSnapshots,
+		bills.NewKeeper,
+		pins.NewKeeper,
+		claims.NewBacklog,
+		claims.NewKeeper,
+		newDispatcher,
+		newEngines,
+		newApps,
+		caller.NewMetrics,
+		newCallers,
+		operator.NewEditor,
+		driver.NewOrders,
+		newDriver,
+		wire.Struct(new(loop.Handlers), "*"),
+		wire.Struct(new(Daemon), "*"),
+	)
+	return nil, nil
+}
--- /dev/null
+++ b/internal/standin/app.go
@@ -0,0 +1,92 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+
+	"gypsumpitch.example/gypsumpitch/internal/traffic/backend"
+)
+
+// App is a plain app server: a ledger that records every call it runs.
+type App struct {
+	faults *Switch
+	work   time.Duration
+	mu     sync.Mutex
+	runs   map[string]int // by Idempotency-Key
+	calls  int
+	active int
+}
+
+// NewApp returns an app whose calls take that long.
+func NewApp(faults *Switch, work time.Duration) *App {
+	return &App{faults: faults, work: work, runs: make(map[string]int)}
+}
+
+// Runs returns how often the call with each key has run.
+func (a *App) Runs() map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	runs := make(map[string]int, len(a.runs))
+	for k, n := range a.runs {
+		runs[k] = n
+	}
+	return runs
+}
+
+// Handler serves the app, its load report and GET /v1/runs.
+func (a *App) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		writeJSON(w, placement.Load{Running: a.active, Leaving: a.faults.Get().Leaving, Incarnation: "app"})
+	})
+	mux.HandleFunc("GET /v1/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, a.Runs()) })
+	mux.HandleFunc("/", a.serve)
+	return a.faults.Wrap(mux)
+}
+
+func (a *App) serve(w http.ResponseWriter, r *http.Request) {
+	if a.faults.Get().Leaving {
+		w.Header().Set(backend.HeaderLeaving, "true")
+		w.Header().Set(backend.HeaderNotRun, "true")
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	a.begin(r)
+	defer a.end()
+	time.Sleep(a.work)
+	if a.faults.use(func(f *Faults) *int { return &f.CutAfterRun }) {
+		cut()
+	}
+	id := r.Header.Get(backend.HeaderRequestID)
+	if a.faults.use(func(f *Faults) *int { return &f.CrossAnswers }) {
+		id = "another-request"
+	}
+	w.Header().Set(backend.HeaderRequestID, id)
+	writeJSON(w, map[string]any{"method": r.Method, "path": r.URL.Path, "query": r.URL.RawQuery, "body": string(body), "header": r.Header.Get("X-Demo")})
+}
+
+func (a *App) begin(r *http.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	a.active++
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		a.runs[key]++
+	}
+}
+
+func (a *App) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active--
+}
--- /dev/null
+++ b/internal/standin/host_list.go
@@ -0,0 +1,59 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"gypsumpitch.example/gypsumpitch/internal/platform/hostlist"
+)
+
+// HostList is the platform's lagging list of hosts.
+type HostList struct {
+	faults *Switch
+	mu     sync.Mutex
+	hosts  map[string]hostEntry
+}
+
+type hostEntry struct {
+	leaving bool
+	since   time.Time
+}
+
+// NewHostList returns an empty list.
+func NewHostList(faults *Switch) *HostList {
+	return &HostList{faults: faults, hosts: make(map[string]hostEntry)}
+}
+
+// Handler serves GET and POST /v1/hosts. A change shows after the lag.
+func (h *HostList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.list()) })
+	mux.HandleFunc("POST /v1/hosts", func(w http.ResponseWriter, r *http.Request) {
+		var host hostlist.Host
+		if err := json.NewDecoder(r.Body).Decode(&host); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.hosts[host.Address] = hostEntry{host.Leaving, time.Now()}
+	})
+	return h.faults.Wrap(mux)
+}
+
+func (h *HostList) list() []hostlist.Host {
+	lag := time.Duration(h.faults.Get().LagMs) * time.Millisecond
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := []hostlist.Host{}
+	for address, entry := range h.hosts {
+		shown := entry.leaving
+		if time.Since(entry.since) < lag {
+			shown = !shown
+		}
+		list = append(list, hostlist.Host{Address: address, Leaving: shown})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/standin/object_store.go
@@ -0,0 +1,28 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+)
+
+// NewObjectStore returns the platform's object store.
+func NewObjectStore(faults *Switch) http.Handler {
+	var objects sync.Map
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/objects/{name}", func(_ http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			objects.Store(r.PathValue("name"), body)
+		}
+	})
+	mux.HandleFunc("GET /v1/objects/{name}", func(w http.ResponseWriter, r *http.Request) {
+		body, ok := objects.Load(r.PathValue("name"))
+		if !ok {
+			http.Error(w, "no such object", http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write(body.([]byte))
+	})
+	return faults.Wrap(mux)
+}
--- /dev/null
+++ b/internal/traffic/claims/keeper.go
@@ -0,0 +1,181 @@
+// Package claims carries non-idempotent calls through the table service, so
+// that each runs at most once.
+package claims
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/core"
+	"gypsumpitch.example/gypsumpitch/internal/decision/claim"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+	"gypsumpitch.example/gypsumpitch/internal/platform/tableservice"
+)
+
+// Table is the table that holds the claims, by account and idempotency key.
+const Table = "claims"
+
+const (
+	maxObserved = 100_000
+	// settleMargin is added to a call's limit before a claim that its daemon
+	// never settled is taken as unknown.
+	settleMargin = 5_000 * clock.Millis(1)
+)
+
+// Sender sends the call once. Its verdict is Ran, NotRun or MayHaveRun.
+type Sender func(ctx context.Context) (claim.Verdict, *claim.Answer)
+
+// Keeper is safe for concurrent use.
+type Keeper struct {
+	common    *common.Common
+	table     tableservice.Table
+	snapshots func() *core.Snapshot
+	observed  *container.LRU[string, observation]
+	backlog   *Backlog
+}
+
+// observation is when this daemon first saw a claim of another under way.
+type observation struct {
+	claimID string
+	since   clock.Millis
+}
+
+// NewKeeper returns a keeper whose unfinished writes wait in the backlog.
+func NewKeeper(c *common.Common, table tableservice.Table, snapshots func() *core.Snapshot, backlog *Backlog) *Keeper {
+	return &Keeper{common: c, table: table, snapshots: snapshots, observed: container.NewLRU[string, observation](maxObserved), backlog: backlog}
+}
+
+// Run takes the call through its claim. It returns the verdict and, where the
+// call ran now or before, its answer.
+func (k *Keeper) Run(ctx context.Context, key string, mine claim.Row, send Sender) (claim.Verdict, *claim.Answer) {
+	m := claim.NewMachine(mine)
+	var answer *claim.Answer
+	for step := m.Start(); step != claim.Finish; {
+		switch step {
+		case claim.Insert, claim.Takeover:
+			step = k.write(ctx, key, m, step)
+		case claim.ReadBack:
+			step = k.readBack(ctx, key, m)
+		case claim.Send:
+			var verdict claim.Verdict
+			verdict, answer = send(ctx)
+			step = m.Sent(verdict)
+			k.settle(key, m, answer)
+		}
+	}
+	switch m.Verdict() {
+	case claim.Replayed:
+		return claim.Replayed, m.Found().Answer
+	case claim.InProgress:
+		return k.judgeProgress(ctx, key, m), nil
+	case claim.NotRun:
+		k.releaseUnsent(key, m)
+	}
+	return m.Verdict(), answer
+}
+
+func (k *Keeper) write(ctx context.Context, key string, m *claim.Machine, step claim.Step) claim.Step {
+	condition := tableservice.IfAbsent
+	if step == claim.Takeover {
+		condition = tableservice.IfVersion
+	}
+	w, err := tableservice.NewWrite(Table, key, m.Row(), condition, m.Version())
+	if err != nil {
+		return m.WriteUnavailable()
+	}
+	applied, err := k.table.Commit(ctx, tableservice.Batch{Writes: []tableservice.Write{w}})
+	switch {
+	case errors.Is(err, tableservice.ErrUnknown):
+		return m.WriteUnknown()
+	case err != nil:
+		return m.WriteUnavailable()
+	}
+	row, err := decode(applied[0].Row)
+	if err != nil {
+		return m.WriteUnavailable()
+	}
+	return m.Wrote(applied[0].Applied, row, applied[0].Row.Version)
+}
+
+func (k *Keeper) readBack(ctx context.Context, key string, m *claim.Machine) claim.Step {
+	stored, err := k.table.Get(ctx, Table, key)
+	if errors.Is(err, tableservice.ErrNotFound) {
+		return m.ReadAbsent()
+	}
+	if err != nil {
+		return m.ReadUnavailable()
+	}
+	row, err := decode(stored)
+	if err != nil {
+		return m.ReadUnavailable()
+	}
+	return m.Read(row, stored.Version)
+}
+
+func decode(stored tableservice.Row) (claim.Row, error) {
+	var row claim.Row
+	err := json.Unmarshal(stored.Value, &row)
+	return row, errors.Wrap(err, "decode claim")
+}
+
+// settle records the outcome of a call that was sent, or gives the claim back
+// where it wasn't. The caller has its answer either way.
+func (k *Keeper) settle(key string, m *claim.Machine, answer *claim.Answer) {
+	switch m.Verdict() {
+	case claim.Ran:
+		k.backlog.Add(key, m.Row().WithState(claim.Done, answer))
+	case claim.NotRun:
+		k.backlog.Add(key, m.Row().WithState(claim.Released, nil))
+	default:
+		k.backlog.Add(key, m.Row().WithState(claim.Unknown, nil))
+	}
+}
+
+// releaseUnsent gives back a claim whose write may have taken effect although
+// its answer was lost.
+func (k *Keeper) releaseUnsent(key string, m *claim.Machine) {
+	k.backlog.Add(key, m.Row().WithState(claim.Released, nil))
+}
+
+// judgeProgress tells a call that is under way from one whose daemon is gone:
+// the claimer's host runs a later incarnation, or the call's limit has passed
+// since this daemon first saw the claim. Nobody else would send it, so the
+// claim is only marked.
+func (k *Keeper) judgeProgress(ctx context.Context, key string, m *claim.Machine) claim.Verdict {
+	found := m.Found()
+	if !k.ownerGone(found) && !k.overdue(key, found) {
+		return claim.InProgress
+	}
+	w, err := tableservice.NewWrite(Table, key, found.WithState(claim.Unknown, nil), tableservice.IfVersion, m.Version())
+	if err != nil {
+		return claim.InProgress
+	}
+	applied, err := k.table.Commit(ctx, tableservice.Batch{Writes: []tableservice.Write{w}})
+	if err != nil || !applied[0].Applied {
+		return claim.InProgress
+	}
+	return claim.MayHaveRun
+}
+
+func (k *Keeper) ownerGone(row claim.Row) bool {
+	for _, s := range k.snapshots().Sightings {
+		if s.Member == row.Member {
+			return s.Incarnation > row.Incarnation
+		}
+	}
+	return false
+}
+
+func (k *Keeper) overdue(key string, row claim.Row) bool {
+	now := k.common.Clock.Now()
+	seen, ok := k.observed.Get(key)
+	if !ok || seen.claimID != row.ClaimID {
+		k.observed.Put(key, observation{row.ClaimID, now})
+		return false
+	}
+	return now-seen.since > clock.Millis(row.LimitMs)+settleMargin
+}
--- /dev/null
+++ b/internal/traffic/quality/keeper.go
@@ -0,0 +1,255 @@
+// Package quality hands samples of answers to the rating service, learns from
+// its ratings, plans cascades and closes versions that prove bad.
+package quality
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/core"
+	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
+	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
+	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+	"gypsumpitch.example/gypsumpitch/internal/platform/rating"
+)
+
+const (
+	maxSubmitted   = 50     // answers handed in each period
+	maxAwaited     = 10_000 // answers whose rating may still come
+	planLife       = 250 * clock.Millis(1)
+	explorePercent = 5
+	maxUnrated     = 100 // explored answers without a rating that stop exploring
+)
+
+// Service is what the keeper needs of the rating service.
+type Service interface {
+	Submit(ctx context.Context, answers []rating.Answer) error
+	After(ctx context.Context, sequence int64) ([]rating.Rating, error)
+}
+
+// Keeper is safe for concurrent use.
+type Keeper struct {
+	common  *common.Common
+	service Service
+	test    rollout.TestParameters
+	table   *cascade.Table
+	awaited *container.LRU[string, sample]
+
+	mu       sync.Mutex
+	toSubmit []rating.Answer
+	sequence int64
+	scores   map[string]rollout.Score
+	answers  map[string]int
+	peers    map[string]map[string]core.VersionScore
+	plans    map[string]timedPlan
+	unrated  int
+	tripped  []string
+}
+
+// sample is an answer whose rating may come.
+type sample struct {
+	cell    cascade.Cell
+	version string
+}
+
+type timedPlan struct {
+	plan cascade.Plan
+	at   clock.Millis
+}
+
+// NewKeeper returns a keeper that knows nothing.
+func NewKeeper(c *common.Common, service Service) *Keeper {
+	return &Keeper{
+		common:  c,
+		service: service,
+		test:    rollout.DefaultTest(),
+		table:   cascade.NewTable(),
+		awaited: container.NewLRU[string, sample](maxAwaited),
+		scores:  make(map[string]rollout.Score),
+		answers: make(map[string]int),
+		peers:   make(map[string]map[string]core.VersionScore),
+		plans:   make(map[string]timedPlan),
+	}
+}
+
+// Tier is one model of a route that a request may use.
+type Tier struct {
+	Model   string
+	Version string
+	Cost    int64 // millionths a token
+}
+
+// Plan returns the plan for a request on the tiers, from cheap to costly.
+func (k *Keeper) Plan(route, class string, tiers []Tier, target float64) cascade.Plan {
+	names := make([]string, len(tiers))
+	for i, t := range tiers {
+		names[i] = tables.JoinVersion(t.Model, t.Version)
+	}
+	key := route + " " + class + " " + strings.Join(names, " ")
+	now := k.common.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if known, ok := k.plans[key]; ok && now-known.at < planLife {
+		return known.plan
+	}
+	plan := cascade.Make(k.profiles(route, class, tiers), target)
+	if len(k.plans) > maxAwaited {
+		clear(k.plans)
+	}
+	k.plans[key] = timedPlan{plan, now}
+	return plan
+}
+
+// Direct returns the tier for an answer that is streamed.
+func (k *Keeper) Direct(route, class string, tiers []Tier, target float64) int {
+	return cascade.Direct(k.profiles(route, class, tiers), target)
+}
+
+func (k *Keeper) profiles(route, class string, tiers []Tier) []cascade.Tier {
+	profiles := make([]cascade.Tier, len(tiers))
+	for i, t := range tiers {
+		profiles[i] = cascade.Tier{Model: t.Model, Cost: float64(t.Cost), Profile: k.table.Profile(route, class, t.Model)}
+	}
+	return profiles
+}
+
+// Explore tells whether a request that starts on a higher tier should also try
+// the one below, whose answer is rated but not given to the caller.
+func (k *Keeper) Explore(requestID string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.unrated < maxUnrated && container.Hash("explore", requestID)%100 < explorePercent
+}
+
+// Answered takes in an answer to be rated.
+func (k *Keeper) Answered(a rating.Answer, model string, confidence float64) {
+	cell := cascade.Cell{Route: a.Route, Class: a.Class, Model: model, Bucket: cascade.Bucket(confidence)}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.toSubmit) >= maxSubmitted {
+		return
+	}
+	k.toSubmit = append(k.toSubmit, a)
+	k.awaited.Put(a.RequestID, sample{cell, a.Version})
+	k.unrated++
+}
+
+// Failed takes in an error that an engine itself gave for the version.
+func (k *Keeper) Failed(version string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.count(version, false)
+}
+
+// Exchange submits what has gathered and reads new ratings.
+func (k *Keeper) Exchange(ctx context.Context) error {
+	k.mu.Lock()
+	batch := k.toSubmit
+	k.toSubmit = nil
+	sequence := k.sequence
+	k.mu.Unlock()
+	if len(batch) > 0 {
+		if err := k.service.Submit(ctx, batch); err != nil {
+			return err
+		}
+	}
+	ratings, err := k.service.After(ctx, sequence)
+	if err != nil {
+		return err
+	}
+	for _, r := range ratings {
+		k.rate(r)
+	}
+	return nil
+}
+
+func (k *Keeper) rate(r rating.Rating) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sequence = max(k.sequence, r.Sequence)
+	s, ok := k.awaited.Get(r.RequestID)
+	if !ok {
+		return
+	}
+	k.unrated = max(k.unrated-1, 0)
+	k.table.Rate(s.cell, r.Good)
+	k.count(s.version, r.Good)
+}
+
+func (k *Keeper) count(version string, good bool) {
+	k.answers[version]++
+	k.scores[version] = k.scores[version].With(k.test, good)
+	if k.scores[version].Trips(k.test, k.peerScores(version)) {
+		k.tripped = append(k.tripped, version)
+	}
+}
+
+func (k *Keeper) peerScores(version string) []rollout.Score {
+	var scores []rollout.Score
+	for _, byName := range k.peers {
+		scores = append(scores, rollout.Score(byName[version].Score))
+	}
+	return scores
+}
+
+// TakeTripped returns the versions that the test has closed since the last call.
+func (k *Keeper) TakeTripped() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	tripped := k.tripped
+	k.tripped = nil
+	return tripped
+}
+
+// Own returns this daemon's counts and evidence, for its peers.
+func (k *Keeper) Own() ([]cascade.Count, []core.VersionScore) {
+	counts := k.table.Own()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	evidence := make([]core.VersionScore, 0, len(k.scores))
+	for name, score := range k.scores {
+		evidence = append(evidence, core.VersionScore{Name: name, Answers: k.answers[name], Score: float64(score)})
+	}
+	return counts, evidence
+}
+
+// SetPeer replaces what is known of a peer's counts and evidence.
+func (k *Keeper) SetPeer(member string, counts []cascade.Count, evidence []core.VersionScore) {
+	k.table.SetPeer(member, counts)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	byName := make(map[string]core.VersionScore, len(evidence))
+	for _, e := range evidence {
+		byName[e.Name] = e
+	}
+	k.peers[member] = byName
+	for name, score := range k.scores {
+		if score > 0 && score.Trips(k.test, k.peerScores(name)) {
+			k.tripped = append(k.tripped, name)
+		}
+	}
+}
+
+// Evidence returns what all daemons together have seen of a version.
+func (k *Keeper) Evidence(name string) rollout.Evidence {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	total := rollout.Evidence{Answers: k.answers[name], Score: k.scores[name]}
+	for _, byName := range k.peers {
+		total.Answers += byName[name].Answers
+		total.Score += rollout.Score(byName[name].Score)
+	}
+	return total
+}
+
+// Reset forgets the evidence of a version whose row an operator has changed.
+func (k *Keeper) Reset(name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.scores, name)
+	delete(k.answers, name)
+}
