--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Everything that a newcomer and CI need; only Go is taken as installed.
+GOLANGCI_LINT_VERSION = v2.15.0
+WIRE_VERSION = v0.7.0
+TOOLS = $(CURDIR)/.tools
+USER_NAME ?= kitami
+
+.PHONY: build demo test lint unit proofs fuzz measure generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build ## the whole path as separate processes, with faults
+	USER_NAME=$(USER_NAME) bash scripts/demo.sh
+
+test: lint unit ## lint and all tests; CI runs this
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $@
+
+$(TOOLS)/wire-$(WIRE_VERSION):
+	GOBIN=$(TOOLS) go install github.com/google/wire/cmd/wire@$(WIRE_VERSION)
+	mv $(TOOLS)/wire $@
+
+lint: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+	$< run ./...
+
+unit: build
+	bash scripts/test.sh
+
+proofs: build ## each promise: fails with its mechanism off, passes with it on
+	bash scripts/prove.sh
+
+fuzz: ## long, with fresh seeds; prints the seed of a failure
+	bash scripts/fuzz.sh
+
+measure: build ## each decision beside its baseline
+	bin/gypsumpitch measure --out docs/measurements
+
+generate: $(TOOLS)/wire-$(WIRE_VERSION) build
+	$< ./internal/program/daemon
+	bin/gypsumpitchd print-settings-page > docs/SETTINGS.md
+	bin/gypsumpitchd print-codes-page > docs/RESULT_CODES.md
--- a/internal/control/core/adopt.go
+++ b/internal/control/core/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/coldstart"
@@ -23,6 +24,9 @@
 		return ok
 	})
 	c.preferred = c.choosePreferred()
+	c.polled = slices.SortedFunc(maps.Keys(c.preferred), func(a, b placement.Key) int {
+		return cmp.Compare(a.String(), b.String())
+	})
 	c.updateTransferWait()
 	return c.pushAll()
 }
--- a/internal/control/core/config.go
+++ b/internal/control/core/config.go
@@ -21,4 +21,5 @@
 	LoadLag       clock.Millis // longest lag of a server's own report
 	HostListRead  clock.Millis
 	SubsetSize    int
+	Seeds         []string // peer addresses to ask before the first document
 }
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -27,6 +27,7 @@
 
 	storeDownSince clock.Millis
 	preferred      map[placement.Key]bool
+	polled         []placement.Key // the preferred servers in a fixed order
 }
 
 // notice is a server seen cold or leaving, kept for peers that pull later.
--- a/internal/control/core/effect.go
+++ b/internal/control/core/effect.go
@@ -13,7 +13,8 @@
 	Version int64
 }
 
-// PullPeer asks a peer for its state.
+// PullPeer asks a peer for its state. Member is empty where only an address is
+// known.
 type PullPeer struct {
 	Member  string
 	Address string
--- a/internal/control/core/event.go
+++ b/internal/control/core/event.go
@@ -24,6 +24,7 @@
 // PeerState is the answer of a peer to PullPeer.
 type PeerState struct {
 	AskedAt clock.Millis
+	Address string // that was asked
 	State   State
 }
 
--- a/internal/control/core/handle.go
+++ b/internal/control/core/handle.go
@@ -38,9 +38,8 @@
 	c.learnTrips(e.State.Tripped)
 	c.learnSends(e.State)
 	c.confirm(now)
-	host, ok := c.doc.Hosts[e.State.Member]
-	if ok && e.State.Version > c.doc.Version {
-		return []Effect{FetchDocument{Member: e.State.Member, Address: host.PeerAddress}}
+	if e.State.Version > c.doc.Version {
+		return []Effect{FetchDocument{Member: e.State.Member, Address: e.Address}}
 	}
 	return nil
 }
--- a/internal/control/core/schedule.go
+++ b/internal/control/core/schedule.go
@@ -29,9 +29,7 @@
 	}
 	if now >= c.schedule.pull {
 		c.schedule.pull = now + c.jitter(c.cfg.PullPeriod)
-		for _, member := range c.pickPeers(c.cfg.PullFanout) {
-			effects = append(effects, PullPeer{Member: member, Address: c.doc.Hosts[member].PeerAddress})
-		}
+		effects = append(effects, c.pullPeers()...)
 	}
 	if now >= c.schedule.hostList {
 		c.schedule.hostList = now + c.jitter(c.cfg.HostListRead)
@@ -40,9 +38,25 @@
 	return append(effects, c.pollLoads(now)...)
 }
 
+// pullPeers asks some members, or the seeds of the settings while no document
+// has come: a daemon that starts while the table service is away knows no others.
+func (c *Core) pullPeers() []Effect {
+	var effects []Effect
+	if c.doc.Version == 0 {
+		for _, address := range c.cfg.Seeds {
+			effects = append(effects, PullPeer{Address: address})
+		}
+		return effects
+	}
+	for _, member := range c.pickPeers(c.cfg.PullFanout) {
+		effects = append(effects, PullPeer{Member: member, Address: c.doc.Hosts[member].PeerAddress})
+	}
+	return effects
+}
+
 func (c *Core) pollLoads(now clock.Millis) []Effect {
 	var effects []Effect
-	for k := range c.preferred {
+	for _, k := range c.polled {
 		if now < c.schedule.loads[k] {
 			continue
 		}
--- a/internal/control/loop/performer.go
+++ b/internal/control/loop/performer.go
@@ -96,11 +96,11 @@
 	ctx, cancel := context.WithTimeout(ctx, peerCallLimit.Duration())
 	defer cancel()
 	reply, err := peer.Call[peer.Nothing, peer.PullReply](ctx, a.peers, e.Address, peer.KindPull, peer.Nothing{})
-	if err != nil || reply.State.Member != e.Member {
+	if err != nil || (e.Member != "" && reply.State.Member != e.Member) {
 		return nil
 	}
-	a.quality.SetPeer(e.Member, reply.State.Counts, reply.State.Evidence)
-	return core.PeerState{AskedAt: askedAt, State: reply.State}
+	a.quality.SetPeer(reply.State.Member, reply.State.Counts, reply.State.Evidence)
+	return core.PeerState{AskedAt: askedAt, Address: e.Address, State: reply.State}
 }
 
 func (a *Adapter) fetchDocument(ctx context.Context, e core.FetchDocument) core.Event {
--- a/internal/control/operator/server.go
+++ b/internal/control/operator/server.go
@@ -109,7 +109,7 @@
 		// The daemon's own copy is at least a confirmed one.
 		doc = s.editor.loop.Snapshot().Document
 	}
-	writeJSON(w, http.StatusOK, doc)
+	writeJSON(w, doc)
 }
 
 func (s *Server) putTables(w http.ResponseWriter, r *http.Request) {
@@ -178,7 +178,7 @@
 		result.Write(w, result.From(err), editID)
 		return
 	}
-	writeJSON(w, http.StatusOK, EditReply{Version: doc.Version, EditID: editID, Changes: changes})
+	writeJSON(w, EditReply{Version: doc.Version, EditID: editID, Changes: changes})
 }
 
 func (s *Server) getHistory(w http.ResponseWriter, r *http.Request) {
@@ -201,10 +201,10 @@
 
 func (s *Server) getStatus(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get("all") != "" {
-		writeJSON(w, http.StatusOK, s.sources.All(r))
+		writeJSON(w, s.sources.All(r))
 		return
 	}
-	writeJSON(w, http.StatusOK, []Status{s.sources.Status()})
+	writeJSON(w, []Status{s.sources.Status()})
 }
 
 // shownTables are the tables that operators may list.
@@ -221,12 +221,11 @@
 		result.Write(w, result.Wrap(err, result.StoreUnavailable), "")
 		return
 	}
-	writeJSON(w, http.StatusOK, rows)
+	writeJSON(w, rows)
 }
 
-func writeJSON(w http.ResponseWriter, status int, value any) {
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
 	// The operator may be gone; there is nobody left to tell.
 	_ = json.NewEncoder(w).Encode(value)
 }
--- a/internal/control/peer/frame.go
+++ b/internal/control/peer/frame.go
@@ -29,7 +29,7 @@
 	if size > maxFrameBytes {
 		return errors.Errorf("frame of %d bytes is over the limit of %d", size, maxFrameBytes)
 	}
-	binary.BigEndian.PutUint32(frame, uint32(size)) //nolint:gosec // Bounded above.
+	binary.BigEndian.PutUint32(frame, uint32(size))
 	_, err := w.Write(frame)
 	return errors.Wrap(err, "write frame")
 }
--- a/internal/decision/claim/machine.go
+++ b/internal/decision/claim/machine.go
@@ -10,7 +10,6 @@
 	found    Row
 	version  int64
 	attempts int
-	takeover bool
 	sent     bool
 	verdict  Verdict
 }
--- a/internal/experiment/load/report.go
+++ b/internal/experiment/load/report.go
@@ -64,10 +64,10 @@
 	sessions := map[string]string{}
 	for _, o := range c.outcomes {
 		r.Codes[o.Code]++
-		switch {
-		case o.Code == "cut":
+		switch o.Code {
+		case "cut":
 			r.Cut++
-		case o.Code == "no_connection":
+		case "no_connection":
 			r.NoConnection++
 		}
 		if o.WrongBody {
--- a/internal/experiment/load/run.go
+++ b/internal/experiment/load/run.go
@@ -29,7 +29,7 @@
 		balancer: b,
 		client:   &http.Client{Timeout: requestLimit, Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 500 * time.Millisecond}},
 	}
-	random := rand.New(rand.NewPCG(plan.Seed, 0)) //nolint:gosec // A repeatable mix, not a secret.
+	random := rand.New(rand.NewPCG(plan.Seed, 0))
 	var c collector
 	var open sync.WaitGroup
 	began := time.Now()
--- a/internal/foundation/settings/check.go
+++ b/internal/foundation/settings/check.go
@@ -24,6 +24,11 @@
 	}
 	s.checkListen(report)
 	s.checkPlatform(report)
+	for _, seed := range s.Peer.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err != nil || net.ParseIP(host) == nil {
+			report("peer.seeds", "%q is not an IP number with a port", seed)
+		}
+	}
 	checkRanges(s, report)
 	if s.Control.PullMs*2 > s.Control.ConfirmWindowMs {
 		report("control.confirm_window_ms", "is %d, must be at least twice control.pull_ms, %d ms", s.Control.ConfirmWindowMs, 2*s.Control.PullMs)
--- a/internal/foundation/settings/load.go
+++ b/internal/foundation/settings/load.go
@@ -12,7 +12,7 @@
 
 // Load reads a settings file over the defaults and checks every field.
 func Load(path string) (Settings, error) {
-	text, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "settings")
 	}
--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -33,7 +33,8 @@
 
 // Peer holds what daemons need to trust each other.
 type Peer struct {
-	Key string `json:"key" doc:"secret that all daemons share; at least 16 bytes off loopback"`
+	Key   string   `json:"key" doc:"secret that all daemons share; at least 16 bytes off loopback"`
+	Seeds []string `json:"seeds" doc:"peer addresses to ask when the daemon starts while the table service is away"`
 }
 
 // Platform gives the base URLs of the platform's services.
--- a/internal/program/client/load.go
+++ b/internal/program/client/load.go
@@ -33,7 +33,7 @@
 
 func readPlan(file string) (load.Plan, error) {
 	var plan load.Plan
-	text, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
+	text, err := os.ReadFile(file)
 	if err != nil {
 		return plan, errors.Wrap(err, "plan")
 	}
--- a/internal/program/client/tables.go
+++ b/internal/program/client/tables.go
@@ -100,7 +100,7 @@
 }
 
 func readTables(file string) ([]byte, *tables.Document, error) {
-	text, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
+	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "tables")
 	}
--- a/internal/program/daemon/incarnation.go
+++ b/internal/program/daemon/incarnation.go
@@ -9,5 +9,5 @@
 
 // NewIncarnation returns the incarnation of a daemon that starts now.
 func NewIncarnation() Incarnation {
-	return Incarnation(time.Now().UnixMilli()) //nolint:gosec // Positive since 1970.
+	return Incarnation(time.Now().UnixMilli())
 }
--- a/internal/program/daemon/providers.go
+++ b/internal/program/daemon/providers.go
@@ -86,6 +86,7 @@
 		LoadLag:       longestLoadLag,
 		HostListRead:  clock.Millis(control.HostListMs),
 		SubsetSize:    int(control.SubsetSize),
+		Seeds:         c.Settings.Peer.Seeds,
 	}, c.Clock.Now())
 }
 
--- a/internal/program/daemon/wire.go
+++ b/internal/program/daemon/wire.go
@@ -8,6 +8,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/driver"
 	"gypsumpitch.example/gypsumpitch/internal/control/loop"
 	"gypsumpitch.example/gypsumpitch/internal/control/operator"
+	"gypsumpitch.example/gypsumpitch/internal/control/peer"
 	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
@@ -29,6 +30,8 @@
 		newHostList,
 		newRating,
 		newPeerClient,
+		wire.Bind(new(bills.Peers), new(*peer.Client)),
+		wire.Bind(new(pins.Peers), new(*peer.Client)),
 		newPeerServer,
 		newCore,
 		placement.NewCounters,
--- a/internal/traffic/bills/keeper.go
+++ b/internal/traffic/bills/keeper.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/core"
-	"gypsumpitch.example/gypsumpitch/internal/control/peer"
 	"gypsumpitch.example/gypsumpitch/internal/decision/billing"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
@@ -25,12 +24,20 @@
 	holdersToTry = 3
 )
 
+// Peers is what the keeper needs of other daemons.
+type Peers interface {
+	// HoldBills asks the daemon to keep the records; it tells whether it does.
+	HoldBills(ctx context.Context, address string, records []billing.Record) bool
+	// ReleaseBills says that the records are written.
+	ReleaseBills(ctx context.Context, address string, ids []string)
+}
+
 // Keeper is safe for concurrent use.
 type Keeper struct {
 	common    *common.Common
 	ledger    *billing.Ledger
 	table     tableservice.Table
-	peers     *peer.Client
+	peers     Peers
 	snapshots func() *core.Snapshot
 
 	mu      sync.Mutex
@@ -39,7 +46,7 @@
 }
 
 // NewKeeper returns a keeper without records.
-func NewKeeper(c *common.Common, table tableservice.Table, peers *peer.Client, snapshots func() *core.Snapshot) *Keeper {
+func NewKeeper(c *common.Common, table tableservice.Table, peers Peers, snapshots func() *core.Snapshot) *Keeper {
 	ledger := billing.NewLedger(int(c.Settings.Bills.MaxPending), clock.Millis(c.Settings.Bills.HolderWaitMs))
 	return &Keeper{common: c, ledger: ledger, table: table, peers: peers, snapshots: snapshots, holders: make(map[string]string)}
 }
@@ -70,7 +77,7 @@
 // holderAddresses prefers live peers in other data centres.
 func (k *Keeper) holderAddresses(id string) []string {
 	s := k.snapshots()
-	near, far := []string{}, []string{}
+	var near, all []string
 	for _, name := range container.Rendezvous(id, s.LivePeers, func(m string) string { return m }) {
 		host, ok := s.Document.Hosts[name]
 		if !ok {
@@ -79,18 +86,17 @@
 		if host.DataCentre == s.DataCentre {
 			near = append(near, host.PeerAddress)
 		} else {
-			far = append(far, host.PeerAddress)
+			all = append(all, host.PeerAddress)
 		}
 	}
-	all := append(far, near...)
+	all = append(all, near...)
 	return all[:min(len(all), holdersToTry)]
 }
 
 func (k *Keeper) holdAt(ctx context.Context, address string, records []billing.Record) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdLimit.Duration())
 	defer cancel()
-	answer, err := peer.Call[peer.HoldBills, peer.Held](ctx, k.peers, address, peer.KindHoldBills, peer.HoldBills{Records: records})
-	return err == nil && answer.Held
+	return k.peers.HoldBills(ctx, address, records)
 }
 
 // Hold takes in records for a peer.
@@ -146,7 +152,7 @@
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdLimit.Duration())
 			defer cancel()
 			// A holder that misses this writes the records again, which does no harm.
-			_, _ = peer.Call[peer.ReleaseBills, peer.Nothing](ctx, k.peers, address, peer.KindReleaseBills, peer.ReleaseBills{IDs: ids})
+			k.peers.ReleaseBills(ctx, address, ids)
 		}()
 	}
 }
--- a/internal/traffic/engine/client.go
+++ b/internal/traffic/engine/client.go
@@ -54,7 +54,7 @@
 
 // Open sends the request and returns its stream. Errors are *backend.Failure.
 func (c *Client) Open(ctx context.Context, call Call, r *Request) (*Stream, error) {
-	response, err := c.send(ctx, call, r)
+	response, err := c.send(ctx, call, r) //nolint:bodyclose // The stream's Close closes it.
 	if err != nil {
 		return nil, err
 	}
--- a/internal/traffic/pins/keeper.go
+++ b/internal/traffic/pins/keeper.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/core"
-	"gypsumpitch.example/gypsumpitch/internal/control/peer"
 	"gypsumpitch.example/gypsumpitch/internal/decision/session"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
@@ -26,17 +25,25 @@
 	peerLimit = 300 * clock.Millis(1)
 )
 
+// Peers is what the keeper needs of other daemons.
+type Peers interface {
+	// PutPins gives the daemon a copy of a session's pins.
+	PutPins(ctx context.Context, address, name string, pins session.Pins)
+	// GetPins returns the daemon's copy, or nil.
+	GetPins(ctx context.Context, address, name string) session.Pins
+}
+
 // Keeper is safe for concurrent use.
 type Keeper struct {
 	common    *common.Common
 	table     tableservice.Table
-	peers     *peer.Client
+	peers     Peers
 	snapshots func() *core.Snapshot
 	cache     *container.LRU[string, session.Pins]
 }
 
 // NewKeeper returns a keeper with an empty cache.
-func NewKeeper(c *common.Common, table tableservice.Table, peers *peer.Client, snapshots func() *core.Snapshot) *Keeper {
+func NewKeeper(c *common.Common, table tableservice.Table, peers Peers, snapshots func() *core.Snapshot) *Keeper {
 	return &Keeper{
 		common:    c,
 		table:     table,
@@ -123,7 +130,7 @@
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerLimit.Duration())
 			defer cancel()
 			// A copy only helps while the table service is away; the row is what counts.
-			_, _ = peer.Call[peer.PinsMessage, peer.Nothing](ctx, k.peers, address, peer.KindPutPins, peer.PinsMessage{Session: name, Pins: pins})
+			k.peers.PutPins(ctx, address, name, pins)
 		}()
 	}
 }
@@ -131,10 +138,10 @@
 func (k *Keeper) askPeers(ctx context.Context, name string) (session.Pins, bool) {
 	for _, address := range k.owners(name) {
 		ctx, cancel := context.WithTimeout(ctx, peerLimit.Duration())
-		answer, err := peer.Call[peer.PinsMessage, peer.PinsMessage](ctx, k.peers, address, peer.KindGetPins, peer.PinsMessage{Session: name})
+		pins := k.peers.GetPins(ctx, address, name)
 		cancel()
-		if err == nil && answer.Pins != nil {
-			return answer.Pins, true
+		if pins != nil {
+			return pins, true
 		}
 	}
 	return nil, false
