--- a/internal/proof/cluster/cluster_test.go
+++ b/internal/proof/cluster/cluster_test.go
@@ -36,17 +36,17 @@
 		"pass_on": func(t *rapid.T) { w.pass(clockMillis(t)) },
 		"request_on": func(t *rapid.T) {
 			for _, m := range w.members {
-				w.request(m, "v1", requestLimit, true)
+				w.request(m, "v1", requestLimit, coldServer)
 			}
 		},
 		"edit":     func(t *rapid.T) { w.drawEdit(t) },
 		"edit_two": func(t *rapid.T) { w.drawRace(t) },
 		"request": func(t *rapid.T) {
-			onlyCold := rapid.Bool().Draw(t, "only_cold")
+			only := rapid.SampledFrom([]string{"", coldServer, "engine-far"}).Draw(t, "only")
 			version := rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")
 			lasts := rapid.IntRange(100, requestLimit).Draw(t, "lasts")
 			for _, m := range w.members {
-				w.request(m, version, lasts, onlyCold)
+				w.request(m, version, lasts, only)
 			}
 		},
 		"kill": func(t *rapid.T) { w.draw(t).node = nil },
@@ -142,7 +142,7 @@
 // replaced, while the server goes on with those requests.
 func (w *world) restartWithWork(t *rapid.T) {
 	for _, m := range w.members {
-		w.request(m, "v1", requestLimit, true)
+		w.request(m, "v1", requestLimit, coldServer)
 	}
 	for _, m := range w.members {
 		if rapid.Bool().Draw(t, "restarted") {
@@ -152,7 +152,7 @@
 	for range rapid.IntRange(1, 4).Draw(t, "rounds") {
 		w.pass(clock.Millis(rapid.IntRange(1, 12).Draw(t, "steps") * tickStep))
 		for _, m := range w.members {
-			w.request(m, "v1", requestLimit, true)
+			w.request(m, "v1", requestLimit, coldServer)
 		}
 	}
 }
--- a/internal/proof/cluster/world_test.go
+++ b/internal/proof/cluster/world_test.go
@@ -380,7 +380,7 @@
 }
 
 // request has a daemon hand a request over, if it would.
-func (w *world) request(m *member, version string, lasts int, onlyCold bool) {
+func (w *world) request(m *member, version string, lasts int, only string) {
 	if m.node == nil || m.frozen {
 		return
 	}
@@ -389,7 +389,7 @@
 	n.snapshot = n.core.Snapshot(now)
 	grant, err := n.dispatcher.Acquire(context.Background(), dispatch.Request{
 		Account: "smiths", Weight: 1, Pool: "text", Model: "small", Version: version,
-		Affinity: coldServer, Deadline: now + requestLimit, Exclude: excluded(onlyCold),
+		Affinity: coldServer, Deadline: now + requestLimit, Exclude: excluded(only),
 	})
 	if err != nil {
 		return
@@ -406,10 +406,16 @@
 	w.checkAll()
 }
 
-// excluded leaves only the cold server where asked.
-func excluded(onlyCold bool) map[placement.Key]bool {
-	if !onlyCold {
+// excluded leaves only the named server where one is named.
+func excluded(only string) map[placement.Key]bool {
+	if only == "" {
 		return nil
 	}
-	return map[placement.Key]bool{{Pool: "text", Server: "engine-warm"}: true, {Pool: "text", Server: "engine-far"}: true}
+	others := make(map[placement.Key]bool)
+	for name := range firstDocument().Pools["text"].Servers {
+		if name != only {
+			others[placement.Key{Pool: "text", Server: name}] = true
+		}
+	}
+	return others
 }
--- a/internal/traffic/bills/keeper.go
+++ b/internal/traffic/bills/keeper.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -107,9 +108,17 @@
 // Release drops records that their origin has written.
 func (k *Keeper) Release(ids []string) { k.ledger.Release(ids) }
 
+// errBusy says that another flush is under way.
+var errBusy = errors.New("another flush is under way")
+
+// busyWait is how long a hand-over waits for a flush that is under way.
+const busyWait = 20 * time.Millisecond
+
 // Flush writes one batch of due records; it returns how many there were.
 func (k *Keeper) Flush(ctx context.Context) (int, error) {
-	k.writing.Lock()
+	if !k.writing.TryLock() {
+		return 0, errBusy
+	}
 	defer k.writing.Unlock()
 	due := k.ledger.Due(int(k.common.Settings.Bills.BatchRows), k.common.Clock.Now())
 	if len(due) == 0 {
@@ -147,14 +156,18 @@
 		}
 	}
 	k.mu.Unlock()
+	var telling sync.WaitGroup
 	for address, ids := range byAddress {
+		telling.Add(1)
 		go func() {
+			defer telling.Done()
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdLimit.Duration())
 			defer cancel()
 			// A holder that misses this writes the records again, which does no harm.
 			k.peers.ReleaseBills(ctx, address, ids)
 		}()
 	}
+	telling.Wait()
 }
 
 // HandOver empties the ledger at a shutdown: into the table service, or else
@@ -162,10 +175,11 @@
 func (k *Keeper) HandOver(ctx context.Context) error {
 	for {
 		n, err := k.Flush(ctx)
-		if err != nil {
-			break
+		if errors.Is(err, errBusy) {
+			time.Sleep(busyWait)
+			continue
 		}
-		if n == 0 {
+		if err != nil || n == 0 {
 			break
 		}
 	}
