--- a/internal/experiment/load/report.go
+++ b/internal/experiment/load/report.go
@@ -20,6 +20,8 @@
 	Version   string
 	Session   string
 	WrongBody bool
+	RequestID string
+	PostKey   string
 }
 
 // Report is what a run measured.
@@ -35,7 +37,7 @@
 	FirstMs      map[string]float64 `json:"first_ms"` // p50, p95, p99
 	WholeMs      map[string]float64 `json:"whole_ms"`
 	Histogram    []Bin              `json:"histogram"`
-	PostKeys     []string           `json:"-"`
+	Outcomes     []Outcome          `json:"-"`
 }
 
 // Bin is one bar of the histogram of whole latencies.
@@ -59,7 +61,7 @@
 func (c *collector) report() Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := Report{Sent: len(c.outcomes), Codes: map[string]int{}, Versions: map[string]int{}}
+	r := Report{Sent: len(c.outcomes), Codes: map[string]int{}, Versions: map[string]int{}, Outcomes: c.outcomes}
 	var first, whole []float64
 	sessions := map[string]string{}
 	for _, o := range c.outcomes {
--- a/internal/experiment/load/run.go
+++ b/internal/experiment/load/run.go
@@ -91,6 +91,9 @@
 
 func (s *sender) send(ctx context.Context, d drawn) Outcome {
 	o := Outcome{Kind: d.item.Kind, Session: d.session, Code: "no_connection"}
+	if d.item.Kind == KindPost {
+		o.PostKey = PostKey(s.plan.Seed, d.number)
+	}
 	began := time.Now()
 	request, err := s.request(ctx, d)
 	if err != nil {
@@ -109,6 +112,7 @@
 	o.Whole = time.Since(began)
 	o.Code = response.Header.Get("X-Result-Code")
 	o.Version = response.Header.Get("X-Model-Version")
+	o.RequestID = response.Header.Get("X-Request-Id")
 	if o.Code == "" {
 		o.Code = "0"
 	}
--- a/internal/foundation/settings/defaults.go
+++ b/internal/foundation/settings/defaults.go
@@ -37,7 +37,7 @@
 			OrderLimitMs:    2_000,
 			RatingMs:        1_000,
 		},
-		Bills: Bills{FlushMs: 250, BatchRows: 200, MaxPending: 100_000, HolderWaitMs: 10_000},
+		Bills: Bills{FlushMs: 250, BatchRows: 200, MaxPending: 100_000, HolderWaitMs: 1_000},
 		Stop:  Stop{BalancerWaitMs: 1_000, DrainMs: 120_000},
 		Log:   Log{Level: "info"},
 	}
--- a/internal/proof/cluster/world_test.go
+++ b/internal/proof/cluster/world_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/core"
@@ -56,6 +57,7 @@
 	messages  []message
 	seq       int
 	oracle    *oracle
+	only      string // server that the next request goes to; any where empty
 	storeDown bool
 	edits     int
 	waiting   []*pendingEdit
@@ -122,7 +124,7 @@
 		Seeds:         seeds(),
 	}, now)
 	n.snapshot = n.core.Snapshot(now)
-	n.dispatcher = dispatch.NewDispatcher(w.clock, func() *core.Snapshot { return n.snapshot }, n.counters, placement.Scored{}, 0)
+	n.dispatcher = dispatch.NewDispatcher(w.clock, func() *core.Snapshot { return n.snapshot }, n.counters, onlyPolicy{&w.only}, 0)
 	m.node = n
 	m.frozen = false
 }
@@ -386,10 +388,11 @@
 	}
 	n := m.node
 	now := w.clock.Now()
+	w.only = only
 	n.snapshot = n.core.Snapshot(now)
 	grant, err := n.dispatcher.Acquire(context.Background(), dispatch.Request{
 		Account: "smiths", Weight: 1, Pool: "text", Model: "small", Version: version,
-		Affinity: coldServer, Deadline: now + requestLimit, Exclude: excluded(only),
+		Affinity: coldServer, Deadline: now + requestLimit,
 	})
 	if err != nil {
 		return
@@ -406,16 +409,19 @@
 	w.checkAll()
 }
 
-// excluded leaves only the named server where one is named.
-func excluded(only string) map[placement.Key]bool {
-	if only == "" {
-		return nil
-	}
-	others := make(map[placement.Key]bool)
-	for name := range firstDocument().Pools["text"].Servers {
-		if name != only {
-			others[placement.Key{Pool: "text", Server: name}] = true
-		}
+// onlyPolicy orders as the product does, and can be held to one server.
+type onlyPolicy struct {
+	only *string
+}
+
+// Name returns the policy's name.
+func (onlyPolicy) Name() string { return "only" }
+
+// Order keeps to the named server where one is named.
+func (p onlyPolicy) Order(candidates []placement.Candidate, seed uint64) []placement.Candidate {
+	ordered := placement.Scored{}.Order(candidates, seed)
+	if *p.only == "" {
+		return ordered
 	}
-	return others
+	return slices.DeleteFunc(ordered, func(c placement.Candidate) bool { return c.Key.Server != *p.only })
 }
--- a/internal/traffic/caller/app.go
+++ b/internal/traffic/caller/app.go
@@ -75,9 +75,9 @@
 	ctx, cancel := context.WithTimeout(a.http.Context(), (a.info.deadline - a.server.Common.Clock.Now()).Duration())
 	defer cancel()
 	repeatable := slices.Contains(idempotentMethods, a.http.Method)
-	exclude := make(map[placement.Key]bool)
+	tried := make(map[placement.Key]bool)
 	for {
-		answer, key, err := a.send(ctx, exclude, !repeatable)
+		answer, key, err := a.send(ctx, tried, !repeatable)
 		if err == nil {
 			a.keepBill(a.info.id)
 			a.write(w, answer)
@@ -93,21 +93,21 @@
 			a.server.refuse(w, a.http, a.correctRun(resultOf(failure)))
 			return
 		}
-		exclude[key] = true
+		tried[key] = true
 		a.info.retries++
 	}
 }
 
 // send makes one attempt. The error is a *backend.Failure where a server was
 // tried, else a *result.Error.
-func (a *appRun) send(ctx context.Context, exclude map[placement.Key]bool, once bool) (*app.Answer, placement.Key, error) {
+func (a *appRun) send(ctx context.Context, tried map[placement.Key]bool, once bool) (*app.Answer, placement.Key, error) {
 	grant, err := a.server.Dispatcher.Acquire(ctx, dispatch.Request{
 		Account:  a.info.account,
 		Weight:   a.info.row.Weight,
 		Priority: a.route.Priority,
 		Pool:     a.route.Pool,
 		Deadline: a.info.deadline,
-		Exclude:  exclude,
+		Tried:    tried,
 	})
 	if err != nil {
 		return nil, placement.Key{}, err
--- a/internal/traffic/caller/chat_run.go
+++ b/internal/traffic/caller/chat_run.go
@@ -43,7 +43,7 @@
 	return context.WithTimeout(c.http.Context(), left.Duration())
 }
 
-func (c *chatRun) dispatchRequest(tier quality.Tier, exclude map[placement.Key]bool) dispatch.Request {
+func (c *chatRun) dispatchRequest(tier quality.Tier, tried map[placement.Key]bool) dispatch.Request {
 	return dispatch.Request{
 		Account:  c.info.account,
 		Weight:   c.info.row.Weight,
@@ -53,16 +53,16 @@
 		Version:  tier.Version,
 		Affinity: c.request.Prefix(),
 		Deadline: c.info.deadline,
-		Exclude:  exclude,
+		Tried:    tried,
 	}
 }
 
 // try makes attempts on one tier until one works, gives up for good, or the
 // retry budget is spent. Each attempt is decided by the newest snapshot.
 func (c *chatRun) try(ctx context.Context, tier quality.Tier, send func(call engine.Call) error) error {
-	exclude := make(map[placement.Key]bool)
+	tried := make(map[placement.Key]bool)
 	for {
-		grant, err := c.server.Dispatcher.Acquire(ctx, c.dispatchRequest(tier, exclude))
+		grant, err := c.server.Dispatcher.Acquire(ctx, c.dispatchRequest(tier, tried))
 		if err != nil {
 			return c.correctRun(err)
 		}
@@ -80,7 +80,7 @@
 		if !c.mayRetry(ctx, failure) {
 			return c.correctRun(resultOf(failure))
 		}
-		exclude[grant.Key] = true
+		tried[grant.Key] = true
 		c.info.retries++
 	}
 }
--- a/internal/traffic/dispatch/dispatcher.go
+++ b/internal/traffic/dispatch/dispatcher.go
@@ -157,10 +157,10 @@
 func (d *Dispatcher) candidates(s *core.Snapshot, r Request, now clock.Millis) []placement.Candidate {
 	pool := s.Document.Pools[r.Pool]
 	wanted := tables.JoinVersion(r.Model, r.Version)
-	var preferred, others []placement.Candidate
+	var preferred, others, tried []placement.Candidate
 	for name, server := range pool.Servers {
 		key := placement.Key{Pool: r.Pool, Server: name}
-		if r.Exclude[key] || !s.MayUse(key, now) || !holds(s, key, server, r.Model, wanted) {
+		if !s.MayUse(key, now) || !holds(s, key, server, r.Model, wanted) {
 			continue
 		}
 		c := placement.Candidate{
@@ -171,14 +171,19 @@
 			Load:       s.Load(key, d.counters.Get(key)),
 			Near:       server.DataCentre == s.DataCentre,
 		}
-		if s.Preferred[key] {
+		switch {
+		case r.Tried[key]:
+			tried = append(tried, c)
+		case s.Preferred[key]:
 			preferred = append(preferred, c)
-		} else {
+		default:
 			others = append(others, c)
 		}
 	}
-	if len(preferred) == 0 {
-		preferred = others
+	for _, fallback := range [][]placement.Candidate{others, tried} {
+		if len(preferred) == 0 {
+			preferred = fallback
+		}
 	}
 	slices.SortFunc(preferred, func(a, b placement.Candidate) int {
 		if a.Key.Server < b.Key.Server {
--- a/internal/traffic/dispatch/request.go
+++ b/internal/traffic/dispatch/request.go
@@ -17,5 +17,5 @@
 	Version  string
 	Affinity string // equal for requests that share a prompt prefix
 	Deadline clock.Millis
-	Exclude  map[placement.Key]bool // servers already tried
+	Tried    map[placement.Key]bool // servers that are taken again only where no other is left
 }
