--- a/internal/control/core/adopt.go
+++ b/internal/control/core/adopt.go
@@ -34,7 +34,7 @@
 	}
 	c.updateTransferWait()
 	c.noteService(now)
-	return c.pushAll()
+	return c.announceAll()
 }
 
 // noteService remembers since when operators have had this host out.
@@ -56,11 +56,12 @@
 	c.transfer.SetWait(c.cfg.ConfirmWindow + longest)
 }
 
-// pushAll spreads a newly adopted document; each daemon does so once a version.
-func (c *Core) pushAll() []Effect {
+// announceAll spreads word of a newly adopted document; each daemon does so once
+// a version. The document itself crosses the wire once for each daemon.
+func (c *Core) announceAll() []Effect {
 	var effects []Effect
 	for _, member := range c.pickPeers(c.cfg.PushFanout) {
-		effects = append(effects, PushDocument{Member: member, Address: c.doc.Hosts[member].PeerAddress, Document: c.doc})
+		effects = append(effects, AnnounceVersion{Member: member, Address: c.doc.Hosts[member].PeerAddress, Version: c.doc.Version})
 	}
 	return effects
 }
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -26,6 +26,8 @@
 	seed     uint64
 	stopping bool
 
+	fetchVersion   int64 // the newest version that was asked for
+	fetchAt        clock.Millis
 	storeDownSince clock.Millis
 	outSince       clock.Millis
 	preferred      map[placement.Key]bool
@@ -67,6 +69,8 @@
 		return c.handleStoreRead(now, e)
 	case PeerState:
 		return c.handlePeerState(now, e)
+	case VersionAnnounced:
+		return c.fetch(now, e.Member, c.doc.Hosts[e.Member].PeerAddress, e.Version)
 	case DocumentPushed:
 		return c.adopt(now, e.Document)
 	case LoadReported:
--- a/internal/control/core/effect.go
+++ b/internal/control/core/effect.go
@@ -1,9 +1,6 @@
 package core
 
-import (
-	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
-	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
-)
+import "gypsumpitch.example/gypsumpitch/internal/decision/placement"
 
 // Effect is something that the daemon must do for the core.
 type Effect interface{ isEffect() }
@@ -26,11 +23,11 @@
 	Address string
 }
 
-// PushDocument gives a document to a peer.
-type PushDocument struct {
-	Member   string
-	Address  string
-	Document *tables.Document
+// AnnounceVersion tells a peer of a new document, which it fetches if it lacks it.
+type AnnounceVersion struct {
+	Member  string
+	Address string
+	Version int64
 }
 
 // PollLoad asks a backend server for its load.
@@ -42,9 +39,9 @@
 // ReadHostList asks the platform for the hosts that are leaving.
 type ReadHostList struct{}
 
-func (ReadStore) isEffect()     {}
-func (PullPeer) isEffect()      {}
-func (FetchDocument) isEffect() {}
-func (PushDocument) isEffect()  {}
-func (PollLoad) isEffect()      {}
-func (ReadHostList) isEffect()  {}
+func (ReadStore) isEffect()       {}
+func (PullPeer) isEffect()        {}
+func (FetchDocument) isEffect()   {}
+func (AnnounceVersion) isEffect() {}
+func (PollLoad) isEffect()        {}
+func (ReadHostList) isEffect()    {}
--- a/internal/control/core/event.go
+++ b/internal/control/core/event.go
@@ -28,7 +28,14 @@
 	State   State
 }
 
-// DocumentPushed is a document that a peer or an operator's edit brought.
+// VersionAnnounced is a peer's word that it has a document of that version.
+type VersionAnnounced struct {
+	Member  string
+	Version int64
+}
+
+// DocumentPushed is a document that was fetched from a peer, or that an
+// operator's edit brought.
 type DocumentPushed struct {
 	Document *tables.Document
 }
@@ -62,15 +69,16 @@
 // SelfStopping says that this daemon has begun its graceful shutdown.
 type SelfStopping struct{}
 
-func (Tick) isEvent()           {}
-func (StoreRead) isEvent()      {}
-func (PeerState) isEvent()      {}
-func (DocumentPushed) isEvent() {}
-func (LoadReported) isEvent()   {}
-func (HostsListed) isEvent()    {}
-func (ServerSeen) isEvent()     {}
-func (VersionTripped) isEvent() {}
-func (SelfStopping) isEvent()   {}
+func (Tick) isEvent()             {}
+func (StoreRead) isEvent()        {}
+func (PeerState) isEvent()        {}
+func (DocumentPushed) isEvent()   {}
+func (VersionAnnounced) isEvent() {}
+func (LoadReported) isEvent()     {}
+func (HostsListed) isEvent()      {}
+func (ServerSeen) isEvent()       {}
+func (VersionTripped) isEvent()   {}
+func (SelfStopping) isEvent()     {}
 
 // Outcome is how a call to a backend server went.
 type Outcome int
--- a/internal/control/core/handle.go
+++ b/internal/control/core/handle.go
@@ -38,10 +38,22 @@
 	c.learnTrips(e.State.Tripped)
 	c.learnSends(e.State)
 	c.confirm(now)
-	if e.State.Version > c.doc.Version {
-		return []Effect{FetchDocument{Member: e.State.Member, Address: e.Address}}
+	return c.fetch(now, e.State.Member, e.Address, e.State.Version)
+}
+
+// fetchAgainAfter is how long an unanswered fetch holds others of the version back.
+const fetchAgainAfter = 300 * clock.Millis(1)
+
+// fetch asks a peer for its document if that is newer and isn't already under way.
+func (c *Core) fetch(now clock.Millis, member, address string, version int64) []Effect {
+	if version <= c.doc.Version || address == "" {
+		return nil
+	}
+	if version <= c.fetchVersion && now-c.fetchAt < fetchAgainAfter {
+		return nil
 	}
-	return nil
+	c.fetchVersion, c.fetchAt = version, now
+	return []Effect{FetchDocument{Member: member, Address: address}}
 }
 
 func (c *Core) confirm(now clock.Millis) {
--- a/internal/control/loop/handlers.go
+++ b/internal/control/loop/handlers.go
@@ -24,7 +24,7 @@
 // Register adds the handlers to the server.
 func (h *Handlers) Register(s *peer.Server) {
 	peer.Handle(s, peer.KindPull, h.pull)
-	peer.Handle(s, peer.KindPush, h.push)
+	peer.Handle(s, peer.KindAnnounce, h.announce)
 	peer.Handle(s, peer.KindFetch, h.fetch)
 	peer.Handle(s, peer.KindHoldBills, h.holdBills)
 	peer.Handle(s, peer.KindReleaseBills, h.releaseBills)
@@ -40,8 +40,8 @@
 	return peer.PullReply{State: state}, err
 }
 
-func (h *Handlers) push(ctx context.Context, m peer.DocumentMessage) (peer.Nothing, error) {
-	h.Loop.Deliver(ctx, core.DocumentPushed{Document: m.Document})
+func (h *Handlers) announce(ctx context.Context, m peer.Announcement) (peer.Nothing, error) {
+	h.Loop.Deliver(ctx, core.VersionAnnounced{Member: m.Member, Version: m.Version})
 	return peer.Nothing{}, nil
 }
 
--- a/internal/control/loop/performer.go
+++ b/internal/control/loop/performer.go
@@ -60,8 +60,8 @@
 		return a.pullPeer(ctx, askedAt, e)
 	case core.FetchDocument:
 		return a.fetchDocument(ctx, e)
-	case core.PushDocument:
-		a.pushDocument(ctx, e)
+	case core.AnnounceVersion:
+		a.announce(ctx, e)
 		return nil
 	case core.PollLoad:
 		return a.pollLoad(ctx, askedAt, e)
@@ -113,11 +113,12 @@
 	return core.DocumentPushed{Document: reply.Document}
 }
 
-func (a *Adapter) pushDocument(ctx context.Context, e core.PushDocument) {
+func (a *Adapter) announce(ctx context.Context, e core.AnnounceVersion) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallLimit.Duration())
 	defer cancel()
-	// A peer that misses the push learns of the version when it next pulls.
-	_, _ = peer.Call[peer.DocumentMessage, peer.Nothing](ctx, a.peers, e.Address, peer.KindPush, peer.DocumentMessage{Document: e.Document})
+	// A peer that misses this learns of the version when it next pulls.
+	announcement := peer.Announcement{Member: a.common.Settings.Host, Version: e.Version}
+	_, _ = peer.Call[peer.Announcement, peer.Nothing](ctx, a.peers, e.Address, peer.KindAnnounce, announcement)
 }
 
 func (a *Adapter) pollLoad(ctx context.Context, askedAt clock.Millis, e core.PollLoad) core.Event {
--- a/internal/control/peer/message.go
+++ b/internal/control/peer/message.go
@@ -13,7 +13,7 @@
 // The calls between daemons.
 const (
 	KindPull         Kind = "pull"
-	KindPush         Kind = "push_document"
+	KindAnnounce     Kind = "announce_version"
 	KindFetch        Kind = "fetch_document"
 	KindHoldBills    Kind = "hold_bills"
 	KindReleaseBills Kind = "release_bills"
@@ -34,6 +34,12 @@
 	Document *tables.Document `json:"document"`
 }
 
+// Announcement says that the sender has a document of that version.
+type Announcement struct {
+	Member  string `json:"member"`
+	Version int64  `json:"version"`
+}
+
 // HoldBills asks a peer to keep bill records as a replica.
 type HoldBills struct {
 	Records []billing.Record `json:"records"`
--- a/internal/proof/cluster/world_test.go
+++ b/internal/proof/cluster/world_test.go
@@ -203,9 +203,9 @@
 		w.callPeer(m, w.nameAt(e.Address), func(_ *member, peer *node) core.Event {
 			return core.DocumentPushed{Document: peer.core.Document()}
 		}, n)
-	case core.PushDocument:
+	case core.AnnounceVersion:
 		w.callPeer(m, e.Member, func(other *member, peer *node) core.Event {
-			w.handle(other, peer, core.DocumentPushed{Document: e.Document})
+			w.handle(other, peer, core.VersionAnnounced{Member: m.name, Version: e.Version})
 			return nil
 		}, n)
 	case core.PollLoad:
--- a/internal/proof/process/deployment_test.go
+++ b/internal/proof/process/deployment_test.go
@@ -56,6 +56,7 @@
 	edits      int
 	certFile   string
 	tokenEvery string
+	badPercent int // bad answers of small@v2
 	client     *http.Client
 }
 
@@ -71,7 +72,7 @@
 		d.standin(role, role)
 	}
 	for i := 1; i <= engines; i++ {
-		d.standin(fmt.Sprintf("engine-%d", i), "engine", "--holds", "small@v1", "--holds", "small@v2", "--cold-for", "300ms", "--slots", "64", "--token-every", d.tokenEvery)
+		d.standin(fmt.Sprintf("engine-%d", i), "engine", "--holds", "small@v1", "--holds", "small@v2", "--cold-for", "300ms", "--slots", "64", "--token-every", d.tokenEvery, "--bad", fmt.Sprintf("small@v2=%d", d.badPercent))
 	}
 	d.standin("app-1", "app")
 	d.standin("app-2", "app")
--- a/internal/proof/slopes/slopes_test.go
+++ b/internal/proof/slopes/slopes_test.go
@@ -270,8 +270,9 @@
 			switch e := e.(type) {
 			case core.PullPeer:
 				run(c, c.Handle(now, core.PeerState{AskedAt: now, State: cores[e.Member].State(now, nil)}))
-			case core.PushDocument:
-				run(cores[e.Member], cores[e.Member].Handle(now, core.DocumentPushed{Document: e.Document}))
+			case core.AnnounceVersion:
+				announced := core.VersionAnnounced{Member: c.Snapshot(now).Self, Version: e.Version}
+				run(cores[e.Member], cores[e.Member].Handle(now, announced))
 			case core.FetchDocument:
 				run(c, c.Handle(now, core.DocumentPushed{Document: cores[e.Member].Document()}))
 			}
