--- a/internal/decision/tables/parse.go
+++ b/internal/decision/tables/parse.go
@@ -2,25 +2,19 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/hujsonfile"
 )
 
 // Parse reads a document from JSON with comments. Errors name the field and the line.
 func Parse(text []byte) (*Document, error) {
-	standard, err := hujson.Standardize(bytes.Clone(text))
-	if err != nil {
-		return nil, errors.Wrap(err, "tables")
-	}
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
 	doc := &Document{}
-	if err := decoder.Decode(doc); err != nil {
-		line := 1 + bytes.Count(standard[:min(int(decoder.InputOffset()), len(standard))], []byte("\n"))
-		return nil, errors.Wrapf(err, "tables: line %d", line)
+	if err := hujsonfile.Decode(text, doc); err != nil {
+		return nil, errors.Wrap(err, "tables")
 	}
 	problems := doc.Validate()
 	for i := range problems {
--- a/internal/foundation/settings/load.go
+++ b/internal/foundation/settings/load.go
@@ -1,13 +1,12 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"os"
 	"strings"
 
 	"github.com/pkg/errors"
-	"github.com/tailscale/hujson"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/hujsonfile"
 )
 
 // Load reads a settings file over the defaults and checks every field.
@@ -22,13 +21,7 @@
 // Parse lays the text, JSON with comments, over the defaults and checks every field.
 func Parse(text []byte) (Settings, error) {
 	s := Default()
-	standard, err := hujson.Standardize(text)
-	if err != nil {
-		return s, errors.Wrap(err, "settings")
-	}
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
+	if err := hujsonfile.Decode(text, &s); err != nil {
 		return s, errors.Wrap(err, "settings")
 	}
 	if lines := s.Check(); len(lines) > 0 {
--- a/internal/program/client/load.go
+++ b/internal/program/client/load.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
-	"github.com/tailscale/hujson"
 
 	"gypsumpitch.example/gypsumpitch/internal/experiment/load"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/hujsonfile"
 )
 
 // registerLoad adds the load tool.
@@ -37,9 +36,5 @@
 	if err != nil {
 		return plan, errors.Wrap(err, "plan")
 	}
-	standard, err := hujson.Standardize(text)
-	if err != nil {
-		return plan, errors.Wrap(err, "plan")
-	}
-	return plan, errors.Wrap(json.Unmarshal(standard, &plan), "plan")
+	return plan, errors.Wrap(hujsonfile.Decode(text, &plan), "plan")
 }
--- a/internal/proof/slopes/slopes_test.go
+++ b/internal/proof/slopes/slopes_test.go
@@ -269,7 +269,7 @@
 		for _, e := range effects {
 			switch e := e.(type) {
 			case core.PullPeer:
-				run(c, c.Handle(now, core.PeerState{AskedAt: now, State: cores[e.Member].State(now, nil)}))
+				run(c, c.Handle(now, core.PeerState{AskedAt: now, Address: e.Address, State: cores[e.Member].State(now, nil)}))
 			case core.AnnounceVersion:
 				announced := core.VersionAnnounced{Member: c.Snapshot(now).Self, Version: e.Version}
 				run(cores[e.Member], cores[e.Member].Handle(now, announced))
