Mend what reading as a newcomer found: leaving callers, reused keys, doubles

Cause: a caller that left a stream in the middle was taken for a failure of the engine, which then counted as cold everywhere; one idempotency key used for two prompts was billed once. Ruled out: looking at the request's context instead; it ends later than the write fails. Answers of a daemon that stops carry Connection: close.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -69,22 +68,14 @@
 
 // Run bids for the lease and does the work while it is held, until the context ends.
 func (d *Driver) Run(ctx context.Context) {
-	period := clock.Millis(d.common.Settings.Control.LeaseMs / rounds).Duration()
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, clock.Millis(d.common.Settings.Control.LeaseMs/rounds), func() {
 		if err := d.renew(ctx); err != nil {
 			d.common.Log.Debug("lease", "error", err)
 		}
 		if d.held() {
 			d.work(ctx)
 		}
-	}
+	})
 }
 
 func (d *Driver) held() bool {
--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -187,14 +187,7 @@
 const maxFlushWait = 1 * time.Second
 
 func (d *Daemon) exchangeRatings(ctx context.Context) {
-	ticker := time.NewTicker(clock.Millis(d.Common.Settings.Control.RatingMs).Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, clock.Millis(d.Common.Settings.Control.RatingMs), func() {
 		if err := d.Quality.Exchange(ctx); err != nil {
 			d.Common.Log.Debug("rating service", "error", err)
 		}
@@ -203,5 +196,5 @@
 			d.Loop.Deliver(ctx, core.VersionTripped{Name: name})
 			d.Quality.Reset(name)
 		}
-	}
+	})
 }
--- a/internal/traffic/app/client.go
+++ b/internal/traffic/app/client.go
@@ -58,17 +58,13 @@
 	}
 	request.ContentLength = int64(len(call.Body))
 	request.Header = PassHeaders(call.Header)
-	response, err := backend.Exchange(ctx, c.transport(call), request, call.ID)
+	response, err := backend.Exchange(ctx, c.transport(call), request, call.ID) //nolint:bodyclose // ReadWhole closes it.
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxAnswer+1))
+	body, err := backend.ReadWhole(response, c.maxAnswer)
 	if err != nil {
-		return nil, &backend.Failure{Kind: backend.Cut, Detail: err.Error()}
-	}
-	if int64(len(body)) > c.maxAnswer {
-		return nil, &backend.Failure{Kind: backend.TooLarge, Detail: "answer is over limits.max_answer_bytes"}
+		return nil, err
 	}
 	header := PassHeaders(response.Header)
 	header.Del("Content-Length")
--- a/internal/traffic/caller/app.go
+++ b/internal/traffic/caller/app.go
@@ -85,12 +85,12 @@
 		}
 		failure, isFailure := err.(*backend.Failure) //nolint:errorlint // send returns it unwrapped.
 		if !isFailure {
-			a.server.refuse(w, a.http, a.correctRun(err))
+			a.server.refuse(w, a.http, correctRun(a.mayHaveRun, err))
 			return
 		}
 		again := failure.NotRun() || (repeatable && failure.Kind != backend.TooLarge)
 		if !again || ctx.Err() != nil || a.attempt >= maxAttempts || !a.server.budget.Take() {
-			a.server.refuse(w, a.http, a.correctRun(resultOf(failure)))
+			a.server.refuse(w, a.http, correctRun(a.mayHaveRun, resultOf(failure)))
 			return
 		}
 		tried[key] = true
@@ -141,14 +141,6 @@
 	return nil, grant.Key, failure
 }
 
-func (a *appRun) correctRun(err error) error {
-	e := result.From(err)
-	if a.mayHaveRun && e.Code.Run == result.RunNo {
-		return result.New(result.BackendFailed, "an earlier attempt may have run; then: %s", e.Error())
-	}
-	return e
-}
-
 func (a *appRun) keepBill(id string) {
 	a.server.keepBill(a.http.Context(), billing.Record{ID: id, Account: a.info.account, Route: a.info.route, Steps: 1})
 }
--- /dev/null
+++ b/internal/traffic/caller/caller_test.go
@@ -0,0 +1,130 @@
+package caller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/core"
+	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/standin"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/app"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/bills"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/claims"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/dispatch"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/engine"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/quality"
+)
+
+// fixture is a caller server before one warm engine, without peers.
+type fixture struct {
+	server *Server
+	table  *standin.TableMemory
+	mu     sync.Mutex
+	events []core.Event
+}
+
+func newFixture(t *testing.T) *fixture {
+	engineServer := httptest.NewServer(standin.NewEngine(standin.EngineSettings{Holds: []string{"small@v1"}, Slots: 8, Tokens: 40}, &standin.Switch{}).Handler())
+	t.Cleanup(engineServer.Close)
+	key := placement.Key{Pool: "text", Server: "engine-1"}
+	snapshot := &core.Snapshot{
+		Self:           "entry-1",
+		ConfirmedUntil: 1 << 60,
+		Servers:        map[placement.Key]placement.ServerState{key: {Known: true}},
+		Subsets:        map[string][]string{"text": {"engine-1"}},
+		Document: &tables.Document{
+			Routes:         map[string]tables.Route{"chat": {Kind: tables.KindModel, MatchModel: "desk", Pool: "text", Tiers: []string{"small"}, RequestLimitMs: 5_000}},
+			Pools:          map[string]tables.Pool{"text": {Servers: map[string]tables.BackendServer{"engine-1": {Address: strings.TrimPrefix(engineServer.URL, "http://"), DataCentre: "dc-1", Holds: []string{"small@v1"}, Slots: 8}}}},
+			Models:         map[string]tables.Model{"small": {Versions: map[string]tables.ModelVersion{"v1": {State: tables.Active, Share: 1}}}},
+			ClientAccounts: map[string]tables.ClientAccount{"smiths": {KeyHashes: []string{tables.HashKey("key")}, Routes: []string{"chat"}, Allowed: []string{"small"}, Weight: 1}},
+			DataCentres:    map[string]tables.DataCentre{"dc-1": {State: tables.In}},
+			Hosts:          map[string]tables.Host{"entry-1": {DataCentre: "dc-1", State: tables.In}},
+		},
+	}
+	c := &common.Common{Log: hclog.NewNullLogger(), Clock: clock.NewSystem(), Settings: settings.Default()}
+	snapshots := func() *core.Snapshot { return snapshot }
+	table := standin.NewTableMemory()
+	f := &fixture{table: table}
+	f.server = NewServer(Dependencies{
+		Common: c, Snapshots: snapshots, Notify: f.note,
+		Dispatcher: dispatch.NewDispatcher(c.Clock, snapshots, placement.NewCounters(), placement.Scored{}, 100),
+		Engines:    engine.NewClient(1 << 20), Apps: app.NewClient(1 << 20),
+		Bills: bills.NewKeeper(c, table, nil, snapshots), Claims: claims.NewKeeper(c, table, snapshots, claims.NewBacklog(table)),
+		Quality: quality.NewKeeper(c, nil), Metrics: NewMetrics(),
+	})
+	return f
+}
+
+func (f *fixture) note(e core.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, e)
+}
+
+// goneWriter is a caller whose connection fails after some writes.
+type goneWriter struct {
+	*httptest.ResponseRecorder
+	left int
+}
+
+func (g *goneWriter) Write(b []byte) (int, error) {
+	if g.left--; g.left < 0 {
+		return 0, errors.New("connection reset by caller")
+	}
+	return g.ResponseRecorder.Write(b)
+}
+
+func request(t *testing.T, body string) *http.Request {
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer key")
+	return r
+}
+
+// TestCallerThatLeavesSaysNothingOfTheServer cuts the caller's side of a stream:
+// the engine must not be taken for failed or cold.
+func TestCallerThatLeavesSaysNothingOfTheServer(t *testing.T) {
+	f := newFixture(t)
+	w := &goneWriter{httptest.NewRecorder(), 3}
+	func() {
+		defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
+		f.server.Handler().ServeHTTP(w, request(t, `{"model":"desk","stream":true,"messages":[{"content":"x"}]}`))
+	}()
+	assert.Equal(t, len(f.events), 0)
+}
+
+// TestOneKeyForTwoPrompts bills both, and a repeat of one only once.
+func TestOneKeyForTwoPrompts(t *testing.T) {
+	f := newFixture(t)
+	for _, prompt := range []string{"x", "y", "x"} {
+		r := request(t, `{"model":"desk","messages":[{"content":"`+prompt+`"}]}`)
+		r.Header.Set(HeaderIdempotency, "k1")
+		w := httptest.NewRecorder()
+		f.server.Handler().ServeHTTP(w, r)
+		assert.Equal(t, w.Code, http.StatusOK, w.Body.String())
+	}
+	rows, err := f.table.Scan(t.Context(), bills.Table, "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 2)
+}
+
+// TestStoppingDaemonClosesConnections asks callers to come back elsewhere.
+func TestStoppingDaemonClosesConnections(t *testing.T) {
+	f := newFixture(t)
+	f.server.SetStopping()
+	w := httptest.NewRecorder()
+	f.server.Handler().ServeHTTP(w, request(t, `{"model":"desk","messages":[{"content":"x"}]}`))
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, w.Header().Get("Connection"), "close")
+	assert.Assert(t, !f.server.Ready())
+}
--- a/internal/traffic/caller/chat_run.go
+++ b/internal/traffic/caller/chat_run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gypsumpitch.example/gypsumpitch/internal/control/core"
 	"gypsumpitch.example/gypsumpitch/internal/decision/billing"
 	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
@@ -64,13 +66,16 @@
 	for {
 		grant, err := c.server.Dispatcher.Acquire(ctx, c.dispatchRequest(tier, tried))
 		if err != nil {
-			return c.correctRun(err)
+			return correctRun(c.mayHaveRun, err)
 		}
 		c.attempt++
 		version := tables.JoinVersion(tier.Model, tier.Version)
 		c.info.server, c.info.version = grant.Key.Server, version
 		err = send(engine.Call{Address: grant.Address, Version: version, ID: fmt.Sprintf("%s.%d", c.info.id, c.attempt)})
 		grant.Release()
+		if errors.Is(err, errCallerGone) {
+			return result.Wrap(err, result.StreamCut) // it says nothing about the server
+		}
 		if err == nil {
 			c.server.noteServed(grant.Key)
 			return nil
@@ -78,7 +83,7 @@
 		failure := backend.AsFailure(err)
 		c.noteFailure(ctx, grant.Key, version, failure)
 		if !c.mayRetry(ctx, failure) {
-			return c.correctRun(resultOf(failure))
+			return correctRun(c.mayHaveRun, resultOf(failure))
 		}
 		tried[grant.Key] = true
 		c.info.retries++
@@ -105,16 +110,6 @@
 	return ctx.Err() == nil && f.Kind != backend.TooLarge && c.attempt < maxAttempts && c.server.budget.Take()
 }
 
-// correctRun keeps a refusal from saying "not run" after an attempt that may
-// have run.
-func (c *chatRun) correctRun(err error) error {
-	e := result.From(err)
-	if c.mayHaveRun && e.Code.Run == result.RunNo {
-		return result.New(result.BackendFailed, "an earlier attempt may have run; then: %s", e.Error())
-	}
-	return e
-}
-
 // resultOf gives the numbered code of a failed call.
 func resultOf(f *backend.Failure) *result.Error {
 	switch f.Kind {
@@ -136,7 +131,8 @@
 func (c *chatRun) keepBill() {
 	id := c.info.id
 	if key := c.http.Header.Get(HeaderIdempotency); key != "" {
-		id = billIDOfKey(c.info.account, key)
+		// A key that is used for another prompt is another request.
+		id = billIDOfKey(c.info.account, key) + "/" + c.request.Digest()
 	}
 	c.server.keepBill(c.http.Context(), billing.Record{
 		ID:         id,
--- a/internal/traffic/caller/middleware.go
+++ b/internal/traffic/caller/middleware.go
@@ -17,6 +17,10 @@
 	defer s.open.Add(-1)
 	i := &info{id: s.newID(), began: s.Common.Clock.Now(), code: result.OK}
 	w.Header().Set(HeaderRequestID, i.id)
+	if s.stopping.Load() {
+		// The caller's next request then goes to another daemon.
+		w.Header().Set("Connection", "close")
+	}
 	next(w, withInfo(r, i))
 	now := s.Common.Clock.Now()
 	s.Metrics.observe(i, now)
--- a/internal/traffic/engine/client.go
+++ b/internal/traffic/engine/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -33,17 +32,13 @@
 
 // Whole sends the request and returns the whole answer. Errors are *backend.Failure.
 func (c *Client) Whole(ctx context.Context, call Call, r *Request) (*Answer, error) {
-	response, err := c.send(ctx, call, r)
+	response, err := c.send(ctx, call, r) //nolint:bodyclose // ReadWhole closes it.
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxAnswer+1))
+	body, err := backend.ReadWhole(response, c.maxAnswer)
 	if err != nil {
-		return nil, &backend.Failure{Kind: backend.Cut, Detail: err.Error()}
-	}
-	if int64(len(body)) > c.maxAnswer {
-		return nil, &backend.Failure{Kind: backend.TooLarge, Detail: "answer is over limits.max_answer_bytes"}
+		return nil, err
 	}
 	answer, err := parseAnswer(body)
 	if err != nil {
--- a/internal/traffic/engine/request.go
+++ b/internal/traffic/engine/request.go
@@ -2,6 +2,8 @@
 package engine
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -16,14 +18,19 @@
 	Stream       bool
 	wantsLogprob bool
 	wantsUsage   bool
+	digest       string
 }
 
 // prefixChars is how much of a prompt tells whether two share a prefix.
 const prefixChars = 256
 
+// digestBytes is how much of a hash tells requests apart.
+const digestBytes = 16
+
 // ParseRequest reads the body. Errors name the field.
 func ParseRequest(body []byte) (*Request, error) {
-	r := &Request{}
+	sum := sha256.Sum256(body)
+	r := &Request{digest: hex.EncodeToString(sum[:digestBytes])}
 	if err := json.Unmarshal(body, &r.fields); err != nil {
 		return nil, errors.Wrap(err, "body")
 	}
@@ -71,6 +78,9 @@
 	return text[:min(len(text), prefixChars)]
 }
 
+// Digest tells whether two requests are the same.
+func (r *Request) Digest() string { return r.digest }
+
 // Prompt returns the text of the messages, for the rating service.
 func (r *Request) Prompt() string {
 	var messages []struct {
