Tell peers at once of a server seen cold or leaving

Cause: when an engine turns cold without warning, the daemon that sees it kept the news until its peers' next pull (300 ms), and a cold notice without a report used the table's cold slots although the engine had reported that it bears fewer. Ruled out: pulling more often (bytes, docs/CAPACITY.md).

--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -73,12 +73,14 @@
 		return c.fetch(now, e.Member, c.doc.Hosts[e.Member].PeerAddress, e.Version)
 	case DocumentPushed:
 		return c.adopt(now, e.Document)
+	case NoticeHeard:
+		c.hear(e.Notice, now)
 	case LoadReported:
-		c.handleLoad(now, e)
+		return c.handleLoad(now, e)
 	case HostsListed:
 		c.handleHosts(e)
 	case ServerSeen:
-		c.handleSeen(now, e)
+		return c.handleSeen(now, e)
 	case VersionTripped:
 		c.tripped[e.Name] = c.doc.Version
 	case SelfStopping:
@@ -163,7 +165,7 @@
 	for k, server := range c.all {
 		state := c.tracker.Get(k)
 		bears := server.ColdSlots
-		if state.Known && state.Load.Cold {
+		if state.Known && (state.Load.Cold || state.Load.Bears > 0) {
 			bears = min(bears, state.Load.Bears)
 		}
 		idle := state.Known && state.Load.Running == 0 && state.LoadAt >= c.started+c.cfg.LoadLag
--- a/internal/control/core/effect.go
+++ b/internal/control/core/effect.go
@@ -17,6 +17,14 @@
 	Address string
 }
 
+// TellNotice tells a peer at once of a server that was seen cold or leaving,
+// ahead of its next pull.
+type TellNotice struct {
+	Member  string
+	Address string
+	Notice  WireNotice
+}
+
 // FetchDocument asks a peer for its document.
 type FetchDocument struct {
 	Member  string
@@ -43,5 +51,6 @@
 func (PullPeer) isEffect()        {}
 func (FetchDocument) isEffect()   {}
 func (AnnounceVersion) isEffect() {}
+func (TellNotice) isEffect()      {}
 func (PollLoad) isEffect()        {}
 func (ReadHostList) isEffect()    {}
--- a/internal/control/core/event.go
+++ b/internal/control/core/event.go
@@ -40,6 +40,11 @@
 	Document *tables.Document
 }
 
+// NoticeHeard is a peer's word of a server that it saw cold or leaving.
+type NoticeHeard struct {
+	Notice WireNotice
+}
+
 // LoadReported is a backend server's answer to PollLoad.
 type LoadReported struct {
 	AskedAt clock.Millis
@@ -74,6 +79,7 @@
 func (PeerState) isEvent()        {}
 func (DocumentPushed) isEvent()   {}
 func (VersionAnnounced) isEvent() {}
+func (NoticeHeard) isEvent()      {}
 func (LoadReported) isEvent()     {}
 func (HostsListed) isEvent()      {}
 func (ServerSeen) isEvent()       {}
--- a/internal/control/core/handle.go
+++ b/internal/control/core/handle.go
@@ -64,15 +64,33 @@
 
 func (c *Core) learnNotices(e PeerState) {
 	for _, n := range e.State.Notices {
-		at := e.AskedAt - clock.Millis(max(n.AgeMs, 0))
-		if n.Leaving {
-			c.noteLeaving(n.Server, at)
-			continue
-		}
-		c.noteCold(n.Server, at)
+		c.hear(n, e.AskedAt)
 	}
 }
 
+func (c *Core) hear(n WireNotice, heardAt clock.Millis) {
+	at := heardAt - clock.Millis(max(n.AgeMs, 0))
+	if n.Leaving {
+		c.noteLeaving(n.Server, at)
+		return
+	}
+	c.noteCold(n.Server, at)
+}
+
+// tell passes news of a server on at once: until they hear it, the other
+// daemons send it full load.
+func (c *Core) tell(k placement.Key, leaving bool) []Effect {
+	var effects []Effect
+	for _, member := range c.pickPeers(c.cfg.PushFanout) {
+		effects = append(effects, TellNotice{
+			Member:  member,
+			Address: c.doc.Hosts[member].PeerAddress,
+			Notice:  WireNotice{Server: k, Leaving: leaving},
+		})
+	}
+	return effects
+}
+
 // noteCold acts on news only: a warm report that is younger than the notice stands.
 func (c *Core) noteCold(k placement.Key, at clock.Millis) {
 	if state := c.tracker.Get(k); state.Known && !state.Cold && state.LoadAt > at {
@@ -123,13 +141,13 @@
 	c.tracker.SetPeerSends(total)
 }
 
-func (c *Core) handleLoad(now clock.Millis, e LoadReported) {
+func (c *Core) handleLoad(now clock.Millis, e LoadReported) []Effect {
 	if e.Failed {
 		c.tracker.NoteFailure(e.Server, now)
-		return
+		return nil
 	}
 	if !c.tracker.Report(e.Server, e.Load, e.AskedAt) {
-		return
+		return nil
 	}
 	n := c.notices[e.Server]
 	if e.Load.Leaving {
@@ -138,6 +156,7 @@
 		n.coldAt = e.AskedAt
 	}
 	c.notices[e.Server] = n
+	return c.tell(e.Server, e.Load.Leaving)
 }
 
 func (c *Core) handleHosts(e HostsListed) {
@@ -155,7 +174,8 @@
 	}
 }
 
-func (c *Core) handleSeen(now clock.Millis, e ServerSeen) {
+func (c *Core) handleSeen(now clock.Millis, e ServerSeen) []Effect {
+	before := c.tracker.Get(e.Server)
 	switch e.Outcome {
 	case Served:
 		c.tracker.NoteSuccess(e.Server)
@@ -168,6 +188,15 @@
 	case SaidLeaving:
 		c.noteLeaving(e.Server, now)
 	}
+	after := c.tracker.Get(e.Server)
+	switch {
+	case after.Leaving && !before.Leaving:
+		return c.tell(e.Server, true)
+	case after.Cold && !before.Cold:
+		return c.tell(e.Server, false)
+	default:
+		return nil
+	}
 }
 
 // State returns what this daemon tells a peer that pulls it.
--- a/internal/control/loop/handlers.go
+++ b/internal/control/loop/handlers.go
@@ -26,6 +26,7 @@
 	peer.Handle(s, peer.KindPull, h.pull)
 	peer.Handle(s, peer.KindAnnounce, h.announce)
 	peer.Handle(s, peer.KindFetch, h.fetch)
+	peer.Handle(s, peer.KindNotice, h.notice)
 	peer.Handle(s, peer.KindHoldBills, h.holdBills)
 	peer.Handle(s, peer.KindReleaseBills, h.releaseBills)
 	peer.Handle(s, peer.KindGetPins, h.getPins)
@@ -45,6 +46,11 @@
 	return peer.Nothing{}, nil
 }
 
+func (h *Handlers) notice(ctx context.Context, n core.WireNotice) (peer.Nothing, error) {
+	h.Loop.Deliver(ctx, core.NoticeHeard{Notice: n})
+	return peer.Nothing{}, nil
+}
+
 func (h *Handlers) fetch(ctx context.Context, _ peer.Nothing) (peer.DocumentMessage, error) {
 	var doc *tables.Document
 	err := h.Loop.Ask(ctx, func(c *core.Core) { doc = c.Document() })
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -116,7 +116,7 @@
 func (l *Loop) publishSoon(event core.Event) {
 	urgent := false
 	switch event.(type) {
-	case core.DocumentPushed, core.StoreRead, core.ServerSeen, core.VersionTripped, core.SelfStopping:
+	case core.DocumentPushed, core.StoreRead, core.ServerSeen, core.NoticeHeard, core.VersionTripped, core.SelfStopping:
 		urgent = true
 	}
 	if urgent {
--- a/internal/control/loop/performer.go
+++ b/internal/control/loop/performer.go
@@ -63,6 +63,9 @@
 	case core.AnnounceVersion:
 		a.announce(ctx, e)
 		return nil
+	case core.TellNotice:
+		a.tell(ctx, e)
+		return nil
 	case core.PollLoad:
 		return a.pollLoad(ctx, askedAt, e)
 	case core.ReadHostList:
@@ -121,6 +124,13 @@
 	_, _ = peer.Call[peer.Announcement, peer.Nothing](ctx, a.peers, e.Address, peer.KindAnnounce, announcement)
 }
 
+func (a *Adapter) tell(ctx context.Context, e core.TellNotice) {
+	ctx, cancel := context.WithTimeout(ctx, peerCallLimit.Duration())
+	defer cancel()
+	// A peer that misses this hears of it when it next pulls.
+	_, _ = peer.Call[core.WireNotice, peer.Nothing](ctx, a.peers, e.Address, peer.KindNotice, e.Notice)
+}
+
 func (a *Adapter) pollLoad(ctx context.Context, askedAt clock.Millis, e core.PollLoad) core.Event {
 	failed := core.LoadReported{AskedAt: askedAt, Server: e.Server, Failed: true}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/v1/load", nil)
--- a/internal/control/peer/message.go
+++ b/internal/control/peer/message.go
@@ -15,6 +15,7 @@
 	KindPull         Kind = "pull"
 	KindAnnounce     Kind = "announce_version"
 	KindFetch        Kind = "fetch_document"
+	KindNotice       Kind = "notice"
 	KindHoldBills    Kind = "hold_bills"
 	KindReleaseBills Kind = "release_bills"
 	KindGetPins      Kind = "get_pins"
--- a/internal/proof/cluster/world_test.go
+++ b/internal/proof/cluster/world_test.go
@@ -208,6 +208,11 @@
 			w.handle(other, peer, core.VersionAnnounced{Member: m.name, Version: e.Version})
 			return nil
 		}, n)
+	case core.TellNotice:
+		w.callPeer(m, e.Member, func(other *member, peer *node) core.Event {
+			w.handle(other, peer, core.NoticeHeard{Notice: e.Notice})
+			return nil
+		}, n)
 	case core.PollLoad:
 		w.after(100, func() {
 			event := w.reportLoad(asked, e)
--- a/internal/proof/process/control_test.go
+++ b/internal/proof/process/control_test.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
+	"gypsumpitch.example/gypsumpitch/internal/experiment/load"
 )
 
 func (d *deployment) tables() *tables.Document {
@@ -126,3 +128,28 @@
 		return nil
 	})
 }
+
+// TestColdWithoutWarning turns each engine cold once under load. Nobody can know
+// before the first sees it; how often the engine falls over is logged.
+func TestColdWithoutWarning(t *testing.T) {
+	d := newDeployment(t)
+	d.start()
+	done := make(chan load.Report, 1)
+	go func() { done <- load.Run(t.Context(), d.plan(9, 150)) }()
+	fell := 0
+	for i := 1; i <= engines; i++ {
+		time.Sleep(2500 * time.Millisecond)
+		name := fmt.Sprintf("engine-%d", i)
+		d.faults(name, `{"cold":true}`)
+		time.Sleep(300 * time.Millisecond)
+		var stats struct {
+			FellOver int `json:"fell_over"`
+		}
+		d.standinJSON(name, "/v1/stats", &stats)
+		fell += stats.FellOver
+	}
+	report := <-done
+	t.Logf("%d falls of %d engines; sent %d, served %d, codes %v", fell, engines, report.Sent, report.Served, report.Codes)
+	assert.Equal(t, report.WrongAnswers, 0)
+	assert.Equal(t, report.MovedSession, 0)
+}
--- a/internal/proof/process/deployment_test.go
+++ b/internal/proof/process/deployment_test.go
@@ -168,7 +168,7 @@
 	}
 	for i := 1; i <= engines; i++ {
 		name := fmt.Sprintf("engine-%d", i)
-		doc.Pools["text"].Servers[name] = tables.BackendServer{Address: d.addresses[name], DataCentre: dataCentre(i), Holds: []string{"small@v1", "small@v2"}, Slots: 64, ColdSlots: 3, ChecksFencing: true}
+		doc.Pools["text"].Servers[name] = tables.BackendServer{Address: d.addresses[name], DataCentre: dataCentre(i), Holds: []string{"small@v1", "small@v2"}, Slots: 64, ColdSlots: 2, ChecksFencing: true}
 	}
 	for i := 1; i <= 2; i++ {
 		name := fmt.Sprintf("app-%d", i)
