--- a/internal/experiment/load/plan.go
+++ b/internal/experiment/load/plan.go
@@ -12,6 +12,7 @@
 	Duration time.Duration `json:"-"`
 	Rate     float64       `json:"-"` // requests a second
 	Seed     uint64        `json:"-"`
+	Bad      []string      `json:"-"` // versions whose answers count as exposure
 }
 
 // Account is a client account with its key and its part of the load.
--- a/internal/experiment/load/report.go
+++ b/internal/experiment/load/report.go
@@ -21,6 +21,7 @@
 	Session   string
 	WrongBody bool
 	RequestID string
+	Cost      int64 // millionths of the billing unit; 0 where the answer doesn't tell
 	PostKey   string
 }
 
@@ -37,6 +38,7 @@
 	FirstMs      map[string]float64 `json:"first_ms"` // p50, p95, p99
 	WholeMs      map[string]float64 `json:"whole_ms"`
 	Histogram    []Bin              `json:"histogram"`
+	Measures     Measures           `json:"measures"`
 	Outcomes     []Outcome          `json:"-"`
 }
 
@@ -46,6 +48,30 @@
 	Count  int     `json:"count"`
 }
 
+// Measures are the four by which the users judge.
+type Measures struct {
+	CostMicros float64 `json:"cost_micros"`  // mean of a whole model answer
+	FirstP95Ms float64 `json:"first_p95_ms"` // first byte
+	Exposed    int     `json:"exposed"`      // answers by versions named as bad
+	Service    float64 `json:"service"`      // share of requests served
+}
+
+func measuresOf(r Report, bad []string) Measures {
+	m := Measures{FirstP95Ms: r.FirstMs["p95"], Service: float64(r.Served) / float64(max(r.Sent, 1))}
+	answers := 0
+	for _, o := range r.Outcomes {
+		if o.OK && o.Cost > 0 {
+			answers++
+			m.CostMicros += float64(o.Cost)
+		}
+	}
+	m.CostMicros /= float64(max(answers, 1))
+	for _, version := range bad {
+		m.Exposed += r.Versions[version]
+	}
+	return m
+}
+
 // collector gathers outcomes; it is safe for concurrent use.
 type collector struct {
 	mu       sync.Mutex
@@ -58,7 +84,7 @@
 	c.outcomes = append(c.outcomes, o)
 }
 
-func (c *collector) report() Report {
+func (c *collector) report(bad []string) Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := Report{Sent: len(c.outcomes), Codes: map[string]int{}, Versions: map[string]int{}, Outcomes: c.outcomes}
@@ -90,6 +116,7 @@
 	}
 	r.FirstMs, r.WholeMs = percentiles(first), percentiles(whole)
 	r.Histogram = bins(whole)
+	r.Measures = measuresOf(r, bad)
 	return r
 }
 
@@ -136,6 +163,8 @@
 		r.Sent, r.Served, r.Cut, r.NoConnection, r.WrongAnswers, r.MovedSession)
 	_, _ = fmt.Fprintf(w, "first byte  p50 %.1f ms  p95 %.1f ms  p99 %.1f ms\n", r.FirstMs["p50"], r.FirstMs["p95"], r.FirstMs["p99"])
 	_, _ = fmt.Fprintf(w, "whole       p50 %.1f ms  p95 %.1f ms  p99 %.1f ms\n", r.WholeMs["p50"], r.WholeMs["p95"], r.WholeMs["p99"])
+	_, _ = fmt.Fprintf(w, "measures: cost %.0f millionths an answer, first byte p95 %.1f ms, exposed %d, service %.4f\n",
+		r.Measures.CostMicros, r.Measures.FirstP95Ms, r.Measures.Exposed, r.Measures.Service)
 	for _, code := range slices.Sorted(maps.Keys(r.Codes)) {
 		_, _ = fmt.Fprintf(w, "code %-14s %d\n", code, r.Codes[code])
 	}
--- a/internal/experiment/load/run.go
+++ b/internal/experiment/load/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,7 +45,7 @@
 		}()
 	}
 	open.Wait()
-	return c.report()
+	return c.report(plan.Bad)
 }
 
 // drawn is one request to be sent.
@@ -113,6 +114,7 @@
 	o.Code = response.Header.Get("X-Result-Code")
 	o.Version = response.Header.Get("X-Model-Version")
 	o.RequestID = response.Header.Get("X-Request-Id")
+	o.Cost, _ = strconv.ParseInt(response.Header.Get("X-Cost-Micros"), 10, 64)
 	if o.Code == "" {
 		o.Code = "0"
 	}
--- a/internal/program/client/load.go
+++ b/internal/program/client/load.go
@@ -18,13 +18,14 @@
 	file := command.Flag("plan", "Load plan in JSON with comments.").Required().String()
 	duration := command.Flag("for", "How long to send.").Default("10s").Duration()
 	rate := command.Flag("rate", "Requests a second.").Default("50").Float64()
+	bad := command.Flag("bad", "model@version whose answers count as exposure.").Strings()
 	seed := command.Flag("seed", "Seed of the mix.").Default("1").Uint64()
 	command.Action(action(func() error {
 		plan, err := readPlan(*file)
 		if err != nil {
 			return err
 		}
-		plan.Duration, plan.Rate, plan.Seed = *duration, *rate, *seed
+		plan.Duration, plan.Rate, plan.Seed, plan.Bad = *duration, *rate, *seed, *bad
 		report := load.Run(context.Background(), plan)
 		return e.print(report, func(w io.Writer) { report.WriteText(w) })
 	}))
--- a/internal/traffic/caller/caller_test.go
+++ b/internal/traffic/caller/caller_test.go
@@ -1,6 +1,9 @@
 package caller
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -118,6 +121,24 @@
 	assert.Equal(t, len(rows), 2)
 }
 
+// TestSlowBodyIsRefused sends half a body and no more.
+func TestSlowBodyIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.server.Common.Settings.Limits.BodyReadMs = 50
+	listener := httptest.NewServer(f.server.Handler())
+	t.Cleanup(listener.Close)
+	conn, err := net.Dial("tcp", listener.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\nContent-Length: 100\r\n\r\n{")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.Header.Get("X-Result-Code"), "1008")
+	assert.Equal(t, response.Header.Get("X-Run"), "no")
+}
+
 // TestStoppingDaemonClosesConnections asks callers to come back elsewhere.
 func TestStoppingDaemonClosesConnections(t *testing.T) {
 	f := newFixture(t)
--- a/internal/traffic/caller/chat_whole.go
+++ b/internal/traffic/caller/chat_whole.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
@@ -28,6 +29,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderVersion, c.info.version)
+	h.Set(HeaderCost, strconv.FormatInt(c.cost, 10))
 	h.Set(result.HeaderCode, "0")
 	h.Set(result.HeaderRun, string(result.RunYes))
 	c.info.firstAt = c.now()
--- a/internal/traffic/caller/info.go
+++ b/internal/traffic/caller/info.go
@@ -19,7 +19,8 @@
 	HeaderTimeout      = "X-Request-Timeout-Ms"
 	HeaderVersion      = "X-Model-Version" // model@version that answered
 	HeaderIdempotency  = "Idempotency-Key"
-	HeaderReplayed     = "X-Replayed" // the answer was recorded earlier
+	HeaderReplayed     = "X-Replayed"    // the answer was recorded earlier
+	HeaderCost         = "X-Cost-Micros" // millionths of the billing unit, on whole answers
 )
 
 // info is what is known of a request; its own goroutine fills it in.
