--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,6 +3,9 @@
 # and no test at all, fails the run.
 set -u
 cd "$(dirname "$0")/.."
+for patch in proofs/*.patch; do
+  git apply --check "$patch" || { echo "$patch is stale; make it anew"; exit 1; }
+done
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 go test -count=1 -timeout 30m ./... 2>&1 | tee "$out"
