Apply tables on the version that they were shown with

Cause: apply took the current version as its base, so that an edit made between show and apply was lost without a word. Before and after: TestApplyLosesNoEdit got exit 0 before (the pause was lost), now 3; after a new show, 0. Conclusion: kept; racing operators get the conflict that the design promises.

--- a/internal/program/client/tables.go
+++ b/internal/program/client/tables.go
@@ -31,7 +31,7 @@
 
 	apply := app.Command("apply", "Replace the tables by a file's, if nobody else has edited them since.")
 	applyFile := apply.Arg("file", "Tables in JSON with comments.").Required().String()
-	base := apply.Flag("base", "Version that the file was made from; the current one by default.").Default("-1").Int64()
+	base := apply.Flag("base", "Version that the file was made from; the file's own by default.").Default("-1").Int64()
 	editID := apply.Flag("edit-id", "Id of the edit; the same id is never applied twice.").String()
 	apply.Action(action(func() error { return e.apply(*applyFile, *base, *editID) }))
 
@@ -149,10 +149,13 @@
 }
 
 func (e *environment) apply(file string, base int64, editID string) error {
-	text, _, err := readTables(file)
+	text, doc, err := readTables(file)
 	if err != nil {
 		return err
 	}
+	if base < 0 {
+		base = doc.Version // what show printed, so that no edit made since is lost
+	}
 	return e.put(text, base, editID)
 }
 
--- a/internal/proof/process/control_test.go
+++ b/internal/proof/process/control_test.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -153,3 +156,26 @@
 	assert.Equal(t, report.WrongAnswers, 0)
 	assert.Equal(t, report.MovedSession, 0)
 }
+
+// TestApplyLosesNoEdit shows the tables, edits them meanwhile, and applies what
+// was shown.
+func TestApplyLosesNoEdit(t *testing.T) {
+	d := newDeployment(t)
+	d.start()
+	shown, err := json.Marshal(d.tables())
+	assert.NilError(t, err)
+	file := filepath.Join(d.dir, "shown.json")
+	assert.NilError(t, os.WriteFile(file, shown, 0o600))
+	apply := func() int {
+		cmd := exec.Command(filepath.Join(binaries, "gypsumpitch"), "--daemon", d.url(2, "operator"), "--key", operatorKey, "apply", file)
+		_ = cmd.Run()
+		return cmd.ProcessState.ExitCode()
+	}
+	d.act(1, tables.Act{Kind: tables.ActVersionPause, Name: "small", Part: "v2"})
+	assert.Equal(t, apply(), 3, "the pause would be lost")
+	assert.Equal(t, d.tables().Models["small"].Versions["v2"].State, tables.Paused)
+	shown, err = json.Marshal(d.tables())
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(file, shown, 0o600))
+	assert.Equal(t, apply(), 0)
+}
