Bound writes to callers that don't read; test late answers

Cause: reading showed that a caller which stops reading held its request, and its place at an engine, past the route's limit, since writes had no bound. Ruled out: the server's own WriteTimeout, which is one for all routes and would cut long streams. Before and after: TestCallerThatDoesNotReadIsLetGo failed without the bound, now passes. TestLateAnswers (3 daemons as processes) passes as written: 504, run unknown, at the caller's deadline, and own answers afterwards.

--- a/internal/proof/process/process_test.go
+++ b/internal/proof/process/process_test.go
@@ -331,3 +331,35 @@
 	assert.Equal(t, len(list), daemons)
 	assert.Equal(t, list[0].Version, int64(3), "the edit whose answer was lost must be applied once")
 }
+
+// TestLateAnswers has every engine and app answer later than the caller waits:
+// the caller is told at its deadline that the request may have run, and later
+// requests on the same connections get their own answers: P7, P8.
+func TestLateAnswers(t *testing.T) {
+	d := newDeployment(t)
+	d.start()
+	slow := []string{"engine-1", "engine-2", "engine-3", "app-1", "app-2"}
+	for _, name := range slow {
+		d.faults(name, `{"slow_ms":3000}`)
+	}
+	soon := map[string]string{"X-Request-Timeout-Ms": "300", "Idempotency-Key": "late"}
+	status, body, header := d.call(1, http.MethodPost, "/v1/chat/completions", chatBody, soon)
+	assert.Equal(t, status, http.StatusGatewayTimeout, body)
+	assert.Equal(t, header.Get("X-Run"), "unknown")
+	status, body, header = d.call(1, http.MethodPost, "/ledger/entries", "pay 9", soon)
+	assert.Equal(t, status, http.StatusGatewayTimeout, body)
+	assert.Equal(t, header.Get("X-Run"), "unknown")
+	for _, name := range slow {
+		d.faults(name, `{}`)
+	}
+	d.eventually("own answers again", func() error {
+		status, body, _ := d.call(1, http.MethodPost, "/ledger/entries", "pay 10", map[string]string{"Idempotency-Key": "prompt"})
+		if status != http.StatusOK || !strings.Contains(body, "pay 10") {
+			return fmt.Errorf("status %d: %s", status, body)
+		}
+		return nil
+	})
+	status, _, header = d.call(2, http.MethodPost, "/ledger/entries", "pay 9", map[string]string{"Idempotency-Key": "late"})
+	assert.Equal(t, status, http.StatusConflict, "a payment that may have run is not sent again")
+	assert.Equal(t, header.Get("X-Run"), "unknown")
+}
--- a/internal/traffic/caller/app.go
+++ b/internal/traffic/caller/app.go
@@ -59,7 +59,7 @@
 		return nil, result.New(result.NotAllowed, "account %s may not use route %s", i.account, name)
 	}
 	i.route, i.class = name, route.Class
-	if err := s.setDeadline(r, route.RequestLimitMs); err != nil {
+	if err := s.setDeadline(w, r, route.RequestLimitMs); err != nil {
 		return nil, err
 	}
 	body, err := s.readBody(w, r)
--- a/internal/traffic/caller/caller_test.go
+++ b/internal/traffic/caller/caller_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -139,6 +140,26 @@
 	assert.Equal(t, response.Header.Get("X-Run"), "no")
 }
 
+// TestCallerThatDoesNotReadIsLetGo asks for a long stream and reads nothing.
+func TestCallerThatDoesNotReadIsLetGo(t *testing.T) {
+	f := newFixture(t)
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	f.server.Handler().ServeHTTP(w, request(t, `{"model":"desk","stream":true,"messages":[{"content":"x"}]}`))
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Assert(t, !w.bound.IsZero() && time.Until(w.bound) < 11*time.Second, "the route's limit and the grace must bound the writes")
+}
+
+// deadlineRecorder remembers the last bound of its writes.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	bound time.Time
+}
+
+func (d *deadlineRecorder) SetWriteDeadline(at time.Time) error {
+	d.bound = at
+	return nil
+}
+
 // TestStoppingDaemonClosesConnections asks callers to come back elsewhere.
 func TestStoppingDaemonClosesConnections(t *testing.T) {
 	f := newFixture(t)
--- a/internal/traffic/caller/chat.go
+++ b/internal/traffic/caller/chat.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, result.Wrap(err, result.MalformedRequest)
 	}
-	route, err := s.chatRoute(r, request.Model)
+	route, err := s.chatRoute(w, r, request.Model)
 	if err != nil {
 		return nil, err
 	}
@@ -51,7 +51,7 @@
 	return &chatRun{server: s, http: r, info: i, request: request, route: route, tiers: tiers}, nil
 }
 
-func (s *Server) chatRoute(r *http.Request, model string) (tables.Route, error) {
+func (s *Server) chatRoute(w http.ResponseWriter, r *http.Request, model string) (tables.Route, error) {
 	i := infoOf(r)
 	name, route, ok := s.Snapshots().Document.ModelRoute(model)
 	if !ok {
@@ -61,7 +61,7 @@
 		return tables.Route{}, result.New(result.NotAllowed, "account %s may not use route %s", i.account, name)
 	}
 	i.route, i.class = name, route.Class
-	return route, s.setDeadline(r, route.RequestLimitMs)
+	return route, s.setDeadline(w, r, route.RequestLimitMs)
 }
 
 type modelList struct {
--- a/internal/traffic/caller/middleware.go
+++ b/internal/traffic/caller/middleware.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"time"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -13,6 +14,7 @@
 
 // observe gives the request its id, and logs and counts how it went.
 func (s *Server) observe(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	boundWrites(w, clock.Millis(s.Common.Settings.Limits.BodyReadMs)+slowCallerGrace)
 	s.open.Add(1)
 	defer s.open.Add(-1)
 	i := &info{id: s.newID(), began: s.Common.Clock.Now(), code: result.OK}
@@ -110,7 +112,7 @@
 }
 
 // setDeadline takes the earlier of the route's limit and the caller's own.
-func (s *Server) setDeadline(r *http.Request, limitMs int64) error {
+func (s *Server) setDeadline(w http.ResponseWriter, r *http.Request, limitMs int64) error {
 	limit := limitMs
 	if text := r.Header.Get(HeaderTimeout); text != "" {
 		asked, err := strconv.ParseInt(text, 10, 64)
@@ -121,5 +123,16 @@
 	}
 	i := infoOf(r)
 	i.deadline = i.began + clock.Millis(limit)
+	boundWrites(w, clock.Millis(limit)+slowCallerGrace)
 	return nil
 }
+
+// slowCallerGrace is the time that a caller has to read the end of its answer.
+const slowCallerGrace = 5_000 * clock.Millis(1)
+
+// boundWrites keeps a caller that doesn't read from holding its request for
+// ever. Each request on a connection sets its own bound.
+func boundWrites(w http.ResponseWriter, limit clock.Millis) {
+	// Only test recorders lack deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit.Duration()))
+}
