Give the process tests ports that outgoing connections can't take

The ports were free ones of the system's ephemeral range, and an outgoing connection took one before the daemon started (trace: entry-3's log; the other daemons served). Ruled out: starting the process again, which would hide a daemon that can't listen. Before and after: ports now lie in 20000 to 26999, below that range; checks and bounds are unchanged.

--- a/internal/proof/process/deployment_test.go
+++ b/internal/proof/process/deployment_test.go
@@ -93,11 +93,26 @@
 
 func daemonName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
+// The ports that the processes listen on lie below those that the system gives
+// to outgoing connections, which could take one before its process starts.
+const (
+	firstPort = 20_000
+	portCount = 7_000
+)
+
+var nextPort = os.Getpid() * 131 % portCount
+
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range portCount {
+		nextPort = (nextPort + 1) % portCount
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
+		if err == nil {
+			defer func() { _ = l.Close() }()
+			return l.Addr().String()
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (d *deployment) run(name string, args ...string) {
