Remove what reading the whole change found dead or done twice

Cause: the change left a field that only fed another (the preferred servers), three methods and two struct fields that nothing reads, a claim released twice on the same path, and one benchmark fixture written out five times. Ruled out: sharing the fuzz packages' TestMain (tests live in test files, and two packages can't share one without a package of its own).

--- a/internal/control/core/adopt.go
+++ b/internal/control/core/adopt.go
@@ -23,18 +23,22 @@
 		return ok
 	})
 	c.owner.SetMembers(doc.Members())
+	c.indexServers()
+	c.updateTransferWait()
+	c.noteService(now)
+	return c.announceAll()
+}
+
+// indexServers prepares what each tick and each request would otherwise work out.
+func (c *Core) indexServers() {
 	c.all = c.servers()
-	c.preferred = c.choosePreferred()
-	c.polled = slices.SortedFunc(maps.Keys(c.preferred), func(a, b placement.Key) int {
+	c.polled = slices.SortedFunc(maps.Keys(c.choosePreferred()), func(a, b placement.Key) int {
 		return cmp.Compare(a.String(), b.String())
 	})
 	c.subsets = make(map[string][]string)
 	for _, k := range c.polled {
 		c.subsets[k.Pool] = append(c.subsets[k.Pool], k.Server)
 	}
-	c.updateTransferWait()
-	c.noteService(now)
-	return c.announceAll()
 }
 
 // noteService remembers since when operators have had this host out.
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -30,7 +30,6 @@
 	fetchAt        clock.Millis
 	storeDownSince clock.Millis
 	outSince       clock.Millis
-	preferred      map[placement.Key]bool
 	polled         []placement.Key // the preferred servers in a fixed order
 	subsets        map[string][]string
 	all            map[placement.Key]tables.BackendServer
--- a/internal/decision/admission/gate.go
+++ b/internal/decision/admission/gate.go
@@ -41,13 +41,6 @@
 // NewGate returns an empty gate.
 func NewGate(limit int) *Gate { return &Gate{limit: limit, accounts: make(map[string]*usage)} }
 
-// SetLimit changes the number of requests that may be under way.
-func (g *Gate) SetLimit(limit int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.limit = limit
-}
-
 // Enter counts the request in, or says why not.
 func (g *Gate) Enter(account string, weight int, now clock.Millis) Refusal {
 	g.mu.Lock()
@@ -79,13 +72,6 @@
 	}
 }
 
-// InFlight returns the requests under way.
-func (g *Gate) InFlight() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.total
-}
-
 func (g *Gate) share(u *usage, now clock.Millis) int {
 	weights := 0
 	for name, other := range g.accounts {
--- a/internal/decision/cascade/count.go
+++ b/internal/decision/cascade/count.go
@@ -6,11 +6,10 @@
 // Each daemon only adds to its own counts, so counts of several daemons merge
 // by adding, and a later message of one daemon replaces the earlier.
 type Count struct {
-	Route     string  `json:"r"`
-	Class     string  `json:"c"`
-	Model     string  `json:"m"`
-	Bucket    int     `json:"b"` // of the answer's confidence
-	Good      float64 `json:"g"`
-	Bad       float64 `json:"x"`
-	Decisions int64   `json:"d,omitempty"`
+	Route  string  `json:"r"`
+	Class  string  `json:"c"`
+	Model  string  `json:"m"`
+	Bucket int     `json:"b"` // of the answer's confidence
+	Good   float64 `json:"g"`
+	Bad    float64 `json:"x"`
 }
--- a/internal/decision/lease/keeper.go
+++ b/internal/decision/lease/keeper.go
@@ -41,14 +41,6 @@
 // Fencing returns the fencing number of the lease.
 func (k *Keeper) Fencing() int64 { return k.row.Fencing }
 
-// Holder returns who is known to hold the lease.
-func (k *Keeper) Holder() string {
-	if k.row.Released {
-		return ""
-	}
-	return k.row.Holder
-}
-
 // Observe takes in the row that a read gave, and whether it exists.
 func (k *Keeper) Observe(row Row, version int64, now clock.Millis) {
 	if version != k.version {
--- a/internal/proof/slopes/slopes_test.go
+++ b/internal/proof/slopes/slopes_test.go
@@ -55,6 +55,15 @@
 	return c
 }
 
+// filledCore is a core of that size that knows every daemon and its subset.
+func filledCore(daemons, engines int) (*core.Core, *tables.Document, clock.Millis) {
+	doc := document(daemons, engines)
+	now := clock.Millis(1_000_000)
+	c := newCore(doc, now)
+	fill(c, doc, now)
+	return c, doc, now
+}
+
 // fill gives the core a sighting of every daemon and a report of its subset.
 func fill(c *core.Core, doc *tables.Document, now clock.Millis) {
 	var state core.State
@@ -81,10 +90,7 @@
 func BenchmarkPull(b *testing.B) {
 	for _, s := range sizes {
 		b.Run(name(s.daemons, s.engines), func(b *testing.B) {
-			doc := document(s.daemons, s.engines)
-			now := clock.Millis(1_000_000)
-			c := newCore(doc, now)
-			fill(c, doc, now)
+			c, _, now := filledCore(s.daemons, s.engines)
 			var text []byte
 			for b.Loop() {
 				state := c.State(now, nil)
@@ -110,10 +116,7 @@
 func BenchmarkTick(b *testing.B) {
 	for _, s := range sizes {
 		b.Run(name(s.daemons, s.engines), func(b *testing.B) {
-			doc := document(s.daemons, s.engines)
-			now := clock.Millis(1_000_000)
-			c := newCore(doc, now)
-			fill(c, doc, now)
+			c, _, now := filledCore(s.daemons, s.engines)
 			for b.Loop() {
 				now += 100
 				c.Handle(now, core.Tick{})
@@ -125,10 +128,7 @@
 
 // BenchmarkLoadReport is the taking in of one load report.
 func BenchmarkLoadReport(b *testing.B) {
-	doc := document(390, 1800)
-	now := clock.Millis(1_000_000)
-	c := newCore(doc, now)
-	fill(c, doc, now)
+	c, _, now := filledCore(390, 1800)
 	k := placement.Key{Pool: "text", Server: "engine-7"}
 	load := placement.Load{Running: 3, Incarnation: "1", Holds: []string{"small@v1"}}
 	for b.Loop() {
@@ -144,10 +144,7 @@
 func BenchmarkAdopt(b *testing.B) {
 	for _, s := range sizes {
 		b.Run(name(s.daemons, s.engines), func(b *testing.B) {
-			doc := document(s.daemons, s.engines)
-			now := clock.Millis(1_000_000)
-			c := newCore(doc, now)
-			fill(c, doc, now)
+			c, doc, now := filledCore(s.daemons, s.engines)
 			for b.Loop() {
 				doc = doc.WithEdit(doc, "edit")
 				c.Handle(now, core.DocumentPushed{Document: doc})
@@ -214,10 +211,7 @@
 		b.Run(name(s.daemons, s.engines), func(b *testing.B) {
 			for b.Loop() {
 				before := heap()
-				doc := document(s.daemons, s.engines)
-				now := clock.Millis(1_000_000)
-				c := newCore(doc, now)
-				fill(c, doc, now)
+				c, _, now := filledCore(s.daemons, s.engines)
 				snapshot := c.Snapshot(now)
 				b.ReportMetric(float64(heap()-before)/1024, "KB/core")
 				runtime.KeepAlive(c)
--- a/internal/traffic/claims/keeper.go
+++ b/internal/traffic/claims/keeper.go
@@ -64,7 +64,7 @@
 			var verdict claim.Verdict
 			verdict, answer = send(ctx)
 			step = m.Sent(verdict)
-			k.settle(key, m, answer)
+			k.record(key, m, answer)
 		}
 	}
 	switch m.Verdict() {
@@ -73,7 +73,7 @@
 	case claim.InProgress:
 		return k.judgeProgress(ctx, key, m), nil
 	case claim.NotRun:
-		k.releaseUnsent(key, m)
+		k.release(key, m)
 	}
 	return m.Verdict(), answer
 }
@@ -122,22 +122,20 @@
 	return row, errors.Wrap(err, "decode claim")
 }
 
-// settle records the outcome of a call that was sent, or gives the claim back
-// where it wasn't. The caller has its answer either way.
-func (k *Keeper) settle(key string, m *claim.Machine, answer *claim.Answer) {
+// record notes the outcome of a call that was sent. The caller has its answer
+// either way.
+func (k *Keeper) record(key string, m *claim.Machine, answer *claim.Answer) {
 	switch m.Verdict() {
 	case claim.Ran:
 		k.backlog.Add(key, m.Row().WithState(claim.Done, answer))
-	case claim.NotRun:
-		k.backlog.Add(key, m.Row().WithState(claim.Released, nil))
-	default:
+	case claim.MayHaveRun:
 		k.backlog.Add(key, m.Row().WithState(claim.Unknown, nil))
 	}
 }
 
-// releaseUnsent gives back a claim whose write may have taken effect although
-// its answer was lost.
-func (k *Keeper) releaseUnsent(key string, m *claim.Machine) {
+// release gives back the claim of a call that wasn't run, whose write may have
+// taken effect although its answer was lost.
+func (k *Keeper) release(key string, m *claim.Machine) {
 	k.backlog.Add(key, m.Row().WithState(claim.Released, nil))
 }
 
--- a/internal/traffic/dispatch/dispatcher.go
+++ b/internal/traffic/dispatch/dispatcher.go
@@ -178,12 +178,11 @@
 			continue
 		}
 		c := placement.Candidate{
-			Key:        key,
-			Address:    server.Address,
-			DataCentre: server.DataCentre,
-			Limit:      d.limit(s, key, server),
-			Load:       s.Load(key, d.counters.Get(key)),
-			Near:       server.DataCentre == s.DataCentre,
+			Key:     key,
+			Address: server.Address,
+			Limit:   d.limit(s, key, server),
+			Load:    s.Load(key, d.counters.Get(key)),
+			Near:    server.DataCentre == s.DataCentre,
 		}
 		if r.Tried[key] {
 			tried = append(tried, c)
