--- /dev/null
+++ b/internal/control/follower/follower.go
@@ -0,0 +1,116 @@
+// Package follower keeps up with one table of the row store.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/platform/rowstore"
+)
+
+const (
+	// waitLimit is how long one call for changes is left open: each further call
+	// is paid for, and a dead connection is found by its keep-alive probes.
+	waitLimit = 20_000 * clock.Millis(1)
+	// answerLimit is how much longer than that an answer may take.
+	answerLimit = 3_000 * clock.Millis(1)
+	// listLimit bounds one reading of the whole table.
+	listLimit = 3_000 * clock.Millis(1)
+	// The pause after a failed call doubles between these. The store limits the
+	// calls of all daemons together, and the configuration must be in force
+	// about a second after the store is back.
+	firstPause   = 100 * clock.Millis(1)
+	longestPause = 600 * clock.Millis(1)
+)
+
+// Sink takes in what the table holds.
+type Sink interface {
+	// Replace brings the whole table.
+	Replace(table string, page rowstore.Page)
+	// Change brings rows that changed.
+	Change(table string, page rowstore.Page)
+	// Touch says whether the last call for the table went well.
+	Touch(table string, well bool)
+}
+
+// Follower reads the table whole once, and from then on what changes.
+type Follower struct {
+	log   hclog.Logger
+	store rowstore.Store
+	sink  Sink
+	table string
+}
+
+// New returns a follower of the table.
+func New(log hclog.Logger, store rowstore.Store, sink Sink, table string) *Follower {
+	return &Follower{log: log, store: store, sink: sink, table: table}
+}
+
+// Run follows the table until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	version, listed, well := int64(0), false, true
+	for ctx.Err() == nil {
+		page, err := f.read(ctx, listed, version)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, rowstore.ErrCompacted) {
+			f.log.Info("store forgot its changes; reading the table again", "table", f.table, "after", version)
+			listed = false
+			continue
+		}
+		if (err == nil) != well {
+			well = err == nil
+			f.logTurn(well, err, version)
+		}
+		f.sink.Touch(f.table, well)
+		if err != nil {
+			sleep(ctx, pause.Duration()/2+rand.N(pause.Duration()/2))
+			pause = min(pause*2, longestPause)
+			continue
+		}
+		pause = firstPause
+		if listed {
+			f.sink.Change(f.table, page)
+		} else {
+			f.sink.Replace(f.table, page)
+		}
+		listed, version = true, max(version, page.Version)
+	}
+}
+
+func (f *Follower) logTurn(well bool, err error, version int64) {
+	if well {
+		f.log.Info("store regained", "table", f.table, "after", version)
+		return
+	}
+	f.log.Warn("store lost", "table", f.table, "after", version, "error", err.Error())
+}
+
+func (f *Follower) read(ctx context.Context, listed bool, version int64) (rowstore.Page, error) {
+	limit := listLimit
+	if listed {
+		limit = waitLimit + answerLimit
+	}
+	callCtx, cancel := context.WithTimeout(ctx, limit.Duration())
+	defer cancel()
+	if !listed {
+		return f.store.List(callCtx, f.table)
+	}
+	return f.store.Changes(callCtx, f.table, version, waitLimit)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/control/keeper/keeper.go
@@ -0,0 +1,75 @@
+// Package keeper holds the control state of a daemon: the one goroutine that
+// changes the view by which traffic decides.
+package keeper
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+// tickPeriod is how often the state is looked at without an event.
+const tickPeriod = 200 * time.Millisecond
+
+// Keeper publishes views. Only its own goroutine changes the state.
+type Keeper struct {
+	log     hclog.Logger
+	clock   clock.Clock
+	view    atomic.Pointer[fleet.View]
+	events  chan func(*State)
+	state   *State
+	onTicks []func(*State)
+}
+
+// New returns a keeper with an empty view.
+func New(log hclog.Logger, c clock.Clock) *Keeper {
+	k := &Keeper{log: log, clock: c, events: make(chan func(*State), eventBacklog)}
+	k.state = newState(log)
+	k.view.Store(k.state.view)
+	return k
+}
+
+// eventBacklog is how many events may wait; the senders wait beyond that.
+const eventBacklog = 64
+
+// View returns the newest view.
+func (k *Keeper) View() *fleet.View { return k.view.Load() }
+
+// OnTick registers work that the keeper's goroutine does at every tick. It must
+// be called before Run.
+func (k *Keeper) OnTick(work func(*State)) { k.onTicks = append(k.onTicks, work) }
+
+// Apply has the keeper's goroutine change the state.
+func (k *Keeper) Apply(ctx context.Context, change func(*State)) {
+	select {
+	case k.events <- change:
+	case <-ctx.Done():
+	}
+}
+
+// Run applies changes until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case change := <-k.events:
+			k.state.now = k.clock.Now()
+			change(k.state)
+		case <-ticker.C:
+			k.state.now = k.clock.Now()
+			k.state.tick()
+			for _, work := range k.onTicks {
+				work(k.state)
+			}
+		}
+		k.view.Store(k.state.view)
+	}
+}
--- /dev/null
+++ b/internal/control/keeper/state.go
@@ -0,0 +1,207 @@
+package keeper
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/hashicorp/go-hclog"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+// State is the control state. It belongs to the keeper's goroutine.
+type State struct {
+	log  hclog.Logger
+	now  clock.Millis
+	view *fleet.View
+
+	tables     map[string]bool // followed tables, and whether the last call for each went well
+	storeWell  bool            // all of them did
+	storeSince clock.Millis    // when storeWell last changed
+	orders     map[string]fleet.Rollout
+	stages     map[string]stage
+	lapsed     map[string]clock.Millis // servers whose registration lapsed during an outage, and when they count as gone
+}
+
+// returnTime is how long after the end of an outage of the store the
+// registrations that lapsed meanwhile are back, if their servers live.
+const returnTime = 2_000 * clock.Millis(1)
+
+// stage is the recorded state of a roll-out.
+type stage struct {
+	target  string
+	stage   fleet.Stage
+	version int64 // of its row
+}
+
+func newState(log hclog.Logger) *State {
+	return &State{
+		log:    log,
+		view:   fleet.NewView(),
+		tables: make(map[string]bool),
+		orders: make(map[string]fleet.Rollout),
+		stages: make(map[string]stage),
+		lapsed: make(map[string]clock.Millis),
+	}
+}
+
+// Now returns the instant of the change that is being applied.
+func (s *State) Now() clock.Millis { return s.now }
+
+// View returns the state's view.
+func (s *State) View() *fleet.View { return s.view }
+
+// SetStore takes in whether the store answers for a table.
+func (s *State) SetStore(table string, well bool) {
+	s.tables[table] = well
+	all := true
+	for _, w := range s.tables {
+		all = all && w
+	}
+	if all != s.storeWell {
+		s.storeWell, s.storeSince = all, s.now
+	}
+}
+
+// SetCatalog takes in a configuration. Versions only rise.
+func (s *State) SetCatalog(c *catalog.Catalog) {
+	if s.view.Catalog != nil && s.view.Catalog.Version >= c.Version {
+		return
+	}
+	s.log.Info("configuration in force", "config_version", c.Version)
+	s.view = s.view.WithCatalog(c)
+}
+
+// SetServer takes in a server's description of itself.
+func (s *State) SetServer(server fleet.Server) {
+	delete(s.lapsed, server.ID)
+	old, known := s.view.Server(server.ID)
+	if known && old.Server == server {
+		return
+	}
+	s.log.Info("server", "server", server.ID, "pool", server.Pool, "data_centre", server.DataCentre,
+		"address", server.Address, "version", server.Version, "leaving", server.Leaving, "cold_ms", int64(server.ColdFor))
+	s.view = s.view.WithServer(server, s.now)
+}
+
+// DropServer takes in that a server's registration has gone. Around an outage of
+// the store a registration may lapse though its server lives.
+func (s *State) DropServer(id string) {
+	e, known := s.view.Server(id)
+	if !known {
+		return
+	}
+	if s.afterOutage() && !e.Leaving {
+		if _, waits := s.lapsed[id]; !waits {
+			s.lapsed[id] = max(s.now, s.storeSince) + returnTime
+			s.log.Info("registration lapsed around an outage of the store", "server", id)
+		}
+		return
+	}
+	s.forget(id)
+}
+
+// afterOutage tells whether registrations may be missing only because the store
+// was away. The store is well from the start of the daemon until it is first lost.
+func (s *State) afterOutage() bool {
+	return !s.storeWell || s.now-s.storeSince < returnTime
+}
+
+// ForgetServer takes in that a server's registration can't be read.
+func (s *State) ForgetServer(id string) {
+	if _, known := s.view.Server(id); known {
+		s.forget(id)
+	}
+}
+
+func (s *State) forget(id string) {
+	s.log.Info("server gone", "server", id)
+	delete(s.lapsed, id)
+	s.view = s.view.WithoutServer(id)
+}
+
+// StoreWell tells whether the store answers, and since when that is so.
+func (s *State) StoreWell() (well bool, since clock.Millis) { return s.storeWell, s.storeSince }
+
+// KeepServers drops the servers that are not among the ids.
+func (s *State) KeepServers(ids map[string]bool) {
+	for _, id := range s.view.Servers() {
+		if !ids[id] {
+			s.DropServer(id)
+		}
+	}
+}
+
+// SetEvacuated takes in whether operators have taken a data centre out.
+func (s *State) SetEvacuated(dataCentre string, out bool) {
+	if s.view.Evacuated[dataCentre] == out {
+		return
+	}
+	s.log.Info("data centre", "data_centre", dataCentre, "evacuated", out)
+	s.view = s.view.WithEvacuated(dataCentre, out)
+}
+
+// OrderRollout takes in the operator's order of a roll-out.
+func (s *State) OrderRollout(r fleet.Rollout) {
+	if old, ok := s.orders[r.Pool]; ok && old.Order == r.Order {
+		return
+	}
+	r.Began = s.now
+	s.orders[r.Pool] = r
+	s.joinRollout(r.Pool)
+}
+
+// SetStage takes in the recorded stage of a roll-out.
+func (s *State) SetStage(pool, target string, to fleet.Stage, version int64) {
+	if s.stages[pool].version > version {
+		return
+	}
+	s.stages[pool] = stage{target: target, stage: to, version: version}
+	s.joinRollout(pool)
+}
+
+// joinRollout publishes an order with its recorded stage. A record that is older
+// than the order belongs to an earlier one.
+func (s *State) joinRollout(pool string) {
+	r, ok := s.orders[pool]
+	if !ok {
+		return
+	}
+	if recorded := s.stages[pool]; recorded.version > r.Order && recorded.target == r.Target {
+		r.Stage, r.Recorded = recorded.stage, recorded.version
+	}
+	if s.view.Rollouts[pool] == r {
+		return
+	}
+	s.log.Info("roll-out", "pool", pool, "target", r.Target, "stage", r.Stage.String(), "duration_ms", int64(r.Duration))
+	s.view = s.view.WithRollout(r)
+}
+
+// DropRollout takes in that a pool has no roll-out any more.
+func (s *State) DropRollout(pool string) {
+	delete(s.orders, pool)
+	if _, ok := s.view.Rollouts[pool]; ok {
+		s.view = s.view.WithoutRollout(pool)
+	}
+}
+
+// SetHosts takes in the names of the hosts that run a daemon.
+func (s *State) SetHosts(names []string) {
+	slices.Sort(names)
+	if slices.Equal(names, s.view.Hosts) {
+		return
+	}
+	s.log.Info("hosts", "count", len(names))
+	s.view = s.view.WithHosts(names)
+}
+
+// tick forgets the servers that didn't come back after an outage.
+func (s *State) tick() {
+	for _, id := range slices.Sorted(maps.Keys(s.lapsed)) {
+		if s.storeWell && s.now >= s.lapsed[id] && s.now >= s.storeSince+returnTime {
+			s.forget(id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decision/admission/repeat_budget.go
@@ -0,0 +1,91 @@
+package admission
+
+import (
+	"sync"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+// RepeatBudget bounds how often all daemons together send requests of a pool to
+// a second server. Each daemon keeps to its part: a ratio of its own requests
+// and an equal part of the fixed allowance, so no message is needed.
+type RepeatBudget struct {
+	mu      sync.Mutex
+	ratio   float64
+	slack   float64
+	window  clock.Millis
+	pools   map[string]*repeatCount
+	divisor int
+}
+
+// repeatCount counts requests and repeats in slices of the window.
+type repeatCount struct {
+	slices [repeatSlices]repeatSlice
+}
+
+type repeatSlice struct {
+	began    clock.Millis
+	requests int
+	repeats  int
+}
+
+// repeatSlices is how finely the window slides.
+const repeatSlices = 10
+
+// repeatShare of the allowance is used, since the servers' windows don't begin
+// with ours and a call may arrive later than it was sent.
+const repeatShare = 0.7
+
+// NewRepeatBudget returns a budget of ratio x requests + slack in each window.
+func NewRepeatBudget(ratio, slack float64, window clock.Millis) *RepeatBudget {
+	return &RepeatBudget{ratio: ratio, slack: slack, window: window, pools: make(map[string]*repeatCount), divisor: 1}
+}
+
+// SetHosts tells among how many daemons the fixed allowance is divided.
+func (b *RepeatBudget) SetHosts(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.divisor = max(n, 1)
+}
+
+// Request counts the first sending of a request.
+func (b *RepeatBudget) Request(pool string, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slice(pool, now).requests++
+}
+
+// Take counts a repeat and tells whether the budget has room for it.
+func (b *RepeatBudget) Take(pool string, now clock.Millis) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.slice(pool, now)
+	requests, repeats := 0, 0
+	for _, s := range b.pools[pool].slices {
+		if now-s.began < b.window {
+			requests += s.requests
+			repeats += s.repeats
+		}
+	}
+	allowed := repeatShare * (b.ratio*float64(requests) + b.slack/float64(b.divisor))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	current.repeats++
+	return true
+}
+
+func (b *RepeatBudget) slice(pool string, now clock.Millis) *repeatSlice {
+	c, ok := b.pools[pool]
+	if !ok {
+		c = &repeatCount{}
+		b.pools[pool] = c
+	}
+	length := max(b.window/repeatSlices, 1)
+	began := now - now%length
+	s := &c.slices[(now/length)%repeatSlices]
+	if s.began != began {
+		*s = repeatSlice{began: began}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/decision/bearing/book.go
@@ -0,0 +1,153 @@
+// Package bearing estimates what each backend server can bear and chooses the
+// one that serves a request soonest.
+package bearing
+
+import (
+	"sync"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+const (
+	// firstBench is for how long a server gets no work after a call failed with
+	// no answer; it doubles with each further failure up to longestBench.
+	firstBench   = 500 * clock.Millis(1)
+	longestBench = 4_000 * clock.Millis(1)
+	// reportLife is how long a server's word of its load counts.
+	reportLife = 2_000 * clock.Millis(1)
+)
+
+// Book is what a daemon knows of the servers' load. It is safe for concurrent use.
+type Book struct {
+	mu      sync.Mutex
+	servers map[string]*serverState
+	scratch []Prefix
+}
+
+// serverState is what is known of one incarnation of a server.
+type serverState struct {
+	born     int64
+	own      int // calls of this daemon under way
+	reported int // requests that the server said it holds, less those of this daemon at that time
+	heard    clock.Millis
+	slots    int
+
+	failures   int // in a row
+	benchUntil clock.Millis
+	coldUntil  clock.Millis // by the server's own answers
+	cold       bucket
+	cached     *prefixMemory
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{servers: make(map[string]*serverState)} }
+
+func (b *Book) state(e *fleet.Entry) *serverState {
+	s, ok := b.servers[e.ID]
+	if ok && s.born == e.Born {
+		return s
+	}
+	own := 0
+	if ok {
+		own = s.own
+	}
+	s = &serverState{born: e.Born, own: own, slots: e.Slots, cached: newPrefixMemory()}
+	b.servers[e.ID] = s
+	return s
+}
+
+// Forget drops the servers that keep doesn't name.
+func (b *Book) Forget(keep func(id string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.servers {
+		if s.own == 0 && !keep(id) {
+			delete(b.servers, id)
+		}
+	}
+}
+
+// load returns how many requests the server is believed to hold.
+func (s *serverState) load(now clock.Millis) int {
+	others := 0
+	if age := now - s.heard; s.heard != 0 && age < reportLife {
+		others = s.reported
+	}
+	return s.own + max(others, 0)
+}
+
+// Seen is what the head of a server's answer says of it.
+type Seen struct {
+	HasLoad bool
+	Held    int // requests that run or wait there
+	Slots   int
+	ColdFor clock.Millis
+}
+
+// Note takes in what a server said.
+func (b *Book) Note(e *fleet.Entry, seen Seen, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e)
+	s.failures, s.benchUntil = 0, 0
+	if seen.HasLoad {
+		s.reported, s.heard, s.slots = seen.Held-s.own, now, seen.Slots
+	}
+	if seen.ColdFor > 0 {
+		s.coldUntil = now + seen.ColdFor
+	}
+}
+
+// NoteFailure takes in that a call failed with no answer from the server.
+func (b *Book) NoteFailure(e *fleet.Entry, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e)
+	pause := min(firstBench<<min(s.failures, 4), longestBench)
+	s.failures++
+	s.benchUntil = now + pause
+}
+
+// NoteFull takes in that a server refused a call for want of room.
+func (b *Book) NoteFull(e *fleet.Entry, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e)
+	s.reported, s.heard = max(s.reported, s.slots+s.slots/2-s.own), now
+}
+
+// NoteCached takes in that the server has read the prompt for the model.
+func (b *Book) NoteCached(e *fleet.Entry, p Prompt, model string, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e)
+	b.scratch = p.Prefixes(model, b.scratch[:0])
+	for _, prefix := range b.scratch {
+		s.cached.put(prefix.Hash, now)
+	}
+}
+
+// Done takes in that a call has ended.
+func (b *Book) Done(e *fleet.Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(e).own--
+}
+
+// Loads returns this daemon's calls under way, by server.
+func (b *Book) Loads() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	loads := make(map[string]int, len(b.servers))
+	for id, s := range b.servers {
+		loads[id] = s.own
+	}
+	return loads
+}
+
+// isCold tells whether the server bears only a little load.
+func (s *serverState) isCold(e *fleet.Entry, pool *catalog.Pool, now clock.Millis) bool {
+	return pool.ColdRate > 0 && now < max(e.ColdUntil, s.coldUntil)
+}
--- /dev/null
+++ b/internal/decision/catalog/catalog_test.go
@@ -0,0 +1,48 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func ExampleCatalog_Match() {
+	c := New(Tables{Routes: []Route{
+		{Name: "all", Host: "desk.example", Prefix: "/"},
+		{Name: "briefs", Host: "desk.example", Prefix: "/briefs/"},
+	}})
+	fmt.Println(c.Match("desk.example", "/briefs/12").Name, c.Match("desk.example", "/briefs").Name, c.Match("other.example", "/") == nil)
+	// Output: briefs all true
+}
+
+func TestPoolByShare(t *testing.T) {
+	cases := map[string]struct {
+		shares []Share
+		point  float64
+		want   string
+	}{
+		"no pool":           {nil, 0.5, ""},
+		"one pool":          {[]Share{{"a", 1}}, 0.99, "a"},
+		"first of two":      {[]Share{{"a", 90}, {"b", 10}}, 0.89, "a"},
+		"second of two":     {[]Share{{"a", 90}, {"b", 10}}, 0.9, "b"},
+		"one without share": {[]Share{{"a", 0}, {"b", 10}}, 0, "b"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			route := Route{Shares: c.shares}
+			assert.Equal(t, route.Pool(c.point), c.want)
+		})
+	}
+}
+
+func TestAccountByKey(t *testing.T) {
+	c := New(Tables{Keyed: true, Accounts: map[string]Account{"k1": {Name: "smiths"}}})
+	a, ok := c.Account("k1")
+	assert.Assert(t, ok)
+	assert.Equal(t, a.Name, "smiths")
+	_, ok = c.Account("")
+	assert.Assert(t, !ok)
+	assert.Assert(t, c.NeedsKey(&Route{}))
+	assert.Assert(t, !c.NeedsKey(&Route{Public: true}))
+}
--- /dev/null
+++ b/internal/decision/fleet/view.go
@@ -0,0 +1,143 @@
+// Package fleet holds what a daemon believes of the backend servers, the data
+// centres and the roll-outs.
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+// View is what traffic decides by. It is immutable; the With methods return
+// changed copies.
+type View struct {
+	Catalog   *catalog.Catalog // nil until a configuration is known
+	Evacuated map[string]bool  // data centres that operators have taken out
+	Rollouts  map[string]Rollout
+	Hosts     []string // names of the hosts that run a daemon, in order
+
+	servers map[string]Entry
+	pools   map[string][]Entry
+}
+
+// Entry is a server with the times that concern it.
+type Entry struct {
+	Server
+	Heard     clock.Millis // when the server's description last changed
+	ColdUntil clock.Millis
+}
+
+// NewView returns a view that knows nothing.
+func NewView() *View {
+	return &View{Evacuated: map[string]bool{}, Rollouts: map[string]Rollout{}, servers: map[string]Entry{}, pools: map[string][]Entry{}}
+}
+
+// WithCatalog returns a copy that goes by the catalog.
+func (v *View) WithCatalog(c *catalog.Catalog) *View {
+	n := *v
+	n.Catalog = c
+	return &n
+}
+
+// WithServer returns a copy in which the server is as given. A server that was
+// cold before stays so as long as it said.
+func (v *View) WithServer(s Server, now clock.Millis) *View {
+	e := Entry{Server: s, Heard: now, ColdUntil: now + s.ColdFor}
+	if s.ColdFor <= 0 {
+		e.ColdUntil = 0
+	}
+	return v.withEntry(e)
+}
+
+// WithoutServer returns a copy that has forgotten the server.
+func (v *View) WithoutServer(id string) *View {
+	e, ok := v.servers[id]
+	if !ok {
+		return v
+	}
+	n := *v
+	n.servers = maps.Clone(v.servers)
+	delete(n.servers, id)
+	n.rebuildPool(e.Pool)
+	return &n
+}
+
+func (v *View) withEntry(e Entry) *View {
+	n := *v
+	n.servers = maps.Clone(v.servers)
+	old, known := n.servers[e.ID]
+	n.servers[e.ID] = e
+	n.rebuildPool(e.Pool)
+	if known && old.Pool != e.Pool {
+		n.rebuildPool(old.Pool)
+	}
+	return &n
+}
+
+func (v *View) rebuildPool(pool string) {
+	var list []Entry
+	for _, e := range v.servers {
+		if e.Pool == pool {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	v.pools = maps.Clone(v.pools)
+	v.pools[pool] = list
+}
+
+// WithEvacuated returns a copy in which the data centre is out of service or not.
+func (v *View) WithEvacuated(dataCentre string, out bool) *View {
+	n := *v
+	n.Evacuated = maps.Clone(v.Evacuated)
+	delete(n.Evacuated, dataCentre)
+	if out {
+		n.Evacuated[dataCentre] = true
+	}
+	return &n
+}
+
+// WithRollout returns a copy in which the pool has the roll-out.
+func (v *View) WithRollout(r Rollout) *View {
+	n := *v
+	n.Rollouts = maps.Clone(v.Rollouts)
+	n.Rollouts[r.Pool] = r
+	return &n
+}
+
+// WithoutRollout returns a copy in which the pool has no roll-out.
+func (v *View) WithoutRollout(pool string) *View {
+	n := *v
+	n.Rollouts = maps.Clone(v.Rollouts)
+	delete(n.Rollouts, pool)
+	return &n
+}
+
+// WithHosts returns a copy that knows the hosts.
+func (v *View) WithHosts(names []string) *View {
+	n := *v
+	n.Hosts = slices.Clone(names)
+	slices.Sort(n.Hosts)
+	return &n
+}
+
+// Server returns the entry of the server.
+func (v *View) Server(id string) (Entry, bool) {
+	e, ok := v.servers[id]
+	return e, ok
+}
+
+// Pool returns the entries of the pool's servers in the order of their ids,
+// those that are out of service too. Callers must not change it.
+func (v *View) Pool(name string) []Entry { return v.pools[name] }
+
+// Servers returns the ids of all servers.
+func (v *View) Servers() []string { return slices.Sorted(maps.Keys(v.servers)) }
+
+// InService tells whether the server may get new work.
+func (v *View) InService(e *Entry) bool {
+	return !e.Leaving && !v.Evacuated[e.DataCentre]
+}
--- a/internal/foundation/container/rendezvous.go
+++ b/internal/foundation/container/rendezvous.go
@@ -44,3 +44,12 @@
 	}
 	return ordered
 }
+
+// Mix returns a well-mixed hash of a hash and one more part, without allocation.
+func Mix(seed uint64, part string) uint64 {
+	const prime = 1099511628211 // of FNV-1a with 64 bits
+	for i := range len(part) {
+		seed = (seed ^ uint64(part[i])) * prime
+	}
+	return mix(seed)
+}
--- a/internal/foundation/result/body.go
+++ b/internal/foundation/result/body.go
@@ -48,7 +48,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderCode, strconv.Itoa(e.Code.Number))
 	h.Set(HeaderRun, string(e.Code.Run))
-	if e.Code.RetryAfterMs > 0 {
+	if e.Code.RetryAfterMs > 0 && h.Get("Retry-After") == "" {
 		h.Set("Retry-After", strconv.FormatInt((e.Code.RetryAfterMs+999)/1000, 10))
 	}
 	w.WriteHeader(e.Code.HTTPStatus)
--- a/internal/foundation/result/code.go
+++ b/internal/foundation/result/code.go
@@ -28,14 +28,16 @@
 	SlowRequest       = Code{1008, "slow_request", http.StatusRequestTimeout, RunNo, 0, "The body did not arrive within limits.body_read_ms."}
 	UpgradeRefused    = Code{1009, "upgrade_refused", http.StatusNotImplemented, RunNo, 0, "Protocol upgrades and CONNECT are not served."}
 
-	NotConfirmed      = Code{2001, "not_confirmed", http.StatusServiceUnavailable, RunNo, 1000, "This daemon can't confirm that its configuration is current."}
-	Stopping          = Code{2002, "stopping", http.StatusServiceUnavailable, RunNo, 500, "This daemon is shutting down."}
-	AccountOverShare  = Code{2003, "account_over_share", http.StatusTooManyRequests, RunNo, 1000, "The client account uses its fair share, and the daemon is full."}
-	Overloaded        = Code{2004, "overloaded", http.StatusServiceUnavailable, RunNo, 1000, "The pool is full, and the request can't start within its deadline."}
-	DeadlineTooShort  = Code{2005, "deadline_too_short", http.StatusServiceUnavailable, RunNo, 1000, "The expected wait is longer than the time that the request has left."}
-	BillsFull         = Code{2006, "bills_full", http.StatusServiceUnavailable, RunNo, 5000, "Unwritten bill records are at their bound; the table service has been away for long."}
-	PinUnavailable    = Code{2007, "pin_unavailable", http.StatusServiceUnavailable, RunNo, 2000, "The version of this session id can't be looked up; send the session token instead."}
-	OutOfService      = Code{2008, "out_of_service", http.StatusServiceUnavailable, RunNo, 1000, "This daemon's host or data centre was taken out of service."}
+	NotConfirmed     = Code{2001, "not_confirmed", http.StatusServiceUnavailable, RunNo, 1000, "This daemon can't confirm that its configuration is current."}
+	Stopping         = Code{2002, "stopping", http.StatusServiceUnavailable, RunNo, 500, "This daemon is shutting down."}
+	AccountOverShare = Code{2003, "account_over_share", http.StatusTooManyRequests, RunNo, 1000, "The client account uses its fair share, and the daemon is full."}
+	Overloaded       = Code{2004, "overloaded", http.StatusServiceUnavailable, RunNo, 1000, "The pool is full, and the request can't start within its deadline."}
+	DeadlineTooShort = Code{2005, "deadline_too_short", http.StatusServiceUnavailable, RunNo, 1000, "The expected wait is longer than the time that the request has left."}
+	BillsFull        = Code{2006, "bills_full", http.StatusServiceUnavailable, RunNo, 5000, "Unwritten bill records are at their bound; the table service has been away for long."}
+	PinUnavailable   = Code{2007, "pin_unavailable", http.StatusServiceUnavailable, RunNo, 2000, "The version of this session id can't be looked up; send the session token instead."}
+	OutOfService     = Code{2008, "out_of_service", http.StatusServiceUnavailable, RunNo, 1000, "This daemon's host or data centre was taken out of service."}
+	NotConfigured    = Code{2009, "not_configured", http.StatusServiceUnavailable, RunNo, 500, "This daemon has no configuration yet."}
+
 	NoServer          = Code{3001, "no_server", http.StatusServiceUnavailable, RunNo, 1000, "No backend server in service holds an allowed model and version."}
 	BackendRefused    = Code{3002, "backend_refused", http.StatusServiceUnavailable, RunNo, 1000, "The backend servers refused the request before running it."}
 	BackendFailed     = Code{3003, "backend_failed", http.StatusBadGateway, RunUnknown, 1000, "The connection failed after the request may have reached the backend server."}
@@ -62,7 +64,7 @@
 	return []Code{
 		OK,
 		MalformedRequest, BodyTooLarge, UnknownCredential, NoRoute, NotAllowed, BadSessionToken, SessionEnded, SlowRequest, UpgradeRefused,
-		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService,
+		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured,
 		NoServer, BackendRefused, BackendFailed, BackendTimeout, AnswerMismatch, StreamCut, VersionWithdrawn,
 		KeyRequired, KeyReused, InProgress, OutcomeUnknown, ClaimUnavailable,
 		EditConflict, EditInvalid, EditPending, StoreUnavailable, EditUnknown,
--- a/internal/foundation/settings/check.go
+++ b/internal/foundation/settings/check.go
@@ -22,8 +22,12 @@
 	if s.DataCentre == "" {
 		report("data_centre", "must not be empty")
 	}
-	s.checkListen(report)
-	s.checkPlatform(report)
+	if s.Entry.Store != "" {
+		s.checkEntry(report)
+	} else {
+		s.checkListen(report)
+		s.checkPlatform(report)
+	}
 	for _, seed := range s.Peer.Seeds {
 		if host, _, err := net.SplitHostPort(seed); err != nil || net.ParseIP(host) == nil {
 			report("peer.seeds", "%q is not an IP number with a port", seed)
@@ -85,3 +89,32 @@
 		}
 	}
 }
+
+func (s Settings) checkEntry(report func(path, format string, args ...any)) {
+	addresses := []struct{ path, address string }{
+		{"entry.caller", s.Entry.Caller},
+		{"entry.ready", s.Entry.Ready},
+		{"entry.store", s.Entry.Store},
+	}
+	for _, a := range addresses {
+		if host, _, err := net.SplitHostPort(a.address); err != nil || net.ParseIP(host) == nil {
+			report(a.path, "%q is not an IP number with a port", a.address)
+		}
+	}
+	shares := []struct {
+		path        string
+		value, most float64
+	}{
+		{"entry.repeat_ratio", s.Entry.RepeatRatio, 100},
+		{"entry.repeat_slack", s.Entry.RepeatSlack, 1e9},
+		{"entry.repeat_window_s", s.Entry.RepeatWindow, 3600},
+		{"entry.stop_s", s.Entry.StopS, 3600},
+		{"entry.session_s", s.Entry.SessionS, 86400},
+		{"entry.exposed_share", s.Entry.ExposedShare, 1},
+	}
+	for _, f := range shares {
+		if f.value < 0 || f.value > f.most {
+			report(f.path, "is %g, must be 0 to %g", f.value, f.most)
+		}
+	}
+}
--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -15,6 +15,24 @@
 	Bills      Bills    `json:"bills"`
 	Stop       Stop     `json:"stop"`
 	Log        Log      `json:"log"`
+	Entry      Entry    `json:"entry"`
+}
+
+// Entry is for a host whose configuration, servers and peers are found in a
+// metadata store. Empty where the daemon serves its own interface.
+type Entry struct {
+	Caller       string  `json:"caller" doc:"IP and port for callers"`
+	Ready        string  `json:"ready" doc:"IP and port where the balancer asks whether the daemon takes requests"`
+	Store        string  `json:"store" doc:"IP and port of the metadata store"`
+	MemoryMB     int64   `json:"memory_mb" doc:"memory above which the host ends the daemon" unit:"MB" min:"0" max:"1048576"`
+	MaxFiles     int64   `json:"max_files" doc:"file descriptors that the host allows" unit:"files" min:"0" max:"10000000"`
+	RepeatRatio  float64 `json:"repeat_ratio" doc:"sendings to a second server as a share of a pool's requests, by all daemons"`
+	RepeatSlack  float64 `json:"repeat_slack" doc:"such sendings that are allowed besides, by all daemons"`
+	RepeatWindow float64 `json:"repeat_window_s" doc:"window in which they are counted, in seconds"`
+	StopS        float64 `json:"stop_s" doc:"time between SIGTERM and SIGKILL, in seconds"`
+	SessionS     float64 `json:"session_s" doc:"pause after which a session is over, in seconds"`
+	ExposedShare float64 `json:"exposed_share" doc:"share of a pool's requests that a version on trial may get"`
+	DrainMs      int64   `json:"drain_ms" doc:"time in which a server that leaves must get no more work" unit:"ms" min:"0" max:"600000"`
 }
 
 // Listen gives the addresses to listen on.
--- a/internal/program/daemon/main.go
+++ b/internal/program/daemon/main.go
@@ -12,6 +12,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/commandline"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/platform"
 )
 
 // Exit codes of the daemon.
@@ -28,6 +29,7 @@
 	app.ErrorWriter(stderr)
 	run := app.Command("run", "Serve until SIGTERM, then shut down gracefully.")
 	runFile := run.Arg("file", "Settings file.").Required().String()
+	entry := app.Command("run-entry", "Serve on an entry host of the platform, by the settings file that the platform names.")
 	check := app.Command("check-settings", "Check a settings file.")
 	checkFile := check.Arg("file", "Settings file.").Required().String()
 	settingsPage := app.Command("print-settings-page", "Print docs/SETTINGS.md.")
@@ -44,6 +46,8 @@
 	switch command {
 	case run.FullCommand():
 		err = serve(*runFile)
+	case entry.FullCommand():
+		err = serveEntry()
 	case check.FullCommand():
 		_, err = settings.Load(*checkFile)
 	case settingsPage.FullCommand():
@@ -71,3 +75,9 @@
 	defer stop()
 	return d.Run(ctx)
 }
+
+func serveEntry() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return platform.RunEntry(ctx)
+}
--- /dev/null
+++ b/internal/traffic/relay/answer.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
+)
+
+// maxWholeBytes is the largest answer that is held until it is complete; a
+// longer one is passed on as it comes.
+const maxWholeBytes = 256 << 10
+
+// relayWhole reads the answer whole before it passes it on, so that one which
+// breaks off can be asked for again.
+func (u *run) relayWhole(server *fleet.Entry, answer *h1.Answer) (bool, error) {
+	held, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes))
+	if err != nil {
+		return false, u.answerBroke(server, err)
+	}
+	long := len(held) == maxWholeBytes
+	u.begin(answer)
+	if !long {
+		u.out.Header().Set("Content-Length", strconv.Itoa(len(held)))
+	}
+	u.out.WriteHeader(answer.Status)
+	if _, err := u.out.Write(held); err != nil {
+		return false, errCallerLeft
+	}
+	if long {
+		if _, err := io.Copy(u.out, answer); err != nil {
+			return false, errors.Wrap(errCut, err.Error())
+		}
+	}
+	u.ended = true
+	return true, nil
+}
+
+// answerBroke decides what follows an answer that broke off.
+func (u *run) answerBroke(server *fleet.Entry, err error) error {
+	if u.http.Context().Err() != nil {
+		return errCallerLeft
+	}
+	u.lastSeen = "the answer broke off: " + err.Error()
+	u.log("answer broke off", server, "error", err.Error(), "last_event", u.lastID)
+	if u.relay.Clock.Now() >= u.deadline {
+		return u.broken(result.New(result.BackendTimeout, "%s", u.lastSeen))
+	}
+	return u.noteMayHaveRun(server)
+}
+
+// begin sets the headers of the answer that the caller gets.
+func (u *run) begin(answer *h1.Answer) {
+	maps.Copy(u.out.Header(), u.relay.Dialect.AnswerHeader(answer.Header))
+	u.began = true
+}
+
+// relayStream passes events on as they come. When the stream breaks, what the
+// caller has is a whole number of events, and another server can go on from there.
+func (u *run) relayStream(server *fleet.Entry, answer *h1.Answer) (bool, error) {
+	u.relay.Book.NoteCached(server, u.request.Prompt, u.model, u.relay.Clock.Now())
+	source := events{source: answer}
+	control := http.NewResponseController(u.out)
+	for {
+		whole, id, err := source.Next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return false, u.answerBroke(server, err)
+		}
+		if !u.began {
+			u.begin(answer)
+			u.out.WriteHeader(answer.Status)
+		}
+		if id != "" {
+			u.lastID = id
+		}
+		if _, err := u.out.Write(whole); err != nil {
+			return false, errCallerLeft
+		}
+		if err := control.Flush(); err != nil {
+			return false, errCallerLeft
+		}
+	}
+	if !u.began {
+		u.begin(answer)
+		u.out.WriteHeader(answer.Status)
+	}
+	u.ended = true
+	return true, nil
+}
--- /dev/null
+++ b/internal/traffic/relay/free_steer.go
@@ -0,0 +1,16 @@
+package relay
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+)
+
+// FreeSteer lets every request run on every version. It is for pools without
+// roll-outs, and for tests.
+type FreeSteer struct{}
+
+// Versions allows all versions.
+func (FreeSteer) Versions(*fleet.View, string, *Request) func(string) bool { return nil }
+
+// Outcome takes no notice.
+func (FreeSteer) Outcome(*fleet.Entry, *catalog.Route, Outcome) {}
--- /dev/null
+++ b/internal/traffic/relay/relay.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
+)
+
+// Dependencies are what a relay works with.
+type Dependencies struct {
+	Log        hclog.Logger
+	Clock      clock.Clock
+	DataCentre string
+	Views      func() *fleet.View
+	// Current tells whether the view can be trusted to hold the newest
+	// configuration; what a stale one doesn't know is refused as not run.
+	Current func() bool
+	Dialect Dialect
+	Client  *h1.Client
+	Book    *bearing.Book
+	Repeats *admission.RepeatBudget
+	Steer   Steer
+}
+
+// Steer chooses the version of a pool's servers for a request, and learns how
+// its answers turn out.
+type Steer interface {
+	// Versions tells which versions the request may run on now.
+	Versions(v *fleet.View, pool string, r *Request) func(version string) bool
+	// Outcome takes in how an attempt ended.
+	Outcome(e *fleet.Entry, route *catalog.Route, o Outcome)
+}
+
+// Outcome is how an attempt at a server ended.
+type Outcome struct {
+	Failed bool         // an error of the server's own, or no answer
+	First  clock.Millis // time to the head of the answer
+	Answer bool         // First is known
+}
+
+// Relay is safe for concurrent use.
+type Relay struct {
+	Dependencies
+	open     atomic.Int64
+	stopping atomic.Bool
+}
+
+// New returns a relay.
+func New(d Dependencies) *Relay { return &Relay{Dependencies: d} }
+
+// Open returns the number of requests under way.
+func (l *Relay) Open() int64 { return l.open.Load() }
+
+// SetStopping makes the relay refuse streams, which would not end before the
+// daemon does.
+func (l *Relay) SetStopping() { l.stopping.Store(true) }
+
+// Serve answers the request. The context of the request ends when the caller
+// leaves.
+func (l *Relay) Serve(w http.ResponseWriter, r *http.Request, q *Request) {
+	l.open.Add(1)
+	defer l.open.Add(-1)
+	run := &run{relay: l, request: q, http: r, out: w}
+	err := run.serve()
+	if err == nil {
+		run.log("served", nil)
+		return
+	}
+	run.finish(err)
+}
+
+// match finds the route and the client account under the newest configuration.
+func (l *Relay) match(v *fleet.View, q *Request) (*catalog.Route, catalog.Account, error) {
+	c := v.Catalog
+	if c == nil {
+		return nil, catalog.Account{}, result.New(result.NotConfigured, "no configuration is known yet")
+	}
+	route := c.Match(q.Host, q.Path)
+	if route == nil {
+		return nil, catalog.Account{}, l.unknown(result.NoRoute, "no route matches")
+	}
+	if !c.NeedsKey(route) {
+		return route, catalog.Account{}, nil
+	}
+	account, ok := c.Account(q.Key)
+	if !ok {
+		return nil, catalog.Account{}, l.unknown(result.UnknownCredential, "no client account has this key")
+	}
+	return route, account, nil
+}
+
+// unknown refuses what the configuration doesn't know; while it may be stale, as
+// something that may be known soon.
+func (l *Relay) unknown(code result.Code, text string) error {
+	if l.Current() {
+		return result.New(code, "%s", text)
+	}
+	return result.New(result.NotConfirmed, "%s, but the configuration may be out of date", text)
+}
--- /dev/null
+++ b/internal/traffic/relay/run.go
@@ -0,0 +1,329 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
+)
+
+// run is one request on its way.
+type run struct {
+	relay   *Relay
+	request *Request
+	http    *http.Request
+	out     http.ResponseWriter
+
+	route    *catalog.Route
+	account  catalog.Account
+	pool     catalog.Pool
+	model    string
+	deadline clock.Millis
+
+	sent     int      // attempts that reached a server, or may have
+	ran      []string // servers on which it ran or may have run
+	refused  []string // servers that stated that they didn't run it
+	mayRun   bool     // it may have run somewhere
+	began    bool     // the head of an answer has gone to the caller
+	ended    bool     // the answer is complete
+	lastID   string   // of the last event that went to the caller
+	lastSeen string   // why the last attempt failed
+}
+
+// errCallerLeft says that nobody waits for the answer any more.
+var errCallerLeft = errors.New("the caller has left")
+
+// errCut says that an answer broke off after its head went to the caller.
+var errCut = errors.New("the answer broke off")
+
+const (
+	// answerMargin is what is left of the caller's patience for the way back.
+	answerMargin = 20 * clock.Millis(1)
+	// leastUseful is the time below which sending a request is in vain.
+	leastUseful = 5 * clock.Millis(1)
+)
+
+func (u *run) serve() error {
+	l, q := u.relay, u.request
+	now := l.Clock.Now()
+	route, account, err := l.match(l.Views(), q)
+	if err != nil {
+		return err
+	}
+	u.deadline = q.Arrived + route.Timeout
+	if q.Patience > 0 {
+		u.deadline = min(u.deadline, q.Arrived+q.Patience-answerMargin)
+	}
+	u.lastID = q.After
+	u.route, u.account = route, account
+	if l.stopping.Load() && route.Stream {
+		return result.New(result.Stopping, "this daemon is shutting down")
+	}
+	l.Repeats.Request(route.Pool(u.point()), now)
+	for {
+		done, err := u.attempt()
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// point is the request's place among the shares of its route; requests of one
+// session have the same.
+func (u *run) point() float64 {
+	seed := u.request.ID
+	if u.request.Session != "" {
+		seed = u.request.Session
+	}
+	return pointOf(seed)
+}
+
+// attempt sends the request to one server. done says that the caller has its
+// whole answer; without an error, the request may be sent again.
+func (u *run) attempt() (done bool, err error) {
+	l, q := u.relay, u.request
+	now := l.Clock.Now()
+	if u.http.Context().Err() != nil {
+		return false, errCallerLeft
+	}
+	if u.deadline-now < leastUseful {
+		return false, u.tooLate()
+	}
+	// The newest configuration binds every sending, also a repeat.
+	view := l.Views()
+	route, account, err := l.match(view, q)
+	if err != nil {
+		return false, u.giveUp(result.From(err))
+	}
+	u.route, u.account = route, account
+	pool, ok := view.Catalog.Pool(route.Pool(u.point()))
+	if !ok {
+		return false, u.giveUp(result.New(result.NoServer, "route %s names no pool", route.Name))
+	}
+	u.pool = pool
+	u.model = u.chooseModel()
+	if u.sent > 0 && !l.Repeats.Take(pool.Name, now) {
+		return false, u.giveUp(result.New(result.BackendRefused, "the budget for repeats is spent; %s", u.lastSeen))
+	}
+	server, verdict := l.Book.Choose(view, bearing.Ask{
+		Pool:       pool,
+		DataCentre: l.DataCentre,
+		Hosts:      len(view.Hosts),
+		Model:      u.model,
+		Prompt:     q.Prompt,
+		Version:    l.Steer.Versions(view, pool.Name, q),
+		Tried:      u.tried,
+		Now:        now,
+	})
+	switch verdict {
+	case bearing.None:
+		return false, u.giveUp(result.New(result.NoServer, "no server of pool %s is in service; %s", pool.Name, u.lastSeen))
+	case bearing.Full:
+		return false, u.giveUp(result.New(result.Overloaded, "the servers of pool %s are full; %s", pool.Name, u.lastSeen))
+	case bearing.Chosen:
+	}
+	defer l.Book.Done(&server)
+	return u.callServer(&server, now)
+}
+
+func (u *run) tried(id string) bool {
+	return slices.Contains(u.ran, id) || slices.Contains(u.refused, id)
+}
+
+// chooseModel returns the model that the server is told to use.
+func (u *run) chooseModel() string {
+	if !u.request.AnyModel {
+		return u.request.Model
+	}
+	if len(u.route.Models) == 0 {
+		return ""
+	}
+	return u.route.Models[len(u.route.Models)-1]
+}
+
+// callServer makes the call and relays its answer.
+func (u *run) callServer(server *fleet.Entry, began clock.Millis) (bool, error) {
+	l, q := u.relay, u.request
+	attempt := Attempt{
+		Server:  *server,
+		Account: u.account.Name,
+		Left:    u.deadline - began,
+		Urgency: u.urgency(),
+		After:   u.lastID,
+	}
+	if q.AnyModel {
+		attempt.Model = u.model
+	}
+	u.sent++
+	answer, err := l.Client.Do(u.http.Context(), &h1.Call{
+		Address: server.Address,
+		Method:  q.Method,
+		Target:  q.Target,
+		Host:    q.Host,
+		Header:  l.Dialect.Encode(q, attempt),
+		Body:    q.Body,
+		ID:      q.ID,
+		Fresh:   u.route.Repeat == catalog.AtMostOnce,
+		Until:   time.Now().Add((u.deadline - l.Clock.Now()).Duration()),
+	})
+	if err != nil {
+		return false, u.callFailed(server, err)
+	}
+	defer answer.Close()
+	return u.takeAnswer(server, answer, began)
+}
+
+// callFailed decides what follows a call without an answer.
+func (u *run) callFailed(server *fleet.Entry, err error) error {
+	l := u.relay
+	now := l.Clock.Now()
+	if u.http.Context().Err() != nil {
+		return errCallerLeft
+	}
+	var failure *h1.Failure
+	if !errors.As(err, &failure) {
+		failure = &h1.Failure{Sent: true, Reason: err}
+	}
+	u.lastSeen = failure.Error()
+	u.log("attempt failed", server, "sent", failure.Sent, "reused", failure.Reused, "error", failure.Error())
+	if !failure.Reused || failure.Silent {
+		l.Book.NoteFailure(server, now)
+	}
+	if !failure.Sent {
+		u.refused = append(u.refused, server.ID)
+		return nil
+	}
+	l.Steer.Outcome(server, u.route, Outcome{Failed: true})
+	return u.noteMayHaveRun(server)
+}
+
+// noteMayHaveRun returns an error where the request must not be sent again.
+func (u *run) noteMayHaveRun(server *fleet.Entry) error {
+	u.mayRun = true
+	if !slices.Contains(u.ran, server.ID) {
+		u.ran = append(u.ran, server.ID)
+	}
+	if u.route.Repeat == catalog.AtMostOnce {
+		return u.broken(result.New(result.BackendFailed, "%s", u.lastSeen))
+	}
+	if len(u.ran) >= max(u.route.MaxAttempts, 1) {
+		return u.broken(result.New(result.BackendFailed, "tried on %d servers; %s", len(u.ran), u.lastSeen))
+	}
+	return nil
+}
+
+// takeAnswer relays the answer, or decides that the request is sent again.
+func (u *run) takeAnswer(server *fleet.Entry, answer *h1.Answer, began clock.Millis) (bool, error) {
+	l := u.relay
+	now := l.Clock.Now()
+	reply := l.Dialect.Decode(answer.Status, answer.Header)
+	l.Book.Note(server, bearing.Seen{
+		HasLoad: reply.HasLoad, Held: reply.Running + reply.Waiting, Slots: reply.Slots, ColdFor: reply.ColdFor,
+	}, now)
+	if reply.WrongServer {
+		u.refused = append(u.refused, server.ID)
+		u.lastSeen = "another server has the address"
+		l.Book.NoteFailure(server, now)
+		u.log("wrong server", server)
+		return false, nil
+	}
+	if reply.NotRun {
+		u.refused = append(u.refused, server.ID)
+		u.lastSeen = http.StatusText(answer.Status) + " from the server, not run"
+		u.log("server refused", server, "status", answer.Status)
+		if answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusTooManyRequests {
+			l.Book.NoteFull(server, now)
+		}
+		if len(u.refused) > maxRefusals {
+			return false, u.giveUp(result.New(result.BackendRefused, "%d servers refused it", len(u.refused)))
+		}
+		return false, nil
+	}
+	failed := answer.Status >= http.StatusInternalServerError
+	l.Steer.Outcome(server, u.route, Outcome{Failed: failed, First: now - began, Answer: true})
+	if failed && !u.began && u.mayRepeat(server) && u.deadline-now > leastUseful {
+		u.lastSeen = http.StatusText(answer.Status) + " from the server"
+		u.log("server failed", server, "status", answer.Status)
+		return false, u.noteMayHaveRun(server)
+	}
+	if failed && u.began {
+		u.lastSeen = http.StatusText(answer.Status) + " from the server"
+		return false, u.noteMayHaveRun(server)
+	}
+	if u.route.Stream && !failed {
+		return u.relayStream(server, answer)
+	}
+	return u.relayWhole(server, answer)
+}
+
+// maxRefusals is how many servers may refuse a request before it is given up:
+// each refusal is a repeat that all daemons' budget pays for.
+const maxRefusals = 3
+
+func (u *run) mayRepeat(server *fleet.Entry) bool {
+	if u.route.Repeat == catalog.AtMostOnce {
+		return false
+	}
+	used := len(u.ran)
+	if !slices.Contains(u.ran, server.ID) {
+		used++
+	}
+	return used < u.route.MaxAttempts
+}
+
+// urgency is the rank that servers go by: the client account's, or the route's.
+func (u *run) urgency() int {
+	if u.account.HasPriority {
+		return min(max(u.account.Priority, 0), 9)
+	}
+	return min(max(u.route.Priority, 0), 9)
+}
+
+// tooLate is the answer to a request whose time is over.
+func (u *run) tooLate() error {
+	if u.mayRun {
+		return u.broken(result.New(result.BackendTimeout, "no answer in time; %s", u.lastSeen))
+	}
+	return u.giveUp(result.New(result.DeadlineTooShort, "no time is left; %s", u.lastSeen))
+}
+
+// giveUp turns a refusal into what is true of the request: one that may have run
+// isn't refused as not run.
+func (u *run) giveUp(refusal *result.Error) error {
+	if u.mayRun && refusal.Code.Run == result.RunNo {
+		return u.broken(result.New(result.BackendFailed, "%s", refusal.Detail))
+	}
+	if u.began {
+		return u.broken(refusal)
+	}
+	return refusal
+}
+
+// broken is the end of a request that can't be refused any more.
+func (u *run) broken(e *result.Error) error {
+	if u.began {
+		return errors.Wrap(errCut, e.Detail)
+	}
+	return e
+}
+
+// finish ends a request that has no whole answer.
+func (u *run) finish(err error) {
+	u.log("ended", nil, "error", err.Error())
+	if errors.Is(err, errCallerLeft) || u.began || errors.Is(err, context.Canceled) {
+		// Ends the connection in a way that can't look like a whole answer.
+		panic(http.ErrAbortHandler)
+	}
+	e := result.From(err)
+	u.out.Header().Set("Retry-After", retryAfter(e))
+	result.Write(u.out, e, u.request.ID)
+}
