Drive roll-outs by conditional writes; share tallies and loads among daemons

Every daemon runs a pilot; a step is a conditional write on the stage's row, so whichever daemon is there takes it, in a staggered order. The share that the new version gets follows from the time since the order, by the store's clock, so that no message is needed and a restarted daemon goes on from there. Sessions keep their version in the first half. Tallies of answers spread by exchanges between random pairs of daemons; one sequential test a route closes a bad version, on all answers and on the newest.

--- a/internal/control/keeper/state.go
+++ b/internal/control/keeper/state.go
@@ -22,6 +22,8 @@
 	storeSince clock.Millis    // when storeWell last changed
 	orders     map[string]fleet.Rollout
 	stages     map[string]stage
+	began      map[string]beginning
+	timed      bool                    // the store's clock is known
 	lapsed     map[string]clock.Millis // servers whose registration lapsed during an outage, and when they count as gone
 }
 
@@ -36,6 +38,12 @@
 	version int64 // of its row
 }
 
+// beginning is when a roll-out began, by the store's clock.
+type beginning struct {
+	order int64
+	at    clock.Millis
+}
+
 func newState(log hclog.Logger) *State {
 	return &State{
 		log:    log,
@@ -43,6 +51,7 @@
 		tables: make(map[string]bool),
 		orders: make(map[string]fleet.Rollout),
 		stages: make(map[string]stage),
+		began:  make(map[string]beginning),
 		lapsed: make(map[string]clock.Millis),
 	}
 }
@@ -170,7 +179,11 @@
 		return
 	}
 	if recorded := s.stages[pool]; recorded.version > r.Order && recorded.target == r.Target {
-		r.Stage, r.Recorded = recorded.stage, recorded.version
+		r.Stage = recorded.stage
+	}
+	r.Recorded = s.stages[pool].version
+	if b := s.began[pool]; b.order == r.Order && s.timed {
+		r.Began = b.at - s.view.StoreOffset
 	}
 	if s.view.Rollouts[pool] == r {
 		return
@@ -179,24 +192,50 @@
 	s.view = s.view.WithRollout(r)
 }
 
-// DropRollout takes in that a pool has no roll-out any more.
+// DropRollout takes in that a pool has no roll-out any more. One that was rolled
+// back goes on to bind: the servers of the bad version may be there for longer.
 func (s *State) DropRollout(pool string) {
 	delete(s.orders, pool)
-	if _, ok := s.view.Rollouts[pool]; ok {
+	if r, ok := s.view.Rollouts[pool]; ok && r.Stage != fleet.RolledBack {
 		s.view = s.view.WithoutRollout(pool)
 	}
 }
 
-// SetHosts takes in the names of the hosts that run a daemon.
-func (s *State) SetHosts(names []string) {
-	slices.Sort(names)
-	if slices.Equal(names, s.view.Hosts) {
+// SetBegan takes in when a roll-out began, by the store's clock: a daemon that
+// starts later must go on from there.
+func (s *State) SetBegan(pool string, order int64, began clock.Millis) {
+	s.began[pool] = beginning{order: order, at: began}
+	s.joinRollout(pool)
+}
+
+// NoteStoreTime takes in the store's clock as an answer told it. The answer that
+// came fastest is the closest to the truth.
+func (s *State) NoteStoreTime(now clock.Millis) {
+	if now == 0 {
 		return
 	}
-	s.log.Info("hosts", "count", len(names))
-	s.view = s.view.WithHosts(names)
+	if offset := now - s.now; !s.timed || offset > s.view.StoreOffset {
+		s.timed = true
+		s.view = s.view.WithStoreOffset(offset)
+	}
 }
 
+// SetHost takes in where the daemon of a host listens; an empty address means
+// that the host has none.
+func (s *State) SetHost(name, address string) {
+	if s.view.Hosts[name] == address {
+		return
+	}
+	s.log.Info("host", "name", name, "address", address)
+	s.view = s.view.WithHost(name, address)
+}
+
+// DropHosts forgets all hosts.
+func (s *State) DropHosts() { s.view = s.view.WithoutHosts() }
+
+// SetFollowed takes in that a table has been read whole.
+func (s *State) SetFollowed(table string) { s.view = s.view.WithFollowed(table) }
+
 // tick forgets the servers that didn't come back after an outage.
 func (s *State) tick() {
 	for _, id := range slices.Sorted(maps.Keys(s.lapsed)) {
--- a/internal/decision/bearing/book.go
+++ b/internal/decision/bearing/book.go
@@ -17,6 +17,9 @@
 	longestBench = 4_000 * clock.Millis(1)
 	// reportLife is how long a server's word of its load counts.
 	reportLife = 2_000 * clock.Millis(1)
+	// freshReport is how long it counts for more than what the daemons tell each
+	// other, which is about one exchange old.
+	freshReport = 400 * clock.Millis(1)
 )
 
 // Book is what a daemon knows of the servers' load. It is safe for concurrent use.
@@ -32,6 +35,8 @@
 	own      int // calls of this daemon under way
 	reported int // requests that the server said it holds, less those of this daemon at that time
 	heard    clock.Millis
+	others   int // requests that the other daemons say they have under way
+	othersAt clock.Millis
 	slots    int
 
 	failures   int // in a row
@@ -72,7 +77,12 @@
 // load returns how many requests the server is believed to hold.
 func (s *serverState) load(now clock.Millis) int {
 	others := 0
-	if age := now - s.heard; s.heard != 0 && age < reportLife {
+	switch {
+	case s.heard != 0 && now-s.heard < freshReport:
+		others = s.reported
+	case s.othersAt != 0 && now-s.othersAt < reportLife:
+		others = s.others
+	case s.heard != 0 && now-s.heard < reportLife:
 		others = s.reported
 	}
 	return s.own + max(others, 0)
@@ -136,6 +146,15 @@
 	b.state(e).own--
 }
 
+// SetOthers takes in what the other daemons have under way, by server.
+func (b *Book) SetOthers(loads map[string]int, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.servers {
+		s.others, s.othersAt = loads[id], now
+	}
+}
+
 // Loads returns this daemon's calls under way, by server.
 func (b *Book) Loads() map[string]int {
 	b.mu.Lock()
--- a/internal/decision/fleet/rollout.go
+++ b/internal/decision/fleet/rollout.go
@@ -26,7 +26,12 @@
 	Began    clock.Millis // when this daemon heard of the order
 	Order    int64        // version of the row that holds the order
 	Stage    Stage
-	Recorded int64 // version of the row that holds the stage; 0 where there is none
+	Recorded int64 // version of the row that holds the stage, also of an earlier roll-out; 0 where there is none
+}
+
+// Progress returns which part of the time allowed has passed.
+func (r Rollout) Progress(now clock.Millis) float64 {
+	return float64(now-r.Began) / float64(max(r.Duration, 1))
 }
 
 // HalfOver tells whether the first half of the time allowed has passed.
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -17,7 +17,10 @@
 	Catalog   *catalog.Catalog // nil until a configuration is known
 	Evacuated map[string]bool  // data centres that operators have taken out
 	Rollouts  map[string]Rollout
-	Hosts     []string // names of the hosts that run a daemon, in order
+	Hosts     map[string]string // where the daemons listen for each other, by host
+	Followed  map[string]bool   // tables of the store that have been read whole
+	// StoreOffset is what the store's clock is ahead of this daemon's.
+	StoreOffset clock.Millis
 
 	servers map[string]Entry
 	pools   map[string][]Entry
@@ -32,7 +35,14 @@
 
 // NewView returns a view that knows nothing.
 func NewView() *View {
-	return &View{Evacuated: map[string]bool{}, Rollouts: map[string]Rollout{}, servers: map[string]Entry{}, pools: map[string][]Entry{}}
+	return &View{
+		Evacuated: map[string]bool{},
+		Rollouts:  map[string]Rollout{},
+		Hosts:     map[string]string{},
+		Followed:  map[string]bool{},
+		servers:   map[string]Entry{},
+		pools:     map[string][]Entry{},
+	}
 }
 
 // WithCatalog returns a copy that goes by the catalog.
@@ -116,11 +126,40 @@
 	return &n
 }
 
-// WithHosts returns a copy that knows the hosts.
-func (v *View) WithHosts(names []string) *View {
+// WithHost returns a copy in which the host's daemon listens at the address, or
+// isn't there if the address is empty.
+func (v *View) WithHost(name, address string) *View {
+	n := *v
+	n.Hosts = maps.Clone(v.Hosts)
+	delete(n.Hosts, name)
+	if address != "" {
+		n.Hosts[name] = address
+	}
+	return &n
+}
+
+// WithoutHosts returns a copy that knows no hosts.
+func (v *View) WithoutHosts() *View {
+	n := *v
+	n.Hosts = map[string]string{}
+	return &n
+}
+
+// HostNames returns the names of the hosts in order.
+func (v *View) HostNames() []string { return slices.Sorted(maps.Keys(v.Hosts)) }
+
+// WithFollowed returns a copy in which the table has been read whole.
+func (v *View) WithFollowed(table string) *View {
+	n := *v
+	n.Followed = maps.Clone(v.Followed)
+	n.Followed[table] = true
+	return &n
+}
+
+// WithStoreOffset returns a copy that knows the store's clock.
+func (v *View) WithStoreOffset(offset clock.Millis) *View {
 	n := *v
-	n.Hosts = slices.Clone(names)
-	slices.Sort(n.Hosts)
+	n.StoreOffset = offset
 	return &n
 }
 
--- /dev/null
+++ b/internal/decision/rollout/trial.go
@@ -0,0 +1,93 @@
+package rollout
+
+import "math"
+
+// Comparison sets a version on trial against the pool's others on one route.
+type Comparison struct {
+	Trial Tally
+	Rest  Tally
+}
+
+const (
+	// leastBadRate is taken as every version's share of bad answers until more is known.
+	leastBadRate = 0.02
+	// worseBy is how much higher the bad version's share is taken to be.
+	worseBy = 0.3
+	// mostBadRate keeps the likelihood of a good answer above zero.
+	mostBadRate = 0.95
+	// closeAt is the log likelihood ratio at which a version is bad: one false
+	// alarm in some hundred good versions.
+	closeAt = 5.0
+	// closeAtOneServer is the same where one server alone gave the bad answers,
+	// which may be that server's own fault.
+	closeAtOneServer = 14.0
+	// slowBy is the factor, as a logarithm, by which a version is slower at least.
+	slowBy = 0.6
+	// slowSpread is how far, as a logarithm, the mean time of one answer strays.
+	slowSpread = 2.5
+	// leastTimed is how many answers a mean time needs.
+	leastTimed = 4
+)
+
+// IsBad tells whether the version on trial does worse than the others on some
+// route. A version may fail on one route only.
+func IsBad(routes []Comparison) bool {
+	for _, c := range routes {
+		limit := closeAt
+		if c.Trial.servers() < 2 {
+			limit = closeAtOneServer
+		}
+		if c.badness() >= limit || c.isSlow() {
+			return true
+		}
+	}
+	return false
+}
+
+// badness is the log likelihood ratio of the trial's answers being worse than
+// the rest's against being alike.
+func (c Comparison) badness() float64 {
+	usual := leastBadRate
+	if n := c.Rest.Answers(); n > 0 {
+		usual = math.Max(usual, (float64(c.Rest.Bad)+0.5)/float64(n+1))
+	}
+	usual = math.Min(usual, mostBadRate-worseBy/2)
+	worse := math.Min(usual+worseBy, mostBadRate)
+	return float64(c.Trial.Bad)*math.Log(worse/usual) + float64(c.Trial.Good)*math.Log((1-worse)/(1-usual))
+}
+
+func (c Comparison) isSlow() bool {
+	if c.Trial.Timed < leastTimed || c.Rest.Timed < leastTimed {
+		return false
+	}
+	diff := c.Trial.LogTime/float64(c.Trial.Timed) - c.Rest.LogTime/float64(c.Rest.Timed)
+	return diff-slowSpread/math.Sqrt(float64(min(c.Trial.Timed, c.Rest.Timed))) > slowBy
+}
+
+// steps of a roll-out: from which part of its time on which share of the
+// requests goes to the new version. Sessions keep their version in the first
+// half, so the share doesn't change there.
+var steps = []struct{ from, share float64 }{{0.5, 0.3}, {0.58, 0.6}, {0.66, 1}}
+
+const (
+	// trialShare of the requests goes to the new version in the first half.
+	trialShare = 0.1
+	// exposedPart of the share that a bad version may get is used for the trial,
+	// since the share is counted over requests, which come unevenly.
+	exposedPart = 0.6
+)
+
+// ShareAt returns the new version's share of requests after a part of the time,
+// given the share that a bad version may get.
+func ShareAt(part, exposed float64) float64 {
+	share := math.Min(trialShare, exposed*exposedPart)
+	for _, s := range steps {
+		if part >= s.from {
+			share = s.share
+		}
+	}
+	return share
+}
+
+// FullFrom is the part of the time from which all requests go to the new version.
+func FullFrom() float64 { return steps[len(steps)-1].from }
--- a/internal/traffic/relay/free_steer.go
+++ b/internal/traffic/relay/free_steer.go
@@ -10,7 +10,10 @@
 type FreeSteer struct{}
 
 // Versions allows all versions.
-func (FreeSteer) Versions(*fleet.View, string, *Request) func(string) bool { return nil }
+func (FreeSteer) Versions(*fleet.View, string, *Request, bool) func(string) bool { return nil }
+
+// Placed takes no notice.
+func (FreeSteer) Placed(*Request, *fleet.Entry) {}
 
 // Outcome takes no notice.
-func (FreeSteer) Outcome(*fleet.Entry, *catalog.Route, Outcome) {}
+func (FreeSteer) Outcome(*fleet.View, *fleet.Entry, *catalog.Route, Outcome) {}
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -4,7 +4,6 @@
 	"strconv"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
-	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
@@ -30,9 +29,3 @@
 func retryAfter(e *result.Error) string {
 	return strconv.FormatFloat(float64(e.Code.RetryAfterMs)/1000, 'f', -1, 64)
 }
-
-// pointOf maps a text to [0, 1), evenly and alike on all daemons.
-func pointOf(text string) float64 {
-	const bits = 53 // of a float's mantissa
-	return float64(container.Hash(text)>>(64-bits)) / float64(uint64(1)<<bits)
-}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -35,16 +35,19 @@
 // its answers turn out.
 type Steer interface {
 	// Versions tells which versions the request may run on now.
-	Versions(v *fleet.View, pool string, r *Request) func(version string) bool
+	// It has failed where a server was unable to answer it.
+	Versions(v *fleet.View, pool string, r *Request, failed bool) func(version string) bool
+	// Placed takes in on which server the request runs.
+	Placed(r *Request, e *fleet.Entry)
 	// Outcome takes in how an attempt ended.
-	Outcome(e *fleet.Entry, route *catalog.Route, o Outcome)
+	Outcome(v *fleet.View, e *fleet.Entry, route *catalog.Route, o Outcome)
 }
 
 // Outcome is how an attempt at a server ended.
 type Outcome struct {
-	Failed bool         // an error of the server's own, or no answer
-	First  clock.Millis // time to the head of the answer
-	Answer bool         // First is known
+	Judged bool         // the server answered, by which its version can be judged
+	Failed bool         // with an error of its own
+	First  clock.Millis // time to the head of the answer, at least; 0 where it isn't known
 }
 
 // Relay is safe for concurrent use.
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -12,6 +12,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
 )
@@ -23,6 +24,7 @@
 	http    *http.Request
 	out     http.ResponseWriter
 
+	view     *fleet.View // by which the last attempt was made
 	route    *catalog.Route
 	account  catalog.Account
 	pool     catalog.Pool
@@ -84,7 +86,7 @@
 	if u.request.Session != "" {
 		seed = u.request.Session
 	}
-	return pointOf(seed)
+	return container.Point(seed)
 }
 
 // attempt sends the request to one server. done says that the caller has its
@@ -120,7 +122,7 @@
 		Hosts:      len(view.Hosts),
 		Model:      u.model,
 		Prompt:     q.Prompt,
-		Version:    l.Steer.Versions(view, pool.Name, q),
+		Version:    l.Steer.Versions(view, pool.Name, q, len(u.ran) > 0),
 		Tried:      u.tried,
 		Now:        now,
 	})
@@ -132,6 +134,8 @@
 	case bearing.Chosen:
 	}
 	defer l.Book.Done(&server)
+	u.view = view
+	l.Steer.Placed(q, &server)
 	return u.callServer(&server, now)
 }
 
@@ -176,14 +180,14 @@
 		Until:   time.Now().Add((u.deadline - l.Clock.Now()).Duration()),
 	})
 	if err != nil {
-		return false, u.callFailed(server, err)
+		return false, u.callFailed(server, began, err)
 	}
 	defer answer.Close()
 	return u.takeAnswer(server, answer, began)
 }
 
 // callFailed decides what follows a call without an answer.
-func (u *run) callFailed(server *fleet.Entry, err error) error {
+func (u *run) callFailed(server *fleet.Entry, began clock.Millis, err error) error {
 	l := u.relay
 	now := l.Clock.Now()
 	if u.http.Context().Err() != nil {
@@ -202,7 +206,10 @@
 		u.refused = append(u.refused, server.ID)
 		return nil
 	}
-	l.Steer.Outcome(server, u.route, Outcome{Failed: true})
+	if failure.Silent {
+		// The time that it has taken so far is the least that it would have taken.
+		l.Steer.Outcome(u.view, server, u.route, Outcome{First: now - began})
+	}
 	return u.noteMayHaveRun(server)
 }
 
@@ -249,7 +256,7 @@
 		return false, nil
 	}
 	failed := answer.Status >= http.StatusInternalServerError
-	l.Steer.Outcome(server, u.route, Outcome{Failed: failed, First: now - began, Answer: true})
+	l.Steer.Outcome(u.view, server, u.route, Outcome{Judged: true, Failed: failed, First: now - began})
 	if failed && !u.began && u.mayRepeat(server) && u.deadline-now > leastUseful {
 		u.lastSeen = http.StatusText(answer.Status) + " from the server"
 		u.log("server failed", server, "status", answer.Status)
--- /dev/null
+++ b/internal/traffic/steer/steer.go
@@ -0,0 +1,186 @@
+// Package steer chooses the version of a pool's servers for each request while a
+// roll-out is under way, and counts how the versions' answers turn out.
+package steer
+
+import (
+	"sync"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/relay"
+)
+
+const (
+	// pinLimit bounds the sessions remembered; one daemon sees some hundreds in
+	// the time that a session lasts.
+	pinLimit = 8192
+	// pinSlack is how much longer than a session lasts its version is kept.
+	pinSlack = 1_000 * clock.Millis(1)
+)
+
+// pinKey is a session at a pool.
+type pinKey struct {
+	pool    string
+	session string
+}
+
+// pin is the version on which a session last ran.
+type pin struct {
+	version string
+	at      clock.Millis
+}
+
+// Steer implements relay.Steer. It is safe for concurrent use.
+type Steer struct {
+	clock    clock.Clock
+	session  clock.Millis // pause after which a session is over
+	exposed  float64      // share of requests that a bad version may get
+	pins     *container.LRU[pinKey, pin]
+	mu       sync.Mutex
+	evidence map[string]*evidence // by pool
+}
+
+// evidence is what this daemon has seen since a pool's roll-out was ordered.
+type evidence struct {
+	order   int64
+	bad     bool // the version on trial was found bad
+	tallies map[Subject]rollout.Tally
+}
+
+// Subject is what a tally is about.
+type Subject struct {
+	Pool  string `json:"p"`
+	Order int64  `json:"o"` // of the roll-out
+	Trial bool   `json:"v"` // the version on trial, else the others
+	Route string `json:"r"`
+}
+
+// New returns a steer for sessions that last until a pause of the given length,
+// and for versions on trial that may get the share of a pool's requests.
+func New(c clock.Clock, session clock.Millis, exposed float64) *Steer {
+	return &Steer{
+		clock:    c,
+		session:  session,
+		exposed:  exposed,
+		pins:     container.NewLRU[pinKey, pin](pinLimit),
+		evidence: make(map[string]*evidence),
+	}
+}
+
+// Versions tells which versions the request may run on; nil allows all.
+func (s *Steer) Versions(v *fleet.View, pool string, q *relay.Request, failed bool) func(string) bool {
+	r, ok := v.Rollouts[pool]
+	if !ok {
+		return nil
+	}
+	trial := func(version string) bool { return version == r.Target }
+	rest := func(version string) bool { return version != r.Target }
+	now := s.clock.Now()
+	switch {
+	case r.Stage == fleet.RolledBack || s.isBad(r):
+		return rest
+	case r.Stage == fleet.Completed:
+		return s.ifServed(v, pool, trial)
+	case failed && !r.HalfOver(now):
+		return s.ifServed(v, pool, rest)
+	}
+	if version, pinned := s.pinned(pool, q.Session, now); pinned && (!r.HalfOver(now) || version == r.Target) {
+		return s.ifServed(v, pool, func(other string) bool { return other == version })
+	}
+	seed := q.Session
+	if seed == "" {
+		seed = q.ID
+	}
+	if container.Point(r.Target, seed) < rollout.ShareAt(r.Progress(now), s.exposed) {
+		return s.ifServed(v, pool, trial)
+	}
+	return s.ifServed(v, pool, rest)
+}
+
+// ifServed returns the choice of versions, or nil where no server in service has
+// one of them: being served counts for more than the version.
+func (s *Steer) ifServed(v *fleet.View, pool string, versions func(string) bool) func(string) bool {
+	entries := v.Pool(pool)
+	for i := range entries {
+		if v.InService(&entries[i]) && versions(entries[i].Version) {
+			return versions
+		}
+	}
+	return nil
+}
+
+func (s *Steer) pinned(pool, session string, now clock.Millis) (string, bool) {
+	if session == "" {
+		return "", false
+	}
+	p, ok := s.pins.Get(pinKey{pool, session})
+	return p.version, ok && now-p.at < s.session+pinSlack
+}
+
+// Placed takes in on which server a request runs.
+func (s *Steer) Placed(q *relay.Request, e *fleet.Entry) {
+	if q.Session != "" {
+		s.pins.Put(pinKey{e.Pool, q.Session}, pin{version: e.Version, at: s.clock.Now()})
+	}
+}
+
+// Outcome counts how an attempt ended.
+func (s *Steer) Outcome(v *fleet.View, e *fleet.Entry, route *catalog.Route, o relay.Outcome) {
+	r, ok := v.Rollouts[e.Pool]
+	if !ok || r.Stage == fleet.Completed || r.Stage == fleet.RolledBack {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.of(r)
+	subject := Subject{Pool: e.Pool, Order: r.Order, Trial: e.Version == r.Target, Route: route.Name}
+	t := known.tallies[subject]
+	if o.Judged {
+		t = t.WithAnswer(e.ID, o.Failed)
+	}
+	if o.First > 0 {
+		t = t.WithTime(float64(o.First))
+	}
+	known.tallies[subject] = t
+}
+
+// of returns the evidence for the roll-out. The lock must be held.
+func (s *Steer) of(r fleet.Rollout) *evidence {
+	e, ok := s.evidence[r.Pool]
+	if !ok || e.order != r.Order {
+		e = &evidence{order: r.Order, tallies: make(map[Subject]rollout.Tally)}
+		s.evidence[r.Pool] = e
+	}
+	return e
+}
+
+// Tallies returns a copy of what this daemon has counted.
+func (s *Steer) Tallies() map[Subject]rollout.Tally {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[Subject]rollout.Tally)
+	for _, e := range s.evidence {
+		for subject, t := range e.tallies {
+			all[subject] = t
+		}
+	}
+	return all
+}
+
+// Close ends the trial of a version that was found bad: it gets no more requests
+// from this daemon, ahead of the recorded decision.
+func (s *Steer) Close(r fleet.Rollout) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.of(r).bad = true
+}
+
+func (s *Steer) isBad(r fleet.Rollout) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.evidence[r.Pool]
+	return ok && e.order == r.Order && e.bad
+}
