--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -52,6 +52,16 @@
 	}
 }
 
+// Notify has the keeper's goroutine change the state. It never waits: the change
+// is dropped while many others wait, since whoever saw its cause sees it again.
+func (k *Keeper) Notify(change func(*State)) {
+	select {
+	case k.events <- change:
+	default:
+		k.log.Warn("event dropped; the control state is behind")
+	}
+}
+
 // Run applies changes until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
--- a/internal/control/keeper/state.go
+++ b/internal/control/keeper/state.go
@@ -17,20 +17,28 @@
 	now  clock.Millis
 	view *fleet.View
 
-	tables     map[string]bool // followed tables, and whether the last call for each went well
-	storeWell  bool            // all of them did
-	storeSince clock.Millis    // when storeWell last changed
-	orders     map[string]fleet.Rollout
-	stages     map[string]stage
-	began      map[string]beginning
-	timed      bool                    // the store's clock is known
-	lapsed     map[string]clock.Millis // servers whose registration lapsed during an outage, and when they count as gone
+	tables map[string]turn // followed tables
+	orders map[string]fleet.Rollout
+	stages map[string]stage
+	began  map[string]beginning
+	timed  bool                    // the store's clock is known
+	lapsed map[string]clock.Millis // servers whose registration lapsed during an outage, and when they count as gone
 }
 
 // returnTime is how long after the end of an outage of the store the
 // registrations that lapsed meanwhile are back, if their servers live.
 const returnTime = 2_000 * clock.Millis(1)
 
+// outageEcho is how long after the store's return a registration that goes may
+// still have lapsed during the outage.
+const outageEcho = 300 * clock.Millis(1)
+
+// turn is whether the store answers for a table, and since when.
+type turn struct {
+	well  bool
+	since clock.Millis
+}
+
 // stage is the recorded state of a roll-out.
 type stage struct {
 	target  string
@@ -48,7 +56,7 @@
 	return &State{
 		log:    log,
 		view:   fleet.NewView(),
-		tables: make(map[string]bool),
+		tables: make(map[string]turn),
 		orders: make(map[string]fleet.Rollout),
 		stages: make(map[string]stage),
 		began:  make(map[string]beginning),
@@ -64,16 +72,17 @@
 
 // SetStore takes in whether the store answers for a table.
 func (s *State) SetStore(table string, well bool) {
-	s.tables[table] = well
-	all := true
-	for _, w := range s.tables {
-		all = all && w
-	}
-	if all != s.storeWell {
-		s.storeWell, s.storeSince = all, s.now
+	if t, ok := s.tables[table]; !ok || t.well != well {
+		s.tables[table] = turn{well: well, since: s.now}
 	}
 }
 
+// StoreWell tells whether the store answers for the table, and since when.
+func (s *State) StoreWell(table string) (well bool, since clock.Millis) {
+	t := s.tables[table]
+	return t.well, t.since
+}
+
 // SetCatalog takes in a configuration. Versions only rise.
 func (s *State) SetCatalog(c *catalog.Catalog) {
 	if s.view.Catalog != nil && s.view.Catalog.Version >= c.Version {
@@ -93,29 +102,44 @@
 	s.log.Info("server", "server", server.ID, "pool", server.Pool, "data_centre", server.DataCentre,
 		"address", server.Address, "version", server.Version, "leaving", server.Leaving, "cold_ms", int64(server.ColdFor))
 	s.view = s.view.WithServer(server, s.now)
+	s.dropPredecessors(server)
+}
+
+// dropPredecessors forgets servers that had the address before.
+func (s *State) dropPredecessors(server fleet.Server) {
+	for _, id := range s.view.Servers() {
+		e, _ := s.view.Server(id)
+		if id != server.ID && e.Address == server.Address && e.Born <= server.Born {
+			s.forget(id)
+		}
+	}
 }
 
-// DropServer takes in that a server's registration has gone. Around an outage of
-// the store a registration may lapse though its server lives.
-func (s *State) DropServer(id string) {
+// DropServer takes in that a server's registration in the table has gone. One
+// that lapsed during an outage of the store is back soon after if its server
+// lives, so the server stays in service until then.
+func (s *State) DropServer(table, id string) {
 	e, known := s.view.Server(id)
 	if !known {
 		return
 	}
-	if s.afterOutage() && !e.Leaving {
-		if _, waits := s.lapsed[id]; !waits {
-			s.lapsed[id] = max(s.now, s.storeSince) + returnTime
-			s.log.Info("registration lapsed around an outage of the store", "server", id)
-		}
+	well, since := s.StoreWell(table)
+	if e.Leaving || (well && s.now-since > outageEcho) {
+		s.forget(id)
 		return
 	}
-	s.forget(id)
+	if _, waits := s.lapsed[id]; !waits {
+		s.lapsed[id] = s.now + returnTime
+		s.log.Info("registration lapsed during an outage of the store", "server", id)
+	}
 }
 
-// afterOutage tells whether registrations may be missing only because the store
-// was away. The store is well from the start of the daemon until it is first lost.
-func (s *State) afterOutage() bool {
-	return !s.storeWell || s.now-s.storeSince < returnTime
+// ReplacedServer takes in that another server answered at a server's address. A
+// registration that was heard of since then counts for more.
+func (s *State) ReplacedServer(id string, at clock.Millis) {
+	if e, known := s.view.Server(id); known && e.Heard < at {
+		s.forget(id)
+	}
 }
 
 // ForgetServer takes in that a server's registration can't be read.
@@ -131,14 +155,11 @@
 	s.view = s.view.WithoutServer(id)
 }
 
-// StoreWell tells whether the store answers, and since when that is so.
-func (s *State) StoreWell() (well bool, since clock.Millis) { return s.storeWell, s.storeSince }
-
-// KeepServers drops the servers that are not among the ids.
-func (s *State) KeepServers(ids map[string]bool) {
+// KeepServers drops the servers whose registrations are not among the ids.
+func (s *State) KeepServers(table string, ids map[string]bool) {
 	for _, id := range s.view.Servers() {
 		if !ids[id] {
-			s.DropServer(id)
+			s.DropServer(table, id)
 		}
 	}
 }
@@ -239,7 +260,7 @@
 // tick forgets the servers that didn't come back after an outage.
 func (s *State) tick() {
 	for _, id := range slices.Sorted(maps.Keys(s.lapsed)) {
-		if s.storeWell && s.now >= s.lapsed[id] && s.now >= s.storeSince+returnTime {
+		if s.now >= s.lapsed[id] {
 			s.forget(id)
 		}
 	}
--- a/internal/decision/bearing/book.go
+++ b/internal/decision/bearing/book.go
@@ -3,6 +3,7 @@
 package bearing
 
 import (
+	"math"
 	"sync"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
@@ -26,6 +27,7 @@
 type Book struct {
 	mu      sync.Mutex
 	servers map[string]*serverState
+	paces   map[paceKey]Pace
 	scratch []Prefix
 }
 
@@ -39,7 +41,9 @@
 	othersAt clock.Millis
 	slots    int
 
-	failures   int // in a row
+	failures   int     // in a row
+	faulty     float64 // share of calls that failed lately
+	faultyAt   clock.Millis
 	benchUntil clock.Millis
 	coldUntil  clock.Millis // by the server's own answers
 	cold       bucket
@@ -47,7 +51,9 @@
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{servers: make(map[string]*serverState)} }
+func NewBook() *Book {
+	return &Book{servers: make(map[string]*serverState), paces: make(map[paceKey]Pace)}
+}
 
 func (b *Book) state(e *fleet.Entry) *serverState {
 	s, ok := b.servers[e.ID]
@@ -102,6 +108,7 @@
 	defer b.mu.Unlock()
 	s := b.state(e)
 	s.failures, s.benchUntil = 0, 0
+	s.noteFault(false, now)
 	if seen.HasLoad {
 		s.reported, s.heard, s.slots = seen.Held-s.own, now, seen.Slots
 	}
@@ -110,11 +117,41 @@
 	}
 }
 
+const (
+	// faultMemory is for how many calls a fault is remembered, and faultHalfLife
+	// how long, so that a server which recovered is tried again.
+	faultMemory   = 8
+	faultHalfLife = 4_000.0 // ms
+)
+
+func (s *serverState) noteFault(failed bool, now clock.Millis) {
+	share := s.faults(now)
+	target := 0.0
+	if failed {
+		target = 1
+	}
+	s.faulty, s.faultyAt = share+(target-share)/faultMemory, now
+}
+
+// faults returns the share of calls that failed lately.
+func (s *serverState) faults(now clock.Millis) float64 {
+	return s.faulty * math.Exp2(-float64(now-s.faultyAt)/faultHalfLife)
+}
+
+// NoteFault takes in that a call failed for a reason that is the server's,
+// though it answers.
+func (b *Book) NoteFault(e *fleet.Entry, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(e).noteFault(true, now)
+}
+
 // NoteFailure takes in that a call failed with no answer from the server.
 func (b *Book) NoteFailure(e *fleet.Entry, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(e)
+	s.noteFault(true, now)
 	pause := min(firstBench<<min(s.failures, 4), longestBench)
 	s.failures++
 	s.benchUntil = now + pause
--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -17,6 +17,7 @@
 	costUncached = 0.06  // for each 1,000 tokens to be read
 	costRank     = 0.015 // for each place down the agreed order of a prompt's servers
 	maxRank      = 8
+	costFaulty   = 4.0 // for a server all of whose calls failed lately
 )
 
 // Ask is what needs a server.
@@ -103,7 +104,7 @@
 	if s.isCold(e, &a.Pool, a.Now) && !s.cold.ready(a.Pool.ColdRate/float64(max(a.Hosts, 1)), a.Now) {
 		return 0, false
 	}
-	cost := load / slots
+	cost := load/slots + costFaulty*s.faults(a.Now)
 	if e.DataCentre != a.DataCentre {
 		cost += costFar
 	}
@@ -117,6 +118,14 @@
 	return cost, true
 }
 
+// Unread returns how many tokens of the prompt the server would have to read.
+func (b *Book) Unread(e *fleet.Entry, p Prompt, model string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.scratch = p.Prefixes(model, b.scratch[:0])
+	return max(p.Read-b.state(e).kept(b.scratch), 0)
+}
+
 // kept returns how many tokens of the prompt the server has read before.
 func (s *serverState) kept(prefixes []Prefix) int {
 	for i := len(prefixes) - 1; i >= 0; i-- {
--- /dev/null
+++ b/internal/decision/bearing/pace.go
@@ -0,0 +1,75 @@
+package bearing
+
+import "gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+
+// Pace is how fast the servers of a pool run a model: the time to the head of an
+// answer as a line over the tokens to be read, and the time between events. It
+// follows what the answers show, the newest counting most.
+type Pace struct {
+	weight float64 // of all answers so far
+	read   float64 // mean tokens read
+	first  float64 // mean time to the head, ms
+	readSq float64 // mean square of the tokens read
+	cross  float64 // mean product of tokens and time
+	gap    float64 // mean time between events, ms; 0 while unknown
+}
+
+const (
+	// paceMemory is after how many answers an earlier one counts by a third.
+	paceMemory = 60
+	// gapMemory is the same for the time between events.
+	gapMemory = 200
+	// leastWeight is how many answers the line needs.
+	leastWeight = 8
+	// unknownFirst is the time to the head that is assumed before.
+	unknownFirst = 1_000.0
+	// unknownGap is the time between events that is assumed before, in ms.
+	unknownGap = 100.0
+	// longestGap is what counts of a pause: longer ones are faults, not the pace.
+	longestGap = 1_000.0
+)
+
+// WithFirst returns the pace after one more answer.
+func (p Pace) WithFirst(tokens int, first clock.Millis) Pace {
+	const keep = 1 - 1.0/paceMemory
+	x, y := float64(tokens), float64(first)
+	total := p.weight*keep + 1
+	old, share := p.weight*keep/total, 1/total
+	p.read = p.read*old + x*share
+	p.first = p.first*old + y*share
+	p.readSq = p.readSq*old + x*x*share
+	p.cross = p.cross*old + x*y*share
+	p.weight = total
+	return p
+}
+
+// WithGap returns the pace after one more pause between two events.
+func (p Pace) WithGap(ms float64) Pace {
+	ms = min(ms, longestGap)
+	if p.gap == 0 {
+		p.gap = ms
+		return p
+	}
+	p.gap += (ms - p.gap) / gapMemory
+	return p
+}
+
+// First returns the time to the head of an answer that is to be expected.
+func (p Pace) First(tokens int) clock.Millis {
+	if p.weight < leastWeight {
+		return clock.Millis(unknownFirst)
+	}
+	slope := 0.0
+	if spread := p.readSq - p.read*p.read; spread > 1 {
+		slope = max((p.cross-p.read*p.first)/spread, 0)
+	}
+	return clock.Millis(max(p.first+slope*(float64(tokens)-p.read), 1))
+}
+
+// Gap returns the time between two events that is to be expected, in ms.
+func (p Pace) Gap() float64 {
+	if p.gap == 0 {
+		return unknownGap
+	}
+	return p.gap
+}
--- a/internal/traffic/h1/call.go
+++ b/internal/traffic/h1/call.go
@@ -16,9 +16,10 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	ID      string // in the answer that belongs to this call
-	Fresh   bool   // not on a connection that another call has used
-	Until   time.Time
+	ID      string    // in the answer that belongs to this call
+	Fresh   bool      // not on a connection that another call has used
+	HeadBy  time.Time // when the head of the answer must be there
+	Until   time.Time // when the whole answer must be there
 }
 
 // Failure tells why a call has no answer.
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -46,9 +46,11 @@
 	_ = conn.SetDeadline(call.Until)
 	written, err := conn.send(call)
 	if err == nil {
+		_ = conn.SetReadDeadline(call.HeadBy)
 		var answer *Answer
 		answer, err = c.readHead(conn, call)
 		if err == nil {
+			_ = conn.SetReadDeadline(call.Until)
 			answer.written, answer.stop, answer.Reused = written, stop, reused
 			return answer, nil
 		}
--- a/internal/traffic/relay/answer.go
+++ b/internal/traffic/relay/answer.go
@@ -5,10 +5,12 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
 )
@@ -42,12 +44,30 @@
 	return true, nil
 }
 
+const (
+	// pauseFactor x the longest pause of an answer that is on time is how long a
+	// stream may be silent before another server goes on with it.
+	pauseFactor = 1.25
+	// leastPause covers the reading of other requests' long prompts.
+	leastPause = 1_500 * clock.Millis(1)
+)
+
+// pausePatience returns how long a stream may be silent before it is continued
+// elsewhere; 0 is until the deadline.
+func (u *run) pausePatience(server *fleet.Entry) time.Duration {
+	if !u.mayRepeat(server) || u.route.PauseAim <= 0 {
+		return 0
+	}
+	return max(clock.Millis(pauseFactor*float64(u.route.PauseAim)), leastPause).Duration()
+}
+
 // answerBroke decides what follows an answer that broke off.
 func (u *run) answerBroke(server *fleet.Entry, err error) error {
 	if u.http.Context().Err() != nil {
 		return errCallerLeft
 	}
 	u.lastSeen = "the answer broke off: " + err.Error()
+	u.relay.Book.NoteFault(server, u.relay.Clock.Now())
 	u.log("answer broke off", server, "error", err.Error(), "last_event", u.lastID)
 	if u.relay.Clock.Now() >= u.deadline {
 		return u.broken(result.New(result.BackendTimeout, "%s", u.lastSeen))
@@ -67,7 +87,18 @@
 	u.relay.Book.NoteCached(server, u.request.Prompt, u.model, u.relay.Clock.Now())
 	source := events{source: answer}
 	control := http.NewResponseController(u.out)
+	patience := u.pausePatience(server)
+	reads, began := 0, u.relay.Clock.Now()
+	defer func() {
+		if reads > 1 {
+			mean := float64(u.relay.Clock.Now()-began) / float64(reads-1)
+			u.relay.Book.NoteGap(u.pool.Name, u.model, mean)
+		}
+	}()
 	for {
+		if patience > 0 {
+			answer.SetReadDeadline(time.Now().Add(patience))
+		}
 		whole, id, err := source.Next()
 		if err == io.EOF {
 			break
@@ -79,6 +110,7 @@
 			u.begin(answer)
 			u.out.WriteHeader(answer.Status)
 		}
+		reads++
 		if id != "" {
 			u.lastID = id
 		}
--- a/internal/traffic/relay/dialect.go
+++ b/internal/traffic/relay/dialect.go
@@ -37,8 +37,8 @@
 type Dialect interface {
 	// Encode returns the headers of the call.
 	Encode(r *Request, a Attempt) http.Header
-	// Decode reads the head of an answer.
-	Decode(status int, h http.Header) Reply
+	// Decode reads the head of an answer to a call that was meant for the server.
+	Decode(server string, status int, h http.Header) Reply
 	// AnswerHeader returns the headers of the answer that the caller gets.
 	AnswerHeader(h http.Header) http.Header
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -29,6 +30,8 @@
 	Book    *bearing.Book
 	Repeats *admission.RepeatBudget
 	Steer   Steer
+	// Replaced takes in that another server has a server's address.
+	Replaced func(id string, now clock.Millis)
 }
 
 // Steer chooses the version of a pool's servers for a request, and learns how
@@ -53,8 +56,8 @@
 // Relay is safe for concurrent use.
 type Relay struct {
 	Dependencies
-	open     atomic.Int64
-	stopping atomic.Bool
+	open   atomic.Int64
+	stopBy atomic.Int64 // instant at which the daemon ends; 0 while it doesn't stop
 }
 
 // New returns a relay.
@@ -63,15 +66,27 @@
 // Open returns the number of requests under way.
 func (l *Relay) Open() int64 { return l.open.Load() }
 
-// SetStopping makes the relay refuse streams, which would not end before the
-// daemon does.
-func (l *Relay) SetStopping() { l.stopping.Store(true) }
+// SetStopping tells the relay that the daemon ends after the time given. Streams
+// that can't be expected to end before are refused, and callers are asked to
+// connect anew.
+func (l *Relay) SetStopping(in time.Duration) {
+	l.stopBy.Store(int64(l.Clock.Now()) + in.Milliseconds())
+}
+
+// isStopping tells whether the daemon ends, and when.
+func (l *Relay) isStopping() (by clock.Millis, stopping bool) {
+	by = clock.Millis(l.stopBy.Load())
+	return by, by != 0
+}
 
 // Serve answers the request. The context of the request ends when the caller
 // leaves.
 func (l *Relay) Serve(w http.ResponseWriter, r *http.Request, q *Request) {
 	l.open.Add(1)
 	defer l.open.Add(-1)
+	if _, stopping := l.isStopping(); stopping {
+		w.Header().Set("Connection", "close")
+	}
 	run := &run{relay: l, request: q, http: r, out: w}
 	err := run.serve()
 	if err == nil {
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -67,8 +67,8 @@
 	}
 	u.lastID = q.After
 	u.route, u.account = route, account
-	if l.stopping.Load() && route.Stream {
-		return result.New(result.Stopping, "this daemon is shutting down")
+	if by, stopping := l.isStopping(); stopping && route.Stream && now+u.usualTime() > by {
+		return result.New(result.Stopping, "this daemon ends in %d ms", by-now)
 	}
 	l.Repeats.Request(route.Pool(u.point()), now)
 	for {
@@ -79,6 +79,23 @@
 	}
 }
 
+// usualTime returns how long the answer may be expected to take.
+func (u *run) usualTime() clock.Millis {
+	pool, _ := u.relay.Views().Catalog.Pool(u.route.Pool(u.point()))
+	models := u.route.Models
+	model := u.request.Model
+	if u.request.AnyModel && len(models) > 0 {
+		model = models[len(models)-1]
+	}
+	pace := u.relay.Book.Pace(pool.Name, model)
+	tokens := u.request.Prompt.Write
+	if u.request.Length > 0 {
+		tokens = u.request.Length
+	}
+	events := float64(tokens) / float64(max(pool.EventTokens, 1))
+	return pace.First(u.request.Prompt.Read) + clock.Millis(events*pace.Gap())
+}
+
 // point is the request's place among the shares of its route; requests of one
 // session have the same.
 func (u *run) point() float64 {
@@ -168,6 +185,15 @@
 		attempt.Model = u.model
 	}
 	u.sent++
+	until := time.Now().Add((u.deadline - l.Clock.Now()).Duration())
+	headBy := until
+	unread := 0
+	if u.pool.Generates() {
+		unread = l.Book.Unread(server, q.Prompt, u.model)
+	}
+	if patience := u.headPatience(unread); patience > 0 && time.Now().Add(patience).Before(until) {
+		headBy = time.Now().Add(patience)
+	}
 	answer, err := l.Client.Do(u.http.Context(), &h1.Call{
 		Address: server.Address,
 		Method:  q.Method,
@@ -177,15 +203,44 @@
 		Body:    q.Body,
 		ID:      q.ID,
 		Fresh:   u.route.Repeat == catalog.AtMostOnce,
-		Until:   time.Now().Add((u.deadline - l.Clock.Now()).Duration()),
+		HeadBy:  headBy,
+		Until:   until,
 	})
 	if err != nil {
 		return false, u.callFailed(server, began, err)
 	}
 	defer answer.Close()
+	if answer.Status < http.StatusMultipleChoices {
+		l.Book.NoteFirst(u.pool.Name, u.model, unread, l.Clock.Now()-began)
+	}
 	return u.takeAnswer(server, answer, began)
 }
 
+const (
+	// headFactor x the time that a server usually takes to answer, and headSlack
+	// more, is how long a request that may run again waits for it.
+	headFactor = 3
+	headSlack  = 700 * clock.Millis(1)
+	// plainHeadSlack is the same for plain calls, whose servers answer within
+	// tens of ms.
+	plainHeadSlack = 100 * clock.Millis(1)
+)
+
+// headPatience returns how long to wait for the head of an answer before the
+// request is sent elsewhere; 0 is until the deadline. A server may have lost
+// the answer, which nothing else shows.
+func (u *run) headPatience(unread int) time.Duration {
+	if u.route.Repeat == catalog.AtMostOnce || len(u.ran)+1 >= u.route.MaxAttempts {
+		return 0
+	}
+	slack := plainHeadSlack
+	if u.pool.Generates() {
+		slack = headSlack
+	}
+	usual := u.relay.Book.Pace(u.pool.Name, u.model).First(unread)
+	return (headFactor*usual + slack).Duration()
+}
+
 // callFailed decides what follows a call without an answer.
 func (u *run) callFailed(server *fleet.Entry, began clock.Millis, err error) error {
 	l := u.relay
@@ -199,7 +254,12 @@
 	}
 	u.lastSeen = failure.Error()
 	u.log("attempt failed", server, "sent", failure.Sent, "reused", failure.Reused, "error", failure.Error())
-	if !failure.Reused || failure.Silent {
+	switch {
+	case u.relay.Clock.Now() >= u.deadline:
+		// It was the request's time that ran out.
+	case failure.Sent && failure.Silent:
+		l.Book.NoteFault(server, now)
+	case !failure.Reused || failure.Silent:
 		l.Book.NoteFailure(server, now)
 	}
 	if !failure.Sent {
@@ -232,14 +292,14 @@
 func (u *run) takeAnswer(server *fleet.Entry, answer *h1.Answer, began clock.Millis) (bool, error) {
 	l := u.relay
 	now := l.Clock.Now()
-	reply := l.Dialect.Decode(answer.Status, answer.Header)
+	reply := l.Dialect.Decode(server.ID, answer.Status, answer.Header)
 	l.Book.Note(server, bearing.Seen{
 		HasLoad: reply.HasLoad, Held: reply.Running + reply.Waiting, Slots: reply.Slots, ColdFor: reply.ColdFor,
 	}, now)
 	if reply.WrongServer {
 		u.refused = append(u.refused, server.ID)
 		u.lastSeen = "another server has the address"
-		l.Book.NoteFailure(server, now)
+		l.Replaced(server.ID, now)
 		u.log("wrong server", server)
 		return false, nil
 	}
@@ -256,6 +316,9 @@
 		return false, nil
 	}
 	failed := answer.Status >= http.StatusInternalServerError
+	if failed {
+		l.Book.NoteFault(server, now)
+	}
 	l.Steer.Outcome(u.view, server, u.route, Outcome{Judged: true, Failed: failed, First: now - began})
 	if failed && !u.began && u.mayRepeat(server) && u.deadline-now > leastUseful {
 		u.lastSeen = http.StatusText(answer.Status) + " from the server"
