Start with the smallest model and escalate by its confidence

The bar falls while the largest model can't answer within the aim.

Also: the wait for a head counts abandoned answers and is bounded by the aim, since it shrank itself under load; idle connections are closed last, since a request that crossed the close was passed on and lost.

--- a/internal/decision/admission/repeat_budget.go
+++ b/internal/decision/admission/repeat_budget.go
@@ -34,7 +34,7 @@
 
 // repeatShare of the allowance is used, since the servers' windows don't begin
 // with ours and a call may arrive later than it was sent.
-const repeatShare = 0.7
+const repeatShare = 0.85
 
 // NewRepeatBudget returns a budget of ratio x requests + slack in each window.
 func NewRepeatBudget(ratio, slack float64, window clock.Millis) *RepeatBudget {
@@ -60,21 +60,39 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.slice(pool, now)
-	requests, repeats := 0, 0
-	for _, s := range b.pools[pool].slices {
-		if now-s.began < b.window {
-			requests += s.requests
-			repeats += s.repeats
-		}
-	}
-	allowed := repeatShare * (b.ratio*float64(requests) + b.slack/float64(b.divisor))
-	if float64(repeats+1) > allowed {
+	repeats, allowed := b.count(pool, now)
+	if repeats+1 > allowed {
 		return false
 	}
 	current.repeats++
 	return true
 }
 
+// reserved is the share of the budget that is left for repeats after failures.
+const reserved = 0.2
+
+// HasRoom tells whether a repeat that could be done without leaves enough for
+// those after failures.
+func (b *RepeatBudget) HasRoom(pool string, now clock.Millis) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slice(pool, now)
+	repeats, allowed := b.count(pool, now)
+	return repeats+1 <= allowed*(1-reserved)
+}
+
+// count returns the repeats in the window and how many are allowed.
+func (b *RepeatBudget) count(pool string, now clock.Millis) (repeats, allowed float64) {
+	requests := 0.0
+	for _, s := range b.pools[pool].slices {
+		if now-s.began < b.window {
+			requests += float64(s.requests)
+			repeats += float64(s.repeats)
+		}
+	}
+	return repeats, repeatShare * (b.ratio*requests + b.slack/float64(b.divisor))
+}
+
 func (b *RepeatBudget) slice(pool string, now clock.Millis) *repeatSlice {
 	c, ok := b.pools[pool]
 	if !ok {
--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -32,6 +32,8 @@
 	StopS        float64 `json:"stop_s" doc:"time between SIGTERM and SIGKILL, in seconds"`
 	SessionS     float64 `json:"session_s" doc:"pause after which a session is over, in seconds"`
 	ExposedShare float64 `json:"exposed_share" doc:"share of a pool's requests that a version on trial may get"`
+	AcceptCalm   int64   `json:"accept_calm" doc:"least confidence of a small model's answer that is accepted while the largest model answers in time" unit:"%" min:"0" max:"100"`
+	AcceptBusy   int64   `json:"accept_busy" doc:"the same while the largest model can't answer in time" unit:"%" min:"0" max:"100"`
 	DrainMs      int64   `json:"drain_ms" doc:"time in which a server that leaves must get no more work" unit:"ms" min:"0" max:"600000"`
 }
 
@@ -105,6 +107,8 @@
 // Stop paces a graceful shutdown.
 type Stop struct {
 	BalancerWaitMs int64 `json:"balancer_wait_ms" doc:"time for the balancer to see that the daemon isn't ready" unit:"ms" min:"0" max:"600000"`
+	AcceptCalm     int64 `json:"accept_calm" doc:"least confidence of a small model's answer that is accepted while the largest model answers in time" unit:"%" min:"0" max:"100"`
+	AcceptBusy     int64 `json:"accept_busy" doc:"the same while the largest model can't answer in time" unit:"%" min:"0" max:"100"`
 	DrainMs        int64 `json:"drain_ms" doc:"longest wait for requests under way" unit:"ms" min:"0" max:"86400000"`
 }
 
--- /dev/null
+++ b/internal/traffic/relay/models.go
@@ -0,0 +1,47 @@
+package relay
+
+import "gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+
+// top is the index of the route's largest model.
+func (u *run) top() int { return max(len(u.route.Models)-1, 0) }
+
+// firstLevel is the model that a request starts with: the smallest, whose head
+// costs little time and tells how far its answer can be trusted. The rest of an
+// answer that the caller has in part is made by the largest, since it isn't
+// known which model made the beginning.
+func (u *run) firstLevel() int {
+	if u.request.After != "" {
+		return u.top()
+	}
+	return 0
+}
+
+// chooseModel returns the model that the server is told to use.
+func (u *run) chooseModel() string {
+	if !u.request.AnyModel {
+		return u.request.Model
+	}
+	if len(u.route.Models) == 0 {
+		return ""
+	}
+	return u.route.Models[min(u.level, u.top())]
+}
+
+// escalates tells whether the answer of a small model is dropped for that of the
+// largest. Nothing of it has gone to the caller yet.
+func (u *run) escalates(reply Reply, now clock.Millis) bool {
+	if !u.request.AnyModel || u.began || u.level >= u.top() || reply.Confidence < 0 {
+		return false
+	}
+	// One run is kept for a server that fails.
+	if u.runs+2 > u.route.MaxAttempts {
+		return false
+	}
+	pace := u.relay.Book.Pace(u.pool.Name, u.route.Models[u.top()])
+	head := now - u.request.Arrived + pace.First(u.request.Prompt.Read)
+	if now+head >= u.deadline {
+		return false
+	}
+	bar := u.relay.Bar.At(float64(head) / float64(max(u.route.Aim, 1)))
+	return reply.Confidence < bar && u.relay.Repeats.HasRoom(u.pool.Name, now)
+}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
+	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -30,6 +31,8 @@
 	Book    *bearing.Book
 	Repeats *admission.RepeatBudget
 	Steer   Steer
+	// Bar tells which answers of small models are good enough.
+	Bar cascade.Bar
 	// Replaced takes in that another server has a server's address.
 	Replaced func(id string, now clock.Millis)
 }
@@ -58,6 +61,7 @@
 	Dependencies
 	open   atomic.Int64
 	stopBy atomic.Int64 // instant at which the daemon ends; 0 while it doesn't stop
+	ended  atomic.Bool  // the daemon takes no more requests
 }
 
 // New returns a relay.
@@ -73,6 +77,10 @@
 	l.stopBy.Store(int64(l.Clock.Now()) + in.Milliseconds())
 }
 
+// SetEnded tells the relay that the daemon takes no more requests. One that
+// crosses the closing of its connection must not reach a server.
+func (l *Relay) SetEnded() { l.ended.Store(true) }
+
 // isStopping tells whether the daemon ends, and when.
 func (l *Relay) isStopping() (by clock.Millis, stopping bool) {
 	by = clock.Millis(l.stopBy.Load())
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -31,6 +31,8 @@
 	model    string
 	deadline clock.Millis
 
+	level    int      // of the model among the route's
+	runs     int      // answers that servers began
 	sent     int      // attempts that reached a server, or may have
 	ran      []string // servers on which it ran or may have run
 	refused  []string // servers that stated that they didn't run it
@@ -67,6 +69,10 @@
 	}
 	u.lastID = q.After
 	u.route, u.account = route, account
+	u.level = u.firstLevel()
+	if l.ended.Load() {
+		return result.New(result.Stopping, "this daemon ends")
+	}
 	if by, stopping := l.isStopping(); stopping && route.Stream && now+u.usualTime() > by {
 		return result.New(result.Stopping, "this daemon ends in %d ms", by-now)
 	}
@@ -160,17 +166,6 @@
 	return slices.Contains(u.ran, id) || slices.Contains(u.refused, id)
 }
 
-// chooseModel returns the model that the server is told to use.
-func (u *run) chooseModel() string {
-	if !u.request.AnyModel {
-		return u.request.Model
-	}
-	if len(u.route.Models) == 0 {
-		return ""
-	}
-	return u.route.Models[len(u.route.Models)-1]
-}
-
 // callServer makes the call and relays its answer.
 func (u *run) callServer(server *fleet.Entry, began clock.Millis) (bool, error) {
 	l, q := u.relay, u.request
@@ -207,7 +202,7 @@
 		Until:   until,
 	})
 	if err != nil {
-		return false, u.callFailed(server, began, err)
+		return false, u.callFailed(server, unread, began, err)
 	}
 	defer answer.Close()
 	if answer.Status < http.StatusMultipleChoices {
@@ -224,6 +219,9 @@
 	// plainHeadSlack is the same for plain calls, whose servers answer within
 	// tens of ms.
 	plainHeadSlack = 100 * clock.Millis(1)
+	// headAims x the route's aim is the longest wait: a slower answer is late
+	// anyway, and what is usual grows with the answers that were lost.
+	headAims = 1.5
 )
 
 // headPatience returns how long to wait for the head of an answer before the
@@ -238,11 +236,11 @@
 		slack = headSlack
 	}
 	usual := u.relay.Book.Pace(u.pool.Name, u.model).First(unread)
-	return (headFactor*usual + slack).Duration()
+	return min(headFactor*usual+slack, max(clock.Millis(headAims*float64(u.route.Aim)), slack)).Duration()
 }
 
 // callFailed decides what follows a call without an answer.
-func (u *run) callFailed(server *fleet.Entry, began clock.Millis, err error) error {
+func (u *run) callFailed(server *fleet.Entry, unread int, began clock.Millis, err error) error {
 	l := u.relay
 	now := l.Clock.Now()
 	if u.http.Context().Err() != nil {
@@ -254,6 +252,10 @@
 	}
 	u.lastSeen = failure.Error()
 	u.log("attempt failed", server, "sent", failure.Sent, "reused", failure.Reused, "error", failure.Error())
+	if failure.Sent && failure.Silent {
+		// It would have taken at least as long.
+		l.Book.NoteFirst(u.pool.Name, u.model, unread, now-began)
+	}
 	switch {
 	case u.relay.Clock.Now() >= u.deadline:
 		// It was the request's time that ran out.
@@ -315,11 +317,18 @@
 		}
 		return false, nil
 	}
+	u.runs++
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed {
 		l.Book.NoteFault(server, now)
 	}
 	l.Steer.Outcome(u.view, server, u.route, Outcome{Judged: true, Failed: failed, First: now - began})
+	if !failed && u.escalates(reply, now) {
+		u.log("escalated", server, "confidence", reply.Confidence)
+		u.level = u.top()
+		u.lastSeen = "a small model was unsure of its answer"
+		return false, nil
+	}
 	if failed && !u.began && u.mayRepeat(server) && u.deadline-now > leastUseful {
 		u.lastSeen = http.StatusText(answer.Status) + " from the server"
 		u.log("server failed", server, "status", answer.Status)
