--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -61,7 +61,9 @@
 	Dependencies
 	open   atomic.Int64
 	stopBy atomic.Int64 // instant at which the daemon ends; 0 while it doesn't stop
-	ended  atomic.Bool  // the daemon takes no more requests
+	// noStreams is the instant from which on a daemon that stops takes no streams.
+	noStreams atomic.Int64
+	ended     atomic.Bool // the daemon takes no more requests
 }
 
 // New returns a relay.
@@ -71,10 +73,12 @@
 func (l *Relay) Open() int64 { return l.open.Load() }
 
 // SetStopping tells the relay that the daemon ends after the time given. Streams
-// that can't be expected to end before are refused, and callers are asked to
-// connect anew.
-func (l *Relay) SetStopping(in time.Duration) {
-	l.stopBy.Store(int64(l.Clock.Now()) + in.Milliseconds())
+// that can't be expected to end before are refused, and all of them once the
+// balancer has had the time to send none; callers are asked to connect anew.
+func (l *Relay) SetStopping(in, balancer time.Duration) {
+	now := int64(l.Clock.Now())
+	l.noStreams.Store(now + balancer.Milliseconds())
+	l.stopBy.Store(now + in.Milliseconds())
 }
 
 // SetEnded tells the relay that the daemon takes no more requests. One that
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -73,7 +73,8 @@
 	if l.ended.Load() {
 		return result.New(result.Stopping, "this daemon ends")
 	}
-	if by, stopping := l.isStopping(); stopping && route.Stream && now+u.usualTime() > by {
+	if by, stopping := l.isStopping(); stopping && route.Stream &&
+		(now >= clock.Millis(l.noStreams.Load()) || now+u.usualTime() > by) {
 		return result.New(result.Stopping, "this daemon ends in %d ms", by-now)
 	}
 	l.Repeats.Request(route.Pool(u.point()), now)
