Keep sessions on their version across daemons; end without cutting calls

Daemons tell each other which sessions due for the new version ran lately on an old one; the trial begins 1.5 s after the order, once they have. Ruled out: rows for pins (a write a session), trials on requests without a session (there are none among generations).

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"slices"
 	"sync"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
@@ -30,7 +31,7 @@
 }
 
 // SetOwn replaces what this daemon tells of itself.
-func (b *Board) SetOwn(loads map[string]int, tallies map[steer.Subject]rollout.Tally) {
+func (b *Board) SetOwn(loads map[string]int, tallies map[steer.Subject]rollout.Tally, kept map[int64][]uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.own.Sequence++
@@ -40,6 +41,7 @@
 			b.own.Loads[id] = n
 		}
 	}
+	b.own.Kept = kept
 	b.own.Tallies = b.own.Tallies[:0:0]
 	for subject, t := range tallies {
 		b.own.Tallies = append(b.own.Tallies, Counted{subject, t})
@@ -122,6 +124,18 @@
 	return routes
 }
 
+// IsKept tells whether another daemon keeps the session on an old version.
+func (b *Board) IsKept(order int64, session uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.records {
+		if slices.Contains(r.Kept[order], session) {
+			return true
+		}
+	}
+	return false
+}
+
 // Live returns how many daemons were heard of lately, this one included.
 func (b *Board) Live() int {
 	b.mu.Lock()
--- a/internal/control/board/record.go
+++ b/internal/control/board/record.go
@@ -15,6 +15,9 @@
 	Sequence    int64          `json:"q"` // counts the daemon's records
 	Loads       map[string]int `json:"l"` // requests under way, by server
 	Tallies     []Counted      `json:"t"`
+	// Kept are the sessions that keep an old version, as hashes, by the order of
+	// the roll-out.
+	Kept map[int64][]uint64 `json:"k"`
 }
 
 // Counted is a tally with what it is about.
--- a/internal/foundation/container/lru.go
+++ b/internal/foundation/container/lru.go
@@ -54,6 +54,19 @@
 	}
 }
 
+// Each calls visit for every entry, the one used last first, until it returns false.
+// It doesn't mark entries as used, and visit must not use the map.
+func (l *LRU[K, V]) Each(visit func(K, V) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.order.Front(); e != nil; e = e.Next() {
+		entry, ok := e.Value.(*lruEntry[K, V])
+		if !ok || !visit(entry.key, entry.value) {
+			return
+		}
+	}
+}
+
 // Len returns the number of entries.
 func (l *LRU[K, V]) Len() int {
 	l.mu.Lock()
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -21,6 +21,9 @@
 	if server != nil {
 		fields = append(fields, "server", server.ID, "version", server.Version)
 	}
+	if u.request.Session != "" {
+		fields = append(fields, "session", u.request.Session)
+	}
 	fields = append(fields, "attempts", u.sent)
 	l.Log.Info(what, append(fields, more...)...)
 }
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -73,8 +73,7 @@
 	if l.ended.Load() {
 		return result.New(result.Stopping, "this daemon ends")
 	}
-	if by, stopping := l.isStopping(); stopping && route.Stream &&
-		(now >= clock.Millis(l.noStreams.Load()) || now+u.usualTime() > by) {
+	if by, stopping := l.isStopping(); stopping && !u.endsBefore(by, now) {
 		return result.New(result.Stopping, "this daemon ends in %d ms", by-now)
 	}
 	l.Repeats.Request(route.Pool(u.point()), now)
@@ -86,6 +85,17 @@
 	}
 }
 
+// endsBefore tells whether the answer can be expected to end before the daemon.
+func (u *run) endsBefore(end, now clock.Millis) bool {
+	if !u.route.Stream {
+		return now+min(u.route.Timeout, plainEnd) <= end
+	}
+	return now < clock.Millis(u.relay.noStreams.Load()) && now+u.usualTime() <= end
+}
+
+// plainEnd is the time in which plain calls end, though their routes allow more.
+const plainEnd = 1_500 * clock.Millis(1)
+
 // usualTime returns how long the answer may be expected to take.
 func (u *run) usualTime() clock.Millis {
 	pool, _ := u.relay.Views().Catalog.Pool(u.route.Pool(u.point()))
--- a/internal/traffic/steer/steer.go
+++ b/internal/traffic/steer/steer.go
@@ -19,6 +19,9 @@
 	pinLimit = 8192
 	// pinSlack is how much longer than a session lasts its version is kept.
 	pinSlack = 1_000 * clock.Millis(1)
+	// trialDelay is how long after the order the new version gets nothing: the
+	// daemons tell each other meanwhile which sessions keep their version.
+	trialDelay = 1_500 * clock.Millis(1)
 )
 
 // pinKey is a session at a pool.
@@ -35,12 +38,15 @@
 
 // Steer implements relay.Steer. It is safe for concurrent use.
 type Steer struct {
-	clock    clock.Clock
-	session  clock.Millis // pause after which a session is over
-	exposed  float64      // share of requests that a bad version may get
-	pins     *container.LRU[pinKey, pin]
-	mu       sync.Mutex
-	evidence map[string]*evidence // by pool
+	clock   clock.Clock
+	session clock.Millis // pause after which a session is over
+	exposed float64      // share of requests that a bad version may get
+	pins    *container.LRU[pinKey, pin]
+	// keptElsewhere tells whether another daemon keeps the session, by its hash,
+	// on an old version during the roll-out.
+	keptElsewhere func(order int64, session uint64) bool
+	mu            sync.Mutex
+	evidence      map[string]*evidence // by pool
 }
 
 // evidence is what this daemon has seen since a pool's roll-out was ordered.
@@ -60,13 +66,14 @@
 
 // New returns a steer for sessions that last until a pause of the given length,
 // and for versions on trial that may get the share of a pool's requests.
-func New(c clock.Clock, session clock.Millis, exposed float64) *Steer {
+func New(c clock.Clock, session clock.Millis, exposed float64, keptElsewhere func(order int64, session uint64) bool) *Steer {
 	return &Steer{
-		clock:    c,
-		session:  session,
-		exposed:  exposed,
-		pins:     container.NewLRU[pinKey, pin](pinLimit),
-		evidence: make(map[string]*evidence),
+		keptElsewhere: keptElsewhere,
+		clock:         c,
+		session:       session,
+		exposed:       exposed,
+		pins:          container.NewLRU[pinKey, pin](pinLimit),
+		evidence:      make(map[string]*evidence),
 	}
 }
 
@@ -94,12 +101,49 @@
 	if seed == "" {
 		seed = q.ID
 	}
-	if container.Point(r.Target, seed) < rollout.ShareAt(r.Progress(now), s.exposed) {
+	if container.Point(r.Target, seed) < s.share(r, now) && !s.isKeptElsewhere(r, q.Session, now) {
 		return s.ifServed(v, pool, trial)
 	}
 	return s.ifServed(v, pool, rest)
 }
 
+// share returns the new version's share of requests at that instant.
+func (s *Steer) share(r fleet.Rollout, now clock.Millis) float64 {
+	if now < r.Began+trialDelay {
+		return 0
+	}
+	return rollout.ShareAt(r.Progress(now), s.exposed)
+}
+
+// isKeptElsewhere tells whether another daemon has the session on an old version.
+func (s *Steer) isKeptElsewhere(r fleet.Rollout, session string, now clock.Millis) bool {
+	return session != "" && !r.HalfOver(now) && s.keptElsewhere(r.Order, container.Hash(session))
+}
+
+// Kept returns the sessions that are due for the new version of some roll-out but
+// ran lately on another one here, as hashes, by the order of the roll-out. They
+// keep their version in the first half, on other daemons too.
+func (s *Steer) Kept(v *fleet.View) map[int64][]uint64 {
+	now := s.clock.Now()
+	kept := make(map[int64][]uint64)
+	for _, r := range v.Rollouts {
+		if r.Stage == fleet.Completed || r.Stage == fleet.RolledBack || r.HalfOver(now) {
+			continue
+		}
+		due := rollout.ShareAt(r.Progress(now), s.exposed)
+		s.pins.Each(func(key pinKey, p pin) bool {
+			if now-p.at >= s.session+pinSlack {
+				return false
+			}
+			if key.pool == r.Pool && p.version != r.Target && container.Point(r.Target, key.session) < due {
+				kept[r.Order] = append(kept[r.Order], container.Hash(key.session))
+			}
+			return true
+		})
+	}
+	return kept
+}
+
 // ifServed returns the choice of versions, or nil where no server in service has
 // one of them: being served counts for more than the version.
 func (s *Steer) ifServed(v *fleet.View, pool string, versions func(string) bool) func(string) bool {
