Place by the reading that is due at a server; agree on servers for shared prompts

Loads now carry the time of prompts that are still to be read, and the two servers with the highest rendezvous weight are taken as having most of a shared beginning.

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/steer"
@@ -31,14 +32,14 @@
 }
 
 // SetOwn replaces what this daemon tells of itself.
-func (b *Board) SetOwn(loads map[string]int, tallies map[steer.Subject]rollout.Tally, kept map[int64][]uint64) {
+func (b *Board) SetOwn(loads map[string]bearing.Load, tallies map[steer.Subject]rollout.Tally, kept map[int64][]uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.own.Sequence++
-	b.own.Loads = make(map[string]int, len(loads))
-	for id, n := range loads {
-		if n > 0 {
-			b.own.Loads[id] = n
+	b.own.Loads = make(map[string]bearing.Load, len(loads))
+	for id, load := range loads {
+		if load.Calls > 0 {
+			b.own.Loads[id] = load
 		}
 	}
 	b.own.Kept = kept
@@ -81,17 +82,17 @@
 
 // Loads returns what the other daemons have under way, by server, as far as it
 // was heard lately.
-func (b *Board) Loads() map[string]int {
+func (b *Board) Loads() map[string]bearing.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	loads := make(map[string]int)
+	loads := make(map[string]bearing.Load)
 	for _, r := range b.records {
 		if now-r.at >= loadLife {
 			continue
 		}
-		for id, n := range r.Loads {
-			loads[id] += n
+		for id, load := range r.Loads {
+			loads[id] = loads[id].Plus(load)
 		}
 	}
 	return loads
--- a/internal/control/board/record.go
+++ b/internal/control/board/record.go
@@ -3,6 +3,7 @@
 package board
 
 import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/steer"
 )
@@ -10,11 +11,12 @@
 // Record is what one daemon tells all others of itself. A later one replaces an
 // earlier one.
 type Record struct {
-	Host        string         `json:"h"`
-	Incarnation int64          `json:"i"` // Unix time of the daemon's start in ns
-	Sequence    int64          `json:"q"` // counts the daemon's records
-	Loads       map[string]int `json:"l"` // requests under way, by server
-	Tallies     []Counted      `json:"t"`
+	Host        string `json:"h"`
+	Incarnation int64  `json:"i"` // Unix time of the daemon's start in ns
+	Sequence    int64  `json:"q"` // counts the daemon's records
+	// Loads are what the daemon has under way, by server.
+	Loads   map[string]bearing.Load `json:"l"`
+	Tallies []Counted               `json:"t"`
 	// Kept are the sessions that keep an old version, as hashes, by the order of
 	// the roll-out.
 	Kept map[int64][]uint64 `json:"k"`
--- a/internal/control/pilot/pilot.go
+++ b/internal/control/pilot/pilot.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/board"
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -57,7 +58,7 @@
 	board    *board.Board
 	closer   Closer
 	recorder Recorder
-	own      func() map[string]int // requests under way on this daemon, by server
+	own      func() map[string]bearing.Load // of this daemon, by server
 
 	due     map[string]clock.Millis                   // since when a step is due, by pool and stage
 	history map[int64][]map[string]rollout.Comparison // by order, the last looks
@@ -73,7 +74,7 @@
 	Board    *board.Board
 	Closer   Closer
 	Recorder Recorder
-	Own      func() map[string]int
+	Own      func() map[string]bearing.Load
 }
 
 // New returns a pilot.
@@ -164,7 +165,7 @@
 func (p *Pilot) restBusy(v *fleet.View, r fleet.Rollout) bool {
 	others, own := p.board.Loads(), p.own()
 	for _, e := range v.Pool(r.Pool) {
-		if e.Version != r.Target && others[e.ID]+own[e.ID] > 0 {
+		if e.Version != r.Target && others[e.ID].Calls+own[e.ID].Calls > 0 {
 			return true
 		}
 	}
--- a/internal/decision/bearing/book.go
+++ b/internal/decision/bearing/book.go
@@ -34,13 +34,16 @@
 // serverState is what is known of one incarnation of a server.
 type serverState struct {
 	born     int64
-	own      int // calls of this daemon under way
-	reported int // requests that the server said it holds, less those of this daemon at that time
+	own      Load // of this daemon
+	reported int  // requests that the server said it holds, less those of this daemon at that time
 	heard    clock.Millis
-	others   int // requests that the other daemons say they have under way
+	others   Load // of the other daemons, as they tell
 	othersAt clock.Millis
 	slots    int
 
+	slow   float64 // logarithm of the time to the head against what is usual in the pool
+	slowAt clock.Millis
+
 	failures   int     // in a row
 	faulty     float64 // share of calls that failed lately
 	faultyAt   clock.Millis
@@ -60,7 +63,7 @@
 	if ok && s.born == e.Born {
 		return s
 	}
-	own := 0
+	var own Load
 	if ok {
 		own = s.own
 	}
@@ -74,24 +77,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.servers {
-		if s.own == 0 && !keep(id) {
+		if s.own.Calls == 0 && !keep(id) {
 			delete(b.servers, id)
 		}
 	}
 }
 
-// load returns how many requests the server is believed to hold.
-func (s *serverState) load(now clock.Millis) int {
-	others := 0
-	switch {
-	case s.heard != 0 && now-s.heard < freshReport:
-		others = s.reported
-	case s.othersAt != 0 && now-s.othersAt < reportLife:
+// load returns what the server is believed to hold. Only the daemons know how
+// much is still to be read.
+func (s *serverState) load(now clock.Millis) Load {
+	var others Load
+	if s.othersAt != 0 && now-s.othersAt < reportLife {
 		others = s.others
-	case s.heard != 0 && now-s.heard < reportLife:
-		others = s.reported
 	}
-	return s.own + max(others, 0)
+	if s.heard != 0 && (now-s.heard < freshReport || (s.othersAt == 0 && now-s.heard < reportLife)) {
+		others.Calls = max(s.reported, 0)
+	}
+	return s.own.Plus(others)
 }
 
 // Seen is what the head of a server's answer says of it.
@@ -110,7 +112,7 @@
 	s.failures, s.benchUntil = 0, 0
 	s.noteFault(false, now)
 	if seen.HasLoad {
-		s.reported, s.heard, s.slots = seen.Held-s.own, now, seen.Slots
+		s.reported, s.heard, s.slots = seen.Held-s.own.Calls, now, seen.Slots
 	}
 	if seen.ColdFor > 0 {
 		s.coldUntil = now + seen.ColdFor
@@ -138,6 +140,28 @@
 	return s.faulty * math.Exp2(-float64(now-s.faultyAt)/faultHalfLife)
 }
 
+const (
+	// slowMemory is over how many answers a server's slowness is taken, and
+	// slowHalfLife how long it is remembered.
+	slowMemory   = 6
+	slowHalfLife = 5_000.0 // ms
+	// slowRange bounds what one answer shows, as a factor.
+	slowRange = 8.0
+)
+
+// noteSlow takes in how long a head took against what is usual.
+func (s *serverState) noteSlow(took, usual clock.Millis, now clock.Millis) {
+	ratio := float64(max(took, 1)) / float64(max(usual, 1))
+	ratio = min(max(ratio, 1/slowRange), slowRange)
+	old := s.slow * math.Exp2(-float64(now-s.slowAt)/slowHalfLife)
+	s.slow, s.slowAt = old+(math.Log(ratio)-old)/slowMemory, now
+}
+
+// slowness returns the factor by which the server is slower than others.
+func (s *serverState) slowness(now clock.Millis) float64 {
+	return math.Exp(s.slow * math.Exp2(-float64(now-s.slowAt)/slowHalfLife))
+}
+
 // NoteFault takes in that a call failed for a reason that is the server's,
 // though it answers.
 func (b *Book) NoteFault(e *fleet.Entry, now clock.Millis) {
@@ -162,7 +186,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(e)
-	s.reported, s.heard = max(s.reported, s.slots+s.slots/2-s.own), now
+	s.reported, s.heard = max(s.reported, s.slots+s.slots/2-s.own.Calls), now
 }
 
 // NoteCached takes in that the server has read the prompt for the model.
@@ -176,15 +200,26 @@
 	}
 }
 
+// Read takes in that the server has read the prompt, or won't.
+func (b *Book) Read(c *Choice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(&c.Server).own.Reading -= c.Reading
+	c.Reading = 0
+}
+
 // Done takes in that a call has ended.
-func (b *Book) Done(e *fleet.Entry) {
+func (b *Book) Done(c *Choice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(e).own--
+	s := b.state(&c.Server)
+	s.own.Reading -= c.Reading
+	s.own.Calls--
+	c.Reading = 0
 }
 
 // SetOthers takes in what the other daemons have under way, by server.
-func (b *Book) SetOthers(loads map[string]int, now clock.Millis) {
+func (b *Book) SetOthers(loads map[string]Load, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.servers {
@@ -193,10 +228,10 @@
 }
 
 // Loads returns this daemon's calls under way, by server.
-func (b *Book) Loads() map[string]int {
+func (b *Book) Loads() map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	loads := make(map[string]int, len(b.servers))
+	loads := make(map[string]Load, len(b.servers))
 	for id, s := range b.servers {
 		loads[id] = s.own
 	}
--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -9,15 +9,33 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
-// Weights of the parts of a server's cost, in slots' worth of load. A server
-// that lacks a cached prompt costs more than one that is a little busier, since
-// reading a long prompt delays everything that runs there.
+// A server's cost is an estimate of the time, in ms, that the request and those
+// beside it lose there.
 const (
-	costFar      = 0.02  // in another data centre: about a millisecond and the bytes between
-	costUncached = 0.06  // for each 1,000 tokens to be read
-	costRank     = 0.015 // for each place down the agreed order of a prompt's servers
-	maxRank      = 8
-	costFaulty   = 4.0 // for a server all of whose calls failed lately
+	// costEngineCall is what one more request at a model engine costs: a few
+	// hundredths of the time of each token of those that run beside it.
+	costEngineCall = 40.0
+	// costPlainCall is the same at a plain server, which runs a few at once.
+	costPlainCall = 4.0
+	// costFar is added in another data centre, mostly for the bytes between.
+	costFar = 8.0
+	// costFaulty is added for a server all of whose calls failed lately: about the
+	// time that a repeat takes.
+	costFaulty = 3_000.0
+	// costTried and costBenched put servers that failed this request, or all lately,
+	// behind all others.
+	costTried   = 100_000.0
+	costBenched = 50_000.0
+	// costNoise is the range of what is added by chance, so that daemons which know
+	// the same don't choose the same.
+	costNoise = 12.0
+	// agreedShare of a prompt's shared beginning is taken as kept by the servers on
+	// which the daemons agree for it, first and second.
+	agreedFirst  = 0.85
+	agreedSecond = 0.45
+	// waitingShare of its slots is how many more requests a server is sent than
+	// it runs at once; they are next when a slot is free.
+	waitingShare = 0.5
 )
 
 // Ask is what needs a server.
@@ -27,7 +45,8 @@
 	Hosts      int    // that share what a cold server bears
 	Model      string
 	Prompt     Prompt
-	Version    func(version string) bool // tells whether servers of the version may be used
+	Salt       uint64                    // differs between requests
+	Version    func(version string) bool // tells whether servers of the version may be used; nil allows all
 	Tried      func(id string) bool      // tells whether a server is to be taken last
 	Now        clock.Millis
 }
@@ -42,91 +61,151 @@
 	Full           // those in service have no room
 )
 
+// Choice is a server with the place that the request has there.
+type Choice struct {
+	Server  fleet.Entry
+	Unread  int          // tokens of the prompt that the server has to read
+	Reading clock.Millis // time that it takes to read them
+}
+
 // Choose returns the server for the request and counts the request as under way
-// there. Done ends that.
-func (b *Book) Choose(v *fleet.View, a Ask) (fleet.Entry, Verdict) {
+// there until Done.
+//
+// Load pattern: many daemons with the same old word of the servers' loads, a
+// few shared prompts that are dear to read, and prompts that differ in length a
+// hundredfold. The cost is dominated by the reading that is due at a server, so
+// long prompts spread and shared ones meet where they were read before.
+func (b *Book) Choose(v *fleet.View, a Ask) (Choice, Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entries := v.Pool(a.Pool.Name)
 	b.scratch = a.Prompt.Prefixes(a.Model, b.scratch[:0])
-	var agreed uint64
-	if len(b.scratch) > 0 {
-		agreed = b.scratch[len(b.scratch)-1].Hash
-	}
+	pace := b.paces[paceKey{a.Pool.Name, a.Model}]
+	first, second := b.agreed(v, &a, entries)
 	best, lowest, verdict := -1, math.Inf(1), None
+	var choice Choice
 	for i := range entries {
 		e := &entries[i]
-		if !v.InService(e) || (a.Version != nil && !a.Version(e.Version)) {
+		if !a.mayUse(v, e) {
 			continue
 		}
 		s := b.state(e)
-		cost, room := b.cost(s, e, &a, agreed)
-		if !room {
+		if !b.hasRoom(s, e, &a) {
 			if verdict == None {
 				verdict = Full
 			}
 			continue
 		}
-		if a.Tried != nil && a.Tried(e.ID) {
-			cost += triedCost
-		}
+		unread := b.unread(s, a.Prompt, i == first, i == second)
+		reading := pace.Reading(unread)
+		cost := b.cost(s, e, &a, pace, reading)
 		if cost < lowest {
 			best, lowest = i, cost
+			choice = Choice{Unread: unread, Reading: reading}
 		}
 	}
 	if best < 0 {
-		return fleet.Entry{}, verdict
+		return Choice{}, verdict
 	}
-	e := entries[best]
-	s := b.state(&e)
-	if s.isCold(&e, &a.Pool, a.Now) {
-		s.cold.take(a.Pool.ColdRate/float64(max(a.Hosts, 1)), a.Now)
+	choice.Server = entries[best]
+	b.place(&choice, &a)
+	return choice, Chosen
+}
+
+func (b *Book) place(c *Choice, a *Ask) {
+	s := b.state(&c.Server)
+	if s.isCold(&c.Server, &a.Pool, a.Now) {
+		s.cold.take(a.coldRate(), a.Now)
 	}
-	s.own++
-	return e, Chosen
+	s.own.Calls++
+	s.own.Reading += c.Reading
 }
 
-const (
-	triedCost   = 100
-	benchedCost = 50
-	// waitingShare of its slots is how many more requests a server is sent than
-	// it runs at once; they are next when a slot is free.
-	waitingShare = 0.5
-)
+func (a *Ask) mayUse(v *fleet.View, e *fleet.Entry) bool {
+	return v.InService(e) && (a.Version == nil || a.Version(e.Version))
+}
 
-// cost returns how dear the server is for the request, and whether it has room.
-func (b *Book) cost(s *serverState, e *fleet.Entry, a *Ask, agreed uint64) (float64, bool) {
+// coldRate is this daemon's part of what a cold server bears a second.
+func (a *Ask) coldRate() float64 { return a.Pool.ColdRate / float64(max(a.Hosts, 1)) }
+
+// hasRoom tells whether the server can take one more request.
+func (b *Book) hasRoom(s *serverState, e *fleet.Entry, a *Ask) bool {
 	slots := float64(max(s.slots, e.Slots, 1))
-	load := float64(s.load(a.Now))
-	if load >= slots*(1+waitingShare) {
-		return 0, false
+	if float64(s.load(a.Now).Calls) >= slots*(1+waitingShare) {
+		return false
 	}
-	if s.isCold(e, &a.Pool, a.Now) && !s.cold.ready(a.Pool.ColdRate/float64(max(a.Hosts, 1)), a.Now) {
-		return 0, false
+	return !s.isCold(e, &a.Pool, a.Now) || s.cold.ready(a.coldRate(), a.Now)
+}
+
+func (b *Book) cost(s *serverState, e *fleet.Entry, a *Ask, pace Pace, reading clock.Millis) float64 {
+	load := s.load(a.Now)
+	slots := max(s.slots, e.Slots, 1)
+	call := costPlainCall
+	if a.Pool.Generates() {
+		call = costEngineCall
+	}
+	cost := call * float64(load.Calls)
+	cost += s.slowness(a.Now) * float64(load.Reading+reading+pace.Base())
+	if load.Calls >= slots {
+		// What waits for a slot waits for a part of an answer's time.
+		cost += float64(pace.First(0)) * float64(load.Calls-slots+1) / float64(slots)
 	}
-	cost := load/slots + costFaulty*s.faults(a.Now)
+	cost += costFaulty * s.faults(a.Now)
 	if e.DataCentre != a.DataCentre {
 		cost += costFar
 	}
 	if a.Now < s.benchUntil {
-		cost += benchedCost
+		cost += costBenched
 	}
-	if len(b.scratch) > 0 {
-		cost += costUncached * float64(a.Prompt.Read-s.kept(b.scratch)) / 1000
-		cost += costRank * float64(rank(agreed, e.ID))
+	if a.Tried != nil && a.Tried(e.ID) {
+		cost += costTried
 	}
-	return cost, true
+	const fine = 1024
+	return cost + costNoise*float64(container.Mix(a.Salt, e.ID)%fine)/fine
 }
 
-// Unread returns how many tokens of the prompt the server would have to read.
-func (b *Book) Unread(e *fleet.Entry, p Prompt, model string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.scratch = p.Prefixes(model, b.scratch[:0])
-	return max(p.Read-b.state(e).kept(b.scratch), 0)
+// agreed returns the indices of the two servers on which all daemons agree for
+// the prompt's shared beginning, by rendezvous hash; -1 where there is none.
+func (b *Book) agreed(v *fleet.View, a *Ask, entries []fleet.Entry) (first, second int) {
+	first, second = -1, -1
+	if len(b.scratch) == 0 {
+		return first, second
+	}
+	prompt := b.scratch[len(b.scratch)-1].Hash
+	var highest, next uint64
+	for i := range entries {
+		if !a.mayUse(v, &entries[i]) {
+			continue
+		}
+		weight := container.Mix(prompt, entries[i].ID)
+		switch {
+		case first < 0 || weight > highest:
+			second, next = first, highest
+			first, highest = i, weight
+		case second < 0 || weight > next:
+			second, next = i, weight
+		}
+	}
+	return first, second
+}
+
+// unread returns how many tokens of the prompt the server is expected to read.
+func (b *Book) unread(s *serverState, p Prompt, first, second bool) int {
+	if len(b.scratch) == 0 {
+		return p.Read
+	}
+	kept := float64(s.kept(b.scratch))
+	shared := float64(b.scratch[len(b.scratch)-1].Tokens)
+	switch {
+	case first:
+		kept = max(kept, shared*agreedFirst)
+	case second:
+		kept = max(kept, shared*agreedSecond)
+	}
+	return max(p.Read-int(kept), 0)
 }
 
-// kept returns how many tokens of the prompt the server has read before.
+// kept returns how many tokens of the prompt the server was sent before.
 func (s *serverState) kept(prefixes []Prefix) int {
 	for i := len(prefixes) - 1; i >= 0; i-- {
 		if s.cached.has(prefixes[i].Hash) {
@@ -135,9 +214,3 @@
 	}
 	return 0
 }
-
-// rank is a number from 0 to maxRank on which all daemons agree for a prompt
-// and a server, by which prompts that share a beginning meet at few servers.
-func rank(prompt uint64, server string) int {
-	return int(container.Mix(prompt, server) % (maxRank + 1))
-}
--- /dev/null
+++ b/internal/decision/bearing/load.go
@@ -0,0 +1,14 @@
+package bearing
+
+import "gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+
+// Load is what a daemon has under way at a server.
+type Load struct {
+	Calls   int          `json:"c"`
+	Reading clock.Millis `json:"r"` // time that prompts take which are not yet read
+}
+
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{Calls: l.Calls + o.Calls, Reading: l.Reading + o.Reading}
+}
--- a/internal/decision/bearing/pace.go
+++ b/internal/decision/bearing/pace.go
@@ -54,16 +54,42 @@
 	return p
 }
 
+const (
+	// unknownReading is the time to read a token that is assumed before, in ms, and
+	// leastReading and mostReading bound what the line shows.
+	unknownReading = 0.03
+	leastReading   = 0.002
+	mostReading    = 0.2
+	// longestBase bounds the part of the time that doesn't depend on the prompt.
+	longestBase = 5_000.0
+)
+
+// slope returns the time to read a token, in ms.
+func (p Pace) slope() float64 {
+	spread := p.readSq - p.read*p.read
+	if p.weight < leastWeight || spread < 1 {
+		return unknownReading
+	}
+	return min(max((p.cross-p.read*p.first)/spread, leastReading), mostReading)
+}
+
+// Reading returns the time to read so many tokens.
+func (p Pace) Reading(tokens int) clock.Millis { return clock.Millis(p.slope() * float64(tokens)) }
+
+// Base returns the part of the time to the head that doesn't depend on the prompt.
+func (p Pace) Base() clock.Millis {
+	if p.weight < leastWeight {
+		return 0
+	}
+	return clock.Millis(min(max(p.first-p.slope()*p.read, 0), longestBase))
+}
+
 // First returns the time to the head of an answer that is to be expected.
 func (p Pace) First(tokens int) clock.Millis {
 	if p.weight < leastWeight {
 		return clock.Millis(unknownFirst)
 	}
-	slope := 0.0
-	if spread := p.readSq - p.read*p.read; spread > 1 {
-		slope = max((p.cross-p.read*p.first)/spread, 0)
-	}
-	return clock.Millis(max(p.first+slope*(float64(tokens)-p.read), 1))
+	return max(p.Base()+p.Reading(tokens), 1)
 }
 
 // Gap returns the time between two events that is to be expected, in ms.
--- a/internal/decision/bearing/paces.go
+++ b/internal/decision/bearing/paces.go
@@ -8,13 +8,14 @@
 	model string
 }
 
-// NoteFirst takes in how long the head of an answer took, with so many tokens
-// to be read.
-func (b *Book) NoteFirst(pool, model string, tokens int, first clock.Millis) {
+// NoteFirst takes in how long the head of an answer took.
+func (b *Book) NoteFirst(c *Choice, model string, first, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := paceKey{pool, model}
-	b.paces[key] = b.paces[key].WithFirst(tokens, first)
+	key := paceKey{c.Server.Pool, model}
+	pace := b.paces[key]
+	b.state(&c.Server).noteSlow(first, pace.First(c.Unread), now)
+	b.paces[key] = pace.WithFirst(c.Unread, first)
 }
 
 // NoteGap takes in the mean pause between events of a stream.
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -150,12 +150,13 @@
 	if u.sent > 0 && !l.Repeats.Take(pool.Name, now) {
 		return false, u.giveUp(result.New(result.BackendRefused, "the budget for repeats is spent; %s", u.lastSeen))
 	}
-	server, verdict := l.Book.Choose(view, bearing.Ask{
+	choice, verdict := l.Book.Choose(view, bearing.Ask{
 		Pool:       pool,
 		DataCentre: l.DataCentre,
 		Hosts:      len(view.Hosts),
 		Model:      u.model,
 		Prompt:     q.Prompt,
+		Salt:       container.Hash(q.ID),
 		Version:    l.Steer.Versions(view, pool.Name, q, len(u.ran) > 0),
 		Tried:      u.tried,
 		Now:        now,
@@ -167,10 +168,10 @@
 		return false, u.giveUp(result.New(result.Overloaded, "the servers of pool %s are full; %s", pool.Name, u.lastSeen))
 	case bearing.Chosen:
 	}
-	defer l.Book.Done(&server)
+	defer l.Book.Done(&choice)
 	u.view = view
-	l.Steer.Placed(q, &server)
-	return u.callServer(&server, now)
+	l.Steer.Placed(q, &choice.Server)
+	return u.callServer(&choice, now)
 }
 
 func (u *run) tried(id string) bool {
@@ -178,8 +179,9 @@
 }
 
 // callServer makes the call and relays its answer.
-func (u *run) callServer(server *fleet.Entry, began clock.Millis) (bool, error) {
+func (u *run) callServer(choice *bearing.Choice, began clock.Millis) (bool, error) {
 	l, q := u.relay, u.request
+	server := &choice.Server
 	attempt := Attempt{
 		Server:  *server,
 		Account: u.account.Name,
@@ -193,11 +195,7 @@
 	u.sent++
 	until := time.Now().Add((u.deadline - l.Clock.Now()).Duration())
 	headBy := until
-	unread := 0
-	if u.pool.Generates() {
-		unread = l.Book.Unread(server, q.Prompt, u.model)
-	}
-	if patience := u.headPatience(unread); patience > 0 && time.Now().Add(patience).Before(until) {
+	if patience := u.headPatience(choice.Unread); patience > 0 && time.Now().Add(patience).Before(until) {
 		headBy = time.Now().Add(patience)
 	}
 	answer, err := l.Client.Do(u.http.Context(), &h1.Call{
@@ -213,11 +211,13 @@
 		Until:   until,
 	})
 	if err != nil {
-		return false, u.callFailed(server, unread, began, err)
+		return false, u.callFailed(choice, began, err)
 	}
 	defer answer.Close()
+	l.Book.Read(choice)
 	if answer.Status < http.StatusMultipleChoices {
-		l.Book.NoteFirst(u.pool.Name, u.model, unread, l.Clock.Now()-began)
+		now := l.Clock.Now()
+		l.Book.NoteFirst(choice, u.model, now-began, now)
 	}
 	return u.takeAnswer(server, answer, began)
 }
@@ -251,8 +251,9 @@
 }
 
 // callFailed decides what follows a call without an answer.
-func (u *run) callFailed(server *fleet.Entry, unread int, began clock.Millis, err error) error {
+func (u *run) callFailed(choice *bearing.Choice, began clock.Millis, err error) error {
 	l := u.relay
+	server := &choice.Server
 	now := l.Clock.Now()
 	if u.http.Context().Err() != nil {
 		return errCallerLeft
@@ -265,7 +266,7 @@
 	u.log("attempt failed", server, "sent", failure.Sent, "reused", failure.Reused, "error", failure.Error())
 	if failure.Sent && failure.Silent {
 		// It would have taken at least as long.
-		l.Book.NoteFirst(u.pool.Name, u.model, unread, now-began)
+		l.Book.NoteFirst(choice, u.model, now-began, now)
 	}
 	switch {
 	case u.relay.Clock.Now() >= u.deadline:
