Report by data centre; follow fewer tables and let changes gather

A daemon reports to the first of its data centre that answers, and those of the data centres exchange sums. The stage of a roll-out stands in the daemons' own table, written together with the operator's row, so that nobody follows the status table.

Ruled out: one follower a data centre that passes changes on, for now: a change would reach the others later than its own feed does.

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -1,7 +1,6 @@
 package board
 
 import (
-	"slices"
 	"sync"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
@@ -10,15 +9,24 @@
 	"gypsumpitch.example/gypsumpitch/internal/traffic/steer"
 )
 
-// loadLife is how long another daemon's word of its load counts.
-const loadLife = 2_000 * clock.Millis(1)
+const (
+	// loadLife is how long a report's loads count.
+	loadLife = 2_000 * clock.Millis(1)
+	// reportLife is how long its tallies count after the last report: a daemon
+	// that has gone has still seen what it saw.
+	reportLife = 60_000 * clock.Millis(1)
+)
 
-// Board holds the newest record of every daemon. It is safe for concurrent use.
+// Board holds what this daemon was told. It is safe for concurrent use.
 type Board struct {
-	clock   clock.Clock
+	clock clock.Clock
+
 	mu      sync.Mutex
 	own     Record
-	records map[string]held
+	hosts   map[string]held // reports of daemons of this data centre
+	centres map[string]held // sums of other data centres
+	others  *held           // sum of all others, by the daemon that this one reports to
+	cached  *sum            // of all others; nil after a change
 }
 
 type held struct {
@@ -27,100 +35,145 @@
 }
 
 // New returns a board that knows only its own daemon.
-func New(c clock.Clock, host string, incarnation int64) *Board {
-	return &Board{clock: c, own: Record{Host: host, Incarnation: incarnation}, records: make(map[string]held)}
+func New(c clock.Clock) *Board {
+	return &Board{clock: c, hosts: make(map[string]held), centres: make(map[string]held)}
 }
 
 // SetOwn replaces what this daemon tells of itself.
 func (b *Board) SetOwn(loads map[string]bearing.Load, tallies map[steer.Subject]rollout.Tally, kept map[int64][]uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.own.Sequence++
-	b.own.Loads = make(map[string]bearing.Load, len(loads))
+	r := Record{Loads: make(map[string]bearing.Load, len(loads)), Kept: kept}
 	for id, load := range loads {
 		if load.Calls > 0 {
-			b.own.Loads[id] = load
+			r.Loads[id] = load
 		}
 	}
-	b.own.Kept = kept
-	b.own.Tallies = b.own.Tallies[:0:0]
 	for subject, t := range tallies {
-		b.own.Tallies = append(b.own.Tallies, Counted{subject, t})
+		r.Tallies = append(r.Tallies, Counted{subject, t})
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.own, b.cached = r, nil
 }
 
-// MessageTo returns what a peer is told that has the given sequences; nil means
-// that it isn't known what the peer has.
-func (b *Board) MessageTo(has map[string]int64) Message {
+// Own returns what this daemon tells of itself.
+func (b *Board) Own() Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m := Message{From: b.own.Host, Records: []Record{b.own}, Has: map[string]int64{b.own.Host: b.own.Sequence}}
-	now := b.clock.Now()
-	for host, r := range b.records {
-		m.Has[host] = r.Sequence
-		if now-r.at < loadLife && has != nil && has[host] < r.Sequence {
-			m.Records = append(m.Records, r.Record)
+	return b.own
+}
+
+// DataCentre returns the sum of the data centre, as far as it reports here.
+func (b *Board) DataCentre() Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sum("", false).record()
+}
+
+// sum adds up what was reported here, with this daemon's own record: without
+// the named host, and with the other data centres if asked. The lock must be held.
+func (b *Board) sum(without string, all bool) *sum {
+	s, now := newSum(), b.clock.Now()
+	s.add(b.own, true)
+	add := func(list map[string]held) {
+		for name, h := range list {
+			if now-h.at >= reportLife {
+				delete(list, name)
+				continue
+			}
+			if name != without {
+				s.add(h.Record, now-h.at < loadLife)
+			}
 		}
 	}
-	return m
+	add(b.hosts)
+	if all {
+		add(b.centres)
+	}
+	return s
+}
+
+// Take takes in a report and returns what the reporter doesn't know: the sum of
+// all others for a daemon, that of this data centre for another data centre.
+func (b *Board) Take(r Report) Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cached = nil
+	h := held{r.Record, b.clock.Now()}
+	if r.IsDataCentre {
+		b.centres[r.From] = h
+		return b.sum("", false).record()
+	}
+	b.hosts[r.From] = h
+	return b.sum(r.From, true).record()
 }
 
-// Take takes in what a peer told.
-func (b *Board) Take(m Message) {
+// TakeOthers takes in the answer to a report of this daemon.
+func (b *Board) TakeOthers(r Record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.others, b.cached = &held{r, b.clock.Now()}, nil
+}
+
+// TakeDataCentre takes in the sum of another data centre.
+func (b *Board) TakeDataCentre(name string, r Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.centres[name], b.cached = held{r, b.clock.Now()}, nil
+}
+
+// known returns the sum of all other daemons. The lock must be held.
+func (b *Board) known() *sum {
+	if b.cached != nil {
+		return b.cached
+	}
 	now := b.clock.Now()
-	for _, r := range m.Records {
-		if r.Host == b.own.Host || r.Host == "" {
-			continue
-		}
-		if old, ok := b.records[r.Host]; !ok || r.isNewer(old.Record) {
-			b.records[r.Host] = held{r, now}
+	s := newSum()
+	if b.others != nil && now-b.others.at < loadLife {
+		s.add(b.others.Record, true)
+	} else {
+		own := b.own
+		b.own = Record{}
+		s = b.sum("", true)
+		b.own = own
+		if b.others != nil {
+			s.add(Record{Kept: b.others.Kept}, false)
 		}
 	}
+	b.cached = s
+	return s
 }
 
 // Loads returns what the other daemons have under way, by server, as far as it
-// was heard lately.
+// was heard lately. Callers must not change it.
 func (b *Board) Loads() map[string]bearing.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.clock.Now()
-	loads := make(map[string]bearing.Load)
-	for _, r := range b.records {
-		if now-r.at >= loadLife {
-			continue
-		}
-		for id, load := range r.Loads {
-			loads[id] = loads[id].Plus(load)
-		}
-	}
-	return loads
+	b.cached = nil // what was heard may have grown old
+	return b.known().loads
 }
 
 // Compare returns, for each route, what all daemons have counted of a roll-out.
-// Counts of daemons that are gone stay.
 func (b *Board) Compare(pool string, order int64) map[string]rollout.Comparison {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	routes := make(map[string]rollout.Comparison)
-	add := func(list []Counted) {
-		for _, c := range list {
-			if c.Subject.Pool != pool || c.Subject.Order != order {
-				continue
-			}
-			sum := routes[c.Subject.Route]
-			if c.Subject.Trial {
-				sum.Trial = sum.Trial.Plus(c.Tally)
-			} else {
-				sum.Rest = sum.Rest.Plus(c.Tally)
-			}
-			routes[c.Subject.Route] = sum
+	add := func(subject steer.Subject, t rollout.Tally) {
+		if subject.Pool != pool || subject.Order != order {
+			return
+		}
+		c := routes[subject.Route]
+		if subject.Trial {
+			c.Trial = c.Trial.Plus(t)
+		} else {
+			c.Rest = c.Rest.Plus(t)
 		}
+		routes[subject.Route] = c
+	}
+	for _, c := range b.own.Tallies {
+		add(c.Subject, c.Tally)
 	}
-	add(b.own.Tallies)
-	for _, r := range b.records {
-		add(r.Tallies)
+	for subject, t := range b.known().tallies {
+		add(subject, t)
 	}
 	return routes
 }
@@ -129,23 +182,5 @@
 func (b *Board) IsKept(order int64, session uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, r := range b.records {
-		if slices.Contains(r.Kept[order], session) {
-			return true
-		}
-	}
-	return false
-}
-
-// Live returns how many daemons were heard of lately, this one included.
-func (b *Board) Live() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now, n := b.clock.Now(), 1
-	for _, r := range b.records {
-		if now-r.at < loadLife {
-			n++
-		}
-	}
-	return n
+	return b.known().kept[order][session]
 }
--- a/internal/control/board/exchange.go
+++ b/internal/control/board/exchange.go
@@ -2,101 +2,140 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
 const (
-	// period of exchanges: three of them spread a fact to some dozens of daemons.
+	// period of reports: half of the time in which a version on trial must be
+	// found bad at the latest goes into counting, not into telling.
 	period = 400 * clock.Millis(1)
-	// fanout is with how many peers a daemon exchanges in each period.
-	fanout = 2
-	// callLimit bounds one exchange, so that a frozen peer delays none.
+	// callLimit bounds one report, so that a frozen peer delays none.
 	callLimit = 600 * time.Millisecond
+	// silentTime is for how long a host that didn't answer is passed over.
+	silentTime = 3_000 * clock.Millis(1)
 )
 
-// Exchange keeps the boards of all daemons alike, by calls between random pairs.
+// Exchange keeps this daemon's board up with those of the others.
 type Exchange struct {
-	log   hclog.Logger
-	board *Board
-	peers *peer.Client
-	// addresses returns where the other daemons listen, by host.
-	addresses func() map[string]string
-	refresh   func()
+	log        hclog.Logger
+	clock      clock.Clock
+	host       string
+	dataCentre string
+	board      *Board
+	peers      *peer.Client
+	hosts      func() map[string]fleet.Host
+	refresh    func()
 
 	mu     sync.Mutex
-	has    map[string]map[string]int64 // by host, the sequences that it said it has
-	silent map[string]bool             // hosts that didn't answer the last call
+	silent map[string]clock.Millis // until when a host is passed over
 }
 
-// NewExchange returns an exchange that calls refresh before each period.
-func NewExchange(log hclog.Logger, b *Board, c *peer.Client, addresses func() map[string]string, refresh func()) *Exchange {
+// Config is what an exchange works with.
+type Config struct {
+	Log        hclog.Logger
+	Clock      clock.Clock
+	Host       string
+	DataCentre string
+	Board      *Board
+	Peers      *peer.Client
+	Hosts      func() map[string]fleet.Host
+	Refresh    func() // is called before each period
+}
+
+// NewExchange returns an exchange.
+func NewExchange(c Config) *Exchange {
 	return &Exchange{
-		log: log, board: b, peers: c, addresses: addresses, refresh: refresh,
-		has: make(map[string]map[string]int64), silent: make(map[string]bool),
+		log: c.Log, clock: c.Clock, host: c.Host, dataCentre: c.DataCentre, board: c.Board, peers: c.Peers,
+		hosts: c.Hosts, refresh: c.Refresh, silent: make(map[string]clock.Millis),
 	}
 }
 
-// Register makes the server answer exchanges.
+// Register makes the server take reports.
 func (e *Exchange) Register(s *peer.Server) {
-	peer.Handle(s, peer.KindExchange, func(_ context.Context, m Message) (Message, error) {
-		e.board.Take(m)
-		e.note(m.From, m.Has)
-		return e.board.MessageTo(m.Has), nil
+	peer.Handle(s, peer.KindReport, func(_ context.Context, r Report) (Record, error) {
+		return e.board.Take(r), nil
 	})
 }
 
-// Run exchanges until the context ends.
+// Run reports until the context ends.
 func (e *Exchange) Run(ctx context.Context) {
 	clock.Every(ctx, period, func() {
 		e.refresh()
-		addresses := e.addresses()
-		hosts := make([]string, 0, len(addresses))
-		for host := range addresses {
-			hosts = append(hosts, host)
+		centres := make(map[string][]string)
+		hosts := e.hosts()
+		for name, h := range hosts {
+			centres[h.DataCentre] = append(centres[h.DataCentre], name)
+		}
+		if first := e.first(e.dataCentre, centres[e.dataCentre]); first != e.host && first != "" {
+			go e.reportHost(ctx, first, hosts[first].Address)
+			return
 		}
-		rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-		for _, host := range hosts[:min(fanout, len(hosts))] {
-			go e.call(ctx, host, addresses[host])
+		for centre, names := range centres {
+			if centre == e.dataCentre {
+				continue
+			}
+			if first := e.first(centre, names); first != "" {
+				go e.reportDataCentre(ctx, centre, first, hosts[first].Address)
+			}
 		}
 	})
 }
 
-func (e *Exchange) call(ctx context.Context, host, address string) {
-	callCtx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
+// first returns the host of the data centre to which its others report: the
+// first that answers, in an order on which all daemons agree.
+func (e *Exchange) first(centre string, names []string) string {
+	now := e.clock.Now()
 	e.mu.Lock()
-	has := e.has[host]
-	e.mu.Unlock()
-	answer, err := peer.Call[Message, Message](callCtx, e.peers, address, peer.KindExchange, e.board.MessageTo(has))
-	if ctx.Err() != nil {
-		return
+	defer e.mu.Unlock()
+	for _, name := range container.Rendezvous(centre, names, func(n string) string { return n }) {
+		if name == e.host || e.silent[name] <= now {
+			return name
+		}
 	}
-	e.logTurn(host, err)
-	if err != nil {
-		return
+	return ""
+}
+
+func (e *Exchange) reportHost(ctx context.Context, host, address string) {
+	answer, err := e.call(ctx, host, address, Report{From: e.host, Record: e.board.Own()})
+	if err == nil {
+		e.board.TakeOthers(answer)
 	}
-	e.board.Take(answer)
-	e.note(host, answer.Has)
 }
 
-func (e *Exchange) note(host string, has map[string]int64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.has[host] = has
+func (e *Exchange) reportDataCentre(ctx context.Context, centre, host, address string) {
+	answer, err := e.call(ctx, host, address, Report{From: e.dataCentre, IsDataCentre: true, Record: e.board.DataCentre()})
+	if err == nil {
+		e.board.TakeDataCentre(centre, answer)
+	}
+}
+
+func (e *Exchange) call(ctx context.Context, host, address string, r Report) (Record, error) {
+	callCtx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	answer, err := peer.Call[Report, Record](callCtx, e.peers, address, peer.KindReport, r)
+	if ctx.Err() == nil {
+		e.note(host, err)
+	}
+	return answer, err
 }
 
-// logTurn writes a line when a peer is lost or regained.
-func (e *Exchange) logTurn(host string, err error) {
+// note remembers whether a host answers, and writes a line when that changes.
+func (e *Exchange) note(host string, err error) {
 	e.mu.Lock()
-	was := e.silent[host]
-	e.silent[host] = err != nil
+	_, was := e.silent[host]
+	if err != nil {
+		e.silent[host] = e.clock.Now() + silentTime
+	} else {
+		delete(e.silent, host)
+	}
 	e.mu.Unlock()
 	switch {
 	case err != nil && !was:
--- a/internal/control/board/record.go
+++ b/internal/control/board/record.go
@@ -1,5 +1,10 @@
 // Package board shares small facts among the daemons: what each has under way
 // and what it has counted.
+//
+// In each data centre the daemons report to one of them, which answers with the
+// sum of all others; those of the data centres give each other their sums. Which
+// one it is follows from the list of hosts and from who answers, so any daemon
+// can take over, and messages grow neither with the daemons nor with their pairs.
 package board
 
 import (
@@ -8,18 +13,14 @@
 	"gypsumpitch.example/gypsumpitch/internal/traffic/steer"
 )
 
-// Record is what one daemon tells all others of itself. A later one replaces an
-// earlier one.
+// Record is what one daemon, or all of a group, have under way and have counted.
 type Record struct {
-	Host        string `json:"h"`
-	Incarnation int64  `json:"i"` // Unix time of the daemon's start in ns
-	Sequence    int64  `json:"q"` // counts the daemon's records
-	// Loads are what the daemon has under way, by server.
+	// Loads are what is under way, by server.
 	Loads   map[string]bearing.Load `json:"l"`
-	Tallies []Counted               `json:"t"`
+	Tallies []Counted               `json:"t,omitempty"`
 	// Kept are the sessions that keep an old version, as hashes, by the order of
 	// the roll-out.
-	Kept map[int64][]uint64 `json:"k"`
+	Kept map[int64][]uint64 `json:"k,omitempty"`
 }
 
 // Counted is a tally with what it is about.
@@ -28,18 +29,60 @@
 	Tally   rollout.Tally `json:"c"`
 }
 
-// isNewer tells whether r replaces o.
-func (r Record) isNewer(o Record) bool {
-	if r.Incarnation != o.Incarnation {
-		return r.Incarnation > o.Incarnation
+// Report is what a daemon tells another: of itself, or of its data centre.
+type Report struct {
+	From         string `json:"f"` // host, or data centre
+	IsDataCentre bool   `json:"d"`
+	Record       Record `json:"r"`
+}
+
+// sum adds up records.
+type sum struct {
+	loads   map[string]bearing.Load
+	tallies map[steer.Subject]rollout.Tally
+	kept    map[int64]map[uint64]bool
+}
+
+func newSum() *sum {
+	return &sum{
+		loads:   make(map[string]bearing.Load),
+		tallies: make(map[steer.Subject]rollout.Tally),
+		kept:    make(map[int64]map[uint64]bool),
 	}
-	return r.Sequence > o.Sequence
 }
 
-// Message is what two daemons give each other: the records that one believes
-// the other lacks, and the sequences that it has.
-type Message struct {
-	From    string           `json:"f"`
-	Records []Record         `json:"r"`
-	Has     map[string]int64 `json:"a"` // newest sequence by host
+// add adds a record; what is under way counts only if it is fresh.
+func (s *sum) add(r Record, fresh bool) {
+	if fresh {
+		for id, load := range r.Loads {
+			s.loads[id] = s.loads[id].Plus(load)
+		}
+	}
+	for _, c := range r.Tallies {
+		s.tallies[c.Subject] = s.tallies[c.Subject].Plus(c.Tally)
+	}
+	for order, sessions := range r.Kept {
+		if s.kept[order] == nil {
+			s.kept[order] = make(map[uint64]bool, len(sessions))
+		}
+		for _, session := range sessions {
+			s.kept[order][session] = true
+		}
+	}
+}
+
+func (s *sum) record() Record {
+	r := Record{Loads: s.loads}
+	for subject, t := range s.tallies {
+		r.Tallies = append(r.Tallies, Counted{subject, t})
+	}
+	for order, sessions := range s.kept {
+		if r.Kept == nil {
+			r.Kept = make(map[int64][]uint64, len(s.kept))
+		}
+		for session := range sessions {
+			r.Kept[order] = append(r.Kept[order], session)
+		}
+	}
+	return r
 }
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -16,7 +16,7 @@
 const (
 	// waitLimit is how long one call for changes is left open: each further call
 	// is paid for, and a dead connection is found by its keep-alive probes.
-	waitLimit = 20_000 * clock.Millis(1)
+	waitLimit = 25_000 * clock.Millis(1)
 	// answerLimit is how much longer than that an answer may take.
 	answerLimit = 3_000 * clock.Millis(1)
 	// listLimit bounds one reading of the whole table.
@@ -44,11 +44,14 @@
 	store rowstore.Store
 	sink  Sink
 	table string
+	// settle is how long changes are let gather after some came: each call is paid
+	// for, and changes often come in groups.
+	settle clock.Millis
 }
 
-// New returns a follower of the table.
-func New(log hclog.Logger, store rowstore.Store, sink Sink, table string) *Follower {
-	return &Follower{log: log, store: store, sink: sink, table: table}
+// New returns a follower of the table that lets changes gather for settle.
+func New(log hclog.Logger, store rowstore.Store, sink Sink, table string, settle clock.Millis) *Follower {
+	return &Follower{log: log, store: store, sink: sink, table: table, settle: settle}
 }
 
 // Run follows the table until the context ends.
@@ -82,6 +85,9 @@
 			f.sink.Replace(f.table, page)
 		}
 		listed, version = true, max(version, page.Version)
+		if len(page.Rows) > 0 {
+			sleep(ctx, f.settle.Duration())
+		}
 	}
 }
 
--- a/internal/control/keeper/state.go
+++ b/internal/control/keeper/state.go
@@ -17,12 +17,11 @@
 	now  clock.Millis
 	view *fleet.View
 
-	tables map[string]turn // followed tables
-	orders map[string]fleet.Rollout
-	stages map[string]stage
-	began  map[string]beginning
-	timed  bool                    // the store's clock is known
-	lapsed map[string]clock.Millis // servers whose registration lapsed during an outage, and when they count as gone
+	tables   map[string]turn // followed tables
+	orders   map[string]fleet.Rollout
+	recorded map[string]fleet.Recorded
+	timed    bool                    // the store's clock is known
+	lapsed   map[string]clock.Millis // servers whose registration lapsed during an outage, and when they count as gone
 }
 
 // returnTime is how long after the end of an outage of the store the
@@ -39,28 +38,14 @@
 	since clock.Millis
 }
 
-// stage is the recorded state of a roll-out.
-type stage struct {
-	target  string
-	stage   fleet.Stage
-	version int64 // of its row
-}
-
-// beginning is when a roll-out began, by the store's clock.
-type beginning struct {
-	order int64
-	at    clock.Millis
-}
-
 func newState(log hclog.Logger) *State {
 	return &State{
-		log:    log,
-		view:   fleet.NewView(),
-		tables: make(map[string]turn),
-		orders: make(map[string]fleet.Rollout),
-		stages: make(map[string]stage),
-		began:  make(map[string]beginning),
-		lapsed: make(map[string]clock.Millis),
+		log:      log,
+		view:     fleet.NewView(),
+		tables:   make(map[string]turn),
+		orders:   make(map[string]fleet.Rollout),
+		recorded: make(map[string]fleet.Recorded),
+		lapsed:   make(map[string]clock.Millis),
 	}
 }
 
@@ -183,28 +168,30 @@
 	s.joinRollout(r.Pool)
 }
 
-// SetStage takes in the recorded stage of a roll-out.
-func (s *State) SetStage(pool, target string, to fleet.Stage, version int64) {
-	if s.stages[pool].version > version {
+// SetRecorded takes in what the store holds of a pool's roll-out.
+func (s *State) SetRecorded(pool string, r fleet.Recorded) {
+	if s.recorded[pool].Version > r.Version {
 		return
 	}
-	s.stages[pool] = stage{target: target, stage: to, version: version}
+	s.recorded[pool] = r
 	s.joinRollout(pool)
 }
 
-// joinRollout publishes an order with its recorded stage. A record that is older
-// than the order belongs to an earlier one.
+// joinRollout publishes an order with what is recorded of it. A record of another
+// order is an earlier one's.
 func (s *State) joinRollout(pool string) {
 	r, ok := s.orders[pool]
 	if !ok {
 		return
 	}
-	if recorded := s.stages[pool]; recorded.version > r.Order && recorded.target == r.Target {
-		r.Stage = recorded.stage
-	}
-	r.Recorded = s.stages[pool].version
-	if b := s.began[pool]; b.order == r.Order && s.timed {
-		r.Began = b.at - s.view.StoreOffset
+	recorded := s.recorded[pool]
+	r.Recorded = recorded.Version
+	if recorded.Order == r.Order {
+		r.Stage = recorded.Stage
+		if s.timed {
+			// A daemon that starts later goes on from the same beginning.
+			r.Began = recorded.Began - s.view.StoreOffset
+		}
 	}
 	if s.view.Rollouts[pool] == r {
 		return
@@ -222,13 +209,6 @@
 	}
 }
 
-// SetBegan takes in when a roll-out began, by the store's clock: a daemon that
-// starts later must go on from there.
-func (s *State) SetBegan(pool string, order int64, began clock.Millis) {
-	s.began[pool] = beginning{order: order, at: began}
-	s.joinRollout(pool)
-}
-
 // NoteStoreTime takes in the store's clock as an answer told it. The answer that
 // came fastest is the closest to the truth.
 func (s *State) NoteStoreTime(now clock.Millis) {
@@ -241,14 +221,13 @@
 	}
 }
 
-// SetHost takes in where the daemon of a host listens; an empty address means
-// that the host has none.
-func (s *State) SetHost(name, address string) {
-	if s.view.Hosts[name] == address {
+// SetHost takes in a host; one without an address has no daemon any more.
+func (s *State) SetHost(name string, h fleet.Host) {
+	if s.view.Hosts[name] == h {
 		return
 	}
-	s.log.Info("host", "name", name, "address", address)
-	s.view = s.view.WithHost(name, address)
+	s.log.Debug("host", "name", name, "address", h.Address, "data_centre", h.DataCentre)
+	s.view = s.view.WithHost(name, h)
 }
 
 // DropHosts forgets all hosts.
--- a/internal/control/peer/message.go
+++ b/internal/control/peer/message.go
@@ -20,7 +20,7 @@
 	KindReleaseBills Kind = "release_bills"
 	KindGetPins      Kind = "get_pins"
 	KindPutPins      Kind = "put_pins"
-	KindExchange     Kind = "exchange"
+	KindReport       Kind = "report"
 )
 
 // Nothing is the body of calls that carry none.
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/keeper"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/platform/rowstore"
 )
@@ -22,19 +23,21 @@
 
 // Keys of the rows.
 const (
-	hostKeys  = "host/"
-	beganKeys = "rollout/"
+	hostKeys    = "host/"
+	rolloutKeys = "rollout/"
 )
 
 // hostRow says where a daemon listens for others.
 type hostRow struct {
-	Address string `json:"address"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
 }
 
-// beganRow says when a roll-out began, by the store's clock.
-type beganRow struct {
-	Order   int64 `json:"order"`
-	BeganMs int64 `json:"began_ms"`
+// rolloutRow is the stage of a roll-out, and when it began by the store's clock.
+type rolloutRow struct {
+	Order   int64  `json:"order"`
+	BeganMs int64  `json:"began_ms"`
+	Stage   string `json:"stage"`
 }
 
 // Sink takes in the daemons' own rows. It implements follower.Sink.
@@ -83,30 +86,37 @@
 func applyRow(state *keeper.State, row rowstore.Row) error {
 	if name, ok := strings.CutPrefix(row.Key, hostKeys); ok {
 		if row.Deleted {
-			state.SetHost(name, "")
+			state.SetHost(name, fleet.Host{})
 			return nil
 		}
 		var host hostRow
 		if err := json.Unmarshal(row.Value, &host); err != nil {
 			return errors.WithStack(err)
 		}
-		state.SetHost(name, host.Address)
+		state.SetHost(name, fleet.Host(host))
 		return nil
 	}
-	if pool, ok := strings.CutPrefix(row.Key, beganKeys); ok && !row.Deleted {
-		var began beganRow
-		if err := json.Unmarshal(row.Value, &began); err != nil {
+	if pool, ok := strings.CutPrefix(row.Key, rolloutKeys); ok && !row.Deleted {
+		var recorded rolloutRow
+		if err := json.Unmarshal(row.Value, &recorded); err != nil {
 			return errors.WithStack(err)
 		}
-		state.SetBegan(pool, began.Order, clock.Millis(began.BeganMs))
+		stage, ok := fleet.ParseStage(recorded.Stage)
+		if !ok {
+			return errors.Errorf("unknown stage %q", recorded.Stage)
+		}
+		state.SetRecorded(pool, fleet.Recorded{
+			Order: recorded.Order, Began: clock.Millis(recorded.BeganMs), Stage: stage, Version: row.Version,
+		})
 	}
 	return nil
 }
 
-// BeganWrite returns the write that records when a roll-out began.
-func BeganWrite(pool string, order int64, began clock.Millis) (rowstore.Write, error) {
-	value, err := json.Marshal(beganRow{Order: order, BeganMs: int64(began)})
-	return rowstore.Write{Table: Table, Key: beganKeys + pool, Value: value, Always: true}, errors.WithStack(err)
+// RolloutWrite returns the write that records a stage, under the condition that
+// no other was recorded meanwhile. Began is by the store's clock.
+func RolloutWrite(r fleet.Rollout, to fleet.Stage, began clock.Millis) (rowstore.Write, error) {
+	value, err := json.Marshal(rolloutRow{Order: r.Order, BeganMs: int64(began), Stage: to.String()})
+	return rowstore.Write{Table: Table, Key: rolloutKeys + r.Pool, Value: value, Expected: r.Recorded}, errors.WithStack(err)
 }
 
 const (
@@ -119,8 +129,8 @@
 
 // Announce writes where this daemon listens, unless the store has it already. It
 // tries until that has succeeded or the context ends.
-func Announce(ctx context.Context, log hclog.Logger, k *keeper.Keeper, store rowstore.Store, host, address string) {
-	value, err := json.Marshal(hostRow{Address: address})
+func Announce(ctx context.Context, log hclog.Logger, k *keeper.Keeper, store rowstore.Store, name string, host fleet.Host) {
+	value, err := json.Marshal(hostRow(host))
 	if err != nil {
 		log.Error("host isn't announced", "error", err.Error())
 		return
@@ -135,16 +145,16 @@
 		if !view.Followed[Table] {
 			continue
 		}
-		if view.Hosts[host] == address {
+		if view.Hosts[name] == host {
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, writeLimit)
-		version, err := store.Commit(callCtx, rowstore.Write{Table: Table, Key: hostKeys + host, Value: value, Always: true})
+		version, err := store.Commit(callCtx, rowstore.Write{Table: Table, Key: hostKeys + name, Value: value, Always: true})
 		cancel()
 		if err == nil {
-			log.Info("host announced", "address", address, "row_version", strconv.FormatInt(version, 10))
+			log.Info("host announced", "address", host.Address, "row_version", strconv.FormatInt(version, 10))
 			return
 		}
-		log.Warn("host isn't announced", "address", address, "error", err.Error())
+		log.Warn("host isn't announced", "address", host.Address, "error", err.Error())
 	}
 }
--- a/internal/decision/bearing/load.go
+++ b/internal/decision/bearing/load.go
@@ -4,6 +4,8 @@
 
 // Load is what a daemon has under way at a server.
 type Load struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec: loads are most of a report.
+
 	Calls   int          `json:"c"`
 	Reading clock.Millis `json:"r"` // time that prompts take which are not yet read
 }
--- a/internal/decision/fleet/rollout.go
+++ b/internal/decision/fleet/rollout.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+import (
+	"slices"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
 
 // Stage is how far a roll-out has come.
 type Stage int
@@ -13,9 +17,24 @@
 	RolledBack              // the target gets none; its servers stop
 )
 
-// String names the stage in logs.
-func (s Stage) String() string {
-	return [...]string{"ordered", "running", "completed", "rolled_back"}[s]
+// stageNames are the names of the stages in rows and logs.
+var stageNames = [...]string{"ordered", "running", "completed", "rolled_back"}
+
+// String returns the name of the stage.
+func (s Stage) String() string { return stageNames[s] }
+
+// ParseStage returns the stage with that name.
+func ParseStage(name string) (Stage, bool) {
+	at := slices.Index(stageNames[:], name)
+	return Stage(max(at, 0)), at >= 0
+}
+
+// Recorded is what the store holds of a roll-out.
+type Recorded struct {
+	Order   int64        // version of the row that holds the order
+	Began   clock.Millis // by the store's clock
+	Stage   Stage
+	Version int64 // of the record's row
 }
 
 // Rollout is an operator's order to move a pool's traffic to one version.
@@ -26,7 +45,7 @@
 	Began    clock.Millis // when this daemon heard of the order
 	Order    int64        // version of the row that holds the order
 	Stage    Stage
-	Recorded int64 // version of the row that holds the stage, also of an earlier roll-out; 0 where there is none
+	Recorded int64 // version of the pool's record in the store, also of an earlier roll-out; 0 where there is none
 }
 
 // Progress returns which part of the time allowed has passed.
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -17,8 +17,8 @@
 	Catalog   *catalog.Catalog // nil until a configuration is known
 	Evacuated map[string]bool  // data centres that operators have taken out
 	Rollouts  map[string]Rollout
-	Hosts     map[string]string // where the daemons listen for each other, by host
-	Followed  map[string]bool   // tables of the store that have been read whole
+	Hosts     map[string]Host // that run a daemon, by name
+	Followed  map[string]bool // tables of the store that have been read whole
 	// StoreOffset is what the store's clock is ahead of this daemon's.
 	StoreOffset clock.Millis
 
@@ -38,7 +38,7 @@
 	return &View{
 		Evacuated: map[string]bool{},
 		Rollouts:  map[string]Rollout{},
-		Hosts:     map[string]string{},
+		Hosts:     map[string]Host{},
 		Followed:  map[string]bool{},
 		servers:   map[string]Entry{},
 		pools:     map[string][]Entry{},
@@ -126,14 +126,20 @@
 	return &n
 }
 
-// WithHost returns a copy in which the host's daemon listens at the address, or
-// isn't there if the address is empty.
-func (v *View) WithHost(name, address string) *View {
+// Host is a host that runs a daemon.
+type Host struct {
+	Address    string // where its daemon listens for others
+	DataCentre string
+}
+
+// WithHost returns a copy with the host as given; one without an address isn't
+// there.
+func (v *View) WithHost(name string, h Host) *View {
 	n := *v
 	n.Hosts = maps.Clone(v.Hosts)
 	delete(n.Hosts, name)
-	if address != "" {
-		n.Hosts[name] = address
+	if h.Address != "" {
+		n.Hosts[name] = h
 	}
 	return &n
 }
@@ -141,7 +147,7 @@
 // WithoutHosts returns a copy that knows no hosts.
 func (v *View) WithoutHosts() *View {
 	n := *v
-	n.Hosts = map[string]string{}
+	n.Hosts = map[string]Host{}
 	return &n
 }
 
