--- a/internal/decision/bearing/book.go
+++ b/internal/decision/bearing/book.go
@@ -50,7 +50,6 @@
 	benchUntil clock.Millis
 	coldUntil  clock.Millis // by the server's own answers
 	cold       bucket
-	cached     *prefixMemory
 }
 
 // NewBook returns an empty book.
@@ -67,7 +66,7 @@
 	if ok {
 		own = s.own
 	}
-	s = &serverState{born: e.Born, own: own, slots: e.Slots, cached: newPrefixMemory()}
+	s = &serverState{born: e.Born, own: own, slots: e.Slots}
 	b.servers[e.ID] = s
 	return s
 }
@@ -189,17 +188,6 @@
 	s.reported, s.heard = max(s.reported, s.slots+s.slots/2-s.own.Calls), now
 }
 
-// NoteCached takes in that the server has read the prompt for the model.
-func (b *Book) NoteCached(e *fleet.Entry, p Prompt, model string, now clock.Millis) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.state(e)
-	b.scratch = p.Prefixes(model, b.scratch[:0])
-	for _, prefix := range b.scratch {
-		s.cached.put(prefix.Hash, now)
-	}
-}
-
 // Read takes in that the server has read the prompt, or won't.
 func (b *Book) Read(c *Choice) {
 	b.mu.Lock()
--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -17,6 +17,9 @@
 	costEngineCall = 40.0
 	// costPlainCall is the same at a plain server, which runs a few at once.
 	costPlainCall = 4.0
+	// costRead is added for each 1,000 tokens that are read though they could have
+	// been kept, whatever the model: reading them takes power and delays others.
+	costRead = 300.0
 	// costFar is added in another data centre, mostly for the bytes between.
 	costFar = 8.0
 	// costFaulty is added for a server all of whose calls failed lately: about the
@@ -29,10 +32,9 @@
 	// costNoise is the range of what is added by chance, so that daemons which know
 	// the same don't choose the same.
 	costNoise = 12.0
-	// agreedShare of a prompt's shared beginning is taken as kept by the servers on
-	// which the daemons agree for it, first and second.
-	agreedFirst  = 0.85
-	agreedSecond = 0.45
+	// agreedShare of a prompt's shared beginning is taken as kept by the server on
+	// which the daemons agree for it.
+	agreedShare = 0.85
 	// waitingShare of its slots is how many more requests a server is sent than
 	// it runs at once; they are next when a slot is free.
 	waitingShare = 0.5
@@ -81,7 +83,7 @@
 	entries := v.Pool(a.Pool.Name)
 	b.scratch = a.Prompt.Prefixes(a.Model, b.scratch[:0])
 	pace := b.paces[paceKey{a.Pool.Name, a.Model}]
-	first, second := b.agreed(v, &a, entries)
+	agreed := b.agreed(v, &a, entries)
 	best, lowest, verdict := -1, math.Inf(1), None
 	var choice Choice
 	for i := range entries {
@@ -96,12 +98,11 @@
 			}
 			continue
 		}
-		unread := b.unread(s, a.Prompt, i == first, i == second)
-		reading := pace.Reading(unread)
-		cost := b.cost(s, e, &a, pace, reading)
+		unread := b.unread(a.Prompt, i == agreed)
+		cost := b.cost(s, e, &a, pace, unread)
 		if cost < lowest {
 			best, lowest = i, cost
-			choice = Choice{Unread: unread, Reading: reading}
+			choice = Choice{Unread: unread, Reading: pace.Reading(unread)}
 		}
 	}
 	if best < 0 {
@@ -137,15 +138,15 @@
 	return !s.isCold(e, &a.Pool, a.Now) || s.cold.ready(a.coldRate(), a.Now)
 }
 
-func (b *Book) cost(s *serverState, e *fleet.Entry, a *Ask, pace Pace, reading clock.Millis) float64 {
+func (b *Book) cost(s *serverState, e *fleet.Entry, a *Ask, pace Pace, unread int) float64 {
 	load := s.load(a.Now)
 	slots := max(s.slots, e.Slots, 1)
 	call := costPlainCall
 	if a.Pool.Generates() {
 		call = costEngineCall
 	}
-	cost := call * float64(load.Calls)
-	cost += s.slowness(a.Now) * float64(load.Reading+reading+pace.Base())
+	cost := call*float64(load.Calls) + costRead*float64(unread)/1000
+	cost += s.slowness(a.Now) * float64(load.Reading+pace.First(unread))
 	if load.Calls >= slots {
 		// What waits for a slot waits for a part of an answer's time.
 		cost += float64(pace.First(0)) * float64(load.Calls-slots+1) / float64(slots)
@@ -164,53 +165,30 @@
 	return cost + costNoise*float64(container.Mix(a.Salt, e.ID)%fine)/fine
 }
 
-// agreed returns the indices of the two servers on which all daemons agree for
-// the prompt's shared beginning, by rendezvous hash; -1 where there is none.
-func (b *Book) agreed(v *fleet.View, a *Ask, entries []fleet.Entry) (first, second int) {
-	first, second = -1, -1
+// agreed returns the index of the server on which all daemons agree for the
+// prompt's shared beginning, by rendezvous hash, or -1.
+func (b *Book) agreed(v *fleet.View, a *Ask, entries []fleet.Entry) int {
 	if len(b.scratch) == 0 {
-		return first, second
+		return -1
 	}
 	prompt := b.scratch[len(b.scratch)-1].Hash
-	var highest, next uint64
+	best, highest := -1, uint64(0)
 	for i := range entries {
 		if !a.mayUse(v, &entries[i]) {
 			continue
 		}
-		weight := container.Mix(prompt, entries[i].ID)
-		switch {
-		case first < 0 || weight > highest:
-			second, next = first, highest
-			first, highest = i, weight
-		case second < 0 || weight > next:
-			second, next = i, weight
+		if weight := container.Mix(prompt, entries[i].ID); best < 0 || weight > highest {
+			best, highest = i, weight
 		}
 	}
-	return first, second
+	return best
 }
 
-// unread returns how many tokens of the prompt the server is expected to read.
-func (b *Book) unread(s *serverState, p Prompt, first, second bool) int {
-	if len(b.scratch) == 0 {
+// unread returns how many tokens of the prompt a server is expected to read.
+func (b *Book) unread(p Prompt, agreed bool) int {
+	if !agreed {
 		return p.Read
 	}
-	kept := float64(s.kept(b.scratch))
 	shared := float64(b.scratch[len(b.scratch)-1].Tokens)
-	switch {
-	case first:
-		kept = max(kept, shared*agreedFirst)
-	case second:
-		kept = max(kept, shared*agreedSecond)
-	}
-	return max(p.Read-int(kept), 0)
-}
-
-// kept returns how many tokens of the prompt the server was sent before.
-func (s *serverState) kept(prefixes []Prefix) int {
-	for i := len(prefixes) - 1; i >= 0; i-- {
-		if s.cached.has(prefixes[i].Hash) {
-			return prefixes[i].Tokens
-		}
-	}
-	return 0
+	return max(p.Read-int(shared*agreedShare), 0)
 }
--- a/internal/traffic/relay/answer.go
+++ b/internal/traffic/relay/answer.go
@@ -84,7 +84,6 @@
 // relayStream passes events on as they come. When the stream breaks, what the
 // caller has is a whole number of events, and another server can go on from there.
 func (u *run) relayStream(server *fleet.Entry, answer *h1.Answer) (bool, error) {
-	u.relay.Book.NoteCached(server, u.request.Prompt, u.model, u.relay.Clock.Now())
 	source := events{source: answer}
 	control := http.NewResponseController(u.out)
 	patience := u.pausePatience(server)
