--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -18,12 +18,12 @@
 
 // Keeper publishes views. Only its own goroutine changes the state.
 type Keeper struct {
-	log     hclog.Logger
-	clock   clock.Clock
-	view    atomic.Pointer[fleet.View]
-	events  chan func(*State)
-	state   *State
-	onTicks []func(*State)
+	log    hclog.Logger
+	clock  clock.Clock
+	view   atomic.Pointer[fleet.View]
+	events chan func(*State)
+	state  *State
+	lost   atomic.Bool // a followed table has been out of touch for a while
 }
 
 // New returns a keeper with an empty view.
@@ -40,9 +40,9 @@
 // View returns the newest view.
 func (k *Keeper) View() *fleet.View { return k.view.Load() }
 
-// OnTick registers work that the keeper's goroutine does at every tick. It must
-// be called before Run.
-func (k *Keeper) OnTick(work func(*State)) { k.onTicks = append(k.onTicks, work) }
+// IsCurrent tells whether the configuration is being followed, so that what it
+// doesn't hold doesn't exist.
+func (k *Keeper) IsCurrent() bool { return !k.lost.Load() }
 
 // Apply has the keeper's goroutine change the state.
 func (k *Keeper) Apply(ctx context.Context, change func(*State)) {
@@ -76,10 +76,8 @@
 		case <-ticker.C:
 			k.state.now = k.clock.Now()
 			k.state.tick()
-			for _, work := range k.onTicks {
-				work(k.state)
-			}
 		}
 		k.view.Store(k.state.view)
+		k.lost.Store(k.state.isOutOfTouch())
 	}
 }
--- a/internal/control/keeper/state.go
+++ b/internal/control/keeper/state.go
@@ -68,6 +68,20 @@
 	return t.well, t.since
 }
 
+// touchSlack is how long the store may be silent before what the configuration
+// doesn't hold is taken as possibly new.
+const touchSlack = 400 * clock.Millis(1)
+
+// isOutOfTouch tells whether changes may have been missed.
+func (s *State) isOutOfTouch() bool {
+	for _, t := range s.tables {
+		if !t.well && s.now-t.since > touchSlack {
+			return true
+		}
+	}
+	return false
+}
+
 // SetCatalog takes in a configuration. Versions only rise.
 func (s *State) SetCatalog(c *catalog.Catalog) {
 	if s.view.Catalog != nil && s.view.Catalog.Version >= c.Version {
@@ -156,6 +170,10 @@
 	}
 	s.log.Info("data centre", "data_centre", dataCentre, "evacuated", out)
 	s.view = s.view.WithEvacuated(dataCentre, out)
+	if !out {
+		// Its servers may have become cold meanwhile, which they tell a little later.
+		s.view = s.view.WithColdDataCentre(dataCentre, s.now)
+	}
 }
 
 // OrderRollout takes in the operator's order of a roll-out.
--- a/internal/decision/admission/repeat_budget.go
+++ b/internal/decision/admission/repeat_budget.go
@@ -41,6 +41,13 @@
 	return &RepeatBudget{ratio: ratio, slack: slack, window: window, pools: make(map[string]*repeatCount), divisor: 1}
 }
 
+// SetBounds replaces the ratio and the fixed allowance.
+func (b *RepeatBudget) SetBounds(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
+}
+
 // SetHosts tells among how many daemons the fixed allowance is divided.
 func (b *RepeatBudget) SetHosts(n int) {
 	b.mu.Lock()
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -110,6 +110,30 @@
 	return &n
 }
 
+// WithColdDataCentre returns a copy in which the servers of the data centre are
+// cold for as long as their pools' servers are after a start.
+func (v *View) WithColdDataCentre(dataCentre string, now clock.Millis) *View {
+	n := *v
+	if v.Catalog == nil {
+		return &n
+	}
+	n.servers = maps.Clone(v.servers)
+	pools := make(map[string]bool)
+	for id, e := range n.servers {
+		pool, ok := v.Catalog.Pool(e.Pool)
+		if !ok || e.DataCentre != dataCentre {
+			continue
+		}
+		e.ColdUntil = max(e.ColdUntil, now+pool.ColdFor)
+		n.servers[id] = e
+		pools[e.Pool] = true
+	}
+	for pool := range pools {
+		n.rebuildPool(pool)
+	}
+	return &n
+}
+
 // WithRollout returns a copy in which the pool has the roll-out.
 func (v *View) WithRollout(r Rollout) *View {
 	n := *v
--- a/internal/program/daemon/main.go
+++ b/internal/program/daemon/main.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -12,6 +13,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/commandline"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/program/entry"
 	"gypsumpitch.example/gypsumpitch/platform"
 )
 
@@ -79,5 +81,5 @@
 func serveEntry() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return platform.RunEntry(ctx)
+	return entry.Main(ctx, os.Getenv(platform.SettingsVariable))
 }
--- /dev/null
+++ b/internal/program/entry/entry.go
@@ -0,0 +1,200 @@
+// Package entry runs the daemon of an entry host, whose configuration, servers
+// and peers are found in the platform's store.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/board"
+	"gypsumpitch.example/gypsumpitch/internal/control/follower"
+	"gypsumpitch.example/gypsumpitch/internal/control/keeper"
+	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/control/pilot"
+	"gypsumpitch.example/gypsumpitch/internal/control/registry"
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/logging"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/callers"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/relay"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/steer"
+	"gypsumpitch.example/gypsumpitch/platform"
+)
+
+// Entry is everything that the daemon of an entry host runs.
+type Entry struct {
+	Log      hclog.Logger
+	Clock    clock.Clock
+	Settings settings.Settings
+	Keeper   *keeper.Keeper
+	Store    *platform.Store
+	Front    *platform.Front
+	Relay    *relay.Relay
+	Book     *bearing.Book
+	Steer    *steer.Steer
+	Repeats  *admission.RepeatBudget
+	Board    *board.Board
+	Exchange *board.Exchange
+	Peers    *peer.Server
+	Pilot    *pilot.Pilot
+}
+
+const (
+	// settleTime is how long changes by the operator and the servers gather. Those
+	// that must be in force soonest have 2 s.
+	settleTime = 250 * clock.Millis(1)
+	// ownSettleTime is the same for the daemons' own rows, where the store only
+	// carries what isn't urgent.
+	ownSettleTime = 800 * clock.Millis(1)
+	// memoryShare of the host's bound is where the garbage collector works harder.
+	memoryShare = 0.6
+	// logFlush bounds the writing of the last log lines.
+	logFlush = time.Second
+)
+
+// Main serves by the settings file at the path until the context ends.
+func Main(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	output := logging.NewWriter(os.Stdout)
+	defer output.Close(logFlush)
+	log := hclog.New(&hclog.LoggerOptions{
+		Name: s.Host, Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON, Output: output,
+	})
+	e, err := Assemble(log, s)
+	if err != nil {
+		return err
+	}
+	e.apply(s)
+	return e.Run(ctx, path)
+}
+
+// Run serves until the context ends, then shuts down gracefully.
+func (e *Entry) Run(ctx context.Context, path string) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	sockets, err := e.listen()
+	if err != nil {
+		return err
+	}
+	e.startControl(background)
+	front := callers.NewServer(sockets.callers, e.Front)
+	go clock.Every(background, limitsPeriod, func() {
+		if c := e.Keeper.View().Catalog; c != nil {
+			front.SetLimits(c.Limits)
+		}
+	})
+	go e.watchSettings(background, path)
+	balancer := &http.Server{Handler: e.readiness(ctx), ReadHeaderTimeout: balancerLimit}
+	failures := make(chan error, 3)
+	go func() { failures <- front.Serve() }()
+	go func() { failures <- errors.Wrap(balancer.Serve(sockets.balancer), "balancer listener") }()
+	go func() { failures <- e.Peers.Serve(background, sockets.peers) }()
+	e.Log.Info("serving", "caller", e.Settings.Entry.Caller, "ready", e.Settings.Entry.Ready,
+		"store", e.Settings.Entry.Store, "peer", e.Settings.Listen.Peer)
+	select {
+	case err := <-failures:
+		return err
+	case <-ctx.Done():
+	}
+	return e.stop(front)
+}
+
+const (
+	// limitsPeriod is how often the limits of the configuration are applied.
+	limitsPeriod = 500 * clock.Millis(1)
+	// balancerLimit bounds the reading of the balancer's question.
+	balancerLimit = 5 * time.Second
+)
+
+// startControl starts what keeps this daemon up with the store and its peers.
+func (e *Entry) startControl(ctx context.Context) {
+	go e.Keeper.Run(ctx)
+	feeds := platform.NewFeeds(ctx, e.Log, e.Keeper)
+	for _, table := range platform.Tables() {
+		go follower.New(e.Log, e.Store, feeds, table, settleTime).Run(ctx)
+	}
+	own := registry.NewSink(ctx, e.Log, e.Keeper)
+	go follower.New(e.Log, e.Store, own, registry.Table, ownSettleTime).Run(ctx)
+	go registry.Announce(ctx, e.Log, e.Keeper, e.Store, e.Settings.Host,
+		fleet.Host{Address: e.Settings.Listen.Peer, DataCentre: e.Settings.DataCentre})
+	e.Exchange.Register(e.Peers)
+	go e.Exchange.Run(ctx)
+	go e.Pilot.Run(ctx)
+}
+
+// refresh brings this daemon's counts to the board, and the others' to its own
+// decisions.
+func refresh(c clock.Clock, k *keeper.Keeper, b *board.Board, book *bearing.Book, s *steer.Steer, repeats *admission.RepeatBudget) {
+	view := k.View()
+	b.SetOwn(book.Loads(), s.Tallies(), s.Kept(view))
+	book.SetOthers(b.Loads(), c.Now())
+	repeats.SetHosts(len(view.Hosts))
+	book.Forget(func(id string) bool {
+		_, known := view.Server(id)
+		return known
+	})
+}
+
+// readiness answers the balancer: the daemon takes requests once it knows all
+// that it needs, until it stops.
+func (e *Entry) readiness(ctx context.Context) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if ctx.Err() != nil || !isComplete(e.Keeper.View()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// isComplete tells whether the view has all that requests are decided by.
+func isComplete(v *fleet.View) bool {
+	for _, table := range platform.Tables() {
+		if !v.Followed[table] {
+			return false
+		}
+	}
+	return v.Catalog != nil && v.Followed[registry.Table]
+}
+
+// sockets are the listeners of the daemon.
+type sockets struct {
+	callers  net.Listener
+	balancer net.Listener
+	peers    net.Listener
+}
+
+func (e *Entry) listen() (*sockets, error) {
+	var s sockets
+	for _, l := range []struct {
+		address string
+		socket  *net.Listener
+	}{{e.Settings.Entry.Caller, &s.callers}, {e.Settings.Entry.Ready, &s.balancer}, {e.Settings.Listen.Peer, &s.peers}} {
+		socket, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		*l.socket = socket
+	}
+	return &s, nil
+}
+
+// apply makes those settings hold that can change while the daemon runs.
+func (e *Entry) apply(s settings.Settings) {
+	if s.Entry.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Entry.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	e.Repeats.SetBounds(s.Entry.RepeatRatio, s.Entry.RepeatSlack)
+	e.Log.SetLevel(hclog.LevelFromString(s.Log.Level))
+}
--- /dev/null
+++ b/internal/program/entry/providers.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/board"
+	"gypsumpitch.example/gypsumpitch/internal/control/keeper"
+	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/control/pilot"
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
+	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/relay"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/steer"
+	"gypsumpitch.example/gypsumpitch/platform"
+)
+
+// bodyPart of the host's memory is for the bodies of requests.
+const bodyPart = 6
+
+// views returns the newest view.
+type views func() *fleet.View
+
+func newViews(k *keeper.Keeper) views { return k.View }
+
+func newStore(s settings.Settings) *platform.Store { return platform.NewStore(s.Entry.Store) }
+
+func newClient() *h1.Client { return h1.NewClient(platform.RequestID) }
+
+func newSteer(c clock.Clock, s settings.Settings, b *board.Board) *steer.Steer {
+	return steer.New(c, clock.Millis(s.Entry.SessionS*1000), s.Entry.ExposedShare, b.IsKept)
+}
+
+func newRepeats(s settings.Settings) *admission.RepeatBudget {
+	return admission.NewRepeatBudget(s.Entry.RepeatRatio, s.Entry.RepeatSlack, clock.Millis(s.Entry.RepeatWindow*1000))
+}
+
+func newPeerServer(log hclog.Logger, s settings.Settings) *peer.Server {
+	return peer.NewServer(log, s.Peer.Key)
+}
+
+func newExchange(
+	log hclog.Logger, c clock.Clock, s settings.Settings, k *keeper.Keeper, b *board.Board,
+	book *bearing.Book, st *steer.Steer, repeats *admission.RepeatBudget,
+) *board.Exchange {
+	return board.NewExchange(board.Config{
+		Log:        log,
+		Clock:      c,
+		Host:       s.Host,
+		DataCentre: s.DataCentre,
+		Board:      b,
+		Peers:      peer.NewClient(s.Peer.Key, nil),
+		Hosts:      func() map[string]fleet.Host { return k.View().Hosts },
+		Refresh:    func() { refresh(c, k, b, book, st, repeats) },
+	})
+}
+
+func newPilot(
+	log hclog.Logger, c clock.Clock, s settings.Settings, v views, b *board.Board, st *steer.Steer,
+	store *platform.Store, book *bearing.Book,
+) *pilot.Pilot {
+	return pilot.New(pilot.Config{
+		Log: log, Clock: c, Self: s.Host, Views: v, Board: b, Closer: st,
+		Recorder: platform.NewRecorder(store, v), Own: book.Loads,
+	})
+}
+
+func newRelay(
+	log hclog.Logger, c clock.Clock, s settings.Settings, k *keeper.Keeper, client *h1.Client,
+	book *bearing.Book, repeats *admission.RepeatBudget, st *steer.Steer,
+) *relay.Relay {
+	return relay.New(relay.Dependencies{
+		Log:        log,
+		Clock:      c,
+		DataCentre: s.DataCentre,
+		Views:      k.View,
+		Current:    k.IsCurrent,
+		Dialect:    platform.Dialect{},
+		Client:     client,
+		Book:       book,
+		Repeats:    repeats,
+		Steer:      st,
+		Bar:        cascade.Bar{Calm: int(s.Entry.AcceptCalm), Busy: int(s.Entry.AcceptBusy)},
+		Replaced: func(id string, now clock.Millis) {
+			k.Notify(func(state *keeper.State) { state.ReplacedServer(id, now) })
+		},
+	})
+}
+
+func newFront(c clock.Clock, s settings.Settings, l *relay.Relay, v views) *platform.Front {
+	return platform.NewFront(c, l, v, s.Entry.MemoryMB<<20/bodyPart)
+}
--- /dev/null
+++ b/internal/program/entry/wire.go
@@ -0,0 +1,37 @@
+//go:build wireinject
+
+package entry
+
+import (
+	"github.com/google/wire"
+	"github.com/hashicorp/go-hclog"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/board"
+	"gypsumpitch.example/gypsumpitch/internal/control/keeper"
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+)
+
+// Assemble makes a daemon from its settings.
+func Assemble(log hclog.Logger, s settings.Settings) (*Entry, error) {
+	wire.Build(
+		clock.NewSystem,
+		wire.Bind(new(clock.Clock), new(*clock.System)),
+		keeper.New,
+		board.New,
+		bearing.NewBook,
+		newViews,
+		newStore,
+		newClient,
+		newSteer,
+		newRepeats,
+		newPeerServer,
+		newExchange,
+		newPilot,
+		newRelay,
+		newFront,
+		wire.Struct(new(Entry), "*"),
+	)
+	return nil, nil
+}
--- a/internal/traffic/relay/dialect.go
+++ b/internal/traffic/relay/dialect.go
@@ -22,6 +22,7 @@
 	RequestID   string
 	NotRun      bool // the server states that it didn't run the request
 	WrongServer bool // another server has the address
+	Spoiled     bool // the answer claims success but can't be the server's own
 	HasLoad     bool
 	Running     int
 	Waiting     int
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -34,7 +34,7 @@
 		return false
 	}
 	// One run is kept for a server that fails.
-	if u.runs+2 > u.route.MaxAttempts {
+	if len(u.ran)+2 > u.route.MaxAttempts {
 		return false
 	}
 	pace := u.relay.Book.Pace(u.pool.Name, u.route.Models[u.top()])
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -32,7 +32,7 @@
 	deadline clock.Millis
 
 	level    int      // of the model among the route's
-	runs     int      // answers that servers began
+	failed   bool     // a server was unable to answer
 	sent     int      // attempts that reached a server, or may have
 	ran      []string // servers on which it ran or may have run
 	refused  []string // servers that stated that they didn't run it
@@ -157,7 +157,7 @@
 		Model:      u.model,
 		Prompt:     q.Prompt,
 		Salt:       container.Hash(q.ID),
-		Version:    l.Steer.Versions(view, pool.Name, q, len(u.ran) > 0),
+		Version:    l.Steer.Versions(view, pool.Name, q, u.failed),
 		Tried:      u.tried,
 		Now:        now,
 	})
@@ -175,7 +175,7 @@
 }
 
 func (u *run) tried(id string) bool {
-	return slices.Contains(u.ran, id) || slices.Contains(u.refused, id)
+	return (u.failed && slices.Contains(u.ran, id)) || slices.Contains(u.refused, id)
 }
 
 // callServer makes the call and relays its answer.
@@ -287,12 +287,17 @@
 	return u.noteMayHaveRun(server)
 }
 
-// noteMayHaveRun returns an error where the request must not be sent again.
-func (u *run) noteMayHaveRun(server *fleet.Entry) error {
+func (u *run) noteRan(server *fleet.Entry) {
 	u.mayRun = true
 	if !slices.Contains(u.ran, server.ID) {
 		u.ran = append(u.ran, server.ID)
 	}
+}
+
+// noteMayHaveRun returns an error where the request must not be sent again.
+func (u *run) noteMayHaveRun(server *fleet.Entry) error {
+	u.failed = true
+	u.noteRan(server)
 	if u.route.Repeat == catalog.AtMostOnce {
 		return u.broken(result.New(result.BackendFailed, "%s", u.lastSeen))
 	}
@@ -329,7 +334,12 @@
 		}
 		return false, nil
 	}
-	u.runs++
+	if reply.Spoiled {
+		u.lastSeen = "the answer isn't the server's own"
+		u.log("spoiled answer", server, "status", answer.Status)
+		l.Book.NoteFault(server, now)
+		return false, u.noteMayHaveRun(server)
+	}
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed {
 		l.Book.NoteFault(server, now)
@@ -339,6 +349,7 @@
 		u.log("escalated", server, "confidence", reply.Confidence)
 		u.level = u.top()
 		u.lastSeen = "a small model was unsure of its answer"
+		u.noteRan(server)
 		return false, nil
 	}
 	if failed && !u.began && u.mayRepeat(server) && u.deadline-now > leastUseful {
