--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -298,6 +298,9 @@
 func (u *run) noteMayHaveRun(server *fleet.Entry) error {
 	u.failed = true
 	u.noteRan(server)
+	if u.relay.Clock.Now() >= u.deadline {
+		return u.broken(result.New(result.BackendTimeout, "%s", u.lastSeen))
+	}
 	if u.route.Repeat == catalog.AtMostOnce {
 		return u.broken(result.New(result.BackendFailed, "%s", u.lastSeen))
 	}
