Tell the end of an outage at once; bound what many daemons send to a cold server

After an outage the next call waited for changes, so the store counted as regained only with the first change, a server's removal 9 s after the outage's end, which was then taken as lapsed in it. The first call after a failure doesn't wait now. (2) A property test: with 12 daemons a cold server that bears 3 a second got 10 in one, since each daemon may send one at once. The parts that may go at once are owned by few daemons now, by rendezvous.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -59,7 +59,13 @@
 	pause := firstPause
 	version, listed, well := int64(0), false, true
 	for ctx.Err() == nil {
-		page, err := f.read(ctx, listed, version)
+		// The first call after a failure doesn't wait for changes: what it brings
+		// happened during the outage, and what comes later did not.
+		wait := waitLimit
+		if !well {
+			wait = 0
+		}
+		page, err := f.read(ctx, listed, version, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -99,17 +105,17 @@
 	f.log.Warn("store lost", "table", f.table, "after", version, "error", err.Error())
 }
 
-func (f *Follower) read(ctx context.Context, listed bool, version int64) (rowstore.Page, error) {
+func (f *Follower) read(ctx context.Context, listed bool, version int64, wait clock.Millis) (rowstore.Page, error) {
 	limit := listLimit
 	if listed {
-		limit = waitLimit + answerLimit
+		limit = wait + answerLimit
 	}
 	callCtx, cancel := context.WithTimeout(ctx, limit.Duration())
 	defer cancel()
 	if !listed {
 		return f.store.List(callCtx, f.table)
 	}
-	return f.store.Changes(callCtx, f.table, version, waitLimit)
+	return f.store.Changes(callCtx, f.table, version, wait)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/coldstart"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
@@ -43,8 +44,9 @@
 // Ask is what needs a server.
 type Ask struct {
 	Pool       catalog.Pool
-	DataCentre string // of this daemon
-	Hosts      int    // that share what a cold server bears
+	DataCentre string   // of this daemon
+	Self       string   // this daemon's host
+	Hosts      []string // of all daemons, which share what a cold server bears
 	Model      string
 	Prompt     Prompt
 	Salt       uint64                    // differs between requests
@@ -116,7 +118,7 @@
 func (b *Book) place(c *Choice, a *Ask) {
 	s := b.state(&c.Server)
 	if s.isCold(&c.Server, &a.Pool, a.Now) {
-		s.cold.take(a.coldRate(), a.Now)
+		s.cold.take(a.coldPart(c.Server.ID), a.Now)
 	}
 	s.own.Calls++
 	s.own.Reading += c.Reading
@@ -126,8 +128,22 @@
 	return v.InService(e) && (a.Version == nil || a.Version(e.Version))
 }
 
-// coldRate is this daemon's part of what a cold server bears a second.
-func (a *Ask) coldRate() float64 { return a.Pool.ColdRate / float64(max(a.Hosts, 1)) }
+// coldPart is this daemon's part of what a cold server bears. What all daemons
+// may send at once is bounded too, so a server has few owners where there are many
+// daemons.
+func (a *Ask) coldPart(server string) part {
+	all := max(int(a.Pool.ColdRate*coldAtOnce+coldAtOnceSlack), 1)
+	own := float64(coldstart.Slots(server, all, a.Hosts, a.Self))
+	return part{perSecond: a.Pool.ColdRate * own / float64(all), atOnce: own}
+}
+
+const (
+	// coldAtOnce x the rate and coldAtOnceSlack more is what all daemons together
+	// may send at once, beyond the rate. Cold servers are given up to half of the
+	// rate and five more before they fall over.
+	coldAtOnce      = 0.35
+	coldAtOnceSlack = 3.0
+)
 
 // hasRoom tells whether the server can take one more request.
 func (b *Book) hasRoom(s *serverState, e *fleet.Entry, a *Ask) bool {
@@ -135,7 +151,7 @@
 	if float64(s.load(a.Now).Calls) >= slots*(1+waitingShare) {
 		return false
 	}
-	return !s.isCold(e, &a.Pool, a.Now) || s.cold.ready(a.coldRate(), a.Now)
+	return !s.isCold(e, &a.Pool, a.Now) || s.cold.ready(a.coldPart(e.ID), a.Now)
 }
 
 func (b *Book) cost(s *serverState, e *fleet.Entry, a *Ask, pace Pace, unread int) float64 {
--- /dev/null
+++ b/internal/decision/bearing/choose_test.go
@@ -0,0 +1,217 @@
+package bearing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+func engines(n int) *fleet.View {
+	v := fleet.NewView()
+	for i := range n {
+		v = v.WithServer(fleet.Server{
+			ID: fmt.Sprintf("engine-%02d", i), Pool: "text", Address: fmt.Sprintf("127.0.0.1:%d", i+1),
+			DataCentre: fmt.Sprintf("dc-%d", i%3), Version: "v1", Slots: 64,
+		}, 0)
+	}
+	return v
+}
+
+func textPool() catalog.Pool {
+	return catalog.Pool{Name: "text", Slots: 64, TokenMemory: 400_000, EventTokens: 8}
+}
+
+func prompt(document string, own int) Prompt {
+	return Prompt{Parts: []Part{{"system", 500}, {document, 5_000}, {"own", own}}, Read: 5_500 + own, Write: 300}
+}
+
+// TestSharedPromptsMeet has daemons that know nothing of each other choose for the
+// same document: they must agree, and different documents must spread.
+func TestSharedPromptsMeet(t *testing.T) {
+	v := engines(12)
+	used := make(map[string]bool)
+	for d := range 40 {
+		document := fmt.Sprintf("document-%d", d)
+		first := ""
+		for daemon := range 5 {
+			c, verdict := NewBook().Choose(v, Ask{
+				Pool: textPool(), DataCentre: "dc-1", Model: "m", Prompt: prompt(document, 100), Salt: uint64(daemon), Now: 1000,
+			})
+			assert.Equal(t, verdict, Chosen)
+			if first == "" {
+				first = c.Server.ID
+			}
+			assert.Equal(t, c.Server.ID, first, document)
+		}
+		used[first] = true
+	}
+	assert.Assert(t, len(used) >= 9, "40 documents meet at %d of 12 servers", len(used))
+}
+
+// TestHotPromptSpills sends one document more often than one server bears; the
+// rest must go to others, and no server may get more than its room.
+func TestHotPromptSpills(t *testing.T) {
+	v, b := engines(6), NewBook()
+	loads := make(map[string]int)
+	for i := range 300 {
+		c, verdict := b.Choose(v, Ask{Pool: textPool(), Model: "m", Prompt: prompt("hot", 100), Salt: uint64(i), Now: 1000})
+		assert.Equal(t, verdict, Chosen)
+		loads[c.Server.ID]++
+	}
+	assert.Assert(t, len(loads) == 6, "%v", loads)
+	for id, n := range loads {
+		assert.Assert(t, n <= 96, "%s has %d", id, n)
+	}
+}
+
+// TestNoHerd has many daemons decide by the same old word of the loads: one
+// server is idle, the others have some load.
+func TestNoHerd(t *testing.T) {
+	v := engines(10)
+	counts := make(map[string]int)
+	for daemon := range 60 {
+		b := NewBook()
+		others := make(map[string]Load)
+		for _, id := range v.Servers() {
+			others[id] = Load{Calls: 8}
+		}
+		others["engine-00"] = Load{Calls: 8}
+		for i := range 5 {
+			b.Choose(v, Ask{Pool: textPool(), Model: "m", Prompt: Prompt{Read: 500}, Salt: uint64(1000*daemon + i), Now: 1000})
+			b.SetOthers(others, 1000)
+		}
+		for id, load := range b.Loads() {
+			counts[id] += load.Calls
+		}
+	}
+	for id, n := range counts {
+		assert.Assert(t, n <= 2*300/10, "%s got %d of 300", id, n)
+	}
+}
+
+// TestTroubledServersComeLast puts servers that fail, are slow or were tried behind others.
+func TestTroubledServersComeLast(t *testing.T) {
+	const now = clock.Millis(100_000)
+	cases := map[string]func(b *Book, e *fleet.Entry, a *Ask){
+		"no connection": func(b *Book, e *fleet.Entry, _ *Ask) { b.NoteFailure(e, now) },
+		"fails while it answers": func(b *Book, e *fleet.Entry, _ *Ask) {
+			for range 3 {
+				b.NoteFault(e, now)
+			}
+		},
+		"tried":           func(_ *Book, e *fleet.Entry, a *Ask) { a.Tried = func(id string) bool { return id == e.ID } },
+		"says it is full": func(b *Book, e *fleet.Entry, _ *Ask) { b.NoteFull(e, now) },
+		"slow": func(b *Book, e *fleet.Entry, _ *Ask) {
+			usual := Choice{Server: *e}
+			other := Choice{Server: fleet.Entry{Server: fleet.Server{ID: "engine-01", Pool: "text"}}}
+			for range 20 {
+				b.NoteFirst(&other, "m", 500, now)
+			}
+			for range 8 {
+				b.NoteFirst(&usual, "m", 4_000, now)
+			}
+		},
+	}
+	for name, trouble := range cases {
+		t.Run(name, func(t *testing.T) {
+			v, b := engines(2), NewBook()
+			e, _ := v.Server("engine-00")
+			a := Ask{Pool: textPool(), Model: "m", Prompt: Prompt{Read: 500}, Now: now}
+			b.Choose(v, a)
+			b.Choose(v, a)
+			trouble(b, &e, &a)
+			c, verdict := b.Choose(v, a)
+			assert.Equal(t, verdict, Chosen)
+			assert.Equal(t, c.Server.ID, "engine-01")
+		})
+	}
+}
+
+// TestVerdicts tells no server from no room.
+func TestVerdicts(t *testing.T) {
+	v := engines(1)
+	a := Ask{Pool: textPool(), Prompt: Prompt{Read: 10}, Now: 1000}
+	b := NewBook()
+	for range 96 {
+		_, verdict := b.Choose(v, a)
+		assert.Equal(t, verdict, Chosen)
+	}
+	_, verdict := b.Choose(v, a)
+	assert.Equal(t, verdict, Full)
+	_, verdict = b.Choose(v.WithEvacuated("dc-0", true), a)
+	assert.Equal(t, verdict, None)
+	a.Version = func(version string) bool { return version == "v2" }
+	_, verdict = b.Choose(v, a)
+	assert.Equal(t, verdict, None)
+}
+
+// TestColdServerRate has any number of daemons send all they may to a cold server.
+// In no second may it get more than what the deployments allow: 1.5 times the rate
+// that it bears, and 5.
+func TestColdServerRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 100).Draw(t, "hosts")
+		rate := rapid.Float64Range(3, 40).Draw(t, "rate")
+		v := fleet.NewView().WithServer(fleet.Server{ID: "engine", Pool: "text", Slots: 1000, ColdFor: 60_000}, 0)
+		pool := textPool()
+		pool.ColdRate = rate
+		books := make([]*Book, hosts)
+		names := make([]string, hosts)
+		for i := range books {
+			books[i], names[i] = NewBook(), fmt.Sprintf("host-%03d", i)
+		}
+		chance := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		asking := rapid.Float64Range(0.01, 1).Draw(t, "asking")
+		quietUntil := clock.Millis(rapid.IntRange(0, 4_000).Draw(t, "quiet until")) // lets unused parts add up
+		const step = 20                                                             // ms
+		var sent []int
+		for now := clock.Millis(1); now < 6_000; now += step {
+			n := 0
+			for i, b := range books {
+				if now > quietUntil && chance.Float64() < asking {
+					if _, verdict := b.Choose(v, Ask{Pool: pool, Self: names[i], Hosts: names, Prompt: Prompt{Read: 1}, Now: now}); verdict == Chosen {
+						n++
+					}
+				}
+			}
+			sent = append(sent, n)
+			second := 0
+			for _, n := range sent[max(len(sent)-1000/step, 0):] {
+				second += n
+			}
+			if float64(second) > rate*1.5+5 {
+				t.Fatalf("%d in a second at rate %.1f with %d daemons", second, rate, hosts)
+			}
+		}
+	})
+}
+
+// BenchmarkChoose must stay under 2 us and without allocation for one choice among
+// the servers of a deployment of today.
+func BenchmarkChoose(b *testing.B) {
+	v, book := engines(18), NewBook()
+	a := Ask{Pool: textPool(), DataCentre: "dc-1", Model: "m", Prompt: prompt("document", 100), Now: 1000}
+	b.ReportAllocs()
+	for i := range b.N {
+		a.Salt = uint64(i)
+		c, _ := book.Choose(v, a)
+		book.Done(&c)
+	}
+}
+
+func ExamplePace_First() {
+	var p Pace
+	for i := range 200 {
+		tokens := 1_000 * (1 + i%10)
+		p = p.WithFirst(tokens, clock.Millis(50+tokens/50))
+	}
+	fmt.Println(p.First(1_000)/10*10, p.First(10_000)/10*10)
+	// Output: 60 240
+}
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -22,6 +22,7 @@
 	// StoreOffset is what the store's clock is ahead of this daemon's.
 	StoreOffset clock.Millis
 
+	names   []string // of the hosts, in order
 	servers map[string]Entry
 	pools   map[string][]Entry
 }
@@ -165,18 +166,19 @@
 	if h.Address != "" {
 		n.Hosts[name] = h
 	}
+	n.names = slices.Sorted(maps.Keys(n.Hosts))
 	return &n
 }
 
 // WithoutHosts returns a copy that knows no hosts.
 func (v *View) WithoutHosts() *View {
 	n := *v
-	n.Hosts = map[string]Host{}
+	n.Hosts, n.names = map[string]Host{}, nil
 	return &n
 }
 
-// HostNames returns the names of the hosts in order.
-func (v *View) HostNames() []string { return slices.Sorted(maps.Keys(v.Hosts)) }
+// HostNames returns the names of the hosts in order. Callers must not change it.
+func (v *View) HostNames() []string { return v.names }
 
 // WithFollowed returns a copy in which the table has been read whole.
 func (v *View) WithFollowed(table string) *View {
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -76,6 +76,7 @@
 	return relay.New(relay.Dependencies{
 		Log:        log,
 		Clock:      c,
+		Host:       s.Host,
 		DataCentre: s.DataCentre,
 		Views:      k.View,
 		Current:    k.IsCurrent,
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -21,6 +21,7 @@
 type Dependencies struct {
 	Log        hclog.Logger
 	Clock      clock.Clock
+	Host       string // that this daemon runs on
 	DataCentre string
 	Views      func() *fleet.View
 	// Current tells whether the view can be trusted to hold the newest
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -153,7 +153,8 @@
 	choice, verdict := l.Book.Choose(view, bearing.Ask{
 		Pool:       pool,
 		DataCentre: l.DataCentre,
-		Hosts:      len(view.Hosts),
+		Self:       l.Host,
+		Hosts:      view.HostNames(),
 		Model:      u.model,
 		Prompt:     q.Prompt,
 		Salt:       container.Hash(q.ID),
