--- /dev/null
+++ b/internal/control/board/board_test.go
@@ -0,0 +1,154 @@
+package board
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/steer"
+)
+
+var subject = steer.Subject{Pool: "text", Order: 7, Trial: true, Route: "draft"}
+
+// told returns a board whose daemon has so many calls at server e1, has seen one bad
+// answer and keeps one session.
+func told(c clock.Clock, calls int, session uint64) *Board {
+	b := New(c)
+	b.SetOwn(map[string]bearing.Load{"e1": {Calls: calls, Reading: 10}, "idle": {}},
+		map[steer.Subject]rollout.Tally{subject: {Bad: 1}}, map[int64][]uint64{7: {session}})
+	return b
+}
+
+// TestSums lets two daemons report to a third, and that one exchange sums with
+// another data centre.
+func TestSums(t *testing.T) {
+	c := clock.NewManual(1_000)
+	first, second, third, far := told(c, 1, 11), told(c, 2, 12), told(c, 4, 13), told(c, 8, 14)
+	first.TakeDataCentre("dc-2", far.Take(Report{From: "dc-1", IsDataCentre: true, Record: first.DataCentre()}))
+	for _, b := range []*Board{second, third, second, third} {
+		name := "second"
+		if b == third {
+			name = "third"
+		}
+		b.TakeOthers(first.Take(Report{From: name, Record: b.Own()}))
+	}
+	far.Take(Report{From: "dc-1", IsDataCentre: true, Record: first.DataCentre()})
+	wanted := map[string]struct {
+		board *Board
+		calls int
+		kept  uint64
+	}{
+		"the one that others report to": {first, 2 + 4 + 8, 14},
+		"one that reports":              {second, 1 + 4 + 8, 13},
+		"another that reports":          {third, 1 + 2 + 8, 11},
+		"another data centre":           {far, 1 + 2 + 4, 12},
+	}
+	for name, w := range wanted {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, w.board.Loads()["e1"].Calls, w.calls)
+			assert.Equal(t, w.board.Compare("text", 7)["draft"].Trial.Bad, 4, "own and all others")
+			assert.Assert(t, w.board.IsKept(7, w.kept))
+			assert.Assert(t, !w.board.IsKept(7, 99))
+		})
+	}
+}
+
+// TestOldLoadsDontCount drops loads that weren't heard of lately, and keeps what
+// was counted.
+func TestOldLoadsDontCount(t *testing.T) {
+	c := clock.NewManual(1_000)
+	b := told(c, 1, 11)
+	b.Take(Report{From: "other", Record: told(c, 5, 12).Own()})
+	assert.Equal(t, b.Loads()["e1"].Calls, 5)
+	c.Advance(3_000)
+	assert.Equal(t, b.Loads()["e1"].Calls, 0)
+	assert.Equal(t, b.Compare("text", 7)["draft"].Trial.Bad, 2)
+}
+
+// node is a daemon's board with its exchange on a loopback port.
+type node struct {
+	board    *Board
+	exchange *Exchange
+	listener net.Listener
+	server   *peer.Server
+	calls    atomic.Int64
+}
+
+func startNode(t *testing.T, ctx context.Context, name, centre string, calls int, hosts map[string]fleet.Host) *node {
+	t.Helper()
+	system := clock.NewSystem()
+	n := &node{board: New(system), server: peer.NewServer(hclog.NewNullLogger(), "")}
+	n.calls.Store(int64(calls))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	n.listener = listener
+	hosts[name] = fleet.Host{Address: listener.Addr().String(), DataCentre: centre}
+	n.exchange = NewExchange(Config{
+		Log: hclog.NewNullLogger(), Clock: system, Host: name, DataCentre: centre, Board: n.board,
+		Peers: peer.NewClient("", nil), Hosts: func() map[string]fleet.Host { return hosts },
+		Refresh: func() {
+			n.board.SetOwn(map[string]bearing.Load{"e1": {Calls: int(n.calls.Load())}}, nil, nil)
+		},
+	})
+	n.exchange.Register(n.server)
+	go func() { _ = n.server.Serve(ctx, listener) }()
+	return n
+}
+
+// waitFor waits until the daemon knows of so many calls of others.
+func (n *node) waitFor(t *testing.T, calls int) {
+	t.Helper()
+	for range 400 {
+		if n.board.Loads()["e1"].Calls == calls {
+			return
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	t.Fatalf("others' calls are %d, not %d", n.board.Loads()["e1"].Calls, calls)
+}
+
+// TestAnyDaemonTakesOver ends the daemon to which those of a data centre report.
+func TestAnyDaemonTakesOver(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	hosts := make(map[string]fleet.Host)
+	nodes := map[string]*node{}
+	for name, calls := range map[string]int{"a1": 1, "a2": 2, "a3": 4} {
+		nodes[name] = startNode(t, ctx, name, "dc-a", calls, hosts)
+	}
+	for name, calls := range map[string]int{"b1": 8, "b2": 16} {
+		nodes[name] = startNode(t, ctx, name, "dc-b", calls, hosts)
+	}
+	stop := make(map[string]context.CancelFunc)
+	for name, n := range nodes {
+		var own context.Context
+		own, stop[name] = context.WithCancel(ctx)
+		go n.exchange.Run(own)
+	}
+	for name, own := range map[string]int{"a1": 1, "a2": 2, "a3": 4, "b1": 8, "b2": 16} {
+		nodes[name].waitFor(t, 31-own)
+	}
+	first := nodes["a1"].exchange.first("dc-a", []string{"a1", "a2", "a3"})
+	gone := nodes[first]
+	stop[first]()
+	_ = gone.listener.Close()
+	gone.server.CloseAll()
+	// What changes from now on must reach the others by another daemon.
+	nodes["b2"].calls.Store(32)
+	left := 47 - int(gone.calls.Load())
+	for name, own := range map[string]int{"a1": 1, "a2": 2, "a3": 4} {
+		if name != first {
+			nodes[name].waitFor(t, left-own)
+		}
+	}
+}
