--- a/internal/control/board/board_test.go
+++ b/internal/control/board/board_test.go
@@ -84,7 +84,7 @@
 	calls    atomic.Int64
 }
 
-func startNode(t *testing.T, ctx context.Context, name, centre string, calls int, hosts map[string]fleet.Host) *node {
+func startNode(ctx context.Context, t *testing.T, name, centre string, calls int, hosts map[string]fleet.Host) *node {
 	t.Helper()
 	system := clock.NewSystem()
 	n := &node{board: New(system), server: peer.NewServer(hclog.NewNullLogger(), "")}
@@ -124,10 +124,10 @@
 	hosts := make(map[string]fleet.Host)
 	nodes := map[string]*node{}
 	for name, calls := range map[string]int{"a1": 1, "a2": 2, "a3": 4} {
-		nodes[name] = startNode(t, ctx, name, "dc-a", calls, hosts)
+		nodes[name] = startNode(ctx, t, name, "dc-a", calls, hosts)
 	}
 	for name, calls := range map[string]int{"b1": 8, "b2": 16} {
-		nodes[name] = startNode(t, ctx, name, "dc-b", calls, hosts)
+		nodes[name] = startNode(ctx, t, name, "dc-b", calls, hosts)
 	}
 	stop := make(map[string]context.CancelFunc)
 	for name, n := range nodes {
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -13,11 +13,10 @@
 	"gypsumpitch.example/gypsumpitch/internal/platform/rowstore"
 )
 
-// step is one answer of the scripted store; wants is the call that it expects.
+// step is one answer of the scripted store.
 type step struct {
-	wants string
-	page  rowstore.Page
-	err   error
+	page rowstore.Page
+	err  error
 }
 
 // scriptedStore answers calls in the order of its steps, and holds the call after
--- a/internal/traffic/relay/answer.go
+++ b/internal/traffic/relay/answer.go
@@ -99,7 +99,7 @@
 			answer.SetReadDeadline(time.Now().Add(patience))
 		}
 		whole, id, err := source.Next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -189,17 +189,6 @@
 	return len(f.runs)
 }
 
-// serversAsked returns the servers in the order in which calls reached them.
-func (f *farm) serversAsked() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var names []string
-	for _, r := range f.runs {
-		names = append(names, r.server)
-	}
-	return strings.Join(names, " ")
-}
-
 // Behaviours of stand-in servers.
 
 func good(body string) behaviour {
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -57,6 +57,7 @@
 		"once, broken off":                    {"/post/1", both(reset), 502, "", 1},
 		"once, not run anywhere":              {"/post/1", both(notRun), 503, "", 4},
 		"once, a failure that says not run":   {"/post/1", both(status(429, testNotRun, "1")), 503, "", 4},
+		"once, a promise that isn't one":      {"/post/1", both(status(503)), 502, "", 1},
 		"an error of the caller's":            {"/post/1", both(status(404)), 404, "", 1},
 		"no route":                            {"/nowhere/", both(good("")), 404, "", 0},
 		"no pool":                             {"/lost/1", both(good("")), 503, "", 0},
@@ -210,6 +211,23 @@
 	assert.Equal(t, got.body, pieces(1, 2))
 }
 
+// TestOnlyEventsFollowEvents has the servers that should go on with a stream answer
+// with errors of the caller's instead.
+func TestOnlyEventsFollowEvents(t *testing.T) {
+	first := func(n int, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(testAfter) == "" {
+			sendEvents(2, 5)(n, w, r)
+			return
+		}
+		w.WriteHeader(http.StatusBadRequest)
+		_, _ = io.WriteString(w, "id: 3\ndata: not an event\n\n")
+	}
+	f := newFarm(t, streamRoutes(), first, first)
+	got := f.ask(http.MethodPost, "/draft/1", testModel, "large")
+	assert.Assert(t, got.err != nil)
+	assert.Equal(t, got.body, pieces(1, 2))
+}
+
 // TestSilentStreamGoesOnElsewhere has a server fall silent after two events.
 func TestSilentStreamGoesOnElsewhere(t *testing.T) {
 	silentAfterTwo := func(n int, w http.ResponseWriter, r *http.Request) {
@@ -290,7 +308,10 @@
 	request.Header.Set("X-Key", "key-1")
 	request.Header.Set(testID, "request-1")
 	time.AfterFunc(100*time.Millisecond, cancel)
-	_, err = http.DefaultTransport.RoundTrip(request)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
 	assert.Assert(t, err != nil)
 	select {
 	case <-left:
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -319,58 +319,75 @@
 	l.Book.Note(server, bearing.Seen{
 		HasLoad: reply.HasLoad, Held: reply.Running + reply.Waiting, Slots: reply.Slots, ColdFor: reply.ColdFor,
 	}, now)
-	if reply.WrongServer {
-		u.refused = append(u.refused, server.ID)
-		u.lastSeen = "another server has the address"
-		l.Replaced(server.ID, now)
-		u.log("wrong server", server)
-		return false, nil
-	}
-	if reply.NotRun {
-		u.refused = append(u.refused, server.ID)
-		u.lastSeen = http.StatusText(answer.Status) + " from the server, not run"
-		u.log("server refused", server, "status", answer.Status)
-		if answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusTooManyRequests {
-			l.Book.NoteFull(server, now)
-		}
-		if len(u.refused) > maxRefusals {
-			return false, u.giveUp(result.New(result.BackendRefused, "%d servers refused it", len(u.refused)))
-		}
-		return false, nil
-	}
-	if reply.Spoiled {
-		u.lastSeen = "the answer isn't the server's own"
-		u.log("spoiled answer", server, "status", answer.Status)
-		l.Book.NoteFault(server, now)
-		return false, u.noteMayHaveRun(server)
+	if reply.WrongServer || reply.NotRun || reply.Spoiled {
+		return false, u.passOver(server, answer, reply, now)
 	}
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed {
 		l.Book.NoteFault(server, now)
 	}
 	l.Steer.Outcome(u.view, server, u.route, Outcome{Judged: true, Failed: failed, First: now - began})
-	if !failed && u.escalates(reply, now) {
+	switch {
+	case u.began && answer.Status != http.StatusOK:
+		// Only events may follow those that the caller has.
+		return false, u.noteFailed(server, http.StatusText(answer.Status)+" from the server")
+	case failed && (isPromise(answer.Status) || (u.mayRepeat(server) && u.deadline-now > leastUseful)):
+		return false, u.noteFailed(server, http.StatusText(answer.Status)+" from the server")
+	case failed:
+		return u.relayWhole(server, answer)
+	case u.escalates(reply, now):
 		u.log("escalated", server, "confidence", reply.Confidence)
 		u.level = u.top()
 		u.lastSeen = "a small model was unsure of its answer"
 		u.noteRan(server)
 		return false, nil
-	}
-	if failed && !u.began && u.mayRepeat(server) && u.deadline-now > leastUseful {
-		u.lastSeen = http.StatusText(answer.Status) + " from the server"
-		u.log("server failed", server, "status", answer.Status)
-		return false, u.noteMayHaveRun(server)
-	}
-	if failed && u.began {
-		u.lastSeen = http.StatusText(answer.Status) + " from the server"
-		return false, u.noteMayHaveRun(server)
-	}
-	if u.route.Stream && !failed {
+	case u.route.Stream && answer.Status == http.StatusOK:
 		return u.relayStream(server, answer)
 	}
 	return u.relayWhole(server, answer)
 }
 
+// passOver decides what follows an answer that isn't one to the request.
+func (u *run) passOver(server *fleet.Entry, answer *h1.Answer, reply Reply, now clock.Millis) error {
+	l := u.relay
+	switch {
+	case reply.WrongServer:
+		l.Replaced(server.ID, now)
+		return u.noteRefused(server, "another server has the address")
+	case reply.NotRun:
+		if isPromise(answer.Status) {
+			l.Book.NoteFull(server, now)
+		}
+		return u.noteRefused(server, "not run: "+http.StatusText(answer.Status))
+	}
+	l.Book.NoteFault(server, now)
+	return u.noteFailed(server, "the answer isn't the server's own")
+}
+
+// isPromise tells whether callers take the status as a promise that the request
+// didn't run, which only this system or a server that says so may give.
+func isPromise(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// noteRefused takes in that the server didn't run the request.
+func (u *run) noteRefused(server *fleet.Entry, why string) error {
+	u.refused = append(u.refused, server.ID)
+	u.lastSeen = why
+	u.log("server refused", server, "reason", why)
+	if len(u.refused) > maxRefusals {
+		return u.giveUp(result.New(result.BackendRefused, "%d servers refused it", len(u.refused)))
+	}
+	return nil
+}
+
+// noteFailed takes in that the server ran the request and gave no use of it.
+func (u *run) noteFailed(server *fleet.Entry, why string) error {
+	u.lastSeen = why
+	u.log("server failed", server, "reason", why)
+	return u.noteMayHaveRun(server)
+}
+
 // maxRefusals is how many servers may refuse a request before it is given up:
 // each refusal is a repeat that all daemons' budget pays for.
 const maxRefusals = 3
