--- a/internal/foundation/result/code.go
+++ b/internal/foundation/result/code.go
@@ -44,6 +44,7 @@
 	BackendTimeout    = Code{3004, "backend_timeout", http.StatusGatewayTimeout, RunUnknown, 1000, "The backend server didn't answer in time."}
 	AnswerMismatch    = Code{3005, "answer_mismatch", http.StatusBadGateway, RunUnknown, 1000, "The backend server answered another request; that answer was dropped."}
 	StreamCut         = Code{3006, "stream_cut", http.StatusBadGateway, RunUnknown, 1000, "The stream ended before its final mark and couldn't be resumed."}
+	CallerLeft        = Code{3008, "caller_left", http.StatusBadGateway, RunUnknown, 0, "The caller closed its connection before the answer was complete; nobody gets this code."}
 	VersionWithdrawn  = Code{3007, "version_withdrawn", http.StatusServiceUnavailable, RunNo, 1000, "The chosen version was withdrawn before the request was handed over."}
 	KeyRequired       = Code{4001, "idempotency_key_required", http.StatusBadRequest, RunNo, 0, "This route runs calls at most once and needs an Idempotency-Key header."}
 	KeyReused         = Code{4002, "idempotency_key_reused", http.StatusUnprocessableEntity, RunNo, 0, "The key was used before with another request; this request was not run."}
@@ -65,7 +66,7 @@
 		OK,
 		MalformedRequest, BodyTooLarge, UnknownCredential, NoRoute, NotAllowed, BadSessionToken, SessionEnded, SlowRequest, UpgradeRefused,
 		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured,
-		NoServer, BackendRefused, BackendFailed, BackendTimeout, AnswerMismatch, StreamCut, VersionWithdrawn,
+		NoServer, BackendRefused, BackendFailed, BackendTimeout, AnswerMismatch, StreamCut, VersionWithdrawn, CallerLeft,
 		KeyRequired, KeyReused, InProgress, OutcomeUnknown, ClaimUnavailable,
 		EditConflict, EditInvalid, EditPending, StoreUnavailable, EditUnknown,
 		BillUnrecoverable, Internal,
--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -23,6 +23,7 @@
 type Entry struct {
 	Caller       string  `json:"caller" doc:"IP and port for callers"`
 	Ready        string  `json:"ready" doc:"IP and port where the balancer asks whether the daemon takes requests"`
+	Metrics      string  `json:"metrics" doc:"IP and port for metrics, at /metrics; empty serves none"`
 	Store        string  `json:"store" doc:"IP and port of the metadata store"`
 	MemoryMB     int64   `json:"memory_mb" doc:"memory above which the host ends the daemon" unit:"MB" min:"0" max:"1048576"`
 	MaxFiles     int64   `json:"max_files" doc:"file descriptors that the host allows" unit:"files" min:"0" max:"10000000"`
--- a/internal/program/client/main.go
+++ b/internal/program/client/main.go
@@ -35,6 +35,7 @@
 	registerStatus(app, e)
 	registerLoad(app, e)
 	registerMeasure(app, e)
+	registerExplain(app, e)
 	if _, _, err := commandline.Parse(app, args); err != nil {
 		_, _ = fmt.Fprintln(stderr, "gypsumpitch:", err)
 		return exitCode(err)
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
@@ -47,6 +48,7 @@
 	Exchange *board.Exchange
 	Peers    *peer.Server
 	Pilot    *pilot.Pilot
+	Metrics  *metrics.Set
 }
 
 const (
@@ -98,10 +100,14 @@
 	})
 	go e.watchSettings(background, path)
 	balancer := &http.Server{Handler: e.readiness(ctx), ReadHeaderTimeout: balancerLimit}
-	failures := make(chan error, 3)
+	e.registerGauges()
+	failures := make(chan error, listenerCount)
 	go func() { failures <- front.Serve() }()
 	go func() { failures <- errors.Wrap(balancer.Serve(sockets.balancer), "balancer listener") }()
 	go func() { failures <- e.Peers.Serve(background, sockets.peers) }()
+	if sockets.metrics != nil {
+		go func() { failures <- errors.Wrap(e.metricsServer().Serve(sockets.metrics), "metrics listener") }()
+	}
 	e.Log.Info("serving", "caller", e.Settings.Entry.Caller, "ready", e.Settings.Entry.Ready,
 		"store", e.Settings.Entry.Store, "peer", e.Settings.Listen.Peer)
 	select {
@@ -115,6 +121,8 @@
 const (
 	// limitsPeriod is how often the limits of the configuration are applied.
 	limitsPeriod = 500 * clock.Millis(1)
+	// listenerCount is how many listeners may fail.
+	listenerCount = 4
 	// balancerLimit bounds the reading of the balancer's question.
 	balancerLimit = 5 * time.Second
 )
@@ -173,6 +181,7 @@
 	callers  net.Listener
 	balancer net.Listener
 	peers    net.Listener
+	metrics  net.Listener // nil where no address is set
 }
 
 func (e *Entry) listen() (*sockets, error) {
@@ -180,7 +189,10 @@
 	for _, l := range []struct {
 		address string
 		socket  *net.Listener
-	}{{e.Settings.Entry.Caller, &s.callers}, {e.Settings.Entry.Ready, &s.balancer}, {e.Settings.Listen.Peer, &s.peers}} {
+	}{{e.Settings.Entry.Caller, &s.callers}, {e.Settings.Entry.Ready, &s.balancer}, {e.Settings.Listen.Peer, &s.peers}, {e.Settings.Entry.Metrics, &s.metrics}} {
+		if l.address == "" {
+			continue
+		}
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -71,7 +71,7 @@
 
 func newRelay(
 	log hclog.Logger, c clock.Clock, s settings.Settings, k *keeper.Keeper, client *h1.Client,
-	book *bearing.Book, repeats *admission.RepeatBudget, st *steer.Steer,
+	book *bearing.Book, repeats *admission.RepeatBudget, st *steer.Steer, m *relay.Metrics,
 ) *relay.Relay {
 	return relay.New(relay.Dependencies{
 		Log:        log,
@@ -85,6 +85,7 @@
 		Book:       book,
 		Repeats:    repeats,
 		Steer:      st,
+		Metrics:    m,
 		Bar:        cascade.Bar{Calm: int(s.Entry.AcceptCalm), Busy: int(s.Entry.AcceptBusy)},
 		Replaced: func(id string, now clock.Millis) {
 			k.Notify(func(state *keeper.State) { state.ReplacedServer(id, now) })
--- a/internal/program/entry/wire.go
+++ b/internal/program/entry/wire.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/wire"
 	"github.com/hashicorp/go-hclog"
 
@@ -11,6 +12,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/relay"
 )
 
 // Assemble makes a daemon from its settings.
@@ -31,6 +33,8 @@
 		newPilot,
 		newRelay,
 		newFront,
+		metrics.NewSet,
+		relay.NewMetrics,
 		wire.Struct(new(Entry), "*"),
 	)
 	return nil, nil
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -7,12 +7,14 @@
 package entry
 
 import (
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"gypsumpitch.example/gypsumpitch/internal/control/board"
 	"gypsumpitch.example/gypsumpitch/internal/control/keeper"
 	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/relay"
 )
 
 // Injectors from wire.go:
@@ -27,9 +29,11 @@
 	repeatBudget := newRepeats(s)
 	boardBoard := board.New(system)
 	steer := newSteer(system, s, boardBoard)
-	relay := newRelay(log, system, s, keeperKeeper, client, book, repeatBudget, steer)
+	set := metrics.NewSet()
+	relayMetrics := relay.NewMetrics(set)
+	relayRelay := newRelay(log, system, s, keeperKeeper, client, book, repeatBudget, steer, relayMetrics)
 	entryViews := newViews(keeperKeeper)
-	front := newFront(system, s, relay, entryViews)
+	front := newFront(system, s, relayRelay, entryViews)
 	exchange := newExchange(log, system, s, keeperKeeper, boardBoard, book, steer, repeatBudget)
 	server := newPeerServer(log, s)
 	pilot := newPilot(log, system, s, entryViews, boardBoard, steer, store, book)
@@ -40,7 +44,7 @@
 		Keeper:   keeperKeeper,
 		Store:    store,
 		Front:    front,
-		Relay:    relay,
+		Relay:    relayRelay,
 		Book:     book,
 		Steer:    steer,
 		Repeats:  repeatBudget,
@@ -48,6 +52,7 @@
 		Exchange: exchange,
 		Peers:    server,
 		Pilot:    pilot,
+		Metrics:  set,
 	}
 	return entry, nil
 }
--- a/internal/traffic/relay/answer.go
+++ b/internal/traffic/relay/answer.go
@@ -68,6 +68,7 @@
 	}
 	u.lastSeen = "the answer broke off: " + err.Error()
 	u.relay.Book.NoteFault(server, u.relay.Clock.Now())
+	u.relay.Metrics.attempt(u.pool.Name, "broke_off")
 	u.log("answer broke off", server, "error", err.Error(), "last_event", u.lastID)
 	if u.relay.Clock.Now() >= u.deadline {
 		return u.broken(result.New(result.BackendTimeout, "%s", u.lastSeen))
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
@@ -122,7 +123,8 @@
 		Dialect: testDialect{},
 		Client:  h1.NewClient(func(h http.Header) string { return h.Get(testID) }),
 		Book:    bearing.NewBook(), Repeats: admission.NewRepeatBudget(10, 100, 10_000),
-		Steer: FreeSteer{}, Bar: cascade.Bar{Calm: 58, Busy: 44},
+		Metrics: NewMetrics(metrics.NewSet()),
+		Steer:   FreeSteer{}, Bar: cascade.Bar{Calm: 58, Busy: 44},
 		Replaced: func(string, clock.Millis) {},
 	})
 	f.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"context"
 	"strconv"
 
+	"github.com/pkg/errors"
+
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
@@ -15,6 +18,9 @@
 	if u.route != nil {
 		fields = append(fields, "route", u.route.Name, "pool", u.pool.Name)
 	}
+	if u.view != nil && u.view.Catalog != nil {
+		fields = append(fields, "config_version", u.view.Catalog.Version)
+	}
 	if u.model != "" {
 		fields = append(fields, "model", u.model)
 	}
@@ -28,6 +34,22 @@
 	l.Log.Info(what, append(fields, more...)...)
 }
 
+// count counts the end of the request.
+func (u *run) count(code result.Code) {
+	u.relay.Metrics.ended(u.pool.Name, u.account.Name, code, u.relay.Clock.Now()-u.request.Arrived)
+}
+
+// codeOf returns the code of a request's end.
+func codeOf(err error) result.Code {
+	switch {
+	case errors.Is(err, errCallerLeft), errors.Is(err, context.Canceled):
+		return result.CallerLeft
+	case errors.Is(err, errCut):
+		return result.StreamCut
+	}
+	return result.From(err).Code
+}
+
 // retryAfter is when the caller should come back, in seconds with a fraction.
 func retryAfter(e *result.Error) string {
 	return strconv.FormatFloat(float64(e.Code.RetryAfterMs)/1000, 'f', -1, 64)
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -32,6 +32,7 @@
 	Book    *bearing.Book
 	Repeats *admission.RepeatBudget
 	Steer   Steer
+	Metrics *Metrics
 	// Bar tells which answers of small models are good enough.
 	Bar cascade.Bar
 	// Replaced takes in that another server has a server's address.
@@ -103,7 +104,8 @@
 	run := &run{relay: l, request: q, http: r, out: w}
 	err := run.serve()
 	if err == nil {
-		run.log("served", nil)
+		run.count(result.OK)
+		run.log("served", &run.server)
 		return
 	}
 	run.finish(err)
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -31,16 +31,17 @@
 	model    string
 	deadline clock.Millis
 
-	level    int      // of the model among the route's
-	failed   bool     // a server was unable to answer
-	sent     int      // attempts that reached a server, or may have
-	ran      []string // servers on which it ran or may have run
-	refused  []string // servers that stated that they didn't run it
-	mayRun   bool     // it may have run somewhere
-	began    bool     // the head of an answer has gone to the caller
-	ended    bool     // the answer is complete
-	lastID   string   // of the last event that went to the caller
-	lastSeen string   // why the last attempt failed
+	level    int         // of the model among the route's
+	failed   bool        // a server was unable to answer
+	sent     int         // attempts that reached a server, or may have
+	ran      []string    // servers on which it ran or may have run
+	refused  []string    // servers that stated that they didn't run it
+	mayRun   bool        // it may have run somewhere
+	began    bool        // the head of an answer has gone to the caller
+	ended    bool        // the answer is complete
+	lastID   string      // of the last event that went to the caller
+	lastSeen string      // why the last attempt failed
+	server   fleet.Entry // that the last attempt went to
 }
 
 // errCallerLeft says that nobody waits for the answer any more.
@@ -170,7 +171,7 @@
 	case bearing.Chosen:
 	}
 	defer l.Book.Done(&choice)
-	u.view = view
+	u.view, u.server = view, choice.Server
 	l.Steer.Placed(q, &choice.Server)
 	return u.callServer(&choice, now)
 }
@@ -216,6 +217,7 @@
 	}
 	defer answer.Close()
 	l.Book.Read(choice)
+	l.Metrics.head(u.account.Name, l.Clock.Now()-q.Arrived)
 	if answer.Status < http.StatusMultipleChoices {
 		now := l.Clock.Now()
 		l.Book.NoteFirst(choice, u.model, now-began, now)
@@ -264,6 +266,7 @@
 		failure = &h1.Failure{Sent: true, Reason: err}
 	}
 	u.lastSeen = failure.Error()
+	l.Metrics.attempt(u.pool.Name, "no_answer")
 	u.log("attempt failed", server, "sent", failure.Sent, "reused", failure.Reused, "error", failure.Error())
 	if failure.Sent && failure.Silent {
 		// It would have taken at least as long.
@@ -337,6 +340,7 @@
 		return u.relayWhole(server, answer)
 	case u.escalates(reply, now):
 		u.log("escalated", server, "confidence", reply.Confidence)
+		l.Metrics.attempt(u.pool.Name, "escalated")
 		u.level = u.top()
 		u.lastSeen = "a small model was unsure of its answer"
 		u.noteRan(server)
@@ -375,6 +379,7 @@
 	u.refused = append(u.refused, server.ID)
 	u.lastSeen = why
 	u.log("server refused", server, "reason", why)
+	u.relay.Metrics.attempt(u.pool.Name, "not_run")
 	if len(u.refused) > maxRefusals {
 		return u.giveUp(result.New(result.BackendRefused, "%d servers refused it", len(u.refused)))
 	}
@@ -385,6 +390,7 @@
 func (u *run) noteFailed(server *fleet.Entry, why string) error {
 	u.lastSeen = why
 	u.log("server failed", server, "reason", why)
+	u.relay.Metrics.attempt(u.pool.Name, "failed")
 	return u.noteMayHaveRun(server)
 }
 
@@ -441,7 +447,8 @@
 
 // finish ends a request that has no whole answer.
 func (u *run) finish(err error) {
-	u.log("ended", nil, "error", err.Error())
+	u.count(codeOf(err))
+	u.log("ended", nil, "code", codeOf(err).Number, "error", err.Error())
 	if errors.Is(err, errCallerLeft) || u.began || errors.Is(err, context.Canceled) {
 		// Ends the connection in a way that can't look like a whole answer.
 		panic(http.ErrAbortHandler)
