--- /dev/null
+++ b/internal/program/entry/store_standin_test.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// storeStandIn is a small stand-in of the platform's store, with switches for its
+// weather.
+type storeStandIn struct {
+	server *httptest.Server
+
+	mu      sync.Mutex
+	version int64
+	rows    map[string]storedRow // by table and key
+	changed chan struct{}        // closed at each change
+	down    bool
+	history int64 // changes up to this version are forgotten
+}
+
+type storedRow struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version int64  `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+func newStoreStandIn(t *testing.T) *storeStandIn {
+	t.Helper()
+	s := &storeStandIn{rows: make(map[string]storedRow), changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /gypsumpitch/rows-get", s.list)
+	mux.HandleFunc("GET /gypsumpitch/rows-feed", s.feed)
+	mux.HandleFunc("POST /gypsumpitch/rows-tx", s.commit)
+	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() {
+		s.server.CloseClientConnections()
+		s.server.Close()
+	})
+	return s
+}
+
+func (s *storeStandIn) address() string { return strings.TrimPrefix(s.server.URL, "http://") }
+
+// put writes a row as the operator or a server does; an empty value removes it.
+func (s *storeStandIn) put(table, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(table, key, []byte(value), value == "")
+}
+
+func (s *storeStandIn) write(table, key string, value []byte, deleted bool) {
+	s.version++
+	s.rows[table+" "+key] = storedRow{Table: table, Key: key, Value: value, Version: s.version, Deleted: deleted}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// get returns the value of a row.
+func (s *storeStandIn) get(table, key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.rows[table+" "+key].Value)
+}
+
+// setDown turns the store off or on; open calls end.
+func (s *storeStandIn) setDown(down bool) {
+	s.mu.Lock()
+	s.down = down
+	s.mu.Unlock()
+	if down {
+		s.server.CloseClientConnections()
+	}
+}
+
+// compact forgets all changes so far.
+func (s *storeStandIn) compact() {
+	s.mu.Lock()
+	s.history = s.version
+	s.mu.Unlock()
+	s.server.CloseClientConnections()
+}
+
+func (s *storeStandIn) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer(w, s.after(r.URL.Query().Get("table"), 0, false))
+}
+
+// after returns the table's rows that are newer than the version. The lock must be held.
+func (s *storeStandIn) after(table string, version int64, deleted bool) []storedRow {
+	rows := []storedRow{}
+	for _, row := range s.rows {
+		if row.Table == table && row.Version > version && (deleted || !row.Deleted) {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+func (s *storeStandIn) answer(w http.ResponseWriter, rows []storedRow) {
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "ver": s.version, "nowMs": time.Now().UnixMilli(), "hasMore": false})
+}
+
+func (s *storeStandIn) feed(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	limit := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.history {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		rows, changed := s.after(r.URL.Query().Get("table"), after, true), s.changed
+		if len(rows) > 0 {
+			s.answer(w, rows)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-limit:
+			s.mu.Lock()
+			s.answer(w, rows)
+			s.mu.Unlock()
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *storeStandIn) commit(w http.ResponseWriter, r *http.Request) {
+	var tx struct {
+		Expected []storedRow `json:"expectedRev"`
+		Writes   []storedRow `json:"writes"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range tx.Expected {
+		if s.rows[row.Table+" "+row.Key].Version != row.Version {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	first := s.version + 1
+	for _, row := range tx.Writes {
+		s.write(row.Table, row.Key, row.Value, false)
+	}
+	// All rows of a transaction have one version.
+	for _, row := range tx.Writes {
+		stored := s.rows[row.Table+" "+row.Key]
+		stored.Version = first
+		s.rows[row.Table+" "+row.Key] = stored
+	}
+	s.answer(w, nil)
+}
