--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -70,6 +70,7 @@
 	Server  fleet.Entry
 	Unread  int          // tokens of the prompt that the server has to read
 	Reading clock.Millis // time that it takes to read them
+	Head    clock.Millis // when the head of the answer is to be expected, after what is due before it
 }
 
 // Choose returns the server for the request and counts the request as under way
@@ -111,6 +112,8 @@
 		return Choice{}, verdict
 	}
 	choice.Server = entries[best]
+	s := b.state(&choice.Server)
+	choice.Head = clock.Millis(s.slowness(a.Now) * float64(pace.First(choice.Unread)+s.load(a.Now).Reading))
 	b.place(&choice, &a)
 	return choice, Chosen
 }
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -23,7 +23,7 @@
 		return 0
 	}
 	head := l.Book.Pace(pool, u.route.Models[u.top()]).First(u.request.Prompt.Read)
-	if head < u.route.Aim {
+	if head < u.route.Aim/2 {
 		return u.top()
 	}
 	return 0
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -198,7 +198,7 @@
 	u.sent++
 	until := time.Now().Add((u.deadline - l.Clock.Now()).Duration())
 	headBy := until
-	if patience := u.headPatience(choice.Unread); patience > 0 && time.Now().Add(patience).Before(until) {
+	if patience := u.headPatience(choice.Head); patience > 0 && time.Now().Add(patience).Before(until) {
 		headBy = time.Now().Add(patience)
 	}
 	answer, err := l.Client.Do(u.http.Context(), &h1.Call{
@@ -234,15 +234,16 @@
 	// plainHeadSlack is the same for plain calls, whose servers answer within
 	// tens of ms.
 	plainHeadSlack = 100 * clock.Millis(1)
-	// headAims x the route's aim is the longest wait: a slower answer is late
-	// anyway, and what is usual grows with the answers that were lost.
+	// headAims x the route's aim is the longest wait where servers aren't busy: a
+	// slower answer is late anyway, and what is usual grows with answers that were
+	// lost. At a busy one, asking elsewhere loses the place in its queue.
 	headAims = 1.5
 )
 
 // headPatience returns how long to wait for the head of an answer before the
 // request is sent elsewhere; 0 is until the deadline. A server may have lost
 // the answer, which nothing else shows.
-func (u *run) headPatience(unread int) time.Duration {
+func (u *run) headPatience(usual clock.Millis) time.Duration {
 	if u.route.Repeat == catalog.AtMostOnce || len(u.ran)+1 >= u.route.MaxAttempts {
 		return 0
 	}
@@ -250,8 +251,8 @@
 	if u.pool.Generates() {
 		slack = headSlack
 	}
-	usual := u.relay.Book.Pace(u.pool.Name, u.model).First(unread)
-	return min(headFactor*usual+slack, max(clock.Millis(headAims*float64(u.route.Aim)), slack)).Duration()
+	longest := max(clock.Millis(headAims*float64(u.route.Aim)), 2*usual)
+	return min(headFactor*usual+slack, longest).Duration()
 }
 
 // callFailed decides what follows a call without an answer.
