--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -20,7 +20,7 @@
 	text := []catalog.Share{{Pool: "text", Weight: 1}}
 	return []catalog.Route{
 		{Name: "read", Host: "desk.example", Prefix: "/read/", Repeat: catalog.Idempotent, Shares: text, MaxAttempts: 2, Timeout: 2_000, Aim: 100},
-		{Name: "post", Host: "desk.example", Prefix: "/post/", Shares: text, MaxAttempts: 1, Timeout: 2_000, Aim: 100},
+		{Name: "post", Host: "desk.example", Prefix: "/post/", Shares: text, MaxAttempts: 3, Timeout: 2_000, Aim: 100},
 		{Name: "open", Host: "desk.example", Prefix: "/open/", Shares: text, MaxAttempts: 1, Timeout: 2_000, Public: true},
 		{Name: "lost", Host: "desk.example", Prefix: "/lost/", Shares: []catalog.Share{{Pool: "none", Weight: 1}}, MaxAttempts: 1, Timeout: 2_000},
 	}
