Wait 300 ms for a connection; count only arrivals as repeats; queue at plain servers

The test of the second failed on the code before only after a third fault was mended: the first server to answer seemed fastest while the pace is unknown.

--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -36,9 +36,11 @@
 	// agreedShare of a prompt's shared beginning is taken as kept by the server on
 	// which the daemons agree for it.
 	agreedShare = 0.85
-	// waitingShare of its slots is how many more requests a server is sent than
-	// it runs at once; they are next when a slot is free.
-	waitingShare = 0.5
+	// engineWaiting and plainWaiting x its slots are how many more requests a server
+	// is sent than it runs at once. Plain servers are done with one within a
+	// fraction of its aim, so a short queue there loses little.
+	engineWaiting = 0.5
+	plainWaiting  = 2.0
 )
 
 // Ask is what needs a server.
@@ -151,7 +153,11 @@
 // hasRoom tells whether the server can take one more request.
 func (b *Book) hasRoom(s *serverState, e *fleet.Entry, a *Ask) bool {
 	slots := float64(max(s.slots, e.Slots, 1))
-	if float64(s.load(a.Now).Calls) >= slots*(1+waitingShare) {
+	waiting := plainWaiting
+	if a.Pool.Generates() {
+		waiting = engineWaiting
+	}
+	if float64(s.load(a.Now).Calls) >= slots*(1+waiting) {
 		return false
 	}
 	return !s.isCold(e, &a.Pool, a.Now) || s.cold.ready(a.coldPart(e.ID), a.Now)
--- a/internal/decision/bearing/paces.go
+++ b/internal/decision/bearing/paces.go
@@ -14,7 +14,10 @@
 	defer b.mu.Unlock()
 	key := paceKey{c.Server.Pool, model}
 	pace := b.paces[key]
-	b.state(&c.Server).noteSlow(first, pace.First(c.Unread), now)
+	if pace.weight >= leastWeight {
+		// Before, the first servers to answer would seem faster than all others.
+		b.state(&c.Server).noteSlow(first, pace.First(c.Unread), now)
+	}
 	b.paces[key] = pace.WithFirst(c.Unread, first)
 }
 
--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// dialLimit covers one lost packet of the handshake, which is sent again after 1 s.
-	dialLimit = 1200 * time.Millisecond
+	// dialLimit is some dozens of round trips between data centres of a region. A
+	// lost packet of the handshake would be sent again after 1 s only; another
+	// server is asked sooner.
+	dialLimit = 300 * time.Millisecond
+	// storeDialLimit covers one such packet, since there is one store only.
+	storeDialLimit = 1200 * time.Millisecond
 	// unackedLimit closes a connection whose bytes the other side doesn't acknowledge.
 	unackedLimit = 1500 * time.Millisecond
 	// maxIdleAge bounds the memory of connections that no call uses.
@@ -43,18 +47,20 @@
 // belongs.
 func NewClient(identify func(http.Header) string) *Client {
 	return &Client{
-		dialer:   NewDialer(),
+		dialer:   newDialer(dialLimit),
 		identify: identify,
 		pools:    make(map[string]*pool),
 		swept:    time.Now(),
 	}
 }
 
-// NewDialer returns a dialer whose connections fail within seconds when the
-// other side is gone.
-func NewDialer() net.Dialer {
+// NewDialer returns a dialer for a service that has no other address. Its
+// connections fail within seconds when the other side is gone.
+func NewDialer() net.Dialer { return newDialer(storeDialLimit) }
+
+func newDialer(limit time.Duration) net.Dialer {
 	return net.Dialer{
-		Timeout:         dialLimit,
+		Timeout:         limit,
 		KeepAliveConfig: keepAlive,
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(fd uintptr) {
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
@@ -329,6 +332,24 @@
 	}
 }
 
+// TestUnreachedServersCostNoRepeat has servers that nobody listens for; the budget
+// for repeats is empty, and even a call that may run once goes to the one that is there.
+func TestUnreachedServersCostNoRepeat(t *testing.T) {
+	f := newFarm(t, routes(), good("ok"))
+	f.relay.Repeats = admission.NewRepeatBudget(0, 0, 10_000)
+	for i := range 4 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		assert.NilError(t, listener.Close())
+		f.view = f.view.WithServer(fleet.Server{
+			ID: fmt.Sprintf("gone-%d", i), Pool: "text", Address: listener.Addr().String(), DataCentre: "dc-1", Slots: 8,
+		}, 0)
+	}
+	for i := range 8 {
+		assert.Equal(t, f.ask(http.MethodPost, "/post/1", testID, fmt.Sprintf("request-%d", i)).status, http.StatusOK)
+	}
+}
+
 // TestStopping refuses what can't end before the daemon does.
 func TestStopping(t *testing.T) {
 	f := newFarm(t, append(streamRoutes(), routes()...), good("ok"))
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -33,7 +33,8 @@
 
 	level    int         // of the model among the route's
 	failed   bool        // a server was unable to answer
-	sent     int         // attempts that reached a server, or may have
+	sent     int         // attempts
+	arrived  bool        // some attempt reached a server, or may have
 	ran      []string    // servers on which it ran or may have run
 	refused  []string    // servers that stated that they didn't run it
 	mayRun   bool        // it may have run somewhere
@@ -149,7 +150,7 @@
 	}
 	u.pool = pool
 	u.model = u.chooseModel()
-	if u.sent > 0 && !l.Repeats.Take(pool.Name, now) {
+	if u.arrived && !l.Repeats.Take(pool.Name, now) {
 		return false, u.giveUp(result.New(result.BackendRefused, "the budget for repeats is spent; %s", u.lastSeen))
 	}
 	choice, verdict := l.Book.Choose(view, bearing.Ask{
@@ -217,6 +218,7 @@
 		return false, u.callFailed(choice, began, err)
 	}
 	defer answer.Close()
+	u.arrived = true
 	l.Book.Read(choice)
 	l.Metrics.head(u.account.Name, l.Clock.Now()-q.Arrived)
 	if answer.Status < http.StatusMultipleChoices {
@@ -283,9 +285,14 @@
 		l.Book.NoteFailure(server, now)
 	}
 	if !failure.Sent {
+		// Nothing reached the server, so nobody counts a repeat.
 		u.refused = append(u.refused, server.ID)
+		if len(u.refused) > maxUnreached {
+			return u.giveUp(result.New(result.BackendRefused, "%d servers can't be reached; %s", len(u.refused), u.lastSeen))
+		}
 		return nil
 	}
+	u.arrived = true
 	if failure.Silent {
 		// The time that it has taken so far is the least that it would have taken.
 		l.Steer.Outcome(u.view, server, u.route, Outcome{First: now - began})
@@ -401,6 +408,9 @@
 // each refusal is a repeat that all daemons' budget pays for.
 const maxRefusals = 3
 
+// maxUnreached is how many servers may be out of reach before a request is given up.
+const maxUnreached = 6
+
 func (u *run) mayRepeat(server *fleet.Entry) bool {
 	if u.route.Repeat == catalog.AtMostOnce {
 		return false
