--- a/internal/decision/bearing/book.go
+++ b/internal/decision/bearing/book.go
@@ -125,6 +125,9 @@
 	faultHalfLife = 4_000.0 // ms
 )
 
+// negligible spares the exponentials of servers about which there is nothing to say.
+const negligible = 0.01
+
 func (s *serverState) noteFault(failed bool, now clock.Millis) {
 	share := s.faults(now)
 	target := 0.0
@@ -136,6 +139,9 @@
 
 // faults returns the share of calls that failed lately.
 func (s *serverState) faults(now clock.Millis) float64 {
+	if s.faulty < negligible {
+		return 0
+	}
 	return s.faulty * math.Exp2(-float64(now-s.faultyAt)/faultHalfLife)
 }
 
@@ -158,6 +164,9 @@
 
 // slowness returns the factor by which the server is slower than others.
 func (s *serverState) slowness(now clock.Millis) float64 {
+	if math.Abs(s.slow) < negligible {
+		return 1
+	}
 	return math.Exp(s.slow * math.Exp2(-float64(now-s.slowAt)/slowHalfLife))
 }
 
--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -90,7 +90,8 @@
 	pace := b.paces[paceKey{a.Pool.Name, a.Model}]
 	agreed := b.agreed(v, &a, entries)
 	best, lowest, verdict := -1, math.Inf(1), None
-	var choice Choice
+	unread := [...]int{a.Prompt.Read, b.unread(a.Prompt)}
+	reading := [...]clock.Millis{pace.First(unread[0]), pace.First(unread[1])}
 	for i := range entries {
 		e := &entries[i]
 		if !a.mayUse(v, e) {
@@ -103,16 +104,22 @@
 			}
 			continue
 		}
-		unread := b.unread(a.Prompt, i == agreed)
-		cost := b.cost(s, e, &a, pace, unread)
-		if cost < lowest {
+		which := 0
+		if i == agreed {
+			which = 1
+		}
+		if cost := b.cost(s, e, &a, unread[which], reading[which]); cost < lowest {
 			best, lowest = i, cost
-			choice = Choice{Unread: unread, Reading: pace.Reading(unread)}
 		}
 	}
 	if best < 0 {
 		return Choice{}, verdict
 	}
+	choice := Choice{Unread: unread[0]}
+	if best == agreed {
+		choice.Unread = unread[1]
+	}
+	choice.Reading = pace.Reading(choice.Unread)
 	choice.Server = entries[best]
 	s := b.state(&choice.Server)
 	choice.Head = clock.Millis(s.slowness(a.Now) * float64(pace.First(choice.Unread)+s.load(a.Now).Reading))
@@ -163,7 +170,7 @@
 	return !s.isCold(e, &a.Pool, a.Now) || s.cold.ready(a.coldPart(e.ID), a.Now)
 }
 
-func (b *Book) cost(s *serverState, e *fleet.Entry, a *Ask, pace Pace, unread int) float64 {
+func (b *Book) cost(s *serverState, e *fleet.Entry, a *Ask, unread int, head clock.Millis) float64 {
 	load := s.load(a.Now)
 	slots := max(s.slots, e.Slots, 1)
 	call := costPlainCall
@@ -171,10 +178,10 @@
 		call = costEngineCall
 	}
 	cost := call*float64(load.Calls) + costRead*float64(unread)/1000
-	cost += s.slowness(a.Now) * float64(load.Reading+pace.First(unread))
+	cost += s.slowness(a.Now) * float64(load.Reading+head)
 	if load.Calls >= slots {
 		// What waits for a slot waits for a part of an answer's time.
-		cost += float64(pace.First(0)) * float64(load.Calls-slots+1) / float64(slots)
+		cost += float64(head) * float64(load.Calls-slots+1) / float64(slots)
 	}
 	cost += costFaulty * s.faults(a.Now)
 	if e.DataCentre != a.DataCentre {
@@ -209,9 +216,9 @@
 	return best
 }
 
-// unread returns how many tokens of the prompt a server is expected to read.
-func (b *Book) unread(p Prompt, agreed bool) int {
-	if !agreed {
+// unread returns how many tokens of the prompt the agreed server is expected to read.
+func (b *Book) unread(p Prompt) int {
+	if len(b.scratch) == 0 {
 		return p.Read
 	}
 	shared := float64(b.scratch[len(b.scratch)-1].Tokens)
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -210,5 +210,5 @@
 
 // InService tells whether the server may get new work.
 func (v *View) InService(e *Entry) bool {
-	return !e.Leaving && !v.Evacuated[e.DataCentre]
+	return !e.Leaving && (len(v.Evacuated) == 0 || !v.Evacuated[e.DataCentre])
 }
