Tell callers when to come back by the load, and spread them

Cause: every refusal said one second, whatever the load, so callers that were refused together came back together; a daemon that stops sent them away for half a second though others take them at once.

--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -136,6 +136,45 @@
 	s.own.Reading += c.Reading
 }
 
+const (
+	// soonestRoom and latestRoom bound when a caller is asked to come back: room is
+	// never certain, and a caller has only seconds.
+	soonestRoom = 100 * clock.Millis(1)
+	latestRoom  = 3_000 * clock.Millis(1)
+	// usualEvents is how long an answer is taken to be, in events.
+	usualEvents = 30
+)
+
+// RoomIn returns when a full pool may be expected to have room again: when the
+// least busy server has ended what is over its bound, at the pace that is usual.
+//
+// Load pattern: a pool whose servers were lost or killed and whose callers come
+// back together; coming back sooner only makes them refused again.
+func (b *Book) RoomIn(v *fleet.View, pool catalog.Pool, model string, now clock.Millis) clock.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pace := b.paces[paceKey{pool.Name, model}]
+	each := float64(pace.First(0))
+	waiting := plainWaiting
+	if pool.Generates() {
+		waiting = engineWaiting
+		each += usualEvents * pace.Gap()
+	}
+	entries := v.Pool(pool.Name)
+	soonest := latestRoom
+	for i := range entries {
+		e := &entries[i]
+		if !v.InService(e) {
+			continue
+		}
+		s := b.state(e)
+		slots := float64(max(s.slots, e.Slots, 1))
+		over := max(float64(s.load(now).Calls)-slots*(1+waiting)+1, 1)
+		soonest = min(soonest, clock.Millis(each*over/slots))
+	}
+	return max(soonest, soonestRoom)
+}
+
 func (a *Ask) mayUse(v *fleet.View, e *fleet.Entry) bool {
 	return v.InService(e) && (a.Version == nil || a.Version(e.Version))
 }
--- a/internal/decision/bearing/choose_test.go
+++ b/internal/decision/bearing/choose_test.go
@@ -152,6 +152,36 @@
 	assert.Equal(t, verdict, None)
 }
 
+// TestRoomIn tells callers of a full pool when to come back.
+func TestRoomIn(t *testing.T) {
+	plain := catalog.Pool{Name: "text"}
+	cases := map[string]struct {
+		calls int
+		took  clock.Millis
+		want  clock.Millis
+	}{
+		"just full":                 {200, 60, 100},
+		"far over, quick servers":   {2_000, 60, 1_695},
+		"far over, slow servers":    {2_000, 600, 3_000},
+		"nothing known of the pace": {200, 0, 140},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			v, b := engines(1), NewBook()
+			e, _ := v.Server("engine-00")
+			choice := Choice{Server: e}
+			for range 20 {
+				if c.took > 0 {
+					b.NoteFirst(&choice, "", c.took, 1000)
+				}
+			}
+			b.SetOthers(map[string]Load{"engine-00": {Calls: c.calls}}, 1000)
+			b.Note(&e, Seen{HasLoad: true, Held: c.calls, Slots: 64}, 1000)
+			assert.Equal(t, b.RoomIn(v, plain, "", 1000), c.want)
+		})
+	}
+}
+
 // TestColdServerRate has any number of daemons send all they may to a cold server.
 // In no second may it get more than what the deployments allow: 1.5 times the rate
 // that it bears, and 5.
--- a/internal/foundation/result/code.go
+++ b/internal/foundation/result/code.go
@@ -29,14 +29,14 @@
 	UpgradeRefused    = Code{1009, "upgrade_refused", http.StatusNotImplemented, RunNo, 0, "Protocol upgrades and CONNECT are not served."}
 
 	NotConfirmed     = Code{2001, "not_confirmed", http.StatusServiceUnavailable, RunNo, 1000, "This daemon can't confirm that its configuration is current."}
-	Stopping         = Code{2002, "stopping", http.StatusServiceUnavailable, RunNo, 500, "This daemon is shutting down."}
+	Stopping         = Code{2002, "stopping", http.StatusServiceUnavailable, RunNo, 50, "This daemon is shutting down."}
 	AccountOverShare = Code{2003, "account_over_share", http.StatusTooManyRequests, RunNo, 1000, "The client account uses its fair share, and the daemon is full."}
 	Overloaded       = Code{2004, "overloaded", http.StatusServiceUnavailable, RunNo, 1000, "The pool is full, and the request can't start within its deadline."}
 	DeadlineTooShort = Code{2005, "deadline_too_short", http.StatusServiceUnavailable, RunNo, 1000, "The expected wait is longer than the time that the request has left."}
 	BillsFull        = Code{2006, "bills_full", http.StatusServiceUnavailable, RunNo, 5000, "Unwritten bill records are at their bound; the table service has been away for long."}
 	PinUnavailable   = Code{2007, "pin_unavailable", http.StatusServiceUnavailable, RunNo, 2000, "The version of this session id can't be looked up; send the session token instead."}
 	OutOfService     = Code{2008, "out_of_service", http.StatusServiceUnavailable, RunNo, 1000, "This daemon's host or data centre was taken out of service."}
-	NotConfigured    = Code{2009, "not_configured", http.StatusServiceUnavailable, RunNo, 500, "This daemon has no configuration yet."}
+	NotConfigured    = Code{2009, "not_configured", http.StatusServiceUnavailable, RunNo, 200, "This daemon has no configuration yet."}
 
 	NoServer          = Code{3001, "no_server", http.StatusServiceUnavailable, RunNo, 1000, "No backend server in service holds an allowed model and version."}
 	BackendRefused    = Code{3002, "backend_refused", http.StatusServiceUnavailable, RunNo, 1000, "The backend servers refused the request before running it."}
--- a/internal/foundation/result/error.go
+++ b/internal/foundation/result/error.go
@@ -10,7 +10,10 @@
 type Error struct {
 	Code   Code
 	Detail string
-	cause  error
+	// AfterMs is when the caller should come back, where more is known than the
+	// code's own time; 0 where not.
+	AfterMs int64
+	cause   error
 }
 
 // New returns an error with the code and a formatted detail.
@@ -23,6 +26,21 @@
 	return &Error{Code: code, Detail: cause.Error(), cause: cause}
 }
 
+// WithAfter returns a copy that says when the caller should come back, in ms.
+func (e *Error) WithAfter(ms int64) *Error {
+	c := *e
+	c.AfterMs = ms
+	return &c
+}
+
+// RetryAfterMs returns when the caller should come back; 0 where that won't help.
+func (e *Error) RetryAfterMs() int64 {
+	if e.AfterMs > 0 {
+		return e.AfterMs
+	}
+	return e.Code.RetryAfterMs
+}
+
 // Error gives number, name and detail.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%d %s: %s", e.Code.Number, e.Code.Name, e.Detail)
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
@@ -51,6 +53,10 @@
 }
 
 // retryAfter is when the caller should come back, in seconds with a fraction.
-func retryAfter(e *result.Error) string {
-	return strconv.FormatFloat(float64(e.Code.RetryAfterMs)/1000, 'f', -1, 64)
+// Requests that were refused together are spread by a quarter to either side, so
+// that they don't come back together.
+func retryAfter(e *result.Error, id string) string {
+	const spread = 0.25
+	ms := float64(e.RetryAfterMs()) * (1 - spread + 2*spread*container.Point(id))
+	return strconv.FormatFloat(math.Round(ms)/millisPerSecond, 'f', -1, 64)
 }
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -169,7 +169,8 @@
 	case bearing.None:
 		return false, u.giveUp(result.New(result.NoServer, "no server of pool %s is in service; %s", pool.Name, u.lastSeen))
 	case bearing.Full:
-		return false, u.giveUp(result.New(result.Overloaded, "the servers of pool %s are full; %s", pool.Name, u.lastSeen))
+		refusal := result.New(result.Overloaded, "the servers of pool %s are full; %s", pool.Name, u.lastSeen)
+		return false, u.giveUp(refusal.WithAfter(int64(l.Book.RoomIn(view, pool, u.model, now))))
 	case bearing.Chosen:
 	}
 	defer l.Book.Done(&choice)
@@ -467,6 +468,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	e := result.From(err)
-	u.out.Header().Set("Retry-After", retryAfter(e))
+	if e.RetryAfterMs() > 0 {
+		u.out.Header().Set("Retry-After", retryAfter(e, u.request.ID))
+	}
 	result.Write(u.out, e, u.request.ID)
 }
