Ask the store again before an unanswered call can hide a change; count slow answers as bad

Ruled out for the first: keep-alive probes (the connection was sound); for the second: the share of the trial (90 answers were there to judge by).

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -14,11 +14,8 @@
 )
 
 const (
-	// waitLimit is how long one call for changes is left open: each further call
-	// is paid for, and a dead connection is found by its keep-alive probes.
-	waitLimit = 25_000 * clock.Millis(1)
-	// answerLimit is how much longer than that an answer may take.
-	answerLimit = 3_000 * clock.Millis(1)
+	// answerLimit is how much longer than it waits for changes a call may take.
+	answerLimit = 900 * clock.Millis(1)
 	// listLimit bounds one reading of the whole table.
 	listLimit = 3_000 * clock.Millis(1)
 	// The pause after a failed call doubles between these. The store limits the
@@ -47,11 +44,15 @@
 	// settle is how long changes are let gather after some came: each call is paid
 	// for, and changes often come in groups.
 	settle clock.Millis
+	// wait is how long one call for changes is left open. A call may go silent for
+	// good on a connection that seems sound, which only its time shows.
+	wait clock.Millis
 }
 
-// New returns a follower of the table that lets changes gather for settle.
-func New(log hclog.Logger, store rowstore.Store, sink Sink, table string, settle clock.Millis) *Follower {
-	return &Follower{log: log, store: store, sink: sink, table: table, settle: settle}
+// New returns a follower of the table that lets changes gather for settle and
+// leaves its calls open for wait.
+func New(log hclog.Logger, store rowstore.Store, sink Sink, table string, settle, wait clock.Millis) *Follower {
+	return &Follower{log: log, store: store, sink: sink, table: table, settle: settle, wait: wait}
 }
 
 // Run follows the table until the context ends.
@@ -61,7 +62,7 @@
 	for ctx.Err() == nil {
 		// The first call after a failure doesn't wait for changes: what it brings
 		// happened during the outage, and what comes later did not.
-		wait := waitLimit
+		wait := f.wait
 		if !well {
 			wait = 0
 		}
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -55,6 +55,24 @@
 
 func (s *scriptedStore) Commit(context.Context, ...rowstore.Write) (int64, error) { return 0, nil }
 
+// silentStore answers no call for changes, and tells of the second one.
+type silentStore struct {
+	scriptedStore
+	changes int
+	again   chan struct{}
+}
+
+func (s *silentStore) Changes(ctx context.Context, _ string, _ int64, _ clock.Millis) (rowstore.Page, error) {
+	s.mu.Lock()
+	s.changes++
+	if s.changes == 2 {
+		close(s.again)
+	}
+	s.mu.Unlock()
+	<-ctx.Done()
+	return rowstore.Page{}, rowstore.ErrUnavailable
+}
+
 // record is a sink that writes down what it gets.
 type record struct{ events []string }
 
@@ -83,6 +101,20 @@
 	return p
 }
 
+// TestSilentCall has a call for changes that is never answered; the follower must
+// ask again after its own time.
+func TestSilentCall(t *testing.T) {
+	store := &silentStore{scriptedStore: scriptedStore{steps: []step{{page: page(1, "a")}}, done: make(chan struct{})}, again: make(chan struct{})}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go New(hclog.NewNullLogger(), store, &record{}, "t", 1, 50).Run(ctx)
+	select {
+	case <-store.again:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the follower waits for good")
+	}
+}
+
 // TestFollow walks through the store's weather.
 func TestFollow(t *testing.T) {
 	cases := map[string]struct {
@@ -124,7 +156,7 @@
 			ended := make(chan struct{})
 			go func() {
 				defer close(ended)
-				New(hclog.NewNullLogger(), store, sink, "t", 1).Run(ctx)
+				New(hclog.NewNullLogger(), store, sink, "t", 1, 5_000).Run(ctx)
 			}()
 			select {
 			case <-store.done:
--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -72,7 +72,12 @@
 	Server  fleet.Entry
 	Unread  int          // tokens of the prompt that the server has to read
 	Reading clock.Millis // time that it takes to read them
-	Head    clock.Millis // when the head of the answer is to be expected, after what is due before it
+	// Head is when the head of the answer is to be expected, after what is due
+	// before it, and Usual the same at a server that isn't slower than others.
+	Head  clock.Millis
+	Usual clock.Millis
+	// Known tells whether there is a pace to expect anything by.
+	Known bool
 }
 
 // Choose returns the server for the request and counts the request as under way
@@ -122,7 +127,9 @@
 	choice.Reading = pace.Reading(choice.Unread)
 	choice.Server = entries[best]
 	s := b.state(&choice.Server)
-	choice.Head = clock.Millis(s.slowness(a.Now) * float64(pace.First(choice.Unread)+s.load(a.Now).Reading))
+	choice.Usual = pace.First(choice.Unread) + s.load(a.Now).Reading
+	choice.Known = pace.weight >= leastWeight
+	choice.Head = clock.Millis(s.slowness(a.Now) * float64(choice.Usual))
 	b.place(&choice, &a)
 	return choice, Chosen
 }
--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -35,6 +35,7 @@
 	ExposedShare float64 `json:"exposed_share" doc:"share of a pool's requests that a version on trial may get"`
 	AcceptCalm   int64   `json:"accept_calm" doc:"least confidence of a small model's answer that is accepted while the largest model answers in time" unit:"%" min:"0" max:"100"`
 	AcceptBusy   int64   `json:"accept_busy" doc:"the same while the largest model can't answer in time" unit:"%" min:"0" max:"100"`
+	CalmMs       int64   `json:"calm_ms" doc:"time after a disturbance of the store from which on changes must be in force in time again" unit:"ms" min:"100" max:"600000"`
 	DrainMs      int64   `json:"drain_ms" doc:"time in which a server that leaves must get no more work" unit:"ms" min:"0" max:"600000"`
 }
 
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -58,6 +58,11 @@
 	// serversPart of the time in which a leaving server must get no more work is how
 	// long changes of servers gather.
 	serversPart = 0.35
+	// waitPart of the time after which the store counts as calm is how long calls for
+	// changes are left open, so that one which went silent in an outage is found by then.
+	waitPart = 0.75
+	// ownWait is the same for the daemons' own rows.
+	ownWait = 25_000 * clock.Millis(1)
 	// ownSettleTime is the same for the daemons' own rows, where the store only
 	// carries what isn't urgent.
 	ownSettleTime = 800 * clock.Millis(1)
@@ -134,11 +139,12 @@
 func (e *Entry) startControl(ctx context.Context) {
 	go e.Keeper.Run(ctx)
 	feeds := platform.NewFeeds(ctx, e.Log, e.Keeper)
-	go follower.New(e.Log, e.Store, feeds, platform.TableOperator, settleTime).Run(ctx)
+	wait := clock.Millis(float64(e.Settings.Entry.CalmMs) * waitPart)
+	go follower.New(e.Log, e.Store, feeds, platform.TableOperator, settleTime, wait).Run(ctx)
 	servers := clock.Millis(float64(e.Settings.Entry.DrainMs) * serversPart)
-	go follower.New(e.Log, e.Store, feeds, platform.TableServers, servers).Run(ctx)
+	go follower.New(e.Log, e.Store, feeds, platform.TableServers, servers, wait).Run(ctx)
 	own := registry.NewSink(ctx, e.Log, e.Keeper)
-	go follower.New(e.Log, e.Store, own, registry.Table, ownSettleTime).Run(ctx)
+	go follower.New(e.Log, e.Store, own, registry.Table, ownSettleTime, ownWait).Run(ctx)
 	go registry.Announce(ctx, e.Log, e.Keeper, e.Store, e.Settings.Host,
 		fleet.Host{Address: e.Settings.Listen.Peer, DataCentre: e.Settings.DataCentre})
 	e.Exchange.Register(e.Peers)
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -14,8 +14,10 @@
 	"gotest.tools/v3/assert"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
@@ -364,3 +366,22 @@
 		assert.Equal(t, got.header.Get(result.HeaderRun), "no")
 	}
 }
+
+// TestSlowAnswers tells answers that are several times slower than usual, which
+// count against a version on trial, from those of a busy pool.
+func TestSlowAnswers(t *testing.T) {
+	cases := map[string]struct {
+		choice bearing.Choice
+		took   clock.Millis
+		want   bool
+	}{
+		"as usual":                  {bearing.Choice{Usual: 100, Known: true}, 150, false},
+		"several times slower":      {bearing.Choice{Usual: 100, Known: true}, 400, true},
+		"quick answers vary":        {bearing.Choice{Usual: 4, Known: true}, 40, false},
+		"much is due to be read":    {bearing.Choice{Usual: 900, Known: true}, 1_500, false},
+		"nothing known of the pace": {bearing.Choice{Usual: 4}, 400, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, isSlow(&c.choice, c.took), c.want) })
+	}
+}
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -226,7 +226,7 @@
 		now := l.Clock.Now()
 		l.Book.NoteFirst(choice, u.model, now-began, now)
 	}
-	return u.takeAnswer(server, answer, began)
+	return u.takeAnswer(choice, answer, began)
 }
 
 const (
@@ -296,7 +296,7 @@
 	u.arrived = true
 	if failure.Silent {
 		// The time that it has taken so far is the least that it would have taken.
-		l.Steer.Outcome(u.view, server, u.route, Outcome{First: now - began})
+		l.Steer.Outcome(u.view, server, u.route, Outcome{Judged: true, Failed: isSlow(choice, now-began), First: now - began})
 	}
 	return u.noteMayHaveRun(server)
 }
@@ -325,8 +325,9 @@
 }
 
 // takeAnswer relays the answer, or decides that the request is sent again.
-func (u *run) takeAnswer(server *fleet.Entry, answer *h1.Answer, began clock.Millis) (bool, error) {
+func (u *run) takeAnswer(choice *bearing.Choice, answer *h1.Answer, began clock.Millis) (bool, error) {
 	l := u.relay
+	server := &choice.Server
 	now := l.Clock.Now()
 	reply := l.Dialect.Decode(server.ID, answer.Status, answer.Header)
 	l.Book.Note(server, bearing.Seen{
@@ -340,7 +341,7 @@
 	if failed {
 		l.Book.NoteFault(server, now)
 	}
-	l.Steer.Outcome(u.view, server, u.route, Outcome{Judged: true, Failed: failed, First: now - began})
+	l.Steer.Outcome(u.view, server, u.route, Outcome{Judged: true, Failed: failed || isSlow(choice, now-began), First: now - began})
 	switch {
 	case u.began && answer.Status != http.StatusOK:
 		// Only events may follow those that the caller has.
@@ -379,6 +380,18 @@
 	return u.noteFailed(server, "the answer isn't the server's own")
 }
 
+const (
+	// slowFactor x the usual time to the head, and slowSlack more, is a slow answer.
+	// A bad version may be several times slower in a part of its answers only.
+	slowFactor = 3
+	slowSlack  = 60 * clock.Millis(1)
+)
+
+// isSlow tells whether the head of an answer took several times what is usual.
+func isSlow(c *bearing.Choice, took clock.Millis) bool {
+	return c.Known && took > slowFactor*c.Usual+slowSlack
+}
+
 // isPromise tells whether callers take the status as a promise that the request
 // didn't run, which only this system or a server that says so may give.
 func isPromise(status int) bool {
