--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -338,10 +338,7 @@
 		return false, u.passOver(server, answer, reply, now)
 	}
 	failed := answer.Status >= http.StatusInternalServerError
-	if failed {
-		l.Book.NoteFault(server, now)
-	}
-	l.Steer.Outcome(u.view, server, u.route, Outcome{Judged: true, Failed: failed || isSlow(choice, now-began), First: now - began})
+	u.noteOutcome(choice, failed, now-began)
 	switch {
 	case u.began && answer.Status != http.StatusOK:
 		// Only events may follow those that the caller has.
@@ -363,6 +360,15 @@
 	return u.relayWhole(server, answer)
 }
 
+// noteOutcome takes in how the server's answer reflects on it and on its version.
+func (u *run) noteOutcome(choice *bearing.Choice, failed bool, took clock.Millis) {
+	l := u.relay
+	if failed {
+		l.Book.NoteFault(&choice.Server, l.Clock.Now())
+	}
+	l.Steer.Outcome(u.view, &choice.Server, u.route, Outcome{Judged: true, Failed: failed || isSlow(choice, took), First: took})
+}
+
 // passOver decides what follows an answer that isn't one to the request.
 func (u *run) passOver(server *fleet.Entry, answer *h1.Answer, reply Reply, now clock.Millis) error {
 	l := u.relay
