--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -71,25 +71,6 @@
 	}
 }
 
-// Open returns how many connections are open to the address.
-func (c *Client) Open(address string) int {
-	p := c.pool(address)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
-// Forget closes the idle connections to an address that isn't used any more.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	p, ok := c.pools[address]
-	delete(c.pools, address)
-	c.mu.Unlock()
-	if ok {
-		p.closeOlder(time.Now(), -1)
-	}
-}
-
 func (c *Client) pool(address string) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -139,8 +120,5 @@
 		silent := errors.As(err, &timeout) && timeout.Timeout()
 		return nil, &Failure{Silent: silent, Reason: errors.Wrap(err, "connect")}
 	}
-	p.mu.Lock()
-	p.open++
-	p.mu.Unlock()
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), pool: p}, nil
 }
--- a/internal/traffic/h1/client_test.go
+++ b/internal/traffic/h1/client_test.go
@@ -307,7 +307,7 @@
 			address, _ := scriptedServer(t, func(_ int, _ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
 			raw, err := net.Dial("tcp", address)
 			assert.NilError(t, err)
-			p := &pool{open: 1}
+			p := &pool{}
 			k := &conn{Conn: raw, reader: bufio.NewReader(raw), pool: p}
 			switch name {
 			case "stated time is used":
--- a/internal/traffic/h1/pool.go
+++ b/internal/traffic/h1/pool.go
@@ -21,7 +21,6 @@
 type pool struct {
 	mu   sync.Mutex
 	idle []*conn // used longest ago first
-	open int
 }
 
 // take returns an idle connection that is fit for use, or nil.
@@ -67,9 +66,6 @@
 }
 
 func (p *pool) discard(c *conn) {
-	p.mu.Lock()
-	p.open--
-	p.mu.Unlock()
 	// Whatever is wrong with the connection, nothing more is wanted of it.
 	_ = c.Close()
 }
--- a/internal/traffic/relay/answer.go
+++ b/internal/traffic/relay/answer.go
@@ -40,7 +40,6 @@
 			return false, errors.Wrap(errCut, err.Error())
 		}
 	}
-	u.ended = true
 	return true, nil
 }
 
@@ -125,6 +124,5 @@
 		u.begin(answer)
 		u.out.WriteHeader(answer.Status)
 	}
-	u.ended = true
 	return true, nil
 }
