Simplify what reading the whole change found written twice

The bound of a server stood in two places, board swapped its own record out to sum the others, the choice of a kept connection had two branches that are one call, and of two conditions on time in pilot the second implied the first. Removed: two functions that nobody called; the steer for tests lives in a test file. An error of the settings' first read is logged. Behaviour is as before.

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -69,11 +69,18 @@
 	return b.sum("", false).record()
 }
 
-// sum adds up what was reported here, with this daemon's own record: without
-// the named host, and with the other data centres if asked. The lock must be held.
+// sum adds up this daemon's own record and what was reported here: without the
+// named host, and with the other data centres if asked. The lock must be held.
 func (b *Board) sum(without string, all bool) *sum {
-	s, now := newSum(), b.clock.Now()
+	s := newSum()
 	s.add(b.own, true)
+	b.addReported(s, without, all)
+	return s
+}
+
+// addReported adds what was reported here. The lock must be held.
+func (b *Board) addReported(s *sum, without string, all bool) {
+	now := b.clock.Now()
 	add := func(list map[string]held) {
 		for name, h := range list {
 			if now-h.at >= reportLife {
@@ -89,7 +96,6 @@
 	if all {
 		add(b.centres)
 	}
-	return s
 }
 
 // Take takes in a report and returns what the reporter doesn't know: the sum of
@@ -131,10 +137,7 @@
 	if b.others != nil && now-b.others.at < loadLife {
 		s.add(b.others.Record, true)
 	} else {
-		own := b.own
-		b.own = Record{}
-		s = b.sum("", true)
-		b.own = own
+		b.addReported(s, "", true)
 		if b.others != nil {
 			s.add(Record{Kept: b.others.Kept}, false)
 		}
--- a/internal/control/keeper/state.go
+++ b/internal/control/keeper/state.go
@@ -49,9 +49,6 @@
 	}
 }
 
-// Now returns the instant of the change that is being applied.
-func (s *State) Now() clock.Millis { return s.now }
-
 // View returns the state's view.
 func (s *State) View() *fleet.View { return s.view }
 
--- a/internal/control/pilot/pilot.go
+++ b/internal/control/pilot/pilot.go
@@ -142,7 +142,7 @@
 		return fleet.RolledBack, true
 	case r.Stage == fleet.Ordered:
 		return fleet.Running, true
-	case r.Progress(now) < rollout.FullFrom() || now < r.Began+clock.Millis(float64(r.Duration)*rollout.FullFrom())+settleTime:
+	case now < r.Began+clock.Millis(float64(r.Duration)*rollout.FullFrom())+settleTime:
 		return 0, false
 	case !serves(v, r):
 		return 0, false
--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -162,9 +162,7 @@
 	defer b.mu.Unlock()
 	pace := b.paces[paceKey{pool.Name, model}]
 	each := float64(pace.First(0))
-	waiting := plainWaiting
 	if pool.Generates() {
-		waiting = engineWaiting
 		each += usualEvents * pace.Gap()
 	}
 	entries := v.Pool(pool.Name)
@@ -175,9 +173,8 @@
 			continue
 		}
 		s := b.state(e)
-		slots := float64(max(s.slots, e.Slots, 1))
-		over := max(float64(s.load(now).Calls)-slots*(1+waiting)+1, 1)
-		soonest = min(soonest, clock.Millis(each*over/slots))
+		over := max(float64(s.load(now).Calls)-s.bound(e, &pool)+1, 1)
+		soonest = min(soonest, clock.Millis(each*over/float64(s.slotsOf(e))))
 	}
 	return max(soonest, soonestRoom)
 }
@@ -203,14 +200,21 @@
 	coldAtOnceSlack = 3.0
 )
 
-// hasRoom tells whether the server can take one more request.
-func (b *Book) hasRoom(s *serverState, e *fleet.Entry, a *Ask) bool {
-	slots := float64(max(s.slots, e.Slots, 1))
+// slotsOf returns how many requests the server runs at once.
+func (s *serverState) slotsOf(e *fleet.Entry) int { return max(s.slots, e.Slots, 1) }
+
+// bound returns how many requests the server is sent at most, by all daemons.
+func (s *serverState) bound(e *fleet.Entry, pool *catalog.Pool) float64 {
 	waiting := plainWaiting
-	if a.Pool.Generates() {
+	if pool.Generates() {
 		waiting = engineWaiting
 	}
-	if float64(s.load(a.Now).Calls) >= slots*(1+waiting) {
+	return float64(s.slotsOf(e)) * (1 + waiting)
+}
+
+// hasRoom tells whether the server can take one more request.
+func (b *Book) hasRoom(s *serverState, e *fleet.Entry, a *Ask) bool {
+	if float64(s.load(a.Now).Calls) >= s.bound(e, &a.Pool) {
 		return false
 	}
 	return !s.isCold(e, &a.Pool, a.Now) || s.cold.ready(a.coldPart(e.ID), a.Now)
@@ -218,7 +222,7 @@
 
 func (b *Book) cost(s *serverState, e *fleet.Entry, a *Ask, unread int, head clock.Millis) float64 {
 	load := s.load(a.Now)
-	slots := max(s.slots, e.Slots, 1)
+	slots := s.slotsOf(e)
 	call := costPlainCall
 	if a.Pool.Generates() {
 		call = costEngineCall
--- a/internal/program/entry/reload.go
+++ b/internal/program/entry/reload.go
@@ -21,7 +21,10 @@
 	defer signal.Stop(hangUp)
 	ticker := time.NewTicker(settingsPeriod)
 	defer ticker.Stop()
-	last, _ := os.ReadFile(path)
+	last, err := os.ReadFile(path)
+	if err != nil {
+		e.Log.Warn("settings can't be read; they are taken as changed when they can", "error", err.Error())
+	}
 	for {
 		signalled := false
 		select {
--- a/internal/traffic/h1/call.go
+++ b/internal/traffic/h1/call.go
@@ -17,7 +17,7 @@
 	Header  http.Header
 	Body    []byte
 	ID      string    // in the answer that belongs to this call
-	Fresh   bool      // not on a connection that another call has used
+	Fresh   bool      // on a new connection, or one that was used just now
 	HeadBy  time.Time // when the head of the answer must be there
 	Until   time.Time // when the whole answer must be there
 }
--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -105,11 +105,7 @@
 	now := time.Now()
 	c.sweep(now)
 	p := c.pool(call.Address)
-	if !call.Fresh {
-		if kept := p.take(now, false); kept != nil {
-			return kept, nil
-		}
-	} else if kept := p.take(now, true); kept != nil {
+	if kept := p.take(now, call.Fresh); kept != nil {
 		return kept, nil
 	}
 	dialCtx, cancel := context.WithDeadline(ctx, call.Until)
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -123,9 +123,6 @@
 	return nil, ErrForeign
 }
 
-// Length returns the length of the body, or -1 where the head doesn't tell.
-func (a *Answer) Length() int64 { return a.response.ContentLength }
-
 // SetReadDeadline bounds the next reads.
 func (a *Answer) SetReadDeadline(t time.Time) { _ = a.conn.SetReadDeadline(t) }
 
--- a/internal/traffic/relay/free_steer.go
+++ b/internal/traffic/relay/free_steer_test.go
@@ -5,8 +5,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 )
 
-// FreeSteer lets every request run on every version. It is for pools without
-// roll-outs, and for tests.
+// FreeSteer lets every request run on every version.
 type FreeSteer struct{}
 
 // Versions allows all versions.
