Give tests ports that no outgoing connection takes

TestRolloutIsDrivenOnce failed once, and once more in 32 runs of the package with 8 at a time: a daemon ended since its port, free when it was chosen, had been given to an outgoing connection. Ruled out: the roll-out itself, which wasn't reached. The process tests' range below the ephemeral ports now serves both packages.

--- a/internal/program/entry/entry_test.go
+++ b/internal/program/entry/entry_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/proof/loopback"
 )
 
 // deployment is a store, some servers and some daemons.
@@ -82,7 +82,7 @@
 	d.t.Helper()
 	s := settings.Default()
 	s.Host, s.DataCentre = name, "dc-1"
-	s.Listen.Peer, s.Entry.Caller, s.Entry.Ready, s.Entry.Metrics = freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
+	s.Listen.Peer, s.Entry.Caller, s.Entry.Ready, s.Entry.Metrics = loopback.FreeAddress(d.t), loopback.FreeAddress(d.t), loopback.FreeAddress(d.t), loopback.FreeAddress(d.t)
 	s.Entry.Store, s.Entry.StopS = d.store.address(), 5
 	e, err := Assemble(hclog.NewNullLogger(), s)
 	assert.NilError(d.t, err)
@@ -95,14 +95,6 @@
 	return m
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // ask makes a request and returns the status and the body; 0 without an answer.
 func (m *daemon) ask(key string) (int, string) {
 	m.t.Helper()
--- a/internal/proof/process/deployment_test.go
+++ b/internal/proof/process/deployment_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
 	"gypsumpitch.example/gypsumpitch/internal/experiment/load"
+	"gypsumpitch.example/gypsumpitch/internal/proof/loopback"
 )
 
 const (
@@ -78,7 +78,7 @@
 	d.standin("app-2", "app")
 	for i := 1; i <= daemons; i++ {
 		for _, listener := range []string{"caller", "operator", "peer"} {
-			d.addresses[daemonName(i)+" "+listener] = freeAddress(d.t)
+			d.addresses[daemonName(i)+" "+listener] = loopback.FreeAddress(d.t)
 		}
 	}
 	for i := 1; i <= daemons; i++ {
@@ -93,28 +93,6 @@
 
 func daemonName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
-// The ports that the processes listen on lie below those that the system gives
-// to outgoing connections, which could take one before its process starts.
-const (
-	firstPort = 20_000
-	portCount = 7_000
-)
-
-var nextPort = os.Getpid() * 131 % portCount
-
-func freeAddress(t *testing.T) string {
-	for range portCount {
-		nextPort = (nextPort + 1) % portCount
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
-		if err == nil {
-			defer func() { _ = l.Close() }()
-			return l.Addr().String()
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 func (d *deployment) run(name string, args ...string) {
 	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(d.t, err)
@@ -126,7 +104,7 @@
 
 func (d *deployment) standin(name, role string, flags ...string) {
 	if d.addresses[name] == "" {
-		d.addresses[name] = freeAddress(d.t)
+		d.addresses[name] = loopback.FreeAddress(d.t)
 	}
 	args := append([]string{filepath.Join(binaries, "gypsumpitch-standin"), "--listen", d.addresses[name]}, flags...)
 	d.run(name, append(args, role)...)
