Hear changes of the store through one daemon of each data centre

Ruled out: longer waits alone, since a call may go silent for good; rows in every report, since configurations are large. The leading daemon of a data centre (fastest link first) answers the others from what it heard lately; a daemon whose leader is silent, out of touch or forgetful asks the store itself. Few daemons (up to 3 a data centre) ask the store as before.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 measure: build ## each decision beside its baseline
 	bin/gypsumpitch measure --out docs/measurements
 
-generate: $(TOOLS)/wire-$(WIRE_VERSION) build
-	$< ./internal/program/daemon
+generate: $(TOOLS)/wire-$(WIRE_VERSION)
+	$< ./internal/program/daemon ./internal/program/entry
+	$(MAKE) build
 	bin/gypsumpitchd print-settings-page > docs/SETTINGS.md
 	bin/gypsumpitchd print-codes-page > docs/RESULT_CODES.md
--- a/internal/control/board/board_test.go
+++ b/internal/control/board/board_test.go
@@ -138,7 +138,7 @@
 	for name, own := range map[string]int{"a1": 1, "a2": 2, "a3": 4, "b1": 8, "b2": 16} {
 		nodes[name].waitFor(t, 31-own)
 	}
-	first := nodes["a1"].exchange.first("dc-a", []string{"a1", "a2", "a3"})
+	first := nodes["a1"].exchange.first("dc-a", hosts)
 	gone := nodes[first]
 	stop[first]()
 	_ = gone.listener.Close()
--- a/internal/control/board/exchange.go
+++ b/internal/control/board/exchange.go
@@ -1,7 +1,9 @@
 package board
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,20 +71,20 @@
 func (e *Exchange) Run(ctx context.Context) {
 	clock.Every(ctx, period, func() {
 		e.refresh()
-		centres := make(map[string][]string)
 		hosts := e.hosts()
-		for name, h := range hosts {
-			centres[h.DataCentre] = append(centres[h.DataCentre], name)
+		centres := make(map[string]int)
+		for _, h := range hosts {
+			centres[h.DataCentre]++
 		}
-		if first := e.first(e.dataCentre, centres[e.dataCentre]); first != e.host && first != "" {
+		if first := e.first(e.dataCentre, hosts); first != e.host && first != "" {
 			go e.reportHost(ctx, first, hosts[first].Address)
 			return
 		}
-		for centre, names := range centres {
+		for centre := range centres {
 			if centre == e.dataCentre {
 				continue
 			}
-			if first := e.first(centre, names); first != "" {
+			if first := e.first(centre, hosts); first != "" {
 				go e.reportDataCentre(ctx, centre, first, hosts[first].Address)
 			}
 		}
@@ -90,12 +92,21 @@
 }
 
 // first returns the host of the data centre to which its others report: the
-// first that answers, in an order on which all daemons agree.
-func (e *Exchange) first(centre string, names []string) string {
+// first that answers, in an order on which all daemons agree. Those with the
+// fastest links come first, since it sends to all others.
+func (e *Exchange) first(centre string, hosts map[string]fleet.Host) string {
+	var names []string
+	for name, h := range hosts {
+		if h.DataCentre == centre {
+			names = append(names, name)
+		}
+	}
+	order := container.Rendezvous(centre, names, func(n string) string { return n })
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(hosts[b].LinkMbps, hosts[a].LinkMbps) })
 	now := e.clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, name := range container.Rendezvous(centre, names, func(n string) string { return n }) {
+	for _, name := range order {
 		if name == e.host || e.silent[name] <= now {
 			return name
 		}
@@ -103,6 +114,27 @@
 	return ""
 }
 
+// leastFollowers is how many daemons of a data centre must follow one for that to
+// spare the store's calls: the one that leads asks about twice as often.
+const leastFollowers = 3
+
+// Leader returns the host that leads this data centre, with its address; empty
+// where its daemons are too few to need one.
+func (e *Exchange) Leader() (host, address string) {
+	hosts := e.hosts()
+	members := 0
+	for _, h := range hosts {
+		if h.DataCentre == e.dataCentre {
+			members++
+		}
+	}
+	if members <= leastFollowers {
+		return "", ""
+	}
+	host = e.first(e.dataCentre, hosts)
+	return host, hosts[host].Address
+}
+
 func (e *Exchange) reportHost(ctx context.Context, host, address string) {
 	answer, err := e.call(ctx, host, address, Report{From: e.host, Record: e.board.Own()})
 	if err == nil {
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -81,19 +80,20 @@
 		}
 		f.sink.Touch(f.table, well)
 		if err != nil {
-			sleep(ctx, pause.Duration()/2+rand.N(pause.Duration()/2))
+			clock.Sleep(ctx, pause/2+rand.N(pause/2))
 			pause = min(pause*2, longestPause)
 			continue
 		}
 		pause = firstPause
+		news := len(page.Rows) > 0 || !listed
 		if listed {
 			f.sink.Change(f.table, page)
 		} else {
 			f.sink.Replace(f.table, page)
 		}
 		listed, version = true, max(version, page.Version)
-		if len(page.Rows) > 0 {
-			sleep(ctx, f.settle.Duration())
+		if news && !page.Shared {
+			clock.Sleep(ctx, f.settle)
 		}
 	}
 }
@@ -118,12 +118,3 @@
 	}
 	return f.store.Changes(callCtx, f.table, version, wait)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/control/peer/message.go
+++ b/internal/control/peer/message.go
@@ -21,6 +21,7 @@
 	KindGetPins      Kind = "get_pins"
 	KindPutPins      Kind = "put_pins"
 	KindReport       Kind = "report"
+	KindChanges      Kind = "changes"
 )
 
 // Nothing is the body of calls that carry none.
--- /dev/null
+++ b/internal/control/peerfeed/store.go
@@ -0,0 +1,152 @@
+// Package peerfeed follows the tables of the row store through other daemons: in
+// each data centre one daemon asks the store, and the others ask that one. The
+// store's calls then grow with the data centres and not with the daemons.
+//
+// A daemon that hears nothing useful in time asks the store itself, so no daemon
+// depends on another one for being up to date.
+package peerfeed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/platform/rowstore"
+)
+
+const (
+	// leadWaitPart of the time in which a change must be in force is how long the
+	// leading daemon's calls to the store are left open, and freshPart how old its
+	// knowledge may be. What is left is for a member's own call to the store.
+	leadWaitPart = 0.45
+	freshPart    = 0.65
+	// peerSlack is how much longer than its wait a call to the leading daemon may take.
+	peerSlack = 500 * clock.Millis(1)
+)
+
+// Lead is the daemon that asks the store for those of its data centre.
+type Lead struct {
+	Address string // empty where the daemons are too few to need one
+	Own     bool   // it is this daemon
+}
+
+// Config is what a store works with.
+type Config struct {
+	Clock clock.Clock
+	Store rowstore.Store
+	Peers *peer.Client
+	Lead  func() Lead
+	// Apply is the time in which a change must be in force.
+	Apply clock.Millis
+}
+
+// Store is a rowstore.Store whose changes come from the leading daemon where
+// there is one. It is safe for concurrent use.
+type Store struct {
+	Config
+	mu        sync.Mutex
+	histories map[string]*history
+}
+
+// New returns a store.
+func New(c Config) *Store { return &Store{Config: c, histories: make(map[string]*history)} }
+
+func (s *Store) history(table string) *history {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.histories[table]
+	if !ok {
+		h = newHistory()
+		s.histories[table] = h
+	}
+	return h
+}
+
+func (s *Store) part(share float64) clock.Millis { return clock.Millis(float64(s.Apply) * share) }
+
+// List returns all rows of a table from the store.
+func (s *Store) List(ctx context.Context, table string) (rowstore.Page, error) {
+	page, err := s.Store.List(ctx, table)
+	if err == nil {
+		s.history(table).noteList(page, s.Clock.Now())
+	}
+	return page, err
+}
+
+// Commit writes to the store.
+func (s *Store) Commit(ctx context.Context, writes ...rowstore.Write) (int64, error) {
+	return s.Store.Commit(ctx, writes...)
+}
+
+// Changes waits for changes of the table, from the leading daemon if it is in
+// touch with the store, else from the store.
+func (s *Store) Changes(ctx context.Context, table string, after int64, wait clock.Millis) (rowstore.Page, error) {
+	lead, h := s.Lead(), s.history(table)
+	if lead.Address != "" {
+		wait = min(wait, s.part(leadWaitPart))
+	}
+	switch {
+	case lead.Own:
+		// The others need to hear in time that nothing has changed.
+		wait = max(wait-h.age(s.Clock.Now()), 0)
+	case lead.Address != "":
+		if page, ok := s.askLeader(ctx, lead.Address, Ask{Table: table, After: after, Wait: wait}); ok {
+			return page, nil
+		}
+	}
+	page, err := s.Store.Changes(ctx, table, after, wait)
+	if err == nil {
+		h.noteChanges(after, page, s.Clock.Now())
+	}
+	return page, errors.WithStack(err)
+}
+
+// askLeader returns what the leading daemon knows, if that is of use.
+func (s *Store) askLeader(ctx context.Context, address string, ask Ask) (rowstore.Page, bool) {
+	callCtx, cancel := context.WithTimeout(ctx, (ask.Wait + peerSlack).Duration())
+	defer cancel()
+	answer, err := peer.Call[Ask, Answer](callCtx, s.Peers, address, peer.KindChanges, ask)
+	if err != nil || answer.Useless {
+		// The exchange of reports logs a peer that is lost; the follower a store.
+		return rowstore.Page{}, false
+	}
+	page := rowstore.Page{Version: answer.Version, Now: answer.Now, Shared: true}
+	for _, r := range answer.Rows {
+		page.Rows = append(page.Rows, r.decode(ask.Table))
+	}
+	s.history(ask.Table).noteChanges(ask.After, page, s.Clock.Now()-answer.Age)
+	return page, true
+}
+
+// Register makes the server answer other daemons.
+func (s *Store) Register(server *peer.Server) {
+	peer.Handle(server, peer.KindChanges, func(ctx context.Context, ask Ask) (Answer, error) {
+		return s.answer(ctx, ask), nil
+	})
+}
+
+// answer waits for changes, for the end of the wait, or until this daemon is out
+// of touch with the store.
+func (s *Store) answer(ctx context.Context, ask Ask) Answer {
+	fresh := s.part(freshPart)
+	until := s.Clock.Now() + ask.Wait
+	h := s.history(ask.Table)
+	for {
+		now := s.Clock.Now()
+		answer, changed := h.since(ask.After, now, fresh)
+		if answer.Useless || len(answer.Rows) > 0 || now >= until || ctx.Err() != nil {
+			return answer
+		}
+		timer := time.NewTimer(min(until-now, fresh-answer.Age+1).Duration())
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -31,6 +31,7 @@
 type hostRow struct {
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
+	LinkMbps   int    `json:"link_mbps"`
 }
 
 // rolloutRow is the stage of a roll-out, and when it began by the store's clock.
@@ -123,8 +124,8 @@
 	// writeLimit bounds one call to the store.
 	writeLimit = 1 * time.Second
 	// firstPause after a failed call doubles up to longestPause.
-	firstPause   = 200 * time.Millisecond
-	longestPause = 3 * time.Second
+	firstPause   = 200 * clock.Millis(1)
+	longestPause = 3_000 * clock.Millis(1)
 )
 
 // Announce writes where this daemon listens, unless the store has it already. It
@@ -136,10 +137,8 @@
 		return
 	}
 	for pause := firstPause; ; pause = min(pause*2, longestPause) {
-		select {
-		case <-ctx.Done():
+		if clock.Sleep(ctx, pause); ctx.Err() != nil {
 			return
-		case <-time.After(pause):
 		}
 		view := k.View()
 		if !view.Followed[Table] {
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -155,6 +155,7 @@
 type Host struct {
 	Address    string // where its daemon listens for others
 	DataCentre string
+	LinkMbps   int // of its network link; 0 where it isn't known
 }
 
 // WithHost returns a copy with the host as given; one without an address isn't
--- a/internal/platform/rowstore/store.go
+++ b/internal/platform/rowstore/store.go
@@ -25,6 +25,7 @@
 	Rows    []Row
 	Version int64
 	Now     clock.Millis // by the store's steady clock
+	Shared  bool         // told by another daemon, which cost the store no call
 }
 
 // Write puts a value in place of a row of the given version; 0 means that the
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -18,6 +18,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/follower"
 	"gypsumpitch.example/gypsumpitch/internal/control/keeper"
 	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/control/peerfeed"
 	"gypsumpitch.example/gypsumpitch/internal/control/pilot"
 	"gypsumpitch.example/gypsumpitch/internal/control/registry"
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
@@ -39,6 +40,7 @@
 	Settings settings.Settings
 	Keeper   *keeper.Keeper
 	Store    *platform.Store
+	Feed     *peerfeed.Store
 	Front    *platform.Front
 	Relay    *relay.Relay
 	Book     *bearing.Book
@@ -138,20 +140,42 @@
 // startControl starts what keeps this daemon up with the store and its peers.
 func (e *Entry) startControl(ctx context.Context) {
 	go e.Keeper.Run(ctx)
-	feeds := platform.NewFeeds(ctx, e.Log, e.Keeper)
-	wait := clock.Millis(float64(e.Settings.Entry.CalmMs) * waitPart)
-	go follower.New(e.Log, e.Store, feeds, platform.TableOperator, settleTime, wait).Run(ctx)
-	servers := clock.Millis(float64(e.Settings.Entry.DrainMs) * serversPart)
-	go follower.New(e.Log, e.Store, feeds, platform.TableServers, servers, wait).Run(ctx)
 	own := registry.NewSink(ctx, e.Log, e.Keeper)
-	go follower.New(e.Log, e.Store, own, registry.Table, ownSettleTime, ownWait).Run(ctx)
+	go follower.New(e.Log, e.Feed, own, registry.Table, ownSettleTime, ownWait).Run(ctx)
 	go registry.Announce(ctx, e.Log, e.Keeper, e.Store, e.Settings.Host,
-		fleet.Host{Address: e.Settings.Listen.Peer, DataCentre: e.Settings.DataCentre})
+		fleet.Host{
+			Address: e.Settings.Listen.Peer, DataCentre: e.Settings.DataCentre, LinkMbps: int(e.Settings.Entry.LinkMbps),
+		})
+	go e.followPlatform(ctx)
 	e.Exchange.Register(e.Peers)
+	e.Feed.Register(e.Peers)
 	go e.Exchange.Run(ctx)
 	go e.Pilot.Run(ctx)
 }
 
+// followPlatform follows the tables of the operator and of the servers. It begins
+// once the hosts are known, by which the daemons agree on who asks the store.
+func (e *Entry) followPlatform(ctx context.Context) {
+	limit, cancel := context.WithTimeout(ctx, gatherLimit.Duration())
+	defer cancel()
+	for limit.Err() == nil && e.Keeper.View().Hosts[e.Settings.Host].Address == "" {
+		clock.Sleep(limit, gatherPoll)
+	}
+	feeds := platform.NewFeeds(ctx, e.Log, e.Keeper)
+	wait := clock.Millis(float64(e.Settings.Entry.CalmMs) * waitPart)
+	go follower.New(e.Log, e.Feed, feeds, platform.TableOperator, settleTime, wait).Run(ctx)
+	servers := clock.Millis(float64(e.Settings.Entry.DrainMs) * serversPart)
+	go follower.New(e.Log, e.Feed, feeds, platform.TableServers, servers, wait).Run(ctx)
+}
+
+const (
+	// gatherLimit is how long a daemon that starts waits for the list of hosts to
+	// hold itself; the store may be away.
+	gatherLimit = 1_500 * clock.Millis(1)
+	// gatherPoll is how often it looks.
+	gatherPoll = 50 * clock.Millis(1)
+)
+
 // refresh brings this daemon's counts to the board, and the others' to its own
 // decisions.
 func refresh(c clock.Clock, k *keeper.Keeper, b *board.Board, book *bearing.Book, s *steer.Steer, repeats *admission.RepeatBudget) {
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -6,6 +6,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/board"
 	"gypsumpitch.example/gypsumpitch/internal/control/keeper"
 	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/control/peerfeed"
 	"gypsumpitch.example/gypsumpitch/internal/control/pilot"
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
@@ -43,9 +44,24 @@
 	return peer.NewServer(log, s.Peer.Key)
 }
 
+func newPeers(s settings.Settings) *peer.Client { return peer.NewClient(s.Peer.Key, nil) }
+
+func newFeed(c clock.Clock, s settings.Settings, store *platform.Store, peers *peer.Client, e *board.Exchange) *peerfeed.Store {
+	return peerfeed.New(peerfeed.Config{
+		Clock: c,
+		Store: store,
+		Peers: peers,
+		Lead: func() peerfeed.Lead {
+			host, address := e.Leader()
+			return peerfeed.Lead{Address: address, Own: host == s.Host}
+		},
+		Apply: clock.Millis(s.Entry.DrainMs),
+	})
+}
+
 func newExchange(
 	log hclog.Logger, c clock.Clock, s settings.Settings, k *keeper.Keeper, b *board.Board,
-	book *bearing.Book, st *steer.Steer, repeats *admission.RepeatBudget,
+	book *bearing.Book, st *steer.Steer, repeats *admission.RepeatBudget, peers *peer.Client,
 ) *board.Exchange {
 	return board.NewExchange(board.Config{
 		Log:        log,
@@ -53,7 +69,7 @@
 		Host:       s.Host,
 		DataCentre: s.DataCentre,
 		Board:      b,
-		Peers:      peer.NewClient(s.Peer.Key, nil),
+		Peers:      peers,
 		Hosts:      func() map[string]fleet.Host { return k.View().Hosts },
 		Refresh:    func() { refresh(c, k, b, book, st, repeats) },
 	})
--- a/internal/program/entry/wire.go
+++ b/internal/program/entry/wire.go
@@ -29,6 +29,8 @@
 		newSteer,
 		newRepeats,
 		newPeerServer,
+		newPeers,
+		newFeed,
 		newExchange,
 		newPilot,
 		newRelay,
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -9,6 +9,7 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
+
 	"gypsumpitch.example/gypsumpitch/internal/control/board"
 	"gypsumpitch.example/gypsumpitch/internal/control/keeper"
 	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
@@ -24,17 +25,19 @@
 	system := clock.NewSystem()
 	keeperKeeper := keeper.New(log, system)
 	store := newStore(s)
-	client := newClient()
-	book := bearing.NewBook()
-	repeatBudget := newRepeats(s)
+	client := newPeers(s)
 	boardBoard := board.New(system)
+	book := bearing.NewBook()
 	steer := newSteer(system, s, boardBoard)
+	repeatBudget := newRepeats(s)
+	exchange := newExchange(log, system, s, keeperKeeper, boardBoard, book, steer, repeatBudget, client)
+	peerfeedStore := newFeed(system, s, store, client, exchange)
+	h1Client := newClient()
 	set := metrics.NewSet()
 	relayMetrics := relay.NewMetrics(set)
-	relayRelay := newRelay(log, system, s, keeperKeeper, client, book, repeatBudget, steer, relayMetrics)
+	relayRelay := newRelay(log, system, s, keeperKeeper, h1Client, book, repeatBudget, steer, relayMetrics)
 	entryViews := newViews(keeperKeeper)
 	front := newFront(system, s, relayRelay, entryViews)
-	exchange := newExchange(log, system, s, keeperKeeper, boardBoard, book, steer, repeatBudget)
 	server := newPeerServer(log, s)
 	pilot := newPilot(log, system, s, entryViews, boardBoard, steer, store, book)
 	entry := &Entry{
@@ -43,6 +46,7 @@
 		Settings: s,
 		Keeper:   keeperKeeper,
 		Store:    store,
+		Feed:     peerfeedStore,
 		Front:    front,
 		Relay:    relayRelay,
 		Book:     book,
