--- a/internal/decision/bearing/choose_test.go
+++ b/internal/decision/bearing/choose_test.go
@@ -11,6 +11,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
 func engines(n int) *fleet.View {
@@ -96,6 +97,40 @@
 	}
 }
 
+// TestFreeServerIsNotFlooded replays a server that becomes free while all others are
+// busy: before the next report, every one of 70 daemons chooses by the same word.
+// The free server must not get more than it runs at once.
+func TestFreeServerIsNotFlooded(t *testing.T) {
+	const daemons, choices = 70, 3 // between two reports
+	v := engines(60)
+	names := make([]string, daemons)
+	for i := range names {
+		names[i] = fmt.Sprintf("host-%02d", i)
+	}
+	others := make(map[string]Load)
+	for _, id := range v.Servers() {
+		others[id] = Load{Calls: 50, Reading: 1_500}
+	}
+	others["engine-00"] = Load{}
+	free := 0
+	for _, name := range names {
+		b := NewBook()
+		a := Ask{Pool: textPool(), Self: name, Hosts: names, Model: "m", Prompt: Prompt{Read: 500}, Now: 1000}
+		b.Choose(v, a)
+		b.SetOthers(others, 1000)
+		for i := range choices {
+			a.Salt = container.Hash(name, fmt.Sprint(i))
+			c, verdict := b.Choose(v, a)
+			assert.Equal(t, verdict, Chosen)
+			if c.Server.ID == "engine-00" {
+				free++
+			}
+		}
+	}
+	assert.Assert(t, free <= 64, "%d of %d requests went to the free server", free, daemons*choices)
+	assert.Assert(t, free > 0)
+}
+
 // TestTroubledServersComeLast puts servers that fail, are slow or were tried behind others.
 func TestTroubledServersComeLast(t *testing.T) {
 	const now = clock.Millis(100_000)
