Ask for more evidence when the newest answers alone judge a version

The newest answers are looked at some hundred times a roll-out with the limit of a single look. Ruled out: one server's fault; the comparison over the whole trial. The newest answers now need a likelihood ratio of e^13, and a spell that strikes the other versions too is compared with what they showed in it.

--- a/internal/control/pilot/pilot.go
+++ b/internal/control/pilot/pilot.go
@@ -182,7 +182,7 @@
 	}
 	past := p.history[r.Order]
 	for _, before := range past {
-		if newest := since(routes, before); rollout.IsBad(newest) {
+		if newest := since(routes, before); rollout.IsBadLately(newest) {
 			p.logBad(r, routes)
 			return true
 		}
@@ -208,13 +208,11 @@
 	return list
 }
 
-// since returns what was counted of the trial after an earlier look, against all
-// that is known of the rest.
+// since returns, for each route, what was counted after an earlier look.
 func since(routes, before map[string]rollout.Comparison) []rollout.Comparison {
 	list := make([]rollout.Comparison, 0, len(routes))
 	for route, c := range routes {
-		c.Trial = c.Trial.Minus(before[route].Trial)
-		list = append(list, c)
+		list = append(list, c.Since(before[route]))
 	}
 	return list
 }
--- a/internal/decision/rollout/tally.go
+++ b/internal/decision/rollout/tally.go
@@ -46,6 +46,10 @@
 // Answers returns how many answers the tally holds.
 func (t Tally) Answers() int { return t.Good + t.Bad }
 
+// badShare returns the share of bad answers, with half a bad one added, so that few
+// answers aren't taken for none that fail.
+func (t Tally) badShare() float64 { return (float64(t.Bad) + 0.5) / float64(t.Answers()+1) }
+
 // servers returns how many servers gave bad answers, at least.
 func (t Tally) servers() int { return bits.OnesCount64(t.BadServers) }
 
--- a/internal/decision/rollout/trial.go
+++ b/internal/decision/rollout/trial.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Comparison sets a version on trial against the pool's others on one route.
 type Comparison struct {
@@ -18,6 +21,9 @@
 	// closeAt is the log likelihood ratio at which a version is bad: one false
 	// alarm in some hundred good versions.
 	closeAt = 5.0
+	// closeAtLately is the same for the newest answers by themselves, which are looked
+	// at many times while a roll-out lasts.
+	closeAtLately = 13.0
 	// closeAtOneServer is the same where one server alone gave the bad answers,
 	// which may be that server's own fault.
 	closeAtOneServer = 14.0
@@ -31,25 +37,44 @@
 
 // IsBad tells whether the version on trial does worse than the others on some
 // route. A version may fail on one route only.
-func IsBad(routes []Comparison) bool {
-	for _, c := range routes {
-		limit := closeAt
+func IsBad(routes []Comparison) bool { return isBad(routes, closeAt) }
+
+// IsBadLately tells the same by the newest answers only: a version may turn bad
+// after many good answers.
+func IsBadLately(routes []Comparison) bool { return isBad(routes, closeAtLately) }
+
+func isBad(routes []Comparison, limit float64) bool {
+	return slices.ContainsFunc(routes, func(c Comparison) bool {
+		needed := limit
 		if c.Trial.servers() < 2 {
-			limit = closeAtOneServer
-		}
-		if c.badness() >= limit || c.isSlow() {
-			return true
+			needed = max(limit, closeAtOneServer)
 		}
+		return c.badness() >= needed || c.isSlow()
+	})
+}
+
+// leastLately is how many of the newest answers of the others tell more of what is
+// usual now than all that they have given.
+const leastLately = 10
+
+// Since returns what was counted of the trial after an earlier look, against what is
+// usual for the rest: a spell of failures that strikes all versions isn't the
+// trial's fault.
+func (c Comparison) Since(before Comparison) Comparison {
+	since := Comparison{Trial: c.Trial.Minus(before.Trial), Rest: c.Rest}
+	lately := c.Rest.Minus(before.Rest)
+	if lately.Answers() >= leastLately && lately.badShare() > c.Rest.badShare() {
+		since.Rest = lately
 	}
-	return false
+	return since
 }
 
 // badness is the log likelihood ratio of the trial's answers being worse than
 // the rest's against being alike.
 func (c Comparison) badness() float64 {
 	usual := leastBadRate
-	if n := c.Rest.Answers(); n > 0 {
-		usual = math.Max(usual, (float64(c.Rest.Bad)+0.5)/float64(n+1))
+	if c.Rest.Answers() > 0 {
+		usual = math.Max(usual, c.Rest.badShare())
 	}
 	usual = math.Min(usual, mostBadRate-worseBy/2)
 	worse := math.Min(usual+worseBy, mostBadRate)
--- a/internal/decision/rollout/trial_test.go
+++ b/internal/decision/rollout/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -49,6 +50,87 @@
 	}
 }
 
+// trialDay replays a roll-out's answers, a look each 200 ms, and returns at which look
+// the version on trial is found bad, or -1, with its bad answers until then.
+func trialDay(chance *rand.Rand, looks int, bad func(look int) (trial, rest float64)) (found, badAnswers int) {
+	const windows = 15
+	var now Comparison
+	var past []Comparison
+	answer := func(t Tally, n int, share float64) Tally {
+		for range n {
+			t = t.WithAnswer(fmt.Sprintf("engine-%d", chance.IntN(9)), chance.Float64() < share)
+		}
+		return t
+	}
+	for look := range looks {
+		trial, rest := bad(look)
+		n, others := 1, 9
+		if look >= looks*66/100 {
+			n, others = 10, 0 // all requests go to the new version
+		}
+		now.Trial, now.Rest = answer(now.Trial, n, trial), answer(now.Rest, others, rest)
+		if IsBad([]Comparison{now}) {
+			return look, now.Trial.Bad
+		}
+		for _, before := range past {
+			if IsBadLately([]Comparison{now.Since(before)}) {
+				return look, now.Trial.Bad
+			}
+		}
+		past = append(past, now)
+		past = past[max(len(past)-windows, 0):]
+	}
+	return -1, now.Trial.Bad
+}
+
+// TestTrialDays replays whole roll-outs: good versions must be completed, though a few
+// answers fail all the time and more do in a spell of a second, and bad ones closed
+// before the 50 bad answers after which requests to them break the users' bound.
+func TestTrialDays(t *testing.T) {
+	const days, looks = 400, 110
+	cases := map[string]struct {
+		bad       func(look int) (trial, rest float64)
+		isBad     bool
+		mostWrong int // of the days
+	}{
+		"good, five in a hundred fail": {func(int) (float64, float64) { return 0.05, 0.05 }, false, days / 50},
+		"good, a spell of failures early": {func(look int) (float64, float64) {
+			if look > 20 && look < 26 {
+				return 0.3, 0.3
+			}
+			return 0.04, 0.04
+		}, false, days / 50},
+		"good, a spell once it has all requests": {func(look int) (float64, float64) {
+			if look > 85 && look < 91 {
+				return 0.15, 0.15
+			}
+			return 0.04, 0.04
+		}, false, days / 10},
+		"bad from the start": {func(int) (float64, float64) { return 0.45, 0.04 }, true, 0},
+		"bad once it has all requests": {func(look int) (float64, float64) {
+			if look > 75 {
+				return 0.45, 0.04
+			}
+			return 0.04, 0.04
+		}, true, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			chance := rand.New(rand.NewPCG(7, 0))
+			wrong, most := 0, 0
+			for range days {
+				found, badAnswers := trialDay(chance, looks, c.bad)
+				if (found >= 0) != c.isBad {
+					wrong++
+				}
+				most = max(most, badAnswers)
+			}
+			assert.Assert(t, wrong <= c.mostWrong, "%d of %d days", wrong, days)
+			assert.Assert(t, !c.isBad || most < 50, "%d bad answers", most)
+		})
+	}
+}
+
 func ExampleShareAt() {
 	for _, part := range []float64{0, 0.49, 0.5, 0.6, 0.7} {
 		fmt.Print(ShareAt(part, 0.15), " ")
