--- a/internal/control/pilot/pilot.go
+++ b/internal/control/pilot/pilot.go
@@ -172,49 +172,33 @@
 	return false
 }
 
-// judge tells whether the version on trial is bad, by all answers and by the
-// newest ones: it may turn bad late.
+// judge tells whether the version on trial is bad on some route, by all answers and
+// by the newest ones.
 func (p *Pilot) judge(r fleet.Rollout) bool {
 	routes := p.board.Compare(r.Pool, r.Order)
-	if rollout.IsBad(values(routes)) {
-		p.logBad(r, routes)
-		return true
-	}
 	past := p.history[r.Order]
-	for _, before := range past {
-		if newest := since(routes, before); rollout.IsBadLately(newest) {
-			p.logBad(r, routes)
+	for route, c := range routes {
+		if found := c.Judge(); found != rollout.Sound {
+			p.logBad(r, route, found, c)
 			return true
 		}
+		for _, before := range past {
+			newest := c.Since(before[route])
+			if found := newest.JudgeLately(); found != rollout.Sound {
+				p.logBad(r, route, found, newest)
+				return true
+			}
+		}
 	}
 	past = append(past, routes)
 	p.history[r.Order] = past[max(len(past)-windows, 0):]
 	return false
 }
 
-func (p *Pilot) logBad(r fleet.Rollout, routes map[string]rollout.Comparison) {
-	for route, c := range routes {
-		p.log.Warn("version found bad", "pool", r.Pool, "target", r.Target, "route", route,
-			"trial_good", c.Trial.Good, "trial_bad", c.Trial.Bad, "rest_good", c.Rest.Good, "rest_bad", c.Rest.Bad,
-			"trial_timed", c.Trial.Timed, "rest_timed", c.Rest.Timed)
-	}
-}
-
-func values(routes map[string]rollout.Comparison) []rollout.Comparison {
-	list := make([]rollout.Comparison, 0, len(routes))
-	for _, c := range routes {
-		list = append(list, c)
-	}
-	return list
-}
-
-// since returns, for each route, what was counted after an earlier look.
-func since(routes, before map[string]rollout.Comparison) []rollout.Comparison {
-	list := make([]rollout.Comparison, 0, len(routes))
-	for route, c := range routes {
-		list = append(list, c.Since(before[route]))
-	}
-	return list
+func (p *Pilot) logBad(r fleet.Rollout, route string, found rollout.Finding, c rollout.Comparison) {
+	p.log.Warn("version found bad", "pool", r.Pool, "target", r.Target, "route", route, "finding", string(found),
+		"trial_good", c.Trial.Good, "trial_bad", c.Trial.Bad, "rest_good", c.Rest.Good, "rest_bad", c.Rest.Bad,
+		"trial_timed", c.Trial.Timed, "trial_slowness", c.Trial.Slowness(), "rest_timed", c.Rest.Timed, "rest_slowness", c.Rest.Slowness())
 }
 
 // rank returns the daemon's place in the order in which daemons step in for a pool.
--- a/internal/decision/rollout/tally.go
+++ b/internal/decision/rollout/tally.go
@@ -13,8 +13,8 @@
 	Good       int     `json:"g"`
 	Bad        int     `json:"b"`
 	BadServers uint64  `json:"s"` // a bit for each server that gave a bad answer, by hash
-	Timed      int     `json:"n"`
-	LogTime    float64 `json:"t"` // sum of the logarithms of the times to the head, in ms
+	Timed      int     `json:"n"` // answers whose time could be judged
+	LogSlow    float64 `json:"t"` // sum of the logarithms of their slowness
 }
 
 // WithAnswer returns the tally after one more answer.
@@ -28,10 +28,14 @@
 	return t
 }
 
-// WithTime returns the tally after one more answer that took that long.
-func (t Tally) WithTime(ms float64) Tally {
+// leastSlowness bounds how fast an answer counts.
+const leastSlowness = 0.05
+
+// WithSlowness returns the tally after one more answer whose time to the head was
+// that many times what was to be expected.
+func (t Tally) WithSlowness(slowness float64) Tally {
 	t.Timed++
-	t.LogTime += math.Log(math.Max(ms, 1))
+	t.LogSlow += math.Log(math.Max(slowness, leastSlowness))
 	return t
 }
 
@@ -39,7 +43,7 @@
 func (t Tally) Plus(o Tally) Tally {
 	return Tally{
 		Good: t.Good + o.Good, Bad: t.Bad + o.Bad, BadServers: t.BadServers | o.BadServers,
-		Timed: t.Timed + o.Timed, LogTime: t.LogTime + o.LogTime,
+		Timed: t.Timed + o.Timed, LogSlow: t.LogSlow + o.LogSlow,
 	}
 }
 
@@ -50,6 +54,12 @@
 // answers aren't taken for none that fail.
 func (t Tally) badShare() float64 { return (float64(t.Bad) + 0.5) / float64(t.Answers()+1) }
 
+// Slowness returns the geometric mean of the answers' slowness.
+func (t Tally) Slowness() float64 { return math.Exp(t.meanSlow()) }
+
+// meanSlow returns the mean of the logarithms of the answers' slowness.
+func (t Tally) meanSlow() float64 { return t.LogSlow / float64(max(t.Timed, 1)) }
+
 // servers returns how many servers gave bad answers, at least.
 func (t Tally) servers() int { return bits.OnesCount64(t.BadServers) }
 
@@ -57,6 +67,6 @@
 func (t Tally) Minus(o Tally) Tally {
 	return Tally{
 		Good: max(t.Good-o.Good, 0), Bad: max(t.Bad-o.Bad, 0), BadServers: t.BadServers,
-		Timed: max(t.Timed-o.Timed, 0), LogTime: t.LogTime - o.LogTime,
+		Timed: max(t.Timed-o.Timed, 0), LogSlow: t.LogSlow - o.LogSlow,
 	}
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -53,9 +53,11 @@
 
 // Outcome is how an attempt at a server ended.
 type Outcome struct {
-	Judged bool         // the server answered, by which its version can be judged
-	Failed bool         // with an error of its own
-	First  clock.Millis // time to the head of the answer, at least; 0 where it isn't known
+	Judged bool // the server answered, by which its version can be judged
+	Failed bool // with an error of its own
+	// Slowness is the time to the head of the answer, at least, against what was to be
+	// expected there with what was due before; 0 where it isn't known.
+	Slowness float64
 }
 
 // Relay is safe for concurrent use.
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -295,7 +295,7 @@
 	u.arrived = true
 	if failure.Silent {
 		// The time that it has taken so far is the least that it would have taken.
-		l.Steer.Outcome(u.view, server, u.route, Outcome{Judged: true, Failed: isSlow(choice, now-began), First: now - began})
+		l.Steer.Outcome(u.view, server, u.route, newOutcome(choice, false, now-began))
 	}
 	return u.noteMayHaveRun(server)
 }
@@ -365,7 +365,7 @@
 	if failed {
 		l.Book.NoteFault(&choice.Server, l.Clock.Now())
 	}
-	l.Steer.Outcome(u.view, &choice.Server, u.route, Outcome{Judged: true, Failed: failed || isSlow(choice, took), First: took})
+	l.Steer.Outcome(u.view, &choice.Server, u.route, newOutcome(choice, failed, took))
 }
 
 // passOver decides what follows an answer that isn't one to the request.
@@ -397,6 +397,15 @@
 	return c.Known && took > slowFactor*c.Usual+slowSlack
 }
 
+// newOutcome returns the outcome of an attempt whose head took so long.
+func newOutcome(c *bearing.Choice, failed bool, took clock.Millis) Outcome {
+	o := Outcome{Judged: true, Failed: failed || isSlow(c, took)}
+	if c.Known {
+		o.Slowness = float64(max(took, 1)) / float64(max(c.Usual, 1))
+	}
+	return o
+}
+
 // isPromise tells whether callers take the status as a promise that the request
 // didn't run, which only this system or a server that says so may give.
 func isPromise(status int) bool {
--- a/internal/traffic/steer/steer.go
+++ b/internal/traffic/steer/steer.go
@@ -185,8 +185,8 @@
 	if o.Judged {
 		t = t.WithAnswer(e.ID, o.Failed)
 	}
-	if o.First > 0 {
-		t = t.WithTime(float64(o.First))
+	if o.Slowness > 0 {
+		t = t.WithSlowness(o.Slowness)
 	}
 	known.tallies[subject] = t
 }
