Probe a failing store with one call at a time; ask a second leader

Calls are paid for also where they are refused. Ruled out: longer pauses for each table, by which the last of three tables comes back late. While the store fails, one call of all tables finds out whether it still does; a daemon whose first leader is of no use asks the next one.

--- a/internal/control/board/exchange.go
+++ b/internal/control/board/exchange.go
@@ -92,9 +92,18 @@
 }
 
 // first returns the host of the data centre to which its others report: the
-// first that answers, in an order on which all daemons agree. Those with the
-// fastest links come first, since it sends to all others.
+// first that answers, in an order on which all daemons agree.
 func (e *Exchange) first(centre string, hosts map[string]fleet.Host) string {
+	if order := e.answering(centre, hosts); len(order) > 0 {
+		return order[0]
+	}
+	return ""
+}
+
+// answering returns the hosts of the data centre that answer, in the order in which
+// they speak for it. Those with the fastest links come first, since they send to all
+// others.
+func (e *Exchange) answering(centre string, hosts map[string]fleet.Host) []string {
 	var names []string
 	for name, h := range hosts {
 		if h.DataCentre == centre {
@@ -106,21 +115,20 @@
 	now := e.clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, name := range order {
-		if name == e.host || e.silent[name] <= now {
-			return name
-		}
-	}
-	return ""
+	return slices.DeleteFunc(order, func(name string) bool { return name != e.host && e.silent[name] > now })
 }
 
-// leastFollowers is how many daemons of a data centre must follow one for that to
-// spare the store's calls: the one that leads asks about twice as often.
-const leastFollowers = 3
+const (
+	// leastFollowers is how many daemons of a data centre must follow one for that to
+	// spare the store's calls: the one that leads asks about twice as often.
+	leastFollowers = 3
+	// mostLeaders is how many are asked in turn where the first is of no use.
+	mostLeaders = 2
+)
 
-// Leader returns the host that leads this data centre, with its address; empty
-// where its daemons are too few to need one.
-func (e *Exchange) Leader() (host, address string) {
+// Leaders returns the addresses of the hosts that lead this data centre, the first
+// one first; none where its daemons are too few to need one.
+func (e *Exchange) Leaders() []string {
 	hosts := e.hosts()
 	members := 0
 	for _, h := range hosts {
@@ -129,10 +137,15 @@
 		}
 	}
 	if members <= leastFollowers {
-		return "", ""
+		return nil
+	}
+	var addresses []string
+	for _, name := range e.answering(e.dataCentre, hosts) {
+		if addresses = append(addresses, hosts[name].Address); len(addresses) == mostLeaders {
+			break
+		}
 	}
-	host = e.first(e.dataCentre, hosts)
-	return host, hosts[host].Address
+	return addresses
 }
 
 func (e *Exchange) reportHost(ctx context.Context, host, address string) {
--- a/internal/control/peerfeed/store.go
+++ b/internal/control/peerfeed/store.go
@@ -28,18 +28,16 @@
 	peerSlack = 500 * clock.Millis(1)
 )
 
-// Lead is the daemon that asks the store for those of its data centre.
-type Lead struct {
-	Address string // empty where the daemons are too few to need one
-	Own     bool   // it is this daemon
-}
-
 // Config is what a store works with.
 type Config struct {
 	Clock clock.Clock
 	Store rowstore.Store
 	Peers *peer.Client
-	Lead  func() Lead
+	// Self is the address of this daemon.
+	Self string
+	// Leaders returns the addresses of the daemons that ask the store for those of
+	// this data centre, the first one first; none where the daemons are too few.
+	Leaders func() []string
 	// Apply is the time in which a change must be in force.
 	Apply clock.Millis
 }
@@ -48,12 +46,18 @@
 // there is one. It is safe for concurrent use.
 type Store struct {
 	Config
+	breaker   *breaker
 	mu        sync.Mutex
 	histories map[string]*history
+	passed    map[string]clock.Millis // until when a leader that was of no use is passed over
 }
 
 // New returns a store.
-func New(c Config) *Store { return &Store{Config: c, histories: make(map[string]*history)} }
+func New(c Config) *Store {
+	return &Store{
+		Config: c, breaker: newBreaker(c.Clock), histories: make(map[string]*history), passed: make(map[string]clock.Millis),
+	}
+}
 
 func (s *Store) history(table string) *history {
 	s.mu.Lock()
@@ -70,7 +74,7 @@
 
 // List returns all rows of a table from the store.
 func (s *Store) List(ctx context.Context, table string) (rowstore.Page, error) {
-	page, err := s.Store.List(ctx, table)
+	page, err := s.call(ctx, func() (rowstore.Page, error) { return s.Store.List(ctx, table) })
 	if err == nil {
 		s.history(table).noteList(page, s.Clock.Now())
 	}
@@ -85,26 +89,62 @@
 // Changes waits for changes of the table, from the leading daemon if it is in
 // touch with the store, else from the store.
 func (s *Store) Changes(ctx context.Context, table string, after int64, wait clock.Millis) (rowstore.Page, error) {
-	lead, h := s.Lead(), s.history(table)
-	if lead.Address != "" {
+	leaders, h := s.Leaders(), s.history(table)
+	if len(leaders) > 0 {
 		wait = min(wait, s.part(leadWaitPart))
 	}
-	switch {
-	case lead.Own:
-		// The others need to hear in time that nothing has changed.
-		wait = max(wait-h.age(s.Clock.Now()), 0)
-	case lead.Address != "":
-		if page, ok := s.askLeader(ctx, lead.Address, Ask{Table: table, After: after, Wait: wait}); ok {
+	for _, address := range leaders {
+		if address == s.Self {
+			// The others need to hear in time that nothing has changed.
+			wait = max(wait-h.age(s.Clock.Now()), 0)
+			break
+		}
+		if s.isPassedOver(address) {
+			continue
+		}
+		if page, ok := s.askLeader(ctx, address, Ask{Table: table, After: after, Wait: wait}); ok {
 			return page, nil
 		}
+		s.passOver(address)
 	}
-	page, err := s.Store.Changes(ctx, table, after, wait)
+	page, err := s.call(ctx, func() (rowstore.Page, error) { return s.Store.Changes(ctx, table, after, wait) })
 	if err == nil {
 		h.noteChanges(after, page, s.Clock.Now())
 	}
 	return page, errors.WithStack(err)
 }
 
+// call makes a call to the store, unless it fails and another table's call is
+// finding out whether it still does.
+func (s *Store) call(ctx context.Context, read func() (rowstore.Page, error)) (rowstore.Page, error) {
+	if err := s.breaker.enter(ctx); err != nil {
+		return rowstore.Page{}, err
+	}
+	page, err := read()
+	s.breaker.leave(err == nil || errors.Is(err, rowstore.ErrCompacted))
+	return page, err
+}
+
+// passTime is for how long a leader that was of no use isn't asked again.
+const passTime = 2_000 * clock.Millis(1)
+
+func (s *Store) passOver(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.passed[address] = s.Clock.Now() + passTime
+}
+
+func (s *Store) isPassedOver(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.passed[address]
+	if ok && s.Clock.Now() >= until {
+		delete(s.passed, address)
+		ok = false
+	}
+	return ok
+}
+
 // askLeader returns what the leading daemon knows, if that is of use.
 func (s *Store) askLeader(ctx context.Context, address string, ask Ask) (rowstore.Page, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, (ask.Wait + peerSlack).Duration())
--- a/internal/control/peerfeed/store_test.go
+++ b/internal/control/peerfeed/store_test.go
@@ -135,10 +135,10 @@
 	p.listener = listener
 	address := listener.Addr().String()
 	system := clock.NewSystem()
-	p.leader = New(Config{Clock: system, Store: p.leadDoor, Apply: apply, Lead: func() Lead { return Lead{Address: address, Own: true} }})
+	p.leader = New(Config{Clock: system, Store: p.leadDoor, Apply: apply, Self: address, Leaders: func() []string { return []string{address} }})
 	p.follower = New(Config{
 		Clock: system, Store: p.followDoor, Apply: apply, Peers: peer.NewClient("", nil),
-		Lead: func() Lead { return Lead{Address: address} },
+		Leaders: func() []string { return []string{address} },
 	})
 	p.leader.Register(p.server)
 	go func() { _ = p.server.Serve(t.Context(), listener) }()
@@ -263,7 +263,7 @@
 	go func() { _ = second.Serve(t.Context(), listener) }()
 	defer func() { _ = listener.Close() }()
 	p.leader.Peers = peer.NewClient("", nil)
-	p.leader.Lead = func() Lead { return Lead{Address: listener.Addr().String()} }
+	p.leader.Leaders = func() []string { return []string{listener.Addr().String()} }
 	p.store.put("b", "2")
 	other := make(chan error, 1)
 	go func() {
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -48,14 +48,12 @@
 
 func newFeed(c clock.Clock, s settings.Settings, store *platform.Store, peers *peer.Client, e *board.Exchange) *peerfeed.Store {
 	return peerfeed.New(peerfeed.Config{
-		Clock: c,
-		Store: store,
-		Peers: peers,
-		Lead: func() peerfeed.Lead {
-			host, address := e.Leader()
-			return peerfeed.Lead{Address: address, Own: host == s.Host}
-		},
-		Apply: clock.Millis(s.Entry.DrainMs),
+		Clock:   c,
+		Store:   store,
+		Peers:   peers,
+		Self:    s.Listen.Peer,
+		Leaders: e.Leaders,
+		Apply:   clock.Millis(s.Entry.DrainMs),
 	})
 }
 
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -9,7 +9,6 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
-
 	"gypsumpitch.example/gypsumpitch/internal/control/board"
 	"gypsumpitch.example/gypsumpitch/internal/control/keeper"
 	"gypsumpitch.example/gypsumpitch/internal/decision/bearing"
