Add a fault soak: entry daemons as processes under faults from outside

Daemons are killed, paused, stopped, reloaded; their links to the store are slowed, cut one way, silenced and reset by a proxy; the store is down, slow, loses answers, does commits later and forgets; engines leave, crash, fail and take addresses over; configurations change. Callers keep their connections. The store's stand-in moved to platform/standin, since two packages' tests need it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS = $(CURDIR)/.tools
 USER_NAME ?= kitami
 
-.PHONY: build demo test lint unit proofs fuzz measure generate
+.PHONY: build demo test lint unit proofs fuzz soak measure generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -34,6 +34,11 @@
 fuzz: ## long, with fresh seeds; prints the seed of a failure
 	bash scripts/fuzz.sh
 
+SEEDS ?= 50
+FIRST ?= 1
+soak: ## entry daemons as processes under faults from outside; FIRST and SEEDS choose the seeds
+	go test -count=1 -timeout 60m -v -run TestSoak ./internal/proof/soak -args -first $(FIRST) -seeds $(SEEDS)
+
 measure: build ## each decision beside its baseline
 	bin/gypsumpitch measure --out docs/measurements
 
--- a/internal/program/entry/entry_test.go
+++ b/internal/program/entry/entry_test.go
@@ -18,12 +18,13 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
 	"gypsumpitch.example/gypsumpitch/internal/proof/loopback"
+	"gypsumpitch.example/gypsumpitch/platform/standin"
 )
 
 // deployment is a store, some servers and some daemons.
 type deployment struct {
 	t     *testing.T
-	store *storeStandIn
+	store *standin.Store
 }
 
 // server is a stand-in of a backend server; it answers after hold is closed.
@@ -36,7 +37,7 @@
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	return &deployment{t: t, store: newStoreStandIn(t)}
+	return &deployment{t: t, store: standin.NewStore(t)}
 }
 
 func (d *deployment) startServer(id string) *server {
@@ -61,12 +62,12 @@
 }
 
 func (d *deployment) register(s *server, state string) {
-	d.store.put("servers", s.id, fmt.Sprintf(`{"service":"app","address":%q,"zone":"dc-1","version":"v1","slots":8,"state":%q}`,
+	d.store.Put("servers", s.id, fmt.Sprintf(`{"service":"app","address":%q,"zone":"dc-1","version":"v1","slots":8,"state":%q}`,
 		s.http.Listener.Addr().String(), state))
 }
 
 func (d *deployment) configure(version int, key string) {
-	d.store.put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"desk.example","prefix":"/app/","kind":"unsafe","timeoutMs":5000,"targetLatencyMs":100,"service":"app","maxAttempts":1}],
+	d.store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"desk.example","prefix":"/app/","kind":"unsafe","timeoutMs":5000,"targetLatencyMs":100,"service":"app","maxAttempts":1}],
 		"services":[{"name":"app"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"smiths","apiKeys":[%q]}]}`, version, key))
 }
 
@@ -83,7 +84,7 @@
 	s := settings.Default()
 	s.Host, s.DataCentre = name, "dc-1"
 	s.Listen.Peer, s.Entry.Caller, s.Entry.Ready, s.Entry.Metrics = loopback.FreeAddress(d.t), loopback.FreeAddress(d.t), loopback.FreeAddress(d.t), loopback.FreeAddress(d.t)
-	s.Entry.Store, s.Entry.StopS = d.store.address(), 5
+	s.Entry.Store, s.Entry.StopS = d.store.Address(), 5
 	e, err := Assemble(hclog.NewNullLogger(), s)
 	assert.NilError(d.t, err)
 	ctx, stop := context.WithCancel(d.t.Context())
@@ -152,7 +153,7 @@
 		return status == 200 && strings.HasSuffix(body, "to smiths")
 	})
 	eventually(t, "announced to other daemons", func() bool {
-		return strings.Contains(d.store.get("gypsumpitch", "host/entry-1"), m.settings.Listen.Peer)
+		return strings.Contains(d.store.Get("gypsumpitch", "host/entry-1"), m.settings.Listen.Peer)
 	})
 	_, text := m.get(m.settings.Entry.Metrics, "/metrics")
 	assert.Assert(t, strings.Contains(text, `gypsumpitch_relay_requests_total{pool="app",code="0",reason="ok"}`), "%s", text)
@@ -171,13 +172,13 @@
 		return first.calls.Load() == before
 	})
 
-	d.store.setDown(true)
+	d.store.SetWeather(standin.Weather{Down: true})
 	eventually(t, "unknown keys may be new while the store is away", func() bool { status, _ := m.ask("k3"); return status == 503 })
 	status, _ = m.ask("k2")
 	assert.Equal(t, status, 200, "what is known goes on")
 	d.configure(3, "k3")
-	d.store.compact()
-	d.store.setDown(false)
+	d.store.Compact()
+	d.store.SetWeather(standin.Weather{})
 	eventually(t, "the newest configuration", func() bool { status, _ := m.ask("k3"); return status == 200 })
 
 	second.hold = make(chan struct{})
@@ -206,11 +207,11 @@
 	for _, m := range daemons {
 		eventually(t, "served", func() bool { status, _ := m.ask("k1"); return status == 200 })
 	}
-	d.store.put("servers", "e2", fmt.Sprintf(`{"service":"app","address":%q,"zone":"dc-1","version":"v2","slots":8,"state":"ready"}`, target.http.Listener.Addr().String()))
-	d.store.put("op", "rollout/app", `{"service":"app","target":"v2","durationS":6}`)
-	eventually(t, "running", func() bool { return strings.Contains(d.store.get("status", "rollout/app"), "running") })
+	d.store.Put("servers", "e2", fmt.Sprintf(`{"service":"app","address":%q,"zone":"dc-1","version":"v2","slots":8,"state":"ready"}`, target.http.Listener.Addr().String()))
+	d.store.Put("op", "rollout/app", `{"service":"app","target":"v2","durationS":6}`)
+	eventually(t, "running", func() bool { return strings.Contains(d.store.Get("status", "rollout/app"), "running") })
 	daemons[0].stop()
-	eventually(t, "completed", func() bool { return strings.Contains(d.store.get("status", "rollout/app"), "completed") })
+	eventually(t, "completed", func() bool { return strings.Contains(d.store.Get("status", "rollout/app"), "completed") })
 	status, body := daemons[1].ask("k1")
 	assert.Equal(t, status, 200)
 	assert.Assert(t, strings.HasPrefix(body, "answer of e2"), body)
