Don't let the soak wait for a daemon that another act started

Seen in a dump of the goroutines; ruled out: a daemon that doesn't end (two ran, both new). An act now signals and waits for one and the same process, or for none.

--- a/internal/proof/soak/acts_test.go
+++ b/internal/proof/soak/acts_test.go
@@ -35,8 +35,7 @@
 	{"kill a daemon", func(w *world, chance *rand.Rand) {
 		d := w.anyDaemon(chance)
 		end := w.oracle.disturb(d, "kill")
-		d.signal(syscall.SIGKILL)
-		d.wait()
+		d.end(syscall.SIGKILL)
 		time.Sleep(some(chance, 50, 1_000))
 		d.start()
 		end()
@@ -50,7 +49,7 @@
 			d.signal(syscall.SIGKILL)
 		}
 		for _, d := range w.daemons {
-			d.wait()
+			d.end(syscall.SIGKILL)
 			d.start()
 		}
 		end()
@@ -58,8 +57,7 @@
 	{"stop a daemon and start it again", func(w *world, chance *rand.Rand) {
 		d := w.anyDaemon(chance)
 		end := w.oracle.disturb(d, "stop")
-		d.signal(syscall.SIGTERM)
-		d.wait()
+		d.end(syscall.SIGTERM)
 		d.start()
 		end()
 	}},
--- a/internal/proof/soak/daemon_test.go
+++ b/internal/proof/soak/daemon_test.go
@@ -48,8 +48,7 @@
 	d.log = log
 	t.Cleanup(func() {
 		d.signal(syscall.SIGCONT)
-		d.signal(syscall.SIGKILL)
-		d.wait()
+		d.end(syscall.SIGKILL)
 		_ = log.Close()
 	})
 	d.start()
@@ -90,12 +89,16 @@
 	}
 }
 
-// wait returns when the process has ended.
-func (d *daemon) wait() {
+// end signals the process and returns when it has ended. One that another act has
+// started meanwhile isn't waited for.
+func (d *daemon) end(s syscall.Signal) {
 	d.mu.Lock()
+	if d.process == nil {
+		d.mu.Unlock()
+		return
+	}
+	_ = d.process.Process.Signal(s)
 	ended := d.ended
 	d.mu.Unlock()
-	if ended != nil {
-		<-ended
-	}
+	<-ended
 }
