Keep the small model's answer where the large one can't end in time

The gaps are noted after each 8 events and over 20 notes; an answer that can't end before the deadline isn't asked for, and the bar falls with the time to the end as with the head. Ruled out: admission (15 refusals in these 6 s), placement (48 servers in use).

--- a/internal/decision/bearing/pace.go
+++ b/internal/decision/bearing/pace.go
@@ -18,7 +18,7 @@
 	// paceMemory is after how many answers an earlier one counts by a third.
 	paceMemory = 60
 	// gapMemory is the same for the time between events.
-	gapMemory = 200
+	gapMemory = 20
 	// leastWeight is how many answers the line needs.
 	leastWeight = 8
 	// unknownFirst is the time to the head that is assumed before.
--- a/internal/traffic/relay/answer.go
+++ b/internal/traffic/relay/answer.go
@@ -81,6 +81,18 @@
 	u.began = true
 }
 
+// gapEvents is after how many events of a stream the time between them is noted: a
+// pool gets busy within less time than a long stream lasts.
+const gapEvents = 8
+
+// noteGaps takes in the mean time between events that came since an instant.
+func (u *run) noteGaps(events int, since clock.Millis) {
+	if events > 1 {
+		mean := float64(u.relay.Clock.Now()-since) / float64(events-1)
+		u.relay.Book.NoteGap(u.pool.Name, u.model, mean)
+	}
+}
+
 // relayStream passes events on as they come. When the stream breaks, what the
 // caller has is a whole number of events, and another server can go on from there.
 func (u *run) relayStream(server *fleet.Entry, answer *h1.Answer) (bool, error) {
@@ -88,12 +100,7 @@
 	control := http.NewResponseController(u.out)
 	patience := u.pausePatience(server)
 	reads, began := 0, u.relay.Clock.Now()
-	defer func() {
-		if reads > 1 {
-			mean := float64(u.relay.Clock.Now()-began) / float64(reads-1)
-			u.relay.Book.NoteGap(u.pool.Name, u.model, mean)
-		}
-	}()
+	defer func() { u.noteGaps(reads, began) }()
 	for {
 		if patience > 0 {
 			answer.SetReadDeadline(time.Now().Add(patience))
@@ -109,7 +116,10 @@
 			u.begin(answer)
 			u.out.WriteHeader(answer.Status)
 		}
-		reads++
+		if reads++; reads > gapEvents {
+			u.noteGaps(reads, began)
+			reads, began = 1, u.relay.Clock.Now()
+		}
 		if id != "" {
 			u.lastID = id
 		}
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -50,11 +50,20 @@
 	if len(u.ran)+2 > u.route.MaxAttempts {
 		return false
 	}
+	// An answer that ends too late is worth nothing, however soon it begins.
 	pace := u.relay.Book.Pace(u.pool.Name, u.route.Models[u.top()])
-	head := now - u.request.Arrived + pace.First(u.request.Prompt.Read)
-	if now+head >= u.deadline {
+	head := pace.First(u.request.Prompt.Read)
+	whole := head + u.writing(u.pool, pace)
+	if now+whole >= u.deadline {
 		return false
 	}
-	bar := u.relay.Bar.At(float64(head) / float64(max(u.route.Aim, 1)))
+	elapsed := now - u.request.Arrived
+	bar := u.relay.Bar.At(max(
+		part(elapsed+head, u.route.Aim),
+		part(elapsed+whole, u.deadline-u.request.Arrived),
+	))
 	return reply.Confidence < bar && u.relay.Repeats.HasRoom(u.pool.Name, now)
 }
+
+// part returns what part of a time another one is.
+func part(of, whole clock.Millis) float64 { return float64(of) / float64(max(whole, 1)) }
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -263,6 +263,8 @@
 		"sure":                      {"80", nil, "small", "small"},
 		"unsure":                    {"20", nil, "large", "small large"},
 		"no opinion":                {"", nil, "small", "small"},
+		"unsure, no time for more":  {"20", []string{testLength, "320"}, "small", "small"},
+		"unsure, short answer":      {"20", []string{testLength, "80"}, "large", "small large"},
 		"the rest of an old answer": {"20", []string{testAfter, "0"}, "large", "large"},
 	}
 	for name, c := range cases {
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -112,12 +112,17 @@
 		model = models[len(models)-1]
 	}
 	pace := u.relay.Book.Pace(pool.Name, model)
+	return pace.First(u.request.Prompt.Read) + u.writing(pool, pace)
+}
+
+// writing returns how long the events of the answer may be expected to take.
+func (u *run) writing(pool catalog.Pool, pace bearing.Pace) clock.Millis {
 	tokens := u.request.Prompt.Write
 	if u.request.Length > 0 {
 		tokens = u.request.Length
 	}
 	events := float64(tokens) / float64(max(pool.EventTokens, 1))
-	return pace.First(u.request.Prompt.Read) + clock.Millis(events*pace.Gap())
+	return clock.Millis(events * pace.Gap())
 }
 
 // point is the request's place among the shares of its route; requests of one
