Find slow versions by all routes together, and give trials more time with both versions

Each route by itself had too few answers before the version got all requests, and the margin for its mean time was made for times that aren't compared with what was due. The routes are judged together too, the margin is 0.45, and all requests go to the new version from 0.70 of the time on in place of 0.66, with 0.25 and 0.5 before.

--- a/internal/control/pilot/pilot.go
+++ b/internal/control/pilot/pilot.go
@@ -172,10 +172,19 @@
 	return false
 }
 
+// allRoutes stands for the routes of a pool together.
+const allRoutes = ""
+
 // judge tells whether the version on trial is bad on some route, by all answers and
 // by the newest ones.
 func (p *Pilot) judge(r fleet.Rollout) bool {
 	routes := p.board.Compare(r.Pool, r.Order)
+	// What is wrong on every route shows soonest in all of them together.
+	var together rollout.Comparison
+	for _, c := range routes {
+		together = together.Plus(c)
+	}
+	routes[allRoutes] = together
 	past := p.history[r.Order]
 	for route, c := range routes {
 		if found := c.Judge(); found != rollout.Sound {
--- a/internal/control/pilot/pilot_test.go
+++ b/internal/control/pilot/pilot_test.go
@@ -171,6 +171,26 @@
 	assert.DeepEqual(t, c.store.history, []fleet.Stage{fleet.Running, fleet.RolledBack})
 }
 
+// TestBadOnAllRoutes closes a version whose few answers on each route show too little
+// by themselves.
+func TestBadOnAllRoutes(t *testing.T) {
+	for routes, want := range map[int]fleet.Stage{1: fleet.Running, 3: fleet.RolledBack} {
+		c := newCrew(1)
+		c.store.stage = fleet.Running
+		counted := make(map[steer.Subject]rollout.Tally)
+		for i := range routes {
+			route := fmt.Sprintf("route-%d", i)
+			trial := rollout.Tally{Good: 5}.WithAnswer("server-1", true).WithAnswer("server-2", true)
+			counted[steer.Subject{Pool: "text", Order: 7, Trial: true, Route: route}] = trial
+			counted[steer.Subject{Pool: "text", Order: 7, Route: route}] = rollout.Tally{Good: 95, Bad: 5}
+		}
+		c.boards[0].SetOwn(nil, counted, nil)
+		c.hear(0)
+		c.pilots[0].look(context.Background(), c.views[0], c.views[0].Rollouts["text"])
+		assert.Equal(t, c.store.stage, want, "%d routes", routes)
+	}
+}
+
 // TestTurnsBadLate rolls back a version that turned bad after many good answers.
 func TestTurnsBadLate(t *testing.T) {
 	c := newCrew(2)
--- a/internal/decision/rollout/trial.go
+++ b/internal/decision/rollout/trial.go
@@ -25,7 +25,7 @@
 	// which may be that server's own fault.
 	closeAtOneServer = 14.0
 	// slowBy is the factor, as a logarithm, by which a version is slower at least.
-	slowBy = 0.6
+	slowBy = 0.45
 	// slowSpread is how far, as a logarithm, the mean time of one answer strays.
 	slowSpread = 2.5
 	// slowSpreadLately is the same where the newest answers are looked at many times.
@@ -64,6 +64,11 @@
 	return Sound
 }
 
+// Plus returns the sum of two comparisons, such as those of two routes.
+func (c Comparison) Plus(o Comparison) Comparison {
+	return Comparison{Trial: c.Trial.Plus(o.Trial), Rest: c.Rest.Plus(o.Rest)}
+}
+
 // leastLately is how many of the newest answers of the others tell more of what is
 // usual now than all that they have given.
 const leastLately = 10
@@ -106,7 +111,7 @@
 // steps of a roll-out: from which part of its time on which share of the
 // requests goes to the new version. Sessions keep their version in the first
 // half, so the share doesn't change there.
-var steps = []struct{ from, share float64 }{{0.5, 0.3}, {0.58, 0.6}, {0.66, 1}}
+var steps = []struct{ from, share float64 }{{0.5, 0.25}, {0.6, 0.5}, {0.7, 1}}
 
 const (
 	// trialShare of the requests goes to the new version in the first half.
--- a/internal/decision/rollout/trial_test.go
+++ b/internal/decision/rollout/trial_test.go
@@ -107,7 +107,7 @@
 	for look := range looks {
 		trial, rest := bad(look)
 		n, others := 1, 9
-		if look >= looks*66/100 {
+		if look >= looks*70/100 {
 			n, others = 10, 0 // all requests go to the new version
 		}
 		now.Trial, now.Rest = answer(now.Trial, n, trial), answer(now.Rest, others, rest)
@@ -177,5 +177,5 @@
 	for _, part := range []float64{0, 0.49, 0.5, 0.6, 0.7} {
 		fmt.Print(ShareAt(part, 0.15), " ")
 	}
-	// Output: 0.09 0.09 0.3 0.6 1
+	// Output: 0.09 0.09 0.25 0.5 1
 }
