Log a leading daemon that is passed over, and count what leaders spare

Cause: reading the change as an on-call engineer: a daemon that turned from its leader to the store left no line, and no metric told how many calls the leaders spare. Behaviour is as before; tests of the package and of the entry daemon pass with the race detector.

--- a/internal/control/peerfeed/store.go
+++ b/internal/control/peerfeed/store.go
@@ -9,8 +9,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/peer"
@@ -30,6 +32,7 @@
 
 // Config is what a store works with.
 type Config struct {
+	Log   hclog.Logger
 	Clock clock.Clock
 	Store rowstore.Store
 	Peers *peer.Client
@@ -47,6 +50,7 @@
 type Store struct {
 	Config
 	breaker   *breaker
+	heard     atomic.Int64 // answers of leading daemons that were of use
 	mu        sync.Mutex
 	histories map[string]*history
 	passed    map[string]clock.Millis // until when a leader that was of no use is passed over
@@ -102,10 +106,11 @@
 		if s.isPassedOver(address) {
 			continue
 		}
-		if page, ok := s.askLeader(ctx, address, Ask{Table: table, After: after, Wait: wait}); ok {
+		page, err := s.askLeader(ctx, address, Ask{Table: table, After: after, Wait: wait})
+		if err == nil {
 			return page, nil
 		}
-		s.passOver(address)
+		s.passOver(address, table, err)
 	}
 	page, err := s.call(ctx, func() (rowstore.Page, error) { return s.Store.Changes(ctx, table, after, wait) })
 	if err == nil {
@@ -128,12 +133,21 @@
 // passTime is for how long a leader that was of no use isn't asked again.
 const passTime = 2_000 * clock.Millis(1)
 
-func (s *Store) passOver(address string) {
+func (s *Store) passOver(address, table string, why error) {
+	s.Log.Info("leading daemon passed over", "address", address, "table", table, "error", why.Error(), "for_ms", int64(passTime))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.passed[address] = s.Clock.Now() + passTime
 }
 
+// Heard returns how many answers of leading daemons took the place of a call to the
+// store.
+func (s *Store) Heard() int64 { return s.heard.Load() }
+
+// errUseless says that the leading daemon is out of touch with the store, or doesn't
+// remember what changed since.
+var errUseless = errors.New("the leading daemon can't tell what changed")
+
 func (s *Store) isPassedOver(address string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,21 +159,24 @@
 	return ok
 }
 
-// askLeader returns what the leading daemon knows, if that is of use.
-func (s *Store) askLeader(ctx context.Context, address string, ask Ask) (rowstore.Page, bool) {
+// askLeader returns what the leading daemon knows.
+func (s *Store) askLeader(ctx context.Context, address string, ask Ask) (rowstore.Page, error) {
 	callCtx, cancel := context.WithTimeout(ctx, (ask.Wait + peerSlack).Duration())
 	defer cancel()
 	answer, err := peer.Call[Ask, Answer](callCtx, s.Peers, address, peer.KindChanges, ask)
-	if err != nil || answer.Useless {
-		// The exchange of reports logs a peer that is lost; the follower a store.
-		return rowstore.Page{}, false
+	if err != nil {
+		return rowstore.Page{}, err
+	}
+	if answer.Useless {
+		return rowstore.Page{}, errUseless
 	}
+	s.heard.Add(1)
 	page := rowstore.Page{Version: answer.Version, Now: answer.Now, Shared: true}
 	for _, r := range answer.Rows {
 		page.Rows = append(page.Rows, r.decode(ask.Table))
 	}
 	s.history(ask.Table).noteChanges(ask.After, page, s.Clock.Now()-answer.Age)
-	return page, true
+	return page, nil
 }
 
 // Register makes the server answer other daemons.
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -46,8 +46,9 @@
 
 func newPeers(s settings.Settings) *peer.Client { return peer.NewClient(s.Peer.Key, nil) }
 
-func newFeed(c clock.Clock, s settings.Settings, store *platform.Store, peers *peer.Client, e *board.Exchange) *peerfeed.Store {
+func newFeed(log hclog.Logger, c clock.Clock, s settings.Settings, store *platform.Store, peers *peer.Client, e *board.Exchange) *peerfeed.Store {
 	return peerfeed.New(peerfeed.Config{
+		Log:     log,
 		Clock:   c,
 		Store:   store,
 		Peers:   peers,
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -30,7 +30,7 @@
 	steer := newSteer(system, s, boardBoard)
 	repeatBudget := newRepeats(s)
 	exchange := newExchange(log, system, s, keeperKeeper, boardBoard, book, steer, repeatBudget, client)
-	peerfeedStore := newFeed(system, s, store, client, exchange)
+	peerfeedStore := newFeed(log, system, s, store, client, exchange)
 	h1Client := newClient()
 	set := metrics.NewSet()
 	relayMetrics := relay.NewMetrics(set)
