--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -37,6 +37,7 @@
 	AcceptCalm   int64   `json:"accept_calm" doc:"least confidence of a small model's answer that is accepted while the largest model answers in time" unit:"%" min:"0" max:"100"`
 	AcceptBusy   int64   `json:"accept_busy" doc:"the same while the largest model can't answer in time" unit:"%" min:"0" max:"100"`
 	CalmMs       int64   `json:"calm_ms" doc:"time after a disturbance of the store from which on changes must be in force in time again" unit:"ms" min:"100" max:"600000"`
+	ApplyMs      int64   `json:"apply_ms" doc:"time in which a change of the configuration must be in force" unit:"ms" min:"0" max:"600000"`
 	DrainMs      int64   `json:"drain_ms" doc:"time in which a server that leaves must get no more work" unit:"ms" min:"0" max:"600000"`
 }
 
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -54,7 +54,7 @@
 		Peers:   peers,
 		Self:    s.Listen.Peer,
 		Leaders: e.Leaders,
-		Apply:   clock.Millis(s.Entry.DrainMs),
+		Apply:   clock.Millis(min(s.Entry.DrainMs, s.Entry.ApplyMs)),
 	})
 }
 
--- a/internal/traffic/relay/answer.go
+++ b/internal/traffic/relay/answer.go
@@ -78,7 +78,7 @@
 // begin sets the headers of the answer that the caller gets.
 func (u *run) begin(answer *h1.Answer) {
 	maps.Copy(u.out.Header(), u.relay.Dialect.AnswerHeader(answer.Header))
-	u.began = true
+	u.began, u.status = true, answer.Status
 }
 
 // gapEvents is after how many events of a stream the time between them is noted: a
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,18 @@
 	u.relay.Metrics.ended(u.pool.Name, u.account.Name, code, u.relay.Clock.Now()-u.request.Arrived)
 }
 
+// noteAnswered writes down the end of a request that has a whole answer of a server,
+// which may be the server's own failure.
+func (u *run) noteAnswered() {
+	if u.status >= http.StatusInternalServerError {
+		u.count(result.BackendFailed)
+		u.log("ended with the server's failure", &u.server, "code", result.BackendFailed.Number, "status", u.status)
+		return
+	}
+	u.count(result.OK)
+	u.log("served", &u.server, "status", u.status)
+}
+
 // codeOf returns the code of a request's end.
 func codeOf(err error) result.Code {
 	switch {
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -106,8 +106,7 @@
 	run := &run{relay: l, request: q, http: r, out: w}
 	err := run.serve()
 	if err == nil {
-		run.count(result.OK)
-		run.log("served", &run.server)
+		run.noteAnswered()
 		return
 	}
 	run.finish(err)
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
@@ -354,6 +356,28 @@
 	}
 }
 
+// TestServersFailureIsNotServed tells in the log an answer that is passed on from one
+// that serves the caller.
+func TestServersFailureIsNotServed(t *testing.T) {
+	cases := map[string]struct {
+		server behaviour
+		want   string
+	}{
+		"good":             {good("ledger"), "served"},
+		"fails every time": {status(http.StatusInternalServerError, testSigned, "yes"), "ended with the server's failure"},
+		"says it is wrong": {status(http.StatusNotFound, testSigned, "yes"), "served"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var lines bytes.Buffer
+			f := newFarm(t, routes(), c.server)
+			f.relay.Log = hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})
+			f.ask(http.MethodPost, "/post/1")
+			assert.Assert(t, strings.Contains(lines.String(), `"@message":"`+c.want+`"`), lines.String())
+		})
+	}
+}
+
 // TestStopping refuses what can't end before the daemon does.
 func TestStopping(t *testing.T) {
 	f := newFarm(t, append(streamRoutes(), routes()...), good("ok"))
--- a/internal/traffic/relay/run.go
+++ b/internal/traffic/relay/run.go
@@ -39,6 +39,7 @@
 	refused  []string    // servers that stated that they didn't run it
 	mayRun   bool        // it may have run somewhere
 	began    bool        // the head of an answer has gone to the caller
+	status   int         // of that head
 	lastID   string      // of the last event that went to the caller
 	trust    int         // the model's opinion of the last answer; -1 where it gave none
 	lastSeen string      // why the last attempt failed
