--- a/internal/control/keeper/state.go
+++ b/internal/control/keeper/state.go
@@ -103,9 +103,9 @@
 
 // dropPredecessors forgets servers that had the address before.
 func (s *State) dropPredecessors(server fleet.Server) {
-	for _, id := range s.view.Servers() {
+	for _, id := range s.view.AtAddress(server.Address) {
 		e, _ := s.view.Server(id)
-		if id != server.ID && e.Address == server.Address && e.Born <= server.Born {
+		if id != server.ID && e.Born <= server.Born {
 			s.forget(id)
 		}
 	}
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -72,7 +72,7 @@
 	n := *v
 	n.servers = maps.Clone(v.servers)
 	delete(n.servers, id)
-	n.rebuildPool(e.Pool)
+	n.setInPool(e, false)
 	return &n
 }
 
@@ -81,13 +81,43 @@
 	n.servers = maps.Clone(v.servers)
 	old, known := n.servers[e.ID]
 	n.servers[e.ID] = e
-	n.rebuildPool(e.Pool)
 	if known && old.Pool != e.Pool {
-		n.rebuildPool(old.Pool)
+		n.setInPool(old, false)
 	}
+	n.setInPool(e, true)
 	return &n
 }
 
+// setInPool puts the server into the list of its pool, or takes it out. The lists are
+// in the order of the ids.
+func (v *View) setInPool(e Entry, in bool) {
+	list := slices.Clone(v.pools[e.Pool])
+	at, found := slices.BinarySearchFunc(list, e.ID, func(o Entry, id string) int { return cmp.Compare(o.ID, id) })
+	switch {
+	case in && found:
+		list[at] = e
+	case in:
+		list = slices.Insert(list, at, e)
+	case found:
+		list = slices.Delete(list, at, at+1)
+	}
+	v.pools = maps.Clone(v.pools)
+	v.pools[e.Pool] = list
+}
+
+// AtAddress returns the ids of the servers that are registered at the address, in
+// order.
+func (v *View) AtAddress(address string) []string {
+	var ids []string
+	for id, e := range v.servers {
+		if e.Address == address {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func (v *View) rebuildPool(pool string) {
 	var list []Entry
 	for _, e := range v.servers {
