--- a/internal/decision/bearing/choose.go
+++ b/internal/decision/bearing/choose.go
@@ -30,9 +30,9 @@
 	// behind all others.
 	costTried   = 100_000.0
 	costBenched = 50_000.0
-	// costUnlooked puts servers that a request doesn't look at behind those that it
-	// does, unless these have failed.
-	costUnlooked = 20_000.0
+	// costUnsampled puts servers outside a request's sample behind those in it, unless
+	// these have failed.
+	costUnsampled = 20_000.0
 	// costNoise is the range of what is added by chance, so that daemons which know
 	// the same don't choose the same.
 	costNoise = 12.0
@@ -61,22 +61,22 @@
 }
 
 const (
-	// lookingHosts is up to how many daemons each request looks at all servers: that
-	// many choices between two reports don't fill one server.
-	lookingHosts = 5
-	// leastLooked is how many servers a request looks at on average, at least.
-	leastLooked = 4
+	// samplingHosts is up to how many daemons the sample holds all servers: that many
+	// choices between two reports don't fill one server.
+	samplingHosts = 5
+	// leastSampled is how many servers a sample holds on average, at least.
+	leastSampled = 4
 )
 
-// lookedAt returns the bound below which the hash of request and server must be for
-// the request to look at the server.
+// sampleBound returns the bound below which the hash of request and server must be for
+// the server to be in the request's sample.
 //
 // Load pattern: many daemons see at once that a server has become free or warm, and
-// don't see each other's choices before the next report. If each request looks at
-// some servers only, the one that is free gets no more than its part meanwhile.
-func (a *Ask) lookedAt(servers int) uint64 {
-	share := float64(lookingHosts) / float64(max(len(a.Hosts), 1))
-	share = max(share, float64(leastLooked)/float64(max(servers, 1)))
+// don't see each other's choices before the next report. If each request chooses from
+// a sample of the servers, the one that is free gets no more than its part meanwhile.
+func (a *Ask) sampleBound(servers int) uint64 {
+	share := float64(samplingHosts) / float64(max(len(a.Hosts), 1))
+	share = max(share, float64(leastSampled)/float64(max(servers, 1)))
 	if share >= 1 {
 		return math.MaxUint64
 	}
@@ -123,7 +123,7 @@
 	best, lowest, verdict := -1, math.Inf(1), None
 	unread := [...]int{a.Prompt.Read, b.unread(a.Prompt)}
 	reading := [...]clock.Millis{pace.First(unread[0]), pace.First(unread[1])}
-	looked := a.lookedAt(len(entries))
+	bound := a.sampleBound(len(entries))
 	for i := range entries {
 		e := &entries[i]
 		if !a.mayUse(v, e) {
@@ -141,8 +141,8 @@
 			which = 1
 		}
 		cost := b.cost(s, e, &a, unread[which], reading[which])
-		if i != agreed && looked < math.MaxUint64 && container.Mix(a.Salt, e.ID) > looked {
-			cost += costUnlooked
+		if i != agreed && bound < math.MaxUint64 && container.Mix(a.Salt, e.ID) > bound {
+			cost += costUnsampled
 		}
 		if cost < lowest {
 			best, lowest = i, cost
