Keep a silent server until another attempt is planned

Cause: a pause, a late header or an escalation ended the attempt before it was known whether another could follow.

Change: the next attempt is planned, with its slot and its part of the retry budget, before the last one is given up. Without one the request stays where it is and is checked again every 250 ms until its deadline. Waits for the body no longer exceed the call's deadline.

--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -107,6 +107,9 @@
 	// HasEstimate reports whether the times are based on measurements rather than
 	// defaults.
 	HasEstimate bool
+	// LastResort reports that every allowed server with free capacity is ejected or was
+	// already tried.
+	LastResort bool
 }
 
 // Choose returns the server with the lowest cost for the request and counts the
@@ -155,7 +158,7 @@
 	if best < 0 {
 		return Choice{}, result
 	}
-	choice := Choice{PrefillTokens: prefillTokens[0]}
+	choice := Choice{PrefillTokens: prefillTokens[0], LastResort: lowest >= costEjected}
 	if best == preferred {
 		choice.PrefillTokens = prefillTokens[1]
 	}
--- a/internal/traffic/h1/call.go
+++ b/internal/traffic/h1/call.go
@@ -21,6 +21,9 @@
 	FreshConn      bool      // use only a new connection or one that was used just now
 	HeaderDeadline time.Time // for the response header
 	Deadline       time.Time // for the complete response
+	// ExtendHeaderDeadline is called when no response has begun by HeaderDeadline. It
+	// returns a later deadline, or false to abandon the call. Nil abandons it.
+	ExtendHeaderDeadline func() (time.Time, bool)
 }
 
 // CallError is the error of a call that got no response.
--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -115,9 +115,7 @@
 	defer cancel()
 	raw, err := c.dialer.DialContext(dialCtx, "tcp", call.Address)
 	if err != nil {
-		var netErr net.Error
-		timedOut := errors.As(err, &netErr) && netErr.Timeout()
-		return nil, &CallError{TimedOut: timedOut, Err: errors.Wrap(err, "connect")}
+		return nil, &CallError{TimedOut: isTimeout(err), Err: errors.Wrap(err, "connect")}
 	}
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), pool: p}, nil
 }
--- a/internal/traffic/h1/client_test.go
+++ b/internal/traffic/h1/client_test.go
@@ -327,3 +327,72 @@
 		})
 	}
 }
+
+// TestExtendedHeaderDeadline has a server respond after the header deadline. The call
+// must get the response if the deadline is extended, and end otherwise.
+func TestExtendedHeaderDeadline(t *testing.T) {
+	cases := map[string]struct {
+		extensions int // number of times that the deadline is extended
+		body       string
+	}{
+		"extended until the response": {100, "late"},
+		"extended once":               {1, ""},
+		"not extended":                {0, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, _ := scriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				id, err := readRequest(r)
+				if err != nil {
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+				write(conn, response(id, "late"))
+			})
+			request := newCall(address, "1")
+			request.HeaderDeadline = time.Now().Add(50 * time.Millisecond)
+			request.ExtendHeaderDeadline = func() (time.Time, bool) {
+				c.extensions--
+				return time.Now().Add(50 * time.Millisecond), c.extensions >= 0
+			}
+			body, err := call(t, newClient(), request)
+			assert.Equal(t, body, c.body)
+			var callErr *CallError
+			assert.Equal(t, errors.As(err, &callErr) && callErr.TimedOut, c.body == "")
+		})
+	}
+}
+
+// TestAwaitData reads a chunked body whose server pauses between two chunks. The wait
+// must report the pause without losing data, and end at the deadline of the call.
+func TestAwaitData(t *testing.T) {
+	address, _ := scriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		id, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n")
+		time.Sleep(200 * time.Millisecond)
+		write(conn, "3\r\ntwo\r\n")
+		time.Sleep(testTimeout)
+	})
+	request := newCall(address, "1")
+	request.Deadline = time.Now().Add(600 * time.Millisecond)
+	resp, err := newClient().Do(t.Context(), request)
+	assert.NilError(t, err)
+	defer resp.Close()
+	buffer := make([]byte, 3)
+	for _, want := range []string{"one", "two"} {
+		for !resp.AwaitData(20 * time.Millisecond) {
+			assert.Assert(t, want != "one", "the first chunk had arrived")
+		}
+		n, err := resp.Read(buffer)
+		assert.NilError(t, err)
+		assert.Equal(t, string(buffer[:n]), want)
+	}
+	for !resp.AwaitData(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(request.Deadline), "the wait exceeds the deadline of the call")
+	}
+	_, err = resp.Read(buffer)
+	assert.Assert(t, isTimeout(err), "%v", err)
+}
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -29,6 +29,7 @@
 
 	response       *http.Response
 	conn           *conn
+	deadline       time.Time    // of the call
 	requestWritten *atomic.Bool // the complete request has been written
 	stopCancel     func() bool  // detaches the connection from the call's context
 	bodyRead       bool         // to its end
@@ -48,20 +49,46 @@
 	_ = conn.SetDeadline(call.Deadline)
 	requestWritten, err := conn.send(call)
 	if err == nil {
-		_ = conn.SetReadDeadline(call.HeaderDeadline)
+		err = conn.awaitHeader(call)
+	}
+	if err == nil {
 		var response *Response
 		response, err = c.readHeader(conn, call)
 		if err == nil {
 			_ = conn.SetReadDeadline(call.Deadline)
+			response.deadline = call.Deadline
 			response.requestWritten, response.stopCancel, response.Reused = requestWritten, stopCancel, reused
 			return response, nil
 		}
 	}
 	stopCancel()
 	conn.pool.discard(conn)
+	return nil, &CallError{Sent: true, TimedOut: isTimeout(err), Reused: reused, Err: err}
+}
+
+func isTimeout(err error) bool {
 	var netErr net.Error
-	timedOut := errors.As(err, &netErr) && netErr.Timeout()
-	return nil, &CallError{Sent: true, TimedOut: timedOut, Reused: reused, Err: err}
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// awaitHeader waits for the first byte of the response. The read deadline that it
+// leaves in force applies to the rest of the header.
+func (c *conn) awaitHeader(call *Call) error {
+	deadline := call.HeaderDeadline
+	for {
+		_ = c.SetReadDeadline(deadline)
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			return nil
+		}
+		extended := false
+		if isTimeout(err) && call.ExtendHeaderDeadline != nil {
+			deadline, extended = call.ExtendHeaderDeadline()
+		}
+		if !extended {
+			return errors.Wrap(err, "await response")
+		}
+	}
 }
 
 // send writes the request; the flag that it returns is set once all of it is
@@ -126,8 +153,22 @@
 	return nil, ErrUnrelatedResponse
 }
 
-// SetReadDeadline sets the deadline of further reads of the body.
-func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
+// AwaitData waits until more of the body can be read. It returns false if the timeout
+// passes before the deadline of the call. The next read has the same time limit, except
+// that a body with a stated length isn't waited for.
+func (r *Response) AwaitData(timeout time.Duration) bool {
+	until := time.Now().Add(timeout)
+	if until.After(r.deadline) {
+		until = r.deadline
+	}
+	_ = r.conn.SetReadDeadline(until)
+	if r.bodyRead || r.response.ContentLength >= 0 {
+		return true
+	}
+	// Errors of the connection recur in Read.
+	_, err := r.conn.reader.Peek(1)
+	return !isTimeout(err) || !until.Before(r.deadline)
+}
 
 // Read reads the body. io.EOF means that the body is complete, as far as its
 // framing can show.
--- /dev/null
+++ b/internal/traffic/relay/attempt_plan.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"time"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+)
+
+// plannedAttempt is an attempt that holds a slot at its server until Balancer.Done.
+type plannedAttempt struct {
+	view    *fleet.View
+	route   *catalog.Route
+	account catalog.ClientAccount
+	pool    catalog.Pool
+	model   string
+	choice  loadbalance.Choice
+}
+
+// planAttempt chooses a server for the next attempt by the newest configuration, which
+// applies to retries too. The error states why no attempt can be made. failed reports
+// whether an earlier attempt gave no usable response.
+func (ex *exchange) planAttempt(excluded func(id string) bool, failed bool, now clock.Millis) (*plannedAttempt, *result.Error) {
+	r, req := ex.relay, ex.req
+	view := r.View()
+	route, account, err := r.match(view, req)
+	if err != nil {
+		return nil, result.From(err)
+	}
+	pool, ok := view.Catalog.Pool(route.PoolAt(ex.poolPoint()))
+	if !ok {
+		return nil, result.New(result.NoServer, "the pool of route %s does not exist", route.Name)
+	}
+	p := &plannedAttempt{view: view, route: route, account: account, pool: pool, model: ex.attemptModel(route)}
+	var outcome loadbalance.Result
+	p.choice, outcome = r.Balancer.Choose(view, loadbalance.Request{
+		Pool:           pool,
+		DataCentre:     r.DataCentre,
+		Self:           r.Host,
+		Hosts:          view.HostNames(),
+		Model:          p.model,
+		Prompt:         req.Prompt,
+		Salt:           container.Hash(req.ID),
+		VersionAllowed: r.VersionRouter.AllowedVersions(view, pool.Name, req, failed),
+		Tried:          excluded,
+		Now:            now,
+	})
+	switch outcome {
+	case loadbalance.NoServer:
+		return nil, result.New(result.NoServer, "pool %s has no server in service; %s", pool.Name, ex.lastError)
+	case loadbalance.AtCapacity:
+		rejection := result.New(result.Overloaded, "all servers of pool %s are full; %s", pool.Name, ex.lastError)
+		return nil, rejection.WithRetryAfter(int64(r.Balancer.RetryAfter(view, pool, p.model, now)))
+	case loadbalance.Chosen:
+	}
+	return p, nil
+}
+
+// acquireRetry takes the planned attempt from the retry budget if the request has
+// reached a server before. If the budget is exhausted, it releases the attempt.
+func (ex *exchange) acquireRetry(p *plannedAttempt, now clock.Millis) *result.Error {
+	r := ex.relay
+	if ex.reachedServer && !r.RetryBudget.TryAcquire(p.pool.Name, now) {
+		r.Balancer.Done(&p.choice)
+		return result.New(result.BackendRefused, "the retry budget is exhausted; %s", ex.lastError)
+	}
+	return nil
+}
+
+// successorPeriod is how often a silent attempt is checked for a server that can take
+// over.
+const successorPeriod = 250 * time.Millisecond
+
+// planSuccessor plans the attempt that takes over from one that the server is silent
+// about. It reports false if there is none that is likelier to succeed: the request then
+// stays where it is, since the server may only be slow. Going on there is no new work,
+// so a configuration that no longer allows the request doesn't end it.
+func (ex *exchange) planSuccessor(server *fleet.Entry) bool {
+	now := ex.relay.Clock.Now()
+	ex.reachedServer = true
+	excluded := func(id string) bool { return id == server.ID || ex.isExcluded(id) }
+	next, rejection := ex.planAttempt(excluded, true, now)
+	if rejection != nil {
+		return false
+	}
+	if next.choice.LastResort || now+next.choice.ExpectedFirstByte >= ex.deadline {
+		ex.relay.Balancer.Done(&next.choice)
+		return false
+	}
+	if ex.acquireRetry(next, now) != nil {
+		return false
+	}
+	ex.successor = next
+	return true
+}
+
+// releaseSuccessor drops the planned attempt, if there is one.
+func (ex *exchange) releaseSuccessor() {
+	if ex.successor != nil {
+		ex.relay.Balancer.Done(&ex.successor.choice)
+		ex.successor = nil
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -43,6 +43,9 @@
 	confidence      int         // stated in the last response, 0 to 100; -1 if none was
 	lastError       string      // why the last attempt failed
 	server          fleet.Entry // of the last attempt
+
+	// successor is the next attempt, if it was planned while the last one still ran.
+	successor *plannedAttempt
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
@@ -74,6 +77,7 @@
 	}
 	ex.lastEventID = req.LastEventID
 	ex.route, ex.account = route, account
+	ex.pool.Name = route.PoolAt(ex.poolPoint())
 	ex.modelIndex = ex.firstModel(now)
 	if r.rejecting.Load() {
 		return result.New(result.Stopping, "this daemon is shutting down")
@@ -82,6 +86,7 @@
 		return result.New(result.Stopping, "this daemon exits in %d ms", exitAt-now)
 	}
 	r.RetryBudget.RecordRequest(route.PoolAt(ex.poolPoint()), now)
+	defer ex.releaseSuccessor()
 	for {
 		done, err := ex.attempt()
 		if done || err != nil {
@@ -143,7 +148,7 @@
 // attempt sends the request to one server. It reports whether the caller has the
 // complete response. If it has not and err is nil, the request may be retried.
 func (ex *exchange) attempt() (done bool, err error) {
-	r, req := ex.relay, ex.req
+	r := ex.relay
 	now := r.Clock.Now()
 	if ex.httpReq.Context().Err() != nil {
 		return false, errCallerDisconnected
@@ -151,46 +156,22 @@
 	if ex.deadline-now < minAttemptTime {
 		return false, ex.deadlineError()
 	}
-	// Every attempt, retries included, follows the newest configuration.
-	view := r.View()
-	route, account, err := r.match(view, req)
-	if err != nil {
-		return false, ex.rejectionError(result.From(err))
-	}
-	ex.route, ex.account = route, account
-	pool, ok := view.Catalog.Pool(route.PoolAt(ex.poolPoint()))
-	if !ok {
-		return false, ex.rejectionError(result.New(result.NoServer, "the pool of route %s does not exist", route.Name))
-	}
-	ex.pool = pool
-	ex.model = ex.attemptModel()
-	if ex.reachedServer && !r.RetryBudget.TryAcquire(pool.Name, now) {
-		return false, ex.rejectionError(result.New(result.BackendRefused, "the retry budget is exhausted; %s", ex.lastError))
-	}
-	choice, outcome := r.Balancer.Choose(view, loadbalance.Request{
-		Pool:           pool,
-		DataCentre:     r.DataCentre,
-		Self:           r.Host,
-		Hosts:          view.HostNames(),
-		Model:          ex.model,
-		Prompt:         req.Prompt,
-		Salt:           container.Hash(req.ID),
-		VersionAllowed: r.VersionRouter.AllowedVersions(view, pool.Name, req, ex.backendFailed),
-		Tried:          ex.isExcluded,
-		Now:            now,
-	})
-	switch outcome {
-	case loadbalance.NoServer:
-		return false, ex.rejectionError(result.New(result.NoServer, "pool %s has no server in service; %s", pool.Name, ex.lastError))
-	case loadbalance.AtCapacity:
-		rejection := result.New(result.Overloaded, "all servers of pool %s are full; %s", pool.Name, ex.lastError)
-		return false, ex.rejectionError(rejection.WithRetryAfter(int64(r.Balancer.RetryAfter(view, pool, ex.model, now))))
-	case loadbalance.Chosen:
+	planned := ex.successor
+	ex.successor = nil
+	if planned == nil {
+		var rejection *result.Error
+		if planned, rejection = ex.planAttempt(ex.isExcluded, ex.backendFailed, now); rejection == nil {
+			rejection = ex.acquireRetry(planned, now)
+		}
+		if rejection != nil {
+			return false, ex.rejectionError(rejection)
+		}
 	}
-	defer r.Balancer.Done(&choice)
-	ex.view, ex.server = view, choice.Server
-	r.VersionRouter.RecordPlacement(req, &choice.Server)
-	return ex.sendTo(&choice, now)
+	defer r.Balancer.Done(&planned.choice)
+	ex.view, ex.route, ex.account = planned.view, planned.route, planned.account
+	ex.pool, ex.model, ex.server = planned.pool, planned.model, planned.choice.Server
+	r.VersionRouter.RecordPlacement(ex.req, &ex.server)
+	return ex.sendTo(&planned.choice, now)
 }
 
 // isExcluded reports whether the request must not be sent to the server again.
@@ -215,8 +196,8 @@
 	ex.attempts++
 	deadline := time.Now().Add((ex.deadline - r.Clock.Now()).Duration())
 	headerDeadline := deadline
-	if timeout := ex.headerTimeout(choice.ExpectedFirstByte); timeout > 0 && time.Now().Add(timeout).Before(deadline) {
-		headerDeadline = time.Now().Add(timeout)
+	if timeout := ex.headerTimeout(choice.ExpectedFirstByte); timeout > 0 {
+		headerDeadline = earlier(time.Now().Add(timeout), deadline)
 	}
 	resp, err := r.Client.Do(ex.httpReq.Context(), &h1.Call{
 		Address:        server.Address,
@@ -229,6 +210,12 @@
 		FreshConn:      ex.route.RetryPolicy == catalog.AtMostOnce,
 		HeaderDeadline: headerDeadline,
 		Deadline:       deadline,
+		ExtendHeaderDeadline: func() (time.Time, bool) {
+			if !headerDeadline.Before(deadline) || ex.planSuccessor(server) {
+				return time.Time{}, false
+			}
+			return earlier(time.Now().Add(successorPeriod), deadline), true
+		},
 	})
 	if err != nil {
 		return false, ex.handleCallError(choice, startedAt, err)
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -45,15 +45,15 @@
 
 const (
 	// idleTimeoutFactor times the route's target for the longest pause between events
-	// is how long a stream may be silent before it is continued on another server.
+	// is how long a stream may be silent before another server may take it over.
 	idleTimeoutFactor = 1.25
 	// minIdleTimeout allows for pauses while the server prefills the long prompts of
 	// other requests.
 	minIdleTimeout = 1_500 * clock.Millis(1)
 )
 
-// idleTimeout returns how long a stream may be silent before it is continued on
-// another server; 0 means until the deadline.
+// idleTimeout returns how long a stream may be silent before another server may take it
+// over; 0 means until the deadline.
 func (ex *exchange) idleTimeout(server *fleet.Entry) time.Duration {
 	if !ex.mayRetryAfter(server) || ex.route.InterEventTarget <= 0 {
 		return 0
@@ -99,15 +99,11 @@
 // forwardStream forwards events as they arrive, and only complete ones, so that
 // another server can continue an interrupted stream from the last of them.
 func (ex *exchange) forwardStream(server *fleet.Entry, resp *h1.Response) (bool, error) {
-	source := eventReader{source: resp}
+	source := eventReader{source: &patientBody{body: resp, timeout: ex.idleTimeout(server), giveUp: func() bool { return ex.planSuccessor(server) }}}
 	controller := http.NewResponseController(ex.w)
-	timeout := ex.idleTimeout(server)
 	count, since := 0, ex.relay.Clock.Now()
 	defer func() { ex.recordEventTime(count, since) }()
 	for {
-		if timeout > 0 {
-			resp.SetReadDeadline(time.Now().Add(timeout))
-		}
 		complete, id, err := source.Next()
 		if errors.Is(err, io.EOF) {
 			break
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -83,9 +83,9 @@
 	t      *testing.T
 	relay  *Relay
 	front  *httptest.Server
-	view   *fleet.View
 	stale  bool
 	mu     sync.Mutex
+	view   *fleet.View    // guarded by mu once requests are served
 	calls  []receivedCall // in the order of arrival; guarded by mu
 	routes []catalog.Route
 }
@@ -128,7 +128,7 @@
 	}
 	f.relay = New(Dependencies{
 		Log: hclog.NewNullLogger(), Clock: system, DataCentre: "dc-1",
-		View:            func() *fleet.View { return f.view },
+		View:            f.currentView,
 		ConfigIsCurrent: func() bool { return !f.stale },
 		Dialect:         testDialect{},
 		Client:          h1.NewClient(func(h http.Header) string { return h.Get(headerID) }),
@@ -154,16 +154,28 @@
 	return f
 }
 
+func (f *fixture) currentView() *fleet.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
 func (f *fixture) setCatalog(version int64, routes []catalog.Route) {
+	f.setKeys(version, routes, map[string]catalog.ClientAccount{"key-1": {Name: "smiths"}})
+}
+
+// setKeys sets a configuration with the routes and the client accounts by key.
+func (f *fixture) setKeys(version int64, routes []catalog.Route, accounts map[string]catalog.ClientAccount) {
 	pool := catalog.Pool{Name: "text"}
 	for _, r := range routes {
 		if r.Stream {
 			pool.TokenMemory, pool.TokensPerEvent = 100_000, 8
 		}
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.view = f.view.WithCatalog(catalog.New(catalog.Tables{
-		Version: version, Routes: routes, Pools: []catalog.Pool{pool},
-		Accounts: map[string]catalog.ClientAccount{"key-1": {Name: "smiths"}}, RequireKey: true,
+		Version: version, Routes: routes, Pools: []catalog.Pool{pool}, Accounts: accounts, RequireKey: true,
 	}))
 }
 
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -1,6 +1,10 @@
 package relay
 
-import "gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
 
 // largestModel returns the index of the route's largest model.
 func (ex *exchange) largestModel() int { return max(len(ex.route.Models)-1, 0) }
@@ -29,15 +33,16 @@
 	return 0
 }
 
-// attemptModel returns the model that the next attempt requests; empty if none is named.
-func (ex *exchange) attemptModel() string {
+// attemptModel returns the model that the next attempt requests on the route; empty if
+// none is named.
+func (ex *exchange) attemptModel(route *catalog.Route) string {
 	if !ex.req.AnyModel {
 		return ex.req.Model
 	}
-	if len(ex.route.Models) == 0 {
+	if len(route.Models) == 0 {
 		return ""
 	}
-	return ex.route.Models[min(ex.modelIndex, ex.largestModel())]
+	return route.Models[min(ex.modelIndex, len(route.Models)-1)]
 }
 
 // shouldEscalate reports whether a small model's answer, of which the caller has
@@ -67,3 +72,21 @@
 
 // ratio returns a / b, with b at least 1 ms.
 func ratio(a, b clock.Millis) float64 { return float64(a) / float64(max(b, 1)) }
+
+// planEscalation plans an attempt on the largest model. It reports false if none can be
+// made, so that the small model's answer is kept.
+func (ex *exchange) planEscalation(server *fleet.Entry, now clock.Millis) bool {
+	small := ex.modelIndex
+	ex.modelIndex = ex.largestModel()
+	next, rejection := ex.planAttempt(ex.isExcluded, ex.backendFailed, now)
+	if rejection == nil {
+		rejection = ex.acquireRetry(next, now)
+	}
+	if rejection != nil {
+		ex.modelIndex = small
+		ex.log("not escalated", server, "reason", rejection.Error())
+		return false
+	}
+	ex.successor = next
+	return true
+}
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -107,10 +107,9 @@
 		return false, ex.recordFailure(server, http.StatusText(resp.Status)+" from the server")
 	case failed:
 		return ex.forwardBuffered(server, resp)
-	case ex.shouldEscalate(info, now):
+	case ex.shouldEscalate(info, now) && ex.planEscalation(server, now):
 		ex.log("escalated", server)
 		r.Metrics.countAttempt(ex.pool.Name, "escalated")
-		ex.modelIndex = ex.largestModel()
 		ex.lastError = "the small model's confidence was too low"
 		ex.recordExecution(server)
 		return false, nil
--- /dev/null
+++ b/internal/traffic/relay/silence_test.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+)
+
+// The pauses of the test servers exceed the longest time that an attempt waits while
+// another server can take over: the idle timeout of a stream and the header timeout of
+// a plain call.
+const (
+	streamPause = 2_200 * time.Millisecond
+	plainPause  = 1_500 * time.Millisecond
+)
+
+// pauseAfterTwo sends two of five events, calls during and sends the others after
+// streamPause. A request to resume the stream is recorded as a call and fails.
+func pauseAfterTwo(during func()) behaviour {
+	return func(n int, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerLastEventID) != "" {
+			closeConn(n, w, r)
+			return
+		}
+		w.Header().Set(headerSigned, "yes")
+		_, _ = w.Write([]byte(events(1, 2)))
+		_ = http.NewResponseController(w).Flush()
+		during()
+		time.Sleep(streamPause)
+		_, _ = w.Write([]byte(events(3, 5)))
+	}
+}
+
+// warmUp is the number of requests that are answered at once before the one that has to
+// wait, so that the expected response time is short.
+const (
+	warmUp   = 20
+	warmUpID = "warm-up"
+)
+
+// pauseBeforeHeader calls during and responds after plainPause. Requests with warmUpID
+// are answered at once.
+func pauseBeforeHeader(during func()) behaviour {
+	return func(n int, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerID) != warmUpID {
+			during()
+			time.Sleep(plainPause)
+		}
+		respond("ledger")(n, w, r)
+	}
+}
+
+// TestSilentServerIsKeptWithoutSuccessor has a server pause for longer than the relay
+// waits while another server can take over. Where none can, because of the
+// configuration, the retry budget or the other servers, the caller must get the
+// complete response of the server that paused.
+func TestSilentServerIsKeptWithoutSuccessor(t *testing.T) {
+	noBudget := func(f *fixture) { f.relay.RetryBudget = admission.NewSharedRetryBudget(0, 0, 10_000) }
+	removeOthers := func(f *fixture) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, id := range []string{"s1", "s2"} {
+			if id != f.calls[len(f.calls)-1].server {
+				f.view = f.view.WithoutServer(id)
+			}
+		}
+	}
+	cases := map[string]struct {
+		before func(*fixture) // before the request
+		during func(*fixture) // during the pause
+	}{
+		"key revoked":      {during: func(f *fixture) { f.setKeys(2, f.routes, map[string]catalog.ClientAccount{}) }},
+		"route removed":    {during: func(f *fixture) { f.setCatalog(2, nil) }},
+		"no retry budget":  {before: noBudget},
+		"no other server":  {during: removeOthers},
+		"others evacuated": {during: func(f *fixture) { f.mu.Lock(); defer f.mu.Unlock(); f.view = f.view.WithEvacuated("dc-1", true) }},
+	}
+	requests := map[string]struct {
+		routes []catalog.Route
+		path   string
+		warmUp int
+		pause  func(during func()) behaviour
+		body   string
+	}{
+		"stream":     {streamRoutes(), "/draft/1", 0, pauseAfterTwo, events(1, 5)},
+		"plain call": {routes(), "/read/1", warmUp, pauseBeforeHeader, "ledger"},
+	}
+	for name, c := range cases {
+		for kind, request := range requests {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				t.Parallel()
+				var f *fixture
+				server := request.pause(func() {
+					if c.during != nil {
+						c.during(f)
+					}
+				})
+				f = newFixture(t, request.routes, server, server)
+				for range request.warmUp {
+					f.send(http.MethodPost, request.path, headerModel, "large", headerID, warmUpID)
+				}
+				if c.before != nil {
+					c.before(f)
+				}
+				got := f.send(http.MethodPost, request.path, headerModel, "large")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, request.body)
+				assert.Equal(t, f.callCount(), request.warmUp+1)
+			})
+		}
+	}
+}
+
+// TestSuccessorTakesOverLater has a server go silent while no other server is in
+// service. Once one is, it must take over the request.
+func TestSuccessorTakesOverLater(t *testing.T) {
+	silent := func(n int, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerSigned, "yes")
+		_, _ = w.Write([]byte(events(1, 2)))
+		_ = http.NewResponseController(w).Flush()
+		hang(n, w, r)
+	}
+	f := newFixture(t, streamRoutes(), silent, sendEvents(5, 5))
+	second, _ := f.view.Server("s2")
+	f.view = f.view.WithoutServer("s2")
+	time.AfterFunc(streamPause, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.view = f.view.WithServer(second.Server, 0)
+	})
+	got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, events(1, 5))
+}
+
+// TestEscalationNeedsServer has the pool lose the server that could run the largest
+// model while the small model runs. The caller must get the small model's answer.
+func TestEscalationNeedsServer(t *testing.T) {
+	cases := map[string]struct {
+		during func(*fixture)
+	}{
+		"no server in service": {func(f *fixture) { f.mu.Lock(); defer f.mu.Unlock(); f.view = f.view.WithEvacuated("dc-1", true) }},
+		"key revoked":          {func(f *fixture) { f.setKeys(2, f.routes, map[string]catalog.ClientAccount{}) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			f = newFixture(t, streamRoutes(), func(n int, w http.ResponseWriter, r *http.Request) {
+				c.during(f)
+				withConfidence("20", sendEvents(5, 5))(n, w, r)
+			})
+			got := f.send(http.MethodPost, "/draft/1", headerModel, "*")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, events(1, 5))
+			assert.Equal(t, f.callCount(), 1)
+		})
+	}
+}
