Limit a canary's share to its share of the servers

Cause: a new version got a tenth of the requests as soon as one of its servers was known.

Change: until it gets all requests, the target's share is at most its share of the pool's servers in service.

--- a/internal/traffic/versionrouting/router.go
+++ b/internal/traffic/versionrouting/router.go
@@ -103,18 +103,46 @@
 	if seed == "" {
 		seed = q.ID
 	}
-	if container.UnitHash(ro.Target, seed) < r.targetShare(ro, now) && !r.isPinnedByPeer(ro, q.Session, now) {
+	if container.UnitHash(ro.Target, seed) < r.targetShare(v, ro, now) && !r.isPinnedByPeer(ro, q.Session, now) {
 		return r.ifServed(v, pool, isTarget)
 	}
 	return r.ifServed(v, pool, isOther)
 }
 
-// targetShare returns the share of requests that the target version gets now.
-func (r *Router) targetShare(ro fleet.Rollout, now clock.Millis) float64 {
+// targetShare returns the share of requests that the target version gets now. Until it
+// gets all requests, that is at most its share of the servers: the target's servers
+// start one after the other, and the first of them would be overloaded and make the
+// version look slow.
+func (r *Router) targetShare(v *fleet.View, ro fleet.Rollout, now clock.Millis) float64 {
 	if now < ro.StartedAt+canaryDelay {
 		return 0
 	}
-	return rollout.ShareAt(ro.Progress(now), r.exposedShare)
+	progress := ro.Progress(now)
+	share := rollout.ShareAt(progress, r.exposedShare)
+	if progress >= rollout.FullShareProgress() {
+		return share
+	}
+	return min(share, targetServerShare(v, ro))
+}
+
+// targetServerShare returns the target version's share of the pool's servers in service;
+// 1 if it has none, since ifServed then allows any version.
+func targetServerShare(v *fleet.View, ro fleet.Rollout) float64 {
+	entries := v.Pool(ro.Pool)
+	target, all := 0, 0
+	for i := range entries {
+		if !v.InService(&entries[i]) {
+			continue
+		}
+		all++
+		if entries[i].Version == ro.Target {
+			target++
+		}
+	}
+	if target == 0 {
+		return 1
+	}
+	return float64(target) / float64(all)
 }
 
 // isPinnedByPeer reports whether another daemon has pinned the session to an old version.
--- a/internal/traffic/versionrouting/router_test.go
+++ b/internal/traffic/versionrouting/router_test.go
@@ -132,6 +132,47 @@
 	}
 }
 
+// TestShareFollowsServers checks the new version's share of the requests while only some
+// of its servers have started.
+//
+// Load pattern: hundreds of servers of the new version register over several seconds, the
+// first two of them before the others, while requests arrive at a rate that the full
+// canary share would overload those two with.
+func TestShareFollowsServers(t *testing.T) {
+	const old, requests = 240, 20_000
+	cases := map[string]struct {
+		started  int // servers of the new version
+		at       clock.Millis
+		min, max float64
+	}{
+		"two of the new servers":              {2, 13_500, 0, 0.015},
+		"a few of them":                       {12, 14_000, 0.02, 0.06},
+		"as many as old ones":                 {240, 14_000, 0.08, 0.1},
+		"a few of them, after the first half": {12, 23_000, 0.02, 0.06},
+		"a few of them, last step":            {12, 27_000, 1, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDaemon(fleet.Running, nil)
+			for i := range old {
+				d.view = d.view.WithServer(fleet.Server{ID: fmt.Sprintf("old-%d", i), Pool: "text", Version: "v1"}, 0)
+			}
+			for i := range c.started - 1 {
+				d.view = d.view.WithServer(fleet.Server{ID: fmt.Sprintf("new-%d", i), Pool: "text", Version: "v2"}, 0)
+			}
+			d.clock.Advance(c.at - 10_000)
+			canary := 0
+			for i := range requests {
+				if d.allowedVersions(fmt.Sprintf("session-%d", i), false) == "v2" {
+					canary++
+				}
+			}
+			share := float64(canary) / requests
+			assert.Assert(t, share >= c.min && share <= c.max, "share %.3f", share)
+		})
+	}
+}
+
 // TestFallsBackToAnyVersion checks that requests may run on any version if the chosen one
 // has no server.
 func TestFallsBackToAnyVersion(t *testing.T) {
