Write log lines whole, in writes that a pipe does not split

Cause: the writer's batches grew to 16 kB and more.

Change: a write holds whole lines up to 4 kB; a longer line is dropped and counted.

Measured: TestWritesHoldWholeLines sees writes of 16,388 bytes on the old code.

--- a/internal/foundation/logging/writer.go
+++ b/internal/foundation/logging/writer.go
@@ -17,8 +17,9 @@
 	burstLines = 800
 	// reportPeriod is the shortest time between two reports of dropped lines.
 	reportPeriod = 5 * time.Second
-	// batchBytes is the batch size from which on no further lines are added to a write.
-	batchBytes = 16 << 10
+	// maxWriteBytes bounds one write, which holds only whole lines. Up to this size, a
+	// write to a pipe is not split. Longer lines are dropped and counted.
+	maxWriteBytes = 4 << 10
 )
 
 // Writer queues lines and writes them to an output in a goroutine of its own. Lines
@@ -58,7 +59,7 @@
 	now := time.Now()
 	w.tokens = min(w.tokens+now.Sub(w.refilledAt).Seconds()*linesPerSecond, burstLines)
 	w.refilledAt = now
-	if w.tokens < 1 {
+	if w.tokens < 1 || len(line) > maxWriteBytes {
 		w.dropped++
 		return len(line), nil
 	}
@@ -87,45 +88,54 @@
 
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
-	batch := make([]byte, 0, batchBytes)
+	batch := make([]byte, 0, maxWriteBytes)
+	var next []byte // dequeued, but too long for the last batch
 	reportedAt := time.Now()
-	for line := range w.lines {
-		batch = append(batch[:0], line...)
-		batch = w.appendQueued(batch)
+	for {
+		if next == nil {
+			line, ok := <-w.lines
+			if !ok {
+				break
+			}
+			next = line
+		}
+		batch, next = w.appendQueued(append(batch[:0], next...))
+		// Errors are ignored, since there is no other output to report them to.
+		_, _ = out.Write(batch)
 		if time.Since(reportedAt) > reportPeriod {
 			reportedAt = time.Now()
-			batch = w.appendDropReport(batch)
+			w.writeDropReport(out)
 		}
-		// The error is ignored, since there is no other output to report it to.
-		_, _ = out.Write(batch)
 	}
-	_, _ = out.Write(w.appendDropReport(batch[:0]))
+	w.writeDropReport(out)
 }
 
-// appendQueued appends the lines that are already queued to batch.
-func (w *Writer) appendQueued(batch []byte) []byte {
-	for len(batch) < batchBytes {
+// appendQueued appends the lines that are already queued to batch, as far as they fit.
+// It returns the first line that does not, or nil.
+func (w *Writer) appendQueued(batch []byte) (full, next []byte) {
+	for {
 		select {
 		case line, ok := <-w.lines:
 			if !ok {
-				return batch
+				return batch, nil
+			}
+			if len(batch)+len(line) > maxWriteBytes {
+				return batch, line
 			}
 			batch = append(batch, line...)
 		default:
-			return batch
+			return batch, nil
 		}
 	}
-	return batch
 }
 
-// appendDropReport appends the number of dropped lines to batch, if any, and resets it.
-func (w *Writer) appendDropReport(batch []byte) []byte {
+// writeDropReport writes the number of dropped lines, if any, and resets it.
+func (w *Writer) writeDropReport(out io.Writer) {
 	w.mu.Lock()
 	n := w.dropped
 	w.dropped = 0
 	w.mu.Unlock()
-	if n == 0 {
-		return batch
+	if n > 0 {
+		_, _ = fmt.Fprintf(out, "{\"@message\":\"log lines dropped\",\"count\":%d}\n", n)
 	}
-	return append(batch, fmt.Sprintf("{\"@message\":\"log lines dropped\",\"count\":%d}\n", n)...)
 }
--- a/internal/foundation/logging/writer_test.go
+++ b/internal/foundation/logging/writer_test.go
@@ -54,3 +54,32 @@
 	_, err := w.Write([]byte("after Close\n"))
 	assert.NilError(t, err)
 }
+
+// recordedOutput records each write by itself.
+type recordedOutput struct{ writes []string }
+
+func (o *recordedOutput) Write(p []byte) (int, error) {
+	o.writes = append(o.writes, string(p))
+	return len(p), nil
+}
+
+// Each write must end with a line and fit the buffer of a pipe, also in a burst such as
+// hundreds of servers that register at once. A longer line is dropped and counted.
+func TestWritesHoldWholeLines(t *testing.T) {
+	out := &recordedOutput{}
+	w := NewWriter(out)
+	_, _ = w.Write([]byte(strings.Repeat("x", maxWriteBytes) + "\n"))
+	const lines = 300
+	line := strings.Repeat("y", 240) + "\n"
+	for range lines {
+		_, _ = w.Write([]byte(line))
+	}
+	w.Close(10 * time.Second)
+	for _, written := range out.writes {
+		assert.Assert(t, len(written) <= maxWriteBytes, "%d bytes", len(written))
+		assert.Assert(t, strings.HasSuffix(written, "\n"))
+	}
+	text := strings.Join(out.writes, "")
+	assert.Equal(t, strings.Count(text, line), lines)
+	assert.Assert(t, strings.Contains(text, `"count":1}`), "the long line is not counted")
+}
