Hold requests while the daemon reads its tables after a start

Callers have one retry, which reached another daemon that had just started.

Change: such requests wait until the tables are read, at most 1 s after the start and a quarter of their timeout; later a missing table means that the store is away, and they are rejected at once. The daemon looks for its own row every 10 ms in place of 50.

--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -175,7 +175,7 @@
 	// hostListTimeout limits the wait at startup for this daemon's own host to appear in
 	// the list of hosts: the store may be unavailable.
 	hostListTimeout = 1_500 * clock.Millis(1)
-	hostListPoll    = 50 * clock.Millis(1)
+	hostListPoll    = 10 * clock.Millis(1)
 )
 
 // refreshPeerStats passes the counts of this daemon to the aggregator, and the counts of
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -95,6 +95,7 @@
 		Host:                s.Host,
 		DataCentre:          s.DataCentre,
 		View:                manager.View,
+		Loaded:              func() bool { return isReady(manager.View()) },
 		ConfigIsCurrent:     manager.IsCurrent,
 		Dialect:             platform.Dialect{},
 		Client:              client,
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
@@ -66,6 +67,7 @@
 // serve makes attempts until the caller has a complete response or the request fails.
 func (ex *exchange) serve() error {
 	r, req := ex.relay, ex.req
+	ex.awaitTables()
 	now := r.Clock.Now()
 	route, account, err := r.match(r.View(), req)
 	if err != nil {
@@ -95,6 +97,18 @@
 	}
 }
 
+// tablesPollPeriod is how often a request that waits for the tables checks them.
+const tablesPollPeriod = 10 * clock.Millis(1)
+
+// awaitTables waits for the tables to be read after a start of the daemon.
+func (ex *exchange) awaitTables() {
+	r := ex.relay
+	until := admission.StartupHold(r.startedAt, ex.req.ReceivedAt, ex.req.Timeout)
+	for !r.Loaded() && r.Clock.Now() < until && ex.httpReq.Context().Err() == nil {
+		clock.Sleep(ex.httpReq.Context(), tablesPollPeriod)
+	}
+}
+
 // finishesBefore reports whether the response is expected to be complete when the
 // daemon exits.
 func (ex *exchange) finishesBefore(exitAt, now clock.Millis) bool {
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -129,6 +129,7 @@
 	f.relay = New(Dependencies{
 		Log: hclog.NewNullLogger(), Clock: system, DataCentre: "dc-1",
 		View:            f.currentView,
+		Loaded:          func() bool { return f.currentView().Catalog != nil },
 		ConfigIsCurrent: func() bool { return !f.stale },
 		Dialect:         testDialect{},
 		Client:          h1.NewClient(func(h http.Header) string { return h.Get(headerID) }),
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -26,6 +26,8 @@
 	Host       string // name of the host that this daemon runs on
 	DataCentre string
 	View       func() *fleet.View
+	// Loaded reports whether the tables that requests are routed by have been read.
+	Loaded func() bool
 	// ConfigIsCurrent reports whether the view is known to hold the newest
 	// configuration. Until it does, an unknown route or key is rejected with a
 	// retryable error.
@@ -68,6 +70,7 @@
 // Relay forwards requests to backend servers. It is safe for concurrent use.
 type Relay struct {
 	Dependencies
+	startedAt      clock.Millis
 	inFlight       atomic.Int64
 	shutdownAt     atomic.Int64 // when the daemon exits, in clock ms; 0 until shutdown begins
 	noStreamsAfter atomic.Int64 // during shutdown, when new streams are no longer accepted, in clock ms
@@ -75,7 +78,7 @@
 }
 
 // New returns a relay that accepts requests.
-func New(d Dependencies) *Relay { return &Relay{Dependencies: d} }
+func New(d Dependencies) *Relay { return &Relay{Dependencies: d, startedAt: d.Clock.Now()} }
 
 // InFlight returns the number of requests being served.
 func (r *Relay) InFlight() int64 { return r.inFlight.Load() }
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -138,6 +138,30 @@
 	assert.Equal(t, f.callCount(), 0)
 }
 
+// TestRequestsWaitForTables has requests arrive right after a start, before the tables
+// have been read. They must be served once that is done.
+func TestRequestsWaitForTables(t *testing.T) {
+	f := newFixture(t, routes(), respond("ok"))
+	loaded := f.view
+	f.view = fleet.NewView()
+	statuses := make(chan int)
+	const requests = 8
+	for i := range requests {
+		go func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			statuses <- f.send(http.MethodGet, "/read/1", headerRemaining, "2000").status
+		}()
+	}
+	time.AfterFunc(150*time.Millisecond, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.view = loaded
+	})
+	for range requests {
+		assert.Equal(t, <-statuses, http.StatusOK)
+	}
+}
+
 // TestRetryUsesNewestConfiguration removes a route during the first attempt. The retry
 // must not use the old configuration, and the request, which has run, must not be
 // rejected as not run.
