Retry the outcome of a claimed call whose conditional write was not applied

Cause: Backlog.write took a commit without an error for a written row, though the write's condition may not have held, so the outcome of a payment was dropped if its row had changed since it was read.

Change: the outcome stays in the backlog until the write is applied or the claim belongs to another.

Measured: TestOutcomeIsWritten (rapid, faults and other writers) fails on the old code after 12 tests ("the outcome was dropped"), passes now.

--- a/internal/traffic/claims/backlog.go
+++ b/internal/traffic/claims/backlog.go
@@ -85,7 +85,8 @@
 }
 
 // write stores the outcome if the row in the table still belongs to the same claim. It
-// returns false if the write must be retried later.
+// returns false if the write must be retried later, also because the row has changed
+// since it was read.
 func (b *Backlog) write(ctx context.Context, key string, row claim.Row) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
 	defer cancel()
@@ -104,6 +105,6 @@
 	if err != nil {
 		return true
 	}
-	_, err = b.tableService.Commit(ctx, tableservice.Batch{Writes: []tableservice.Write{w}})
-	return err == nil
+	results, err := b.tableService.Commit(ctx, tableservice.Batch{Writes: []tableservice.Write{w}})
+	return err == nil && len(results) == 1 && results[0].Applied
 }
