End Serve when a connection is accepted during Shutdown

Cause: Serve handed the connection to an HTTP server that no longer took any, and blocked for ever; the caller's connection stayed open until the process ended.

Change: Shutdown tells Serve, which closes such a connection.

Measured: TestServeEndsAfterShutdown blocks for 5 s on the old code, returns now.

--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -30,6 +30,8 @@
 type Server struct {
 	handler  http.Handler
 	listener net.Listener
+	stop     sync.Once
+	stopped  chan struct{} // closed by Shutdown
 
 	mu      sync.Mutex // guards the fields below
 	limits  catalog.Limits
@@ -40,7 +42,7 @@
 // NewServer returns a server with default limits. Serve must be called to accept
 // connections. The server closes the listener on Shutdown.
 func NewServer(listener net.Listener, handler http.Handler) *Server {
-	s := &Server{handler: handler, listener: listener}
+	s := &Server{handler: handler, listener: listener, stopped: make(chan struct{})}
 	s.SetLimits(catalog.Limits{})
 	return s
 }
@@ -97,7 +99,12 @@
 		s.mu.Lock()
 		conns := s.conns
 		s.mu.Unlock()
-		conns <- conn
+		select {
+		case conns <- conn:
+		case <-s.stopped:
+			// No HTTP server may take it any more. The caller sees that nothing was read.
+			_ = conn.Close()
+		}
 	}
 }
 
@@ -108,6 +115,7 @@
 // the first error of an HTTP server.
 func (s *Server) Shutdown(ctx context.Context) error {
 	_ = s.listener.Close()
+	s.stop.Do(func() { close(s.stopped) })
 	s.mu.Lock()
 	servers := s.servers
 	s.mu.Unlock()
