State the replaced retry time in the error body and the header

Cause: the body and the default header of an error used the code's retry time and ignored WithRetryAfter.

--- a/internal/foundation/result/body.go
+++ b/internal/foundation/result/body.go
@@ -37,20 +37,20 @@
 		Code:         e.Code.Name,
 		Number:       e.Code.Number,
 		Run:          e.Code.Run,
-		RetryAfterMs: e.Code.RetryAfterMs,
+		RetryAfterMs: e.RetryAfterMs(),
 		RequestID:    requestID,
 	}}
 }
 
 // Write sends e as the complete response. A Retry-After header that is already set is
-// kept; otherwise it is the code's retry time, rounded up to seconds.
+// kept; otherwise it is the error's retry time, rounded up to seconds.
 func Write(w http.ResponseWriter, e *Error, requestID string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderCode, strconv.Itoa(e.Code.Number))
 	h.Set(HeaderRun, string(e.Code.Run))
-	if e.Code.RetryAfterMs > 0 && h.Get("Retry-After") == "" {
-		h.Set("Retry-After", strconv.FormatInt((e.Code.RetryAfterMs+999)/1000, 10))
+	if e.RetryAfterMs() > 0 && h.Get("Retry-After") == "" {
+		h.Set("Retry-After", strconv.FormatInt((e.RetryAfterMs()+999)/1000, 10))
 	}
 	w.WriteHeader(e.Code.HTTPStatus)
 	// A write error means that the caller has disconnected, so it is ignored.
