--- a/internal/control/rolloutcontrol/controller.go
+++ b/internal/control/rolloutcontrol/controller.go
@@ -192,13 +192,9 @@
 		sum = sum.Plus(comparison)
 	}
 	routes[allRoutes] = sum
-	evaluate := rollout.Comparison.EvaluateCanary
-	if r.PastHalf(c.clock.Now()) {
-		evaluate = rollout.Comparison.Evaluate
-	}
 	earlier := c.history[r.OrderVersion]
 	for route, comparison := range routes {
-		if finding := evaluate(comparison); finding != rollout.Healthy {
+		if finding := comparison.Evaluate(); finding != rollout.Healthy {
 			c.logFinding(r, route, finding, comparison)
 			return true
 		}
--- a/internal/decision/rollout/comparison.go
+++ b/internal/decision/rollout/comparison.go
@@ -34,11 +34,6 @@
 	// recentLogSlownessSpread is the spread for the newest answers alone, which
 	// are evaluated many times.
 	recentLogSlownessSpread = 4.5
-	// canaryMinLogSlowdown and canaryLogSlownessSpread apply while the canary's share is
-	// small. Its servers are then no busier than the others, so a small difference of many
-	// answers shows the version; after that, it may show their load.
-	canaryMinLogSlowdown    = 0.25
-	canaryLogSlownessSpread = 3.5
 	// minLatencySamples is how many samples a mean slowness needs.
 	minLatencySamples = 4
 )
@@ -56,18 +51,6 @@
 // Evaluate reports whether the canary does worse than the baseline.
 func (c Comparison) Evaluate() Finding { return c.evaluate(failThreshold, logSlownessSpread) }
 
-// EvaluateCanary is Evaluate while the canary's share of the requests is at most its
-// share of the servers.
-func (c Comparison) EvaluateCanary() Finding {
-	if finding := c.Evaluate(); finding != Healthy {
-		return finding
-	}
-	if c.isSlow(canaryMinLogSlowdown, canaryLogSlownessSpread) {
-		return Slow
-	}
-	return Healthy
-}
-
 // EvaluateRecent is Evaluate for the newest answers only, as returned by Since.
 // It detects versions that turn bad after many good answers.
 func (c Comparison) EvaluateRecent() Finding {
@@ -81,7 +64,7 @@
 	switch {
 	case c.logLikelihoodRatio() >= threshold:
 		return Failing
-	case c.isSlow(minLogSlowdown, spread):
+	case c.isSlow(spread):
 		return Slow
 	}
 	return Healthy
@@ -123,12 +106,10 @@
 	return float64(c.Canary.Bad)*math.Log(raised/usual) + float64(c.Canary.Good)*math.Log((1-raised)/(1-usual))
 }
 
-// isSlow reports whether the canary's mean log slowness is above the baseline's by more
-// than minDifference and the uncertainty of the means.
-func (c Comparison) isSlow(minDifference, spread float64) bool {
+func (c Comparison) isSlow(spread float64) bool {
 	if c.Canary.LatencySamples < minLatencySamples || c.Baseline.LatencySamples < minLatencySamples {
 		return false
 	}
 	diff := c.Canary.meanLogSlowness() - c.Baseline.meanLogSlowness()
-	return diff-spread/math.Sqrt(float64(min(c.Canary.LatencySamples, c.Baseline.LatencySamples))) > minDifference
+	return diff-spread/math.Sqrt(float64(min(c.Canary.LatencySamples, c.Baseline.LatencySamples))) > minLogSlowdown
 }
