End the wait for a response header at the request's deadline

Cause: while no other server could take over, the wait for a silent server's header was extended up to the deadline and then again and again without a pause: the caller got no 504, and the request used the processor until the server answered or the caller left.

Change: at the deadline the wait isn't extended.

Measured: TestSilentServerEndsAtDeadline on the old code didn't end until go test's limit of 10 minutes; it passes in 0.6 s.

--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -225,7 +225,7 @@
 		HeaderDeadline: headerDeadline,
 		Deadline:       deadline,
 		ExtendHeaderDeadline: func() (time.Time, bool) {
-			if !headerDeadline.Before(deadline) || ex.planSuccessor(server) {
+			if !time.Now().Before(deadline) || ex.planSuccessor(server) {
 				return time.Time{}, false
 			}
 			return earlier(time.Now().Add(successorPeriod), deadline), true
--- a/internal/traffic/relay/silence_test.go
+++ b/internal/traffic/relay/silence_test.go
@@ -162,3 +162,23 @@
 		})
 	}
 }
+
+// TestSilentServerEndsAtDeadline has the only server stay silent. The caller must get
+// the error at the request's deadline.
+func TestSilentServerEndsAtDeadline(t *testing.T) {
+	f := newFixture(t, routes(), func(n int, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerID) == warmUpID {
+			respond("ledger")(n, w, r)
+			return
+		}
+		hang(n, w, r)
+	})
+	for range warmUp {
+		f.send(http.MethodPost, "/read/1", headerID, warmUpID)
+	}
+	sentAt := time.Now()
+	got := f.send(http.MethodPost, "/read/1", headerRemaining, "600")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(sentAt) < 2*time.Second, "%v", time.Since(sentAt))
+}
