--- a/internal/traffic/relay/silence_test.go
+++ b/internal/traffic/relay/silence_test.go
@@ -176,6 +176,9 @@
 	for range warmUp {
 		f.send(http.MethodPost, "/read/1", headerID, warmUpID)
 	}
+	// Ends the request if it doesn't end by itself.
+	abort := time.AfterFunc(3*time.Second, f.front.CloseClientConnections)
+	defer abort.Stop()
 	sentAt := time.Now()
 	got := f.send(http.MethodPost, "/read/1", headerRemaining, "600")
 	assert.NilError(t, got.err)
