Log who ended an interrupted response, and why a silent server is kept

The report of lost requests gives no log, and ours could not have told its hypotheses apart: a response that ended at its deadline, one that was given up for another server and one that the server broke off had the same line, and nothing was logged when a silent server was kept.

No decision changes.

--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -84,20 +84,30 @@
 	ex.reachedServer = true
 	excluded := func(id string) bool { return id == server.ID || ex.isExcluded(id) }
 	next, rejection := ex.planAttempt(excluded, true, now)
-	if rejection != nil {
-		return false
-	}
-	if next.choice.LastResort || now+next.choice.ExpectedFirstByte >= ex.deadline {
+	if rejection == nil && (next.choice.LastResort || now+next.choice.ExpectedFirstByte >= ex.deadline) {
 		ex.relay.Balancer.Done(&next.choice)
-		return false
+		rejection = result.New(result.NoServer, "no server is likelier to respond in time")
+	}
+	if rejection == nil {
+		rejection = ex.acquireRetry(next, now)
 	}
-	if ex.acquireRetry(next, now) != nil {
+	if rejection != nil {
+		ex.logKept(server, rejection, now)
 		return false
 	}
 	ex.successor = next
 	return true
 }
 
+// logKept logs the first time that the request stays at a silent server.
+func (ex *exchange) logKept(server *fleet.Entry, reason *result.Error, now clock.Millis) {
+	if ex.keptOn == server.ID {
+		return
+	}
+	ex.keptOn = server.ID
+	ex.log("silent server kept", server, "reason", reason.Error(), "remaining_ms", int64(ex.deadline-now))
+}
+
 // releaseSuccessor drops the planned attempt, if there is one.
 func (ex *exchange) releaseSuccessor() {
 	if ex.successor != nil {
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -47,6 +47,8 @@
 
 	// successor is the next attempt, if it was planned while the last one still ran.
 	successor *plannedAttempt
+	// keptOn is the silent server that the request was last kept on.
+	keptOn string
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -68,15 +68,35 @@
 		return errCallerDisconnected
 	}
 	ex.lastError = "response interrupted: " + err.Error()
-	ex.relay.Balancer.RecordServerError(server, ex.relay.Clock.Now())
-	ex.relay.Metrics.countAttempt(ex.pool.Name, "broke_off")
-	ex.log("response interrupted", server, "error", err.Error(), "last_event", ex.lastEventID)
-	if ex.relay.Clock.Now() >= ex.deadline {
+	now := ex.relay.Clock.Now()
+	ex.relay.Balancer.RecordServerError(server, now)
+	cause := ex.interruptionCause(now)
+	ex.relay.Metrics.countAttempt(ex.pool.Name, cause)
+	ex.log("response interrupted", server, "cause", cause, "error", err.Error(), "last_event", ex.lastEventID, "remaining_ms", int64(ex.deadline-now))
+	if now >= ex.deadline {
 		return ex.executionError(result.New(result.BackendTimeout, "%s", ex.lastError))
 	}
 	return ex.recordFailedExecution(server)
 }
 
+// Causes of an interrupted response, in logs and metrics.
+const (
+	causeDeadline = "deadline"  // the request's deadline passed
+	causeReplaced = "replaced"  // the server was silent and another attempt is planned
+	causeServer   = "broke_off" // the server, or the connection to it
+)
+
+// interruptionCause returns who ended the response that was interrupted at the time.
+func (ex *exchange) interruptionCause(now clock.Millis) string {
+	switch {
+	case now >= ex.deadline:
+		return causeDeadline
+	case ex.successor != nil:
+		return causeReplaced
+	}
+	return causeServer
+}
+
 // startResponse sets the headers of the response to the caller.
 func (ex *exchange) startResponse(resp *h1.Response) {
 	maps.Copy(ex.w.Header(), ex.relay.Dialect.ResponseHeader(resp.Header))
