Wait for a silent server anywhere in a message

Callers saw: a stream cut in the middle, or 502 for a plain call, seconds before the deadline, though the server had only paused and no other server could take over.

Where the first byte had arrived, the rest had to follow by a limit that was set before it: the rest of a header, a chunk that arrives in parts, a body of stated length (never waited for at all), the response itself after one that belongs to an earlier request.

Change: the limits of silence are kept where the connection is read (h1/conn.go). A connection that the kernel gave up on no longer counts as silent. TestAwaitData is replaced by TestLimitSilence, which pauses within a chunk too, and TestSilentBodyAbandoned.

--- a/internal/traffic/h1/call.go
+++ b/internal/traffic/h1/call.go
@@ -19,11 +19,12 @@
 	Body           []byte
 	ID             string    // request ID that the response must carry
 	FreshConn      bool      // use only a new connection or one that was used just now
-	HeaderDeadline time.Time // for the response header
+	HeaderDeadline time.Time // for the response header; Deadline if that is earlier
 	Deadline       time.Time // for the complete response
-	// ExtendHeaderDeadline is called when no response has begun by HeaderDeadline. It
-	// returns a later deadline, or false to abandon the call. Nil abandons it.
-	ExtendHeaderDeadline func() (time.Time, bool)
+	// OnSilence is called when the response header is incomplete at HeaderDeadline, and
+	// when the body is silent for longer than Response.LimitSilence allows. It returns how
+	// much longer to wait, or 0 to abandon the call. Nil abandons it.
+	OnSilence func() time.Duration
 }
 
 // CallError is the error of a call that got no response.
--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -117,5 +117,7 @@
 	if err != nil {
 		return nil, &CallError{TimedOut: isTimeout(err), Err: errors.Wrap(err, "connect")}
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), pool: p}, nil
+	opened := &conn{Conn: raw, pool: p}
+	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
+	return opened, nil
 }
--- a/internal/traffic/h1/client_test.go
+++ b/internal/traffic/h1/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -351,9 +352,11 @@
 			})
 			request := newCall(address, "1")
 			request.HeaderDeadline = time.Now().Add(50 * time.Millisecond)
-			request.ExtendHeaderDeadline = func() (time.Time, bool) {
-				c.extensions--
-				return time.Now().Add(50 * time.Millisecond), c.extensions >= 0
+			request.OnSilence = func() time.Duration {
+				if c.extensions--; c.extensions < 0 {
+					return 0
+				}
+				return 50 * time.Millisecond
 			}
 			body, err := call(t, newClient(), request)
 			assert.Equal(t, body, c.body)
@@ -363,36 +366,64 @@
 	}
 }
 
-// TestAwaitData reads a chunked body whose server pauses between two chunks. The wait
-// must report the pause without losing data, and end at the deadline of the call.
-func TestAwaitData(t *testing.T) {
+// TestLimitSilence reads a chunked body whose server pauses between two chunks and within
+// the second. The reads must ask at each limit whether to wait on, lose no data, and end
+// at the deadline of the call.
+func TestLimitSilence(t *testing.T) {
+	const limit = 20 * time.Millisecond
 	address, _ := scriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
 		id, err := readRequest(r)
 		if err != nil {
 			return
 		}
 		write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n")
-		time.Sleep(200 * time.Millisecond)
-		write(conn, "3\r\ntwo\r\n")
+		time.Sleep(100 * time.Millisecond)
+		write(conn, "3\r\nt")
+		time.Sleep(100 * time.Millisecond)
+		write(conn, "wo\r\n")
 		time.Sleep(testTimeout)
 	})
 	request := newCall(address, "1")
 	request.Deadline = time.Now().Add(600 * time.Millisecond)
+	silences := 0
+	request.OnSilence = func() time.Duration {
+		assert.Assert(t, time.Now().Before(request.Deadline), "the wait exceeds the deadline of the call")
+		silences++
+		return limit
+	}
 	resp, err := newClient().Do(t.Context(), request)
 	assert.NilError(t, err)
 	defer resp.Close()
+	resp.LimitSilence(limit)
 	buffer := make([]byte, 3)
 	for _, want := range []string{"one", "two"} {
-		for !resp.AwaitData(20 * time.Millisecond) {
-			assert.Assert(t, want != "one", "the first chunk had arrived")
-		}
-		n, err := resp.Read(buffer)
+		_, err := io.ReadFull(resp, buffer)
 		assert.NilError(t, err)
-		assert.Equal(t, string(buffer[:n]), want)
-	}
-	for !resp.AwaitData(20 * time.Millisecond) {
-		assert.Assert(t, time.Now().Before(request.Deadline), "the wait exceeds the deadline of the call")
+		assert.Equal(t, string(buffer), want)
+		assert.Equal(t, silences > 0, want == "two", "the first chunk had arrived")
 	}
 	_, err = resp.Read(buffer)
 	assert.Assert(t, isTimeout(err), "%v", err)
+	assert.Assert(t, !time.Now().Before(request.Deadline))
+}
+
+// TestSilentBodyAbandoned has OnSilence abandon a body. The read must fail at the limit.
+func TestSilentBodyAbandoned(t *testing.T) {
+	address, _ := scriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		id, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\nContent-Length: 5\r\n\r\n")
+		time.Sleep(testTimeout)
+	})
+	request := newCall(address, "1")
+	request.OnSilence = func() time.Duration { return 0 }
+	resp, err := newClient().Do(t.Context(), request)
+	assert.NilError(t, err)
+	defer resp.Close()
+	resp.LimitSilence(20 * time.Millisecond)
+	_, err = resp.Read(make([]byte, 5))
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	assert.Assert(t, time.Now().Before(request.Deadline))
 }
--- a/internal/traffic/h1/conn.go
+++ b/internal/traffic/h1/conn.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -20,6 +23,70 @@
 	used      bool // has carried a call
 	idleSince time.Time
 	keepAlive time.Duration // idle time that the server allows; 0 if it did not say
+	patience  patience      // of the current call
+}
+
+// patience bounds the waits for a silent server during a call. The zero value waits until
+// the read deadline of the connection.
+type patience struct {
+	deadline time.Time     // of the call; no wait exceeds it
+	until    time.Time     // end of the current wait; zero if each read has its own wait
+	longest  time.Duration // wait of one read, unless until is set
+	// extend is called at the end of a wait. It returns how much longer to wait, or 0 to
+	// abandon the call.
+	extend func() time.Duration
+}
+
+// nextWait returns the end of the wait of a read that begins now.
+func (p *patience) nextWait() time.Time {
+	until := p.until
+	if until.IsZero() {
+		until = time.Now().Add(p.longest)
+	}
+	return earlier(until, p.deadline)
+}
+
+// extended returns the end of a wait that goes on, or false if it must not. It asks at
+// every limit before the call's deadline, wherever in a message the server has stopped.
+func (p *patience) extended() (time.Time, bool) {
+	if !time.Now().Before(p.deadline) {
+		return time.Time{}, false
+	}
+	longer := p.extend()
+	if longer <= 0 {
+		return time.Time{}, false
+	}
+	until := earlier(time.Now().Add(longer), p.deadline)
+	if !p.until.IsZero() {
+		p.until = until
+	}
+	return until, true
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Read reads from the connection and waits as long as the call's patience lasts.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.patience.extend == nil {
+		return c.Conn.Read(b)
+	}
+	_ = c.SetReadDeadline(c.patience.nextWait())
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		until, ok := c.patience.extended()
+		if !ok {
+			return n, err
+		}
+		_ = c.SetReadDeadline(until)
+	}
 }
 
 // isReusable reports whether the idle connection is open and has no unread bytes.
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -29,7 +29,7 @@
 
 	response       *http.Response
 	conn           *conn
-	deadline       time.Time    // of the call
+	call           *Call
 	requestWritten *atomic.Bool // the complete request has been written
 	stopCancel     func() bool  // detaches the connection from the call's context
 	bodyRead       bool         // to its end
@@ -49,14 +49,13 @@
 	_ = conn.SetDeadline(call.Deadline)
 	requestWritten, err := conn.send(call)
 	if err == nil {
-		err = conn.awaitHeader(call)
-	}
-	if err == nil {
+		conn.patience = headerPatience(call)
 		var response *Response
 		response, err = c.readHeader(conn, call)
+		conn.patience = patience{}
 		if err == nil {
 			_ = conn.SetReadDeadline(call.Deadline)
-			response.deadline = call.Deadline
+			response.call = call
 			response.requestWritten, response.stopCancel, response.Reused = requestWritten, stopCancel, reused
 			return response, nil
 		}
@@ -66,31 +65,20 @@
 	return nil, &CallError{Sent: true, TimedOut: isTimeout(err), Reused: reused, Err: err}
 }
 
+// headerPatience returns the patience for the response header.
+func headerPatience(call *Call) patience {
+	extend := call.OnSilence
+	if extend == nil {
+		extend = func() time.Duration { return 0 }
+	}
+	return patience{deadline: call.Deadline, until: call.HeaderDeadline, extend: extend}
+}
+
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// awaitHeader waits for the first byte of the response. The read deadline that it
-// leaves in force applies to the rest of the header.
-func (c *conn) awaitHeader(call *Call) error {
-	deadline := call.HeaderDeadline
-	for {
-		_ = c.SetReadDeadline(deadline)
-		_, err := c.reader.Peek(1)
-		if err == nil {
-			return nil
-		}
-		extended := false
-		if isTimeout(err) && call.ExtendHeaderDeadline != nil {
-			deadline, extended = call.ExtendHeaderDeadline()
-		}
-		if !extended {
-			return errors.Wrap(err, "await response")
-		}
-	}
-}
-
 // send writes the request; the flag that it returns is set once all of it is
 // written. A body that may not fit the socket buffers is written by another
 // goroutine, since the server may respond without reading it.
@@ -153,21 +141,10 @@
 	return nil, ErrUnrelatedResponse
 }
 
-// AwaitData waits until more of the body can be read. It returns false if the timeout
-// passes before the deadline of the call. The next read has the same time limit, except
-// that a body with a stated length isn't waited for.
-func (r *Response) AwaitData(timeout time.Duration) bool {
-	until := time.Now().Add(timeout)
-	if until.After(r.deadline) {
-		until = r.deadline
-	}
-	_ = r.conn.SetReadDeadline(until)
-	if r.bodyRead || r.response.ContentLength >= 0 {
-		return true
-	}
-	// Errors of the connection recur in Read.
-	_, err := r.conn.reader.Peek(1)
-	return !isTimeout(err) || !until.Before(r.deadline)
+// LimitSilence makes reads of the body call Call.OnSilence when the server has sent
+// nothing for the given time. The reads fail with os.ErrDeadlineExceeded once it returns 0.
+func (r *Response) LimitSilence(longest time.Duration) {
+	r.conn.patience = patience{deadline: r.call.Deadline, longest: longest, extend: r.call.OnSilence}
 }
 
 // Read reads the body. io.EOF means that the body is complete, as far as its
@@ -189,6 +166,7 @@
 	}
 	stopped := r.stopCancel()
 	c := r.conn
+	c.patience = patience{}
 	if !stopped || !r.bodyRead || r.CloseDelimited || !r.requestWritten.Load() || r.response.Close || c.reader.Buffered() > 0 {
 		c.pool.discard(c)
 		return
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -115,10 +115,3 @@
 		ex.successor = nil
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -213,7 +213,7 @@
 	deadline := time.Now().Add((ex.deadline - r.Clock.Now()).Duration())
 	headerDeadline := deadline
 	if timeout := ex.headerTimeout(choice.ExpectedFirstByte); timeout > 0 {
-		headerDeadline = earlier(time.Now().Add(timeout), deadline)
+		headerDeadline = time.Now().Add(timeout)
 	}
 	resp, err := r.Client.Do(ex.httpReq.Context(), &h1.Call{
 		Address:        server.Address,
@@ -226,11 +226,11 @@
 		FreshConn:      ex.route.RetryPolicy == catalog.AtMostOnce,
 		HeaderDeadline: headerDeadline,
 		Deadline:       deadline,
-		ExtendHeaderDeadline: func() (time.Time, bool) {
-			if !time.Now().Before(deadline) || ex.planSuccessor(server) {
-				return time.Time{}, false
+		OnSilence: func() time.Duration {
+			if ex.planSuccessor(server) {
+				return 0
 			}
-			return earlier(time.Now().Add(successorPeriod), deadline), true
+			return successorPeriod
 		},
 	})
 	if err != nil {
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -119,7 +119,10 @@
 // forwardStream forwards events as they arrive, and only complete ones, so that
 // another server can continue an interrupted stream from the last of them.
 func (ex *exchange) forwardStream(server *fleet.Entry, resp *h1.Response) (bool, error) {
-	source := eventReader{source: &patientBody{body: resp, timeout: ex.idleTimeout(server), giveUp: func() bool { return ex.planSuccessor(server) }}}
+	if timeout := ex.idleTimeout(server); timeout > 0 {
+		resp.LimitSilence(timeout)
+	}
+	source := eventReader{source: resp}
 	controller := http.NewResponseController(ex.w)
 	count, since := 0, ex.relay.Clock.Now()
 	defer func() { ex.recordEventTime(count, since) }()
--- a/internal/traffic/relay/silence_test.go
+++ b/internal/traffic/relay/silence_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,6 +120,73 @@
 	}
 }
 
+// pauseBetween writes the first bytes of a response, calls during, pauses and writes the
+// rest. ID stands for the request's ID. Requests with warmUpID are answered at once.
+func pauseBetween(pause time.Duration, first, rest string, during func()) behaviour {
+	return func(n int, w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(headerID)
+		if id == warmUpID {
+			respond("ledger")(n, w, r)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Write([]byte(strings.ReplaceAll(first, "ID", id)))
+		during()
+		time.Sleep(pause)
+		_, _ = conn.Write([]byte(strings.ReplaceAll(rest, "ID", id)))
+	}
+}
+
+// TestSilenceWithinMessage has a server pause anywhere in a response while the key is
+// revoked, so that no other server may take over. The caller must get the complete
+// response of the server that paused.
+func TestSilenceWithinMessage(t *testing.T) {
+	const (
+		status  = "HTTP/1.1 200 OK\r\n"
+		header  = status + headerID + ": ID\r\n" + headerSigned + ": yes\r\n"
+		chunked = header + "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	all := events(1, 5)
+	half := len(all) / 2
+	wholeBody := header + "Content-Length: " + strconv.Itoa(len(all)) + "\r\n\r\n"
+	oneChunk := fmt.Sprintf("%x\r\n", len(all))
+	cases := map[string]struct {
+		stream      bool
+		first, rest string
+	}{
+		"in a chunk":                  {true, chunked + oneChunk + all[:half], all[half:] + "\r\n0\r\n\r\n"},
+		"in the size of a chunk":      {true, chunked + oneChunk[:1], oneChunk[1:] + all + "\r\n0\r\n\r\n"},
+		"before the end of chunks":    {true, chunked + oneChunk + all + "\r\n", "0\r\n\r\n"},
+		"in a body of stated length":  {true, wholeBody + all[:half], all[half:]},
+		"in the header":               {false, header, "Content-Length: 6\r\n\r\nledger"},
+		"after an unrelated response": {false, status + headerID + ": other\r\nContent-Length: 5\r\n\r\nother", header + "Content-Length: 6\r\n\r\nledger"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			path, routes, want, pause, warm := "/read/1", routes(), "ledger", plainPause, warmUp
+			if c.stream {
+				path, routes, want, pause, warm = "/draft/1", streamRoutes(), all, streamPause, 0
+			}
+			var f *fixture
+			server := pauseBetween(pause, c.first, c.rest, func() { f.setKeys(2, f.routes, map[string]catalog.ClientAccount{}) })
+			f = newFixture(t, routes, server, server)
+			for range warm {
+				f.send(http.MethodPost, path, headerModel, "large", headerID, warmUpID)
+			}
+			got := f.send(http.MethodPost, path, headerModel, "large")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, want)
+			assert.Equal(t, f.callCount(), warm+1)
+		})
+	}
+}
+
 // TestSuccessorTakesOverLater has a server go silent while no other server is in
 // service. Once one is, it must take over the request.
 func TestSuccessorTakesOverLater(t *testing.T) {
