Let a stream wait for a server when its successor refuses

Callers saw: a stream cut in the middle, though its first server had only been silent for a while.

Cause: the successor that is planned before a silent attempt is given up may still refuse: the load that it was chosen by is some hundred ms old. Then a full pool, a fourth refusal, an exhausted retry budget, or a key that had been revoked in between ended the response at once. Of the class of: the daemon gave up what it had before something else had taken over.

Evidence: TestSuccessorRefuses fails in all four cases on the code before, in each with the connection closed after the second event. Running both attempts until one answers was weighed and not taken: the servers would work on one request at the same time for as long as the successor queues.

Change: while the caller has a part of the stream, such a rejection isn't final: the next attempt is planned again four times a second, for 2.5 s after the interruption; then the caller is better off resuming elsewhere (TestStalledStreamEnds). A request whose attempt the daemon ended keeps its route and account until a server goes on with it; one that is silent still isn't given up under a configuration that no longer allows the request.

--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"time"
-
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
@@ -21,13 +19,23 @@
 	choice  loadbalance.Choice
 }
 
-// planAttempt chooses a server for the next attempt by the newest configuration, which
-// applies to retries too. The error states why no attempt can be made. failed reports
+// match returns the request's route and client account by the newest configuration, which
+// applies to retries too. A request whose last attempt was ended by the relay, and not by
+// the server, keeps those of that attempt if the configuration no longer allows it.
+func (ex *exchange) match(v *fleet.View) (*catalog.Route, catalog.ClientAccount, error) {
+	route, account, err := ex.relay.match(v, ex.req)
+	if err != nil && ex.replaced {
+		return ex.route, ex.account, nil
+	}
+	return route, account, err
+}
+
+// planAttempt chooses a server for the next attempt. The error states why no attempt can be made. failed reports
 // whether an earlier attempt gave no usable response.
 func (ex *exchange) planAttempt(excluded func(id string) bool, failed bool, now clock.Millis) (*plannedAttempt, *result.Error) {
 	r, req := ex.relay, ex.req
 	view := r.View()
-	route, account, err := r.match(view, req)
+	route, account, err := ex.match(view)
 	if err != nil {
 		return nil, result.From(err)
 	}
@@ -73,7 +81,7 @@
 
 // successorPeriod is how often a silent attempt is checked for a server that can take
 // over.
-const successorPeriod = 250 * time.Millisecond
+const successorPeriod = 250 * clock.Millis(1)
 
 // planSuccessor plans the attempt that takes over from one that the server is silent
 // about. It reports false if there is none that is likelier to succeed: the request then
@@ -83,6 +91,10 @@
 	now := ex.relay.Clock.Now()
 	ex.reachedServer = true
 	excluded := func(id string) bool { return id == server.ID || ex.isExcluded(id) }
+	if _, _, err := ex.relay.match(ex.relay.View(), ex.req); err != nil {
+		ex.logKept(server, result.From(err), now)
+		return false
+	}
 	next, rejection := ex.planAttempt(excluded, true, now)
 	if rejection == nil && (next.choice.LastResort || now+next.choice.ExpectedFirstByte >= ex.deadline) {
 		ex.relay.Balancer.Done(&next.choice)
@@ -95,7 +107,36 @@
 		ex.logKept(server, rejection, now)
 		return false
 	}
-	ex.successor = next
+	ex.successor, ex.replaced = next, true
+	return true
+}
+
+// resumeWait is how long an interrupted stream waits for a server that can go on with it.
+// A later event would miss the caller's target for pauses, and the caller may find another
+// daemon that has a server.
+const resumeWait = 2_500 * clock.Millis(1)
+
+// awaitServer waits before the rejected attempt is planned again. It reports false if the
+// rejection is final: nothing has been sent to the caller, which then gets the rejection,
+// or the stream has been interrupted for too long.
+func (ex *exchange) awaitServer(rejection *result.Error) bool {
+	now := ex.relay.Clock.Now()
+	switch rejection.Code {
+	case result.NoServer, result.Overloaded, result.BackendRefused:
+	default:
+		return false
+	}
+	if !ex.headerSent {
+		return false
+	}
+	if ex.interruptedAt == 0 {
+		ex.interruptedAt = now
+		ex.log("stream waits for a server", nil, "reason", rejection.Error(), "last_event", ex.lastEventID, "remaining_ms", int64(ex.deadline-now))
+	}
+	if now-ex.interruptedAt >= resumeWait {
+		return false
+	}
+	clock.Sleep(ex.httpReq.Context(), successorPeriod)
 	return true
 }
 
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -49,6 +49,10 @@
 	successor *plannedAttempt
 	// keptOn is the silent server that the request was last kept on.
 	keptOn string
+	// replaced reports that the relay ended the last attempt that responded, for a successor.
+	replaced bool
+	// interruptedAt is when a stream began to wait for a server; 0 if it doesn't.
+	interruptedAt clock.Millis
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
@@ -180,7 +184,7 @@
 			rejection = ex.acquireRetry(planned, now)
 		}
 		if rejection != nil {
-			return false, ex.rejectionError(rejection)
+			return false, ex.reject(rejection)
 		}
 	}
 	defer r.Balancer.Done(&planned.choice)
@@ -230,7 +234,7 @@
 			if ex.planSuccessor(server) {
 				return 0
 			}
-			return successorPeriod
+			return successorPeriod.Duration()
 		},
 	})
 	if err != nil {
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -48,7 +48,7 @@
 		// Nothing reached the server, so this attempt does not use the retry budget.
 		ex.notExecutedOn = append(ex.notExecutedOn, server.ID)
 		if len(ex.notExecutedOn) > maxUnreachable {
-			return ex.rejectionError(result.New(result.BackendRefused, "%d servers are unreachable; %s", len(ex.notExecutedOn), ex.lastError))
+			return ex.reject(result.New(result.BackendRefused, "%d servers are unreachable; %s", len(ex.notExecutedOn), ex.lastError))
 		}
 		return nil
 	}
@@ -184,7 +184,7 @@
 	ex.log("server refused", server, "reason", reason)
 	ex.relay.Metrics.countAttempt(ex.pool.Name, "not_run")
 	if len(ex.notExecutedOn) > maxRefusals {
-		return ex.rejectionError(result.New(result.BackendRefused, "%d servers refused the request", len(ex.notExecutedOn)))
+		return ex.reject(result.New(result.BackendRefused, "%d servers refused the request", len(ex.notExecutedOn)))
 	}
 	return nil
 }
@@ -227,6 +227,14 @@
 	return ex.rejectionError(result.New(result.DeadlineTooShort, "no time left for an attempt; %s", ex.lastError))
 }
 
+// reject ends the request with the rejection. It returns nil if the request may be retried.
+func (ex *exchange) reject(rejection *result.Error) error {
+	if ex.awaitServer(rejection) {
+		return nil
+	}
+	return ex.rejectionError(rejection)
+}
+
 // rejectionError returns the error for a rejected request. A request that may have run is
 // not reported as not run.
 func (ex *exchange) rejectionError(rejection *result.Error) error {
--- a/internal/traffic/relay/silence_test.go
+++ b/internal/traffic/relay/silence_test.go
@@ -233,6 +233,87 @@
 	}
 }
 
+// TestSuccessorRefuses has a server go silent in the middle of a stream, and the server that
+// takes over refuse it at first. The stream must go on there once it can, although nothing
+// else may take it over in between.
+func TestSuccessorRefuses(t *testing.T) {
+	removeFor := func(f *fixture, id string, d time.Duration) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		e, _ := f.view.Server(id)
+		f.view = f.view.WithoutServer(id)
+		time.AfterFunc(d, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.view = f.view.WithServer(e.Server, 0)
+		})
+	}
+	cases := map[string]struct {
+		refusals  int
+		onRefusal func(f *fixture, n int) // the nth refusal, from 1
+	}{
+		"once, key revoked": {1, func(f *fixture, _ int) { f.setKeys(2, f.routes, map[string]catalog.ClientAccount{}) }},
+		"many times":        {5, func(*fixture, int) {}},
+		"once, out of service for a second": {1, func(f *fixture, _ int) {
+			removeFor(f, "s2", time.Second)
+		}},
+		"once, retry budget exhausted for a second": {1, func(f *fixture, _ int) {
+			f.relay.RetryBudget.SetLimits(0, 0)
+			time.AfterFunc(time.Second, func() { f.relay.RetryBudget.SetLimits(10, 100) })
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var f *fixture
+			silent := func(n int, w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headerSigned, "yes")
+				_, _ = w.Write([]byte(events(1, 2)))
+				_ = http.NewResponseController(w).Flush()
+				f.mu.Lock()
+				f.view = f.view.WithoutServer("s1")
+				f.mu.Unlock()
+				hang(n, w, r)
+			}
+			f = newFixture(t, streamRoutes(), silent, func(n int, w http.ResponseWriter, r *http.Request) {
+				if n > c.refusals {
+					sendEvents(5, 5)(n, w, r)
+					return
+				}
+				c.onRefusal(f, n)
+				respondStatus(http.StatusServiceUnavailable, headerNotExecuted, "yes")(n, w, r)
+			})
+			second, _ := f.view.Server("s2")
+			f.view = f.view.WithoutServer("s2")
+			time.AfterFunc(time.Second, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.view = f.view.WithServer(second.Server, 0)
+			})
+			got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, events(1, 5))
+		})
+	}
+}
+
+// TestStalledStreamEnds has a stream lose its only server for good. The caller must learn of
+// it well before the deadline, so that it can resume the stream elsewhere.
+func TestStalledStreamEnds(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, streamRoutes(), func(n int, w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.view = f.view.WithoutServer("s1")
+		f.mu.Unlock()
+		sendEvents(2, 5)(n, w, r)
+	})
+	sentAt := time.Now()
+	got := f.send(http.MethodPost, "/draft/1", headerModel, "large", headerRemaining, "20000")
+	assert.Assert(t, got.err != nil)
+	assert.Equal(t, got.body, events(1, 2))
+	assert.Assert(t, time.Since(sentAt) < resumeWait.Duration()+time.Second, "%v", time.Since(sentAt))
+}
+
 // TestSilentServerEndsAtDeadline has the only server stay silent. The caller must get
 // the error at the request's deadline.
 func TestSilentServerEndsAtDeadline(t *testing.T) {
