End an abandoned call at its first abandoned read

Cause: the parsers above the connection read on after an error within a header. Each further read asked again whether to wait, planned another successor over the last one, and its slot was never given back: a server that pauses within its header would in the end seem full. If a later question was answered with a wait, a header line that had arrived in part was parsed as two.

Change: abandonment holds for the rest of the call, which ends as timed out, and a successor that is replaced gives its slot back.

--- a/internal/traffic/h1/conn.go
+++ b/internal/traffic/h1/conn.go
@@ -33,8 +33,10 @@
 	until    time.Time     // end of the current wait; zero if each read has its own wait
 	longest  time.Duration // wait of one read, unless until is set
 	// extend is called at the end of a wait. It returns how much longer to wait, or 0 to
-	// abandon the call.
+	// abandon the call. It isn't called again then.
 	extend func() time.Duration
+	// abandoned calls get no more bytes: the parsers above read on after an error.
+	abandoned bool
 }
 
 // nextWait returns the end of the wait of a read that begins now.
@@ -46,9 +48,11 @@
 	return earlier(until, p.deadline)
 }
 
-// extended returns the end of a wait that goes on, or false if it must not. It asks at
-// every limit before the call's deadline, wherever in a message the server has stopped.
+// extended returns the end of a wait that goes on, or false if the call is abandoned. It
+// asks at every limit before the call's deadline, wherever in a message the server has
+// stopped.
 func (p *patience) extended() (time.Time, bool) {
+	p.abandoned = true
 	if !time.Now().Before(p.deadline) {
 		return time.Time{}, false
 	}
@@ -56,6 +60,7 @@
 	if longer <= 0 {
 		return time.Time{}, false
 	}
+	p.abandoned = false
 	until := earlier(time.Now().Add(longer), p.deadline)
 	if !p.until.IsZero() {
 		p.until = until
@@ -70,14 +75,20 @@
 	return b
 }
 
+// arrivedTimeout is how long a read whose wait is over looks for bytes that have arrived.
+const arrivedTimeout = time.Millisecond
+
 // Read reads from the connection and waits as long as the call's patience lasts.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.patience.extend == nil {
 		return c.Conn.Read(b)
 	}
+	if c.patience.abandoned {
+		return 0, os.ErrDeadlineExceeded
+	}
 	_ = c.SetReadDeadline(c.patience.nextWait())
 	for {
-		n, err := c.Conn.Read(b)
+		n, err := c.readOrPoll(b)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -89,6 +100,17 @@
 	}
 }
 
+// readOrPoll reads once. A read whose deadline has passed doesn't look at the socket, though
+// the response may have arrived while the process stood still.
+func (c *conn) readOrPoll(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(arrivedTimeout))
+	return c.Conn.Read(b)
+}
+
 // isReusable reports whether the idle connection is open and has no unread bytes.
 // Bytes that arrive between two calls belong to neither of them.
 func (c *conn) isReusable() bool {
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -52,6 +53,10 @@
 		conn.patience = headerPatience(call)
 		var response *Response
 		response, err = c.readHeader(conn, call)
+		if conn.patience.abandoned {
+			// The parser may have gone on with what had arrived.
+			err = errors.Wrap(os.ErrDeadlineExceeded, "await response")
+		}
 		conn.patience = patience{}
 		if err == nil {
 			_ = conn.SetReadDeadline(call.Deadline)
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -107,6 +107,7 @@
 		ex.logKept(server, rejection, now)
 		return false
 	}
+	ex.releaseSuccessor()
 	ex.successor, ex.replaced = next, true
 	return true
 }
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -87,6 +87,7 @@
 		ex.log("not escalated", server, "reason", rejection.Error())
 		return false
 	}
+	ex.releaseSuccessor()
 	ex.successor = next
 	return true
 }
--- a/internal/traffic/relay/silence_test.go
+++ b/internal/traffic/relay/silence_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -233,6 +234,61 @@
 	}
 }
 
+// retriesLeft empties the retry budget of the pool and returns how many retries it had.
+func (f *fixture) retriesLeft() int {
+	n := 0
+	for f.relay.RetryBudget.TryAcquire("text", f.relay.Clock.Now()) {
+		n++
+	}
+	return n
+}
+
+// onceThen uses first for the first call that isn't a warm-up, on whichever server, and
+// then for all others.
+func onceThen(first, then behaviour) behaviour {
+	var calls atomic.Int32
+	return func(n int, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerID) != warmUpID && calls.Add(1) == 1 {
+			first(n, w, r)
+			return
+		}
+		then(n, w, r)
+	}
+}
+
+// TestSilenceInHeaderReleasesSlots has a server pause between two lines of its header
+// while another can take over. No slot may stay taken, and one retry is used.
+func TestSilenceInHeaderReleasesSlots(t *testing.T) {
+	cases := map[string]string{
+		"after the status line":          "HTTP/1.1 200 OK\r\n",
+		"after a header line":            "HTTP/1.1 200 OK\r\n" + headerID + ": ID\r\n",
+		"within a header line":           "HTTP/1.1 200 OK\r\n" + headerID + ": I",
+		"before the first byte":          "",
+		"after an unrelated status line": "HTTP/1.1 200 OK\r\n" + headerID + ": other\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n",
+	}
+	for name, first := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := onceThen(pauseBetween(3*time.Second, first, "", func() {}), respond("ledger"))
+			f := newFixture(t, routes(), server, server, server)
+			for range warmUp {
+				f.send(http.MethodPost, "/read/1", headerID, warmUpID)
+			}
+			f.relay.RetryBudget = admission.NewSharedRetryBudget(0, 100, 10_000)
+			got := f.send(http.MethodPost, "/read/1")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			time.Sleep(100 * time.Millisecond)
+			taken := 0
+			for _, load := range f.relay.Balancer.OwnLoads() {
+				taken += load.Calls
+			}
+			assert.Check(t, taken == 0, "%d slots are still taken", taken)
+			assert.Check(t, f.retriesLeft() == 92, "more than one retry was used")
+		})
+	}
+}
+
 // TestSuccessorRefuses has a server go silent in the middle of a stream, and the server that
 // takes over refuse it at first. The stream must go on there once it can, although nothing
 // else may take it over in between.
