Count the wait for a lapsed registration from the last failed call

Cause: a daemon that finds the store again waited 2 s from then on for the registrations that had expired meanwhile. Probes were up to 0.9 s apart after the end of a call that itself took 0.9 s, and the tables' followers paused up to 0.6 s more, so a server that had left was used up to 3.7 s after the store's return; the daemon must be right 3.0 s after it. A call whose response was lost ended 0.75 x calm + 0.9 s after its start, and the 2 s came on top.

Change: the store is back since the start of the last failed call or later; a registration that is still missing 2.65 s after that start is gone. So that a live server keeps its two seconds, the time of the return is known better: probes at most 0.5 s apart, counted from their start; calls end 0.6 s after their wait; no call begins with less time than that; followers pause at most 0.2 s, since the breaker limits the calls. Worst case, worked out: heard 1.5 s after the return (probe 0.6 s, pauses 0.2 + 0.2 s, silent leader 0.5 s; the batch delay follows that answer), gone after 2.85 s; a lost response: 2.95, 3.7 and 4.45 s for calm 3, 4 and 5 s. Not covered: a silent read of a whole table (3 s), and changes of more than one response.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -13,15 +13,16 @@
 )
 
 const (
-	// callMargin is how much longer than its wait for changes a call may take.
-	callMargin = 900 * clock.Millis(1)
+	// callMargin is how much longer than its wait for changes a call may take. The store
+	// may make it wait for its turn as a probe, which limits its own calls further.
+	callMargin = 1_500 * clock.Millis(1)
 	// listTimeout bounds one read of the complete table.
 	listTimeout = 3_000 * clock.Millis(1)
-	// The delay after a failed call doubles from the minimum to the maximum. The store
-	// limits the call rate of all daemons together, and the configuration must be
-	// applied about a second after the end of a store outage.
+	// The delay after a failed call doubles from the minimum to the maximum. Changes must
+	// be applied about a second after the end of a store outage; package peerfeed spares
+	// a failing store.
 	minRetryDelay = 100 * clock.Millis(1)
-	maxRetryDelay = 600 * clock.Millis(1)
+	maxRetryDelay = 200 * clock.Millis(1)
 )
 
 // Sink receives the contents of a table. A Follower calls it from one goroutine.
--- a/internal/control/peerfeed/breaker.go
+++ b/internal/control/peerfeed/breaker.go
@@ -12,12 +12,15 @@
 const (
 	// The interval between probes of a failing store doubles from the minimum to the
 	// maximum. The store bills every call, even a rejected one, and changes made
-	// during an outage must be applied within about two seconds of its end.
+	// during an outage must be applied within about two seconds of its end. It also
+	// bounds how well the time of the store's return is known.
 	minProbeInterval = 100 * clock.Millis(1)
-	maxProbeInterval = 900 * clock.Millis(1)
+	maxProbeInterval = 500 * clock.Millis(1)
 	// probeJitter is the fraction of the interval by which it is shortened at random,
 	// so that the daemons do not probe at the same time.
 	probeJitter = 0.3
+	// answerTimeout is how long a call may take beyond its wait for changes.
+	answerTimeout = 600 * clock.Millis(1)
 )
 
 // breaker is a circuit breaker for the store, shared by all tables. While the store
@@ -28,14 +31,21 @@
 	failing       bool
 	probeInterval clock.Millis
 	nextProbe     clock.Millis  // earliest time of the next probe
+	failedAt      clock.Millis  // when the last failed call began; 0: none failed
 	callDone      chan struct{} // closed and replaced when a call has ended
 }
 
 func newBreaker(c clock.Clock) *breaker { return &breaker{clock: c, callDone: make(chan struct{})} }
 
 // acquire blocks until a call may be made. Returns rowstore.ErrUnavailable if ctx is
-// done first.
+// done first, or if it would leave less than answerTimeout for the call: a probe that is
+// cut short says nothing about the store.
 func (b *breaker) acquire(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerTimeout.Duration()))
+		defer cancel()
+	}
 	for {
 		wait, callDone := b.tryAcquire()
 		if wait <= 0 {
@@ -65,12 +75,13 @@
 	if now < b.nextProbe {
 		return b.nextProbe - now, b.callDone
 	}
-	b.nextProbe = now + maxProbeInterval // other calls wait for the result of this probe
+	b.nextProbe = now + answerTimeout // other calls wait for the result of this probe
 	return 0, b.callDone
 }
 
-// release records whether the store answered a call, and wakes all waiting calls.
-func (b *breaker) release(answered bool) {
+// release records whether the store answered a call that began at startedAt, and wakes
+// all waiting calls.
+func (b *breaker) release(answered bool, startedAt clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.failing = !answered
@@ -78,8 +89,16 @@
 		b.probeInterval = 0
 	} else {
 		b.probeInterval = min(max(2*b.probeInterval, minProbeInterval), maxProbeInterval)
-		b.nextProbe = b.clock.Now() + b.probeInterval - clock.Millis(rand.Float64()*probeJitter*float64(b.probeInterval))
+		b.nextProbe = startedAt + b.probeInterval - clock.Millis(rand.Float64()*probeJitter*float64(b.probeInterval))
+		b.failedAt = max(b.failedAt, startedAt)
 	}
 	close(b.callDone)
 	b.callDone = make(chan struct{})
 }
+
+// lastFailure returns when the last failed call began; 0: none failed.
+func (b *breaker) lastFailure() clock.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failedAt
+}
--- a/internal/control/peerfeed/breaker_test.go
+++ b/internal/control/peerfeed/breaker_test.go
@@ -20,17 +20,17 @@
 	admitted := func() bool { wait, _ := b.tryAcquire(); return wait <= 0 }
 	assert.Assert(t, admitted(), "store available")
 	assert.Assert(t, admitted(), "store available, other table")
-	b.release(false)
+	b.release(false, b.clock.Now())
 	assert.Assert(t, !admitted(), "right after a failure")
 	c.Advance(minProbeInterval)
 	assert.Assert(t, admitted(), "the first probe")
 	assert.Assert(t, !admitted(), "other tables wait for the probe")
 	for range 6 {
-		b.release(false)
+		b.release(false, b.clock.Now())
 		c.Advance(maxProbeInterval)
 		assert.Assert(t, admitted(), "the interval never exceeds the maximum")
 	}
-	b.release(true)
+	b.release(true, b.clock.Now())
 	assert.Assert(t, admitted(), "store available again")
 	assert.Assert(t, admitted(), "store available again, other table")
 }
@@ -39,7 +39,7 @@
 // of a third table succeeds.
 func TestBreakerWakesWaitingCalls(t *testing.T) {
 	b := newBreaker(clock.NewSystem())
-	b.release(false)
+	b.release(false, b.clock.Now())
 	assert.NilError(t, b.acquire(t.Context()), "the probe")
 	var admitted atomic.Int32
 	var calls sync.WaitGroup
@@ -50,7 +50,7 @@
 			}
 		})
 	}
-	b.release(true)
+	b.release(true, b.clock.Now())
 	calls.Wait()
 	assert.Equal(t, admitted.Load(), int32(2))
 }
@@ -59,7 +59,7 @@
 func TestBreakerRespectsContext(t *testing.T) {
 	b := newBreaker(clock.NewSystem())
 	for range 5 {
-		b.release(false)
+		b.release(false, b.clock.Now())
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 	defer cancel()
--- a/internal/control/peerfeed/store.go
+++ b/internal/control/peerfeed/store.go
@@ -111,11 +111,16 @@
 		}
 		page, err := s.callLeader(ctx, address, ChangesRequest{Table: table, After: after, MaxWait: wait})
 		if err == nil {
+			page.StoreFailedAt = s.breaker.lastFailure()
 			return page, nil
 		}
 		s.skipLeader(address, table, err)
 	}
-	page, err := s.call(ctx, func() (rowstore.Page, error) { return s.RowStore.Changes(ctx, table, after, wait) })
+	page, err := s.call(ctx, func() (rowstore.Page, error) {
+		callCtx, cancel := context.WithTimeout(ctx, (wait + answerTimeout).Duration())
+		defer cancel()
+		return s.RowStore.Changes(callCtx, table, after, wait)
+	})
 	if err == nil {
 		h.applyChanges(after, page, s.Clock.Now())
 	}
@@ -128,8 +133,10 @@
 	if err := s.breaker.acquire(ctx); err != nil {
 		return rowstore.Page{}, err
 	}
+	startedAt := s.Clock.Now()
 	page, err := read()
-	s.breaker.release(err == nil || errors.Is(err, rowstore.ErrCompacted))
+	s.breaker.release(err == nil || errors.Is(err, rowstore.ErrCompacted), startedAt)
+	page.StoreFailedAt = s.breaker.lastFailure()
 	return page, err
 }
 
--- a/internal/control/viewstate/state.go
+++ b/internal/control/viewstate/state.go
@@ -24,6 +24,7 @@
 	rolloutOrders  map[string]fleet.Rollout       // by pool
 	rolloutRecords map[string]fleet.RolloutRecord // by pool
 	storeTimeKnown bool
+	storeFailedAt  clock.Millis            // when the last failed call to the store began; 0: none failed
 	removeAt       map[string]clock.Millis // by server ID; registrations that expired during a store outage
 }
 
@@ -31,6 +32,12 @@
 // after its registration expired during a store outage.
 const reregistrationTimeout = 2_000 * clock.Millis(1)
 
+// departureTimeout is the time since the start of the last failed call to the store after
+// which a registration that is still missing counts as gone. The store may have been back
+// since then, and entry.calm_ms after its return at the latest, the server must get no
+// more requests.
+const departureTimeout = 2_650 * clock.Millis(1)
+
 // lateExpiryWindow is the time after a store outage in which a registration that
 // disappears may have expired during the outage.
 const lateExpiryWindow = 300 * clock.Millis(1)
@@ -83,6 +90,12 @@
 	return t.available, t.since
 }
 
+// ObserveStoreFailure records when the last failed call to the store began; 0 means that
+// none failed.
+func (s *State) ObserveStoreFailure(startedAt clock.Millis) {
+	s.storeFailedAt = max(s.storeFailedAt, startedAt)
+}
+
 // staleAfter is how long the store may be unavailable before the view counts as stale:
 // from then on, what is missing from it may be new in the store.
 const staleAfter = 400 * clock.Millis(1)
@@ -133,24 +146,35 @@
 }
 
 // RemoveRegistration handles a server registration that disappeared from the table.
-// A registration that may have expired during a store outage stays in service for
-// reregistrationTimeout: a live server registers again within that time.
+// A registration that may have expired during a store outage stays in service until
+// reregistrationTimeout or departureTimeout is over: a live server registers again within
+// that time.
 func (s *State) RemoveRegistration(table, id string) {
 	e, known := s.edit().Server(id)
 	if !known {
 		return
 	}
 	available, since := s.StoreAvailable(table)
-	if e.Draining || (available && s.now-since > lateExpiryWindow) {
+	expired := !available || s.now-since <= lateExpiryWindow
+	if e.Draining || !expired || s.now >= s.removalTime() {
 		s.deleteServer(id)
 		return
 	}
 	if _, scheduled := s.removeAt[id]; !scheduled {
-		s.removeAt[id] = s.now + reregistrationTimeout
+		s.removeAt[id] = s.removalTime()
 		s.log.Info("registration expired during a store outage; waiting for the server to register again", "server", id)
 	}
 }
 
+// removalTime returns when a server is removed whose registration expired during a store
+// outage, and that has not registered again.
+func (s *State) removalTime() clock.Millis {
+	if s.storeFailedAt == 0 {
+		return s.now + reregistrationTimeout
+	}
+	return min(s.now+reregistrationTimeout, s.storeFailedAt+departureTimeout)
+}
+
 // RemoveReplacedServer removes a server because a different server answered at its
 // address at observedAt. A registration update received since then takes precedence.
 func (s *State) RemoveReplacedServer(id string, observedAt clock.Millis) {
--- a/internal/control/viewstate/state_test.go
+++ b/internal/control/viewstate/state_test.go
@@ -43,18 +43,28 @@
 		s.setNow(from).SetStoreAvailable(table, false)
 		s.setNow(to).SetStoreAvailable(table, true)
 	}
+	// The last failed call began at failedAt.
+	outageFoundLate := func(s *State, from, failedAt, to clock.Millis) {
+		outage(s, from, to)
+		s.ObserveStoreFailure(failedAt)
+		s.RemoveRegistration(table, "e1")
+	}
 	cases := map[string]struct {
 		steps func(s *State)
 		at    clock.Millis
 		want  bool
 	}{
-		"removed while the store is available":            {func(s *State) { s.setNow(20_000).RemoveRegistration(table, "e1") }, 20_000, false},
-		"expired in the outage, not registered again yet": {func(s *State) { outage(s, 20_000, 25_000); s.RemoveRegistration(table, "e1") }, 26_900, true},
-		"expired in the outage, never registered again":   {func(s *State) { outage(s, 20_000, 25_000); s.RemoveRegistration(table, "e1") }, 27_100, false},
-		"removed long after the outage":                   {func(s *State) { outage(s, 20_000, 25_000); s.setNow(30_000).RemoveRegistration(table, "e1") }, 30_000, false},
-		"was draining before the outage":                  {func(s *State) { markDraining(s); outage(s, 20_000, 25_000); s.RemoveRegistration(table, "e1") }, 25_000, false},
-		"expired in the outage, registered again in time": {func(s *State) { outage(s, 20_000, 25_000); s.RemoveRegistration(table, "e1"); renew(s.setNow(26_000)) }, 40_000, true},
-		"missing from the list after the outage":          {func(s *State) { outage(s, 20_000, 25_000); s.RetainServers(table, nil) }, 27_100, false},
+		"removed while the store is available":             {func(s *State) { s.setNow(20_000).RemoveRegistration(table, "e1") }, 20_000, false},
+		"expired in the outage, not registered again yet":  {func(s *State) { outage(s, 20_000, 25_000); s.RemoveRegistration(table, "e1") }, 26_900, true},
+		"expired in the outage, never registered again":    {func(s *State) { outage(s, 20_000, 25_000); s.RemoveRegistration(table, "e1") }, 27_100, false},
+		"removed long after the outage":                    {func(s *State) { outage(s, 20_000, 25_000); s.setNow(30_000).RemoveRegistration(table, "e1") }, 30_000, false},
+		"was draining before the outage":                   {func(s *State) { markDraining(s); outage(s, 20_000, 25_000); s.RemoveRegistration(table, "e1") }, 25_000, false},
+		"expired in the outage, registered again in time":  {func(s *State) { outage(s, 20_000, 25_000); s.RemoveRegistration(table, "e1"); renew(s.setNow(26_000)) }, 40_000, true},
+		"expired in the outage, whose end was found late":  {func(s *State) { outageFoundLate(s, 20_000, 24_200, 25_000) }, 26_800, true},
+		"never registered again, the end was found late":   {func(s *State) { outageFoundLate(s, 20_000, 24_200, 25_000) }, 26_850, false},
+		"registered again in time, the end was found late": {func(s *State) { outageFoundLate(s, 20_000, 24_200, 25_000); renew(s.setNow(26_000)) }, 40_000, true},
+		"the end was found after the wait":                 {func(s *State) { outageFoundLate(s, 20_000, 22_000, 25_000) }, 25_000, false},
+		"missing from the list after the outage":           {func(s *State) { outage(s, 20_000, 25_000); s.RetainServers(table, nil) }, 27_100, false},
 		"another server registered at the address": {func(s *State) {
 			s.SetServer(fleet.Server{ID: "e2", Pool: "app", Address: "127.0.0.1:1", DataCentre: "dc-1", StartedAt: 5})
 		}, 20_000, false},
--- a/internal/platform/rowstore/store.go
+++ b/internal/platform/rowstore/store.go
@@ -25,6 +25,9 @@
 	Version   int64        // of the store; the rows include all changes up to it
 	StoreTime clock.Millis // monotonic clock of the store at the time of the read
 	FromPeer  bool         // received from another daemon, without a call to the store
+	// StoreFailedAt is when this daemon's last failed call to the store began; 0: none
+	// failed. The store has been back since then or later.
+	StoreFailedAt clock.Millis
 }
 
 // Write sets or removes one row.
