Count the answers of a peer's report in an order drawn from all

Cause: the sequential test counted the good answers of a report first and the bad ones after them. The score can't fall below 0, so the credit of the good answers was lost, the more the larger the report: after a restart, the first report of each peer holds all of its counts.

Change: the answers of a report are counted one by one in a pseudo-random order that depends on the score and the counts alone, so that the verdict is distributed as that on single answers; the score at which the version trips is final.

--- a/internal/decision/rollout/cusum.go
+++ b/internal/decision/rollout/cusum.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "math"
+import (
+	"math"
+	"math/rand/v2"
+)
 
 // CUSUMParameters configures the sequential test (CUSUM) for versions that give
 // bad answers.
@@ -30,14 +33,20 @@
 	return Score(math.Max(0, float64(s)+step))
 }
 
-// WithAll returns the score after several answers whose order is unknown: the
-// good ones are counted first.
+// WithAll returns the score after several answers whose order is unknown. They are counted
+// one by one in an order drawn from all possible ones, so that the verdicts are as likely
+// as those on single answers. The order depends on the arguments alone. The score at which
+// the version trips is final.
 func (s Score) WithAll(p CUSUMParameters, good, bad int) Score {
-	for range good {
-		s = s.With(p, true)
-	}
-	for range bad {
-		s = s.With(p, false)
+	order := rand.New(rand.NewPCG(math.Float64bits(float64(s)), uint64(good)<<32|uint64(bad)))
+	for good+bad > 0 && !s.Trips(p) {
+		isGood := order.IntN(good+bad) < good
+		if isGood {
+			good--
+		} else {
+			bad--
+		}
+		s = s.With(p, isGood)
 	}
 	return s
 }
