--- a/internal/traffic/quality/batch_test.go
+++ b/internal/traffic/quality/batch_test.go
@@ -47,16 +47,16 @@
 func TestBatchSizeAndVerdict(t *testing.T) {
 	p := rollout.DefaultCUSUMParameters()
 	goodOneByOne, badOneByOne := tripTimes(p.AcceptableBadRate, 1), tripTimes(p.UnacceptableBadRate, 1)
-	allowed, _ := summarize(goodOneByOne)
+	allowed, _ := summarise(goodOneByOne)
 	for _, batch := range []int{1, 20, 50, 500} {
 		t.Run(fmt.Sprintf("batches of %d", batch), func(t *testing.T) {
-			falseAlarms, _ := summarize(tripTimes(p.AcceptableBadRate, batch))
-			found, mean := summarize(tripTimes(p.UnacceptableBadRate, batch))
+			falseAlarms, _ := summarise(tripTimes(p.AcceptableBadRate, batch))
+			found, mean := summarise(tripTimes(p.UnacceptableBadRate, batch))
 			nextReports := make([]int, batchSeeds)
 			for i, answers := range badOneByOne {
 				nextReports[i] = (answers + batch - 1) / batch * batch
 			}
-			_, meanNextReport := summarize(nextReports)
+			_, meanNextReport := summarise(nextReports)
 			t.Logf("good versions tripped: %d of %d; bad ones: %d, after %.1f answers; at the next report one by one: %.1f",
 				falseAlarms, batchSeeds, found, mean, meanNextReport)
 			assert.Check(t, falseAlarms <= allowed, "%d good versions tripped, %d one by one", falseAlarms, allowed)
@@ -74,8 +74,8 @@
 	return times
 }
 
-// summarize returns how many of the times are not 0, and their mean.
-func summarize(times []int) (tripped int, mean float64) {
+// summarise returns how many of the times are not 0, and their mean.
+func summarise(times []int) (tripped int, mean float64) {
 	for _, answers := range times {
 		if answers > 0 {
 			tripped++
