Take two settings that nothing reads out of the section stop

Cause: stop.accept_calm and stop.accept_busy were copied with the section entry, which is the only one whose values are read; a file that sets them under stop was accepted without effect.

Change: both fields go, and a file that holds them is refused with the field's name. No files of deploy/ or examples/ hold them.

--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -112,8 +112,6 @@
 // Stop configures a graceful shutdown.
 type Stop struct {
 	BalancerWaitMs int64 `json:"balancer_wait_ms" doc:"time for the balancer to see that the daemon isn't ready" unit:"ms" min:"0" max:"600000"`
-	AcceptCalm     int64 `json:"accept_calm" doc:"least confidence of a small model's answer that is accepted while the largest model answers in time" unit:"%" min:"0" max:"100"`
-	AcceptBusy     int64 `json:"accept_busy" doc:"the same while the largest model can't answer in time" unit:"%" min:"0" max:"100"`
 	DrainMs        int64 `json:"drain_ms" doc:"longest wait for requests under way" unit:"ms" min:"0" max:"86400000"`
 }
 
--- a/internal/foundation/settings/settings_test.go
+++ b/internal/foundation/settings/settings_test.go
@@ -23,6 +23,7 @@
 	}{
 		"good":          {`{"host": "h", "data_centre": "d"} // with a comment`, ""},
 		"unknown field": {`{"hots": "h"}`, `unknown field "hots"`},
+		"unread field":  {`{"host": "h", "data_centre": "d", "stop": {"accept_calm": 58}}`, `unknown field "accept_calm"`},
 		"no host":       {`{"data_centre": "d"}`, "host: must not be empty"},
 		"out of range":  {`{"host": "h", "data_centre": "d", "limits": {"queue_ms": 99999999}}`, "limits.queue_ms: is 99999999, must be 0 to 60000 ms"},
 		"not an IP":     {`{"host": "h", "data_centre": "d", "listen": {"peer": "localhost:1"}}`, `listen.peer: "localhost:1" is not an IP address with a port`},
