--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -149,13 +149,6 @@
 	return e.View()
 }
 
-// WithoutHosts returns a copy without any hosts.
-func (v *View) WithoutHosts() *View {
-	e := v.Edit()
-	e.RemoveHosts()
-	return e.View()
-}
-
 // HostNames returns the sorted names of the hosts. Callers must not change it.
 func (v *View) HostNames() []string { return v.hostNames }
 
--- a/internal/standin/app.go
+++ b/internal/standin/app.go
@@ -16,8 +16,7 @@
 	callDuration time.Duration
 	mu           sync.Mutex
 	runCounts    map[string]int // by Idempotency-Key
-	calls        int
-	active       int // calls that run now
+	active       int            // calls that run now
 }
 
 // NewApp returns an app server whose calls take callDuration.
@@ -77,7 +76,6 @@
 func (a *App) begin(r *http.Request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.calls++
 	a.active++
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
 		a.runCounts[key]++
