Log the outcome of the reconciler's edits

Cause: withdraw and raiseCanaryShares logged one line for both outcomes ("withdrawing tripped model version", "raising share of canary") at one level, with error=<nil> or the error as the only difference.

Change: "withdrew" and "raised" after a commit; "failed to ..." as a warning after a failure, which the next round tries again. The reconciler takes the one method of the editor that it calls, so that the test needs no daemon.

--- a/internal/control/reconciler/reconciler.go
+++ b/internal/control/reconciler/reconciler.go
@@ -16,6 +16,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/eventloop"
 	"gypsumpitch.example/gypsumpitch/internal/control/operator"
 	"gypsumpitch.example/gypsumpitch/internal/decision/lease"
+	"gypsumpitch.example/gypsumpitch/internal/decision/tables"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
 	"gypsumpitch.example/gypsumpitch/internal/platform/tableservice"
@@ -37,7 +38,7 @@
 	common       *common.Common
 	tableService tableservice.Service
 	loop         *eventloop.Loop
-	editor       *operator.Editor
+	editor       editor
 	quality      *quality.Tracker
 	loader       *ModelLoader
 
@@ -45,6 +46,11 @@
 	lease *lease.Contender
 }
 
+// editor commits edits of the document of tables. *operator.Editor implements it.
+type editor interface {
+	Edit(ctx context.Context, editID string, base int64, change operator.Change) (*tables.Document, error)
+}
+
 // New returns a reconciler that does not hold the lease.
 func New(c *common.Common, incarnation uint64, tableService tableservice.Service, l *eventloop.Loop, e *operator.Editor, q *quality.Tracker, m *ModelLoader) *Reconciler {
 	leaseDuration := clock.Millis(c.Settings.Control.LeaseMs)
--- a/internal/control/reconciler/rollout.go
+++ b/internal/control/reconciler/rollout.go
@@ -19,8 +19,11 @@
 	}
 	action := tables.Action{Kind: tables.ActionVersionWithdraw, Name: model, Part: version}
 	editID := fmt.Sprintf("auto-withdraw-%s-%d", name, row.ChangedIn)
-	_, err := r.editor.Edit(ctx, editID, operator.AnyVersion, action.Apply)
-	r.common.Log.Warn("withdrawing tripped model version", "version", name, "error", err)
+	if _, err := r.editor.Edit(ctx, editID, operator.AnyVersion, action.Apply); err != nil {
+		r.common.Log.Warn("failed to withdraw tripped model version", "version", name, "error", err.Error())
+		return
+	}
+	r.common.Log.Warn("withdrew tripped model version", "version", name)
 }
 
 // hasReplacement reports whether another version of the model receives new sessions.
@@ -53,7 +56,10 @@
 		}
 		action := tables.Action{Kind: tables.ActionVersionShare, Name: model, Part: version, Share: share}
 		editID := fmt.Sprintf("auto-widen-%s-%d", name, row.ChangedIn)
-		_, err := r.editor.Edit(ctx, editID, operator.AnyVersion, action.Apply)
-		r.common.Log.Info("raising share of canary", "version", name, "share", share, "error", err)
+		if _, err := r.editor.Edit(ctx, editID, operator.AnyVersion, action.Apply); err != nil {
+			r.common.Log.Warn("failed to raise share of canary", "version", name, "share", share, "error", err.Error())
+			continue
+		}
+		r.common.Log.Info("raised share of canary", "version", name, "share", share)
 	}
 }
