Give back the cold server's token of an attempt that is dropped

Cause: planSuccessor plans an attempt up to four times a second while a server is silent. If it is dropped (no retry budget, too late for the deadline, last resort, or the silent server goes on), Balancer.Done ended the call, but the token that Choose took from a cold server's bucket was lost, so requests that don't exist used up the rate of a server that had just come back.

Change: Balancer.Cancel takes back a choice that was not sent, with its token; the bucket is clamped to its burst as before, so the sends stay a subset of those that it would allow without the dropped attempts.

--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -214,14 +214,31 @@
 	c.PrefillTime = 0
 }
 
-// Done ends the call that Choose started. It must be called exactly once.
+// Done ends the call that Choose started. Either it or Cancel must be called exactly once.
 func (b *Balancer) Done(c *Choice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.done(c)
+}
+
+// Cancel takes back a choice whose request was not sent, in place of Done: the request
+// doesn't count towards the rate of a cold server.
+func (b *Balancer) Cancel(c *Choice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.done(c)
+	if c.usesColdToken {
+		s.coldBucket.giveBack()
+	}
+}
+
+// done ends the call and returns the state of its server. The caller must hold mu.
+func (b *Balancer) done(c *Choice) *serverState {
 	s := b.state(&c.Server)
 	s.own.Prefill -= c.PrefillTime
 	s.own.Calls--
 	c.PrefillTime = 0
+	return s
 }
 
 // SetPeerLoads replaces the load of the other daemons, by server ID. Servers that are
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -110,6 +110,8 @@
 	// LastResort reports that every allowed server with free capacity is ejected or was
 	// already tried.
 	LastResort bool
+
+	usesColdToken bool // the choice took a token of a cold server's bucket
 }
 
 // Choose returns the server with the lowest cost for the request and counts the
@@ -176,7 +178,7 @@
 func (b *Balancer) start(c *Choice, r *Request) {
 	s := b.state(&c.Server)
 	if s.isCold(&c.Server, &r.Pool, r.Now) {
-		s.coldBucket.take(r.coldLimit(c.Server.ID), r.Now)
+		c.usesColdToken = s.coldBucket.take(r.coldLimit(c.Server.ID), r.Now)
 	}
 	s.own.Calls++
 	s.own.Prefill += c.PrefillTime
--- a/internal/decision/loadbalance/choose_test.go
+++ b/internal/decision/loadbalance/choose_test.go
@@ -223,7 +223,8 @@
 }
 
 // TestColdServerRate has any number of daemons send as many requests as allowed to a cold
-// server. In no second may it get more than it can handle: 1.5 times its cold rate plus 5.
+// server, some of which are cancelled and not sent. In no second may it get more than it can
+// handle: 1.5 times its cold rate plus 5.
 func TestColdServerRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := rapid.IntRange(1, 100).Draw(t, "hosts")
@@ -240,14 +241,30 @@
 		demand := rapid.Float64Range(0.01, 1).Draw(t, "demand")
 		idleUntil := clock.Millis(rapid.IntRange(0, 4_000).Draw(t, "idle until")) // lets unused burst accumulate
 		const stepMs = 20
+		cancelled := rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "share cancelled")
+		cancelAfter := rapid.IntRange(1, 20).Draw(t, "steps until cancelled")
+		type planned struct {
+			balancer *Balancer
+			choice   Choice
+		}
+		plans := make(map[int][]planned) // by step at which they are cancelled
 		var sent []int
 		for now := clock.Millis(1); now < 6_000; now += stepMs {
 			n := 0
+			for _, p := range plans[len(sent)] {
+				p.balancer.Cancel(&p.choice)
+			}
 			for i, b := range balancers {
-				if now > idleUntil && random.Float64() < demand {
-					if _, result := b.Choose(v, Request{Pool: pool, Self: names[i], Hosts: names, Prompt: Prompt{Tokens: 1}, Now: now}); result == Chosen {
-						n++
-					}
+				if now <= idleUntil || random.Float64() >= demand {
+					continue
+				}
+				choice, result := b.Choose(v, Request{Pool: pool, Self: names[i], Hosts: names, Prompt: Prompt{Tokens: 1}, Now: now})
+				switch {
+				case result != Chosen:
+				case random.Float64() < cancelled:
+					plans[len(sent)+cancelAfter] = append(plans[len(sent)+cancelAfter], planned{b, choice})
+				default:
+					n++
 				}
 			}
 			sent = append(sent, n)
--- a/internal/decision/loadbalance/token_bucket.go
+++ b/internal/decision/loadbalance/token_bucket.go
@@ -24,6 +24,10 @@
 	return true
 }
 
+// giveBack returns a token that was not used. The next take discards it if the bucket is
+// full.
+func (b *tokenBucket) giveBack() { b.tokens++ }
+
 // ready refills the bucket and reports whether it holds a token.
 func (b *tokenBucket) ready(l rateLimit, now clock.Millis) bool {
 	if b.filledAt == 0 {
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -9,7 +9,8 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
-// plannedAttempt is an attempt that holds a slot at its server until Balancer.Done.
+// plannedAttempt is an attempt that holds a slot at its server until Balancer.Done, or
+// Balancer.Cancel if it is not made.
 type plannedAttempt struct {
 	view    *fleet.View
 	route   *catalog.Route
@@ -73,7 +74,7 @@
 func (ex *exchange) acquireRetry(p *plannedAttempt, now clock.Millis) *result.Error {
 	r := ex.relay
 	if ex.reachedServer && !r.RetryBudget.TryAcquire(p.pool.Name, now) {
-		r.Balancer.Done(&p.choice)
+		r.Balancer.Cancel(&p.choice)
 		return result.New(result.BackendRefused, "the retry budget is exhausted; %s", ex.lastError)
 	}
 	return nil
@@ -97,7 +98,7 @@
 	}
 	next, rejection := ex.planAttempt(excluded, true, now)
 	if rejection == nil && (next.choice.LastResort || now+next.choice.ExpectedFirstByte >= ex.deadline) {
-		ex.relay.Balancer.Done(&next.choice)
+		ex.relay.Balancer.Cancel(&next.choice)
 		rejection = result.New(result.NoServer, "no server is likelier to respond in time")
 	}
 	if rejection == nil {
@@ -152,7 +153,7 @@
 // releaseSuccessor drops the planned attempt, if there is one.
 func (ex *exchange) releaseSuccessor() {
 	if ex.successor != nil {
-		ex.relay.Balancer.Done(&ex.successor.choice)
+		ex.relay.Balancer.Cancel(&ex.successor.choice)
 		ex.successor = nil
 	}
 }
--- a/internal/traffic/relay/silence_test.go
+++ b/internal/traffic/relay/silence_test.go
@@ -12,6 +12,9 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
 // The pauses of the test servers exceed the longest time that an attempt waits while
@@ -187,6 +190,44 @@
 	}
 }
 
+// TestDroppedSuccessorKeepsColdTokens has a server pause while the only other one is cold
+// and the retry budget is exhausted. The attempts that are planned there and dropped must
+// use none of the requests that the cold server may get.
+func TestDroppedSuccessorKeepsColdTokens(t *testing.T) {
+	var f *fixture
+	var cold fleet.Server
+	f = newFixture(t, streamRoutes(), pauseAfterTwo(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.view = f.view.WithServer(cold, f.relay.Clock.Now())
+	}), sendEvents(5, 5))
+	f.relay.RetryBudget = admission.NewSharedRetryBudget(0, 0, 10_000)
+	second, _ := f.view.Server("s2")
+	cold = second.Server
+	cold.ColdRemaining = 60_000
+	pool := catalog.Pool{Name: "text", TokenMemory: 100_000, TokensPerEvent: 8, ColdRate: 1}
+	f.view = f.view.WithoutServer("s2").WithHost("h1", fleet.Host{Address: "10.0.0.1:1"}).WithCatalog(catalog.New(catalog.Tables{
+		Version: 2, Routes: streamRoutes(), Pools: []catalog.Pool{pool}, Accounts: map[string]catalog.ClientAccount{"key-1": {Name: "smiths"}}, RequireKey: true,
+	}))
+	f.relay.Host = "h1"
+	coldOnly := fleet.NewView().WithServer(cold, f.relay.Clock.Now())
+	requestsAllowed := func(now clock.Millis) (n int) {
+		for ; ; n++ {
+			request := loadbalance.Request{Pool: pool, Self: "h1", Hosts: []string{"h1"}, Now: now}
+			if _, outcome := f.relay.Balancer.Choose(coldOnly, request); outcome != loadbalance.Chosen {
+				return n
+			}
+		}
+	}
+	now := f.relay.Clock.Now()
+	assert.Equal(t, requestsAllowed(now-10_000), 0, "the budget of the cold server starts empty")
+	got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, events(1, 5))
+	assert.Equal(t, f.callCount(), 1)
+	assert.Equal(t, requestsAllowed(f.relay.Clock.Now()), 3, "the burst of a cold server")
+}
+
 // TestSuccessorTakesOverLater has a server go silent while no other server is in
 // service. Once one is, it must take over the request.
 func TestSuccessorTakesOverLater(t *testing.T) {
