Publish restarted resolvers of the pins test atomically; add make race

In the product, peers reach a resolver through their server, so it has no such race. TestDaemonLifecycle had no report in it, nor in five more runs.

Change: the field is an atomic pointer. The checks are the same. make race runs all tests under the detector.

Measured: TestSessionsKeepTheirVersion failed with -race before and passes after (1,500 checks, 39 s).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS = $(CURDIR)/.tools
 USER_NAME ?= kitami
 
-.PHONY: build demo test lint unit proofs fuzz soak measure generate
+.PHONY: build demo test lint unit race proofs fuzz soak measure generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -28,6 +28,9 @@
 unit: build
 	bash scripts/test.sh
 
+race: build ## all tests under the race detector; takes about five minutes
+	go test -count=1 -race -timeout 30m ./...
+
 proofs: build ## mutation tests: each test must fail while its mechanism is disabled
 	bash scripts/prove.sh
 
--- a/internal/proof/traffic/pins_test.go
+++ b/internal/proof/traffic/pins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,7 +18,7 @@
 // pinHost is a host whose daemon resolves the pins of sessions.
 type pinHost struct {
 	host
-	resolver *pins.Resolver
+	resolver atomic.Pointer[pins.Resolver] // replicas arrive in goroutines of other daemons
 }
 
 // pinCluster is a set of daemons with an oracle of the version that each session got.
@@ -39,14 +40,14 @@
 		document.Hosts[name] = tables.Host{PeerAddress: name}
 	}
 	snapshot := &controlstate.Snapshot{Self: h.name, Document: document}
-	h.resolver = pins.NewResolver(c.newCommon(h.name), c.table, c, func() *controlstate.Snapshot { return snapshot })
+	h.resolver.Store(pins.NewResolver(c.newCommon(h.name), c.table, c, func() *controlstate.Snapshot { return snapshot }))
 }
 
 // PutPins implements pins.Peers.
 func (c *pinCluster) PutPins(_ context.Context, address, name string, p session.Pins) {
 	for _, h := range c.hosts {
 		if h.name == address {
-			h.resolver.StoreReplica(name, p)
+			h.resolver.Load().StoreReplica(name, p)
 		}
 	}
 }
@@ -55,7 +56,7 @@
 func (c *pinCluster) GetPins(_ context.Context, address, name string) session.Pins {
 	for _, h := range c.hosts {
 		if h.name == address {
-			return h.resolver.Cached(name)
+			return h.resolver.Load().Cached(name)
 		}
 	}
 	return nil
@@ -64,7 +65,7 @@
 // resolve spawns a task that resolves the session's pins and checks that the version has
 // not changed.
 func (c *pinCluster) resolve(h *pinHost, name string) {
-	resolver := h.resolver
+	resolver := h.resolver.Load()
 	proposed := session.Pins{"small": c.newestVersion}
 	c.spawn(&h.host, func() {
 		got, err := resolver.Resolve(context.Background(), name, proposed)
