Keep requests from servers that leave or asked for a pause

Nothing in the balancer held what a server says of itself beyond its load: a server that leaves got requests until the store's entry said so, and one that turns requests away got them again as soon as its load looked low.

The balancer now remembers the announcements by server ID and start time. A leaving server is ranked behind all others, and gets nothing once the drain time is over; only a later start of it ends that. A server that asked for a pause gets nothing until its latest end, also as the last resort, and then returns with a load that grows over two seconds; where daemons outnumber its slots, they return one after the other. A derived view takes departed servers out of service for the version router too.

The tests don't compile on the code before.

--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -23,6 +23,8 @@
 	// StoreOffset is the store's clock minus this daemon's clock.
 	StoreOffset clock.Millis
 
+	outOfService map[string]bool // servers that get no new requests, by ID
+
 	hostNames []string // sorted
 	servers   map[string]Entry
 	pools     map[string][]Entry // servers by pool, sorted by ID
@@ -118,6 +120,14 @@
 	return &n
 }
 
+// WithOutOfService returns a copy in which just the given servers get no new requests
+// although their entries and data centres would allow them.
+func (v *View) WithOutOfService(ids map[string]bool) *View {
+	n := *v
+	n.outOfService = ids
+	return &n
+}
+
 // WithRollout returns a copy with the roll-out, which replaces any other of its pool.
 func (v *View) WithRollout(r Rollout) *View {
 	n := *v
@@ -189,5 +199,5 @@
 
 // InService reports whether the server may get new requests.
 func (v *View) InService(e *Entry) bool {
-	return !e.Draining && (len(v.Evacuated) == 0 || !v.Evacuated[e.DataCentre])
+	return !e.Draining && (len(v.Evacuated) == 0 || !v.Evacuated[e.DataCentre]) && !v.outOfService[e.ID]
 }
--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -31,6 +31,8 @@
 	servers   map[string]*serverState
 	models    map[modelKey]LatencyModel
 	prefixBuf []Prefix // reused by Choose
+
+	announcements announcements
 }
 
 // serverState is the state of one incarnation of a server.
@@ -56,7 +58,10 @@
 
 // NewBalancer returns a balancer without any measurements.
 func NewBalancer() *Balancer {
-	return &Balancer{servers: make(map[string]*serverState), models: make(map[modelKey]LatencyModel)}
+	return &Balancer{
+		servers: make(map[string]*serverState), models: make(map[modelKey]LatencyModel),
+		announcements: announcements{servers: make(map[string]*announcement)},
+	}
 }
 
 // state returns the state of the server. A restarted server gets a new state that
@@ -76,10 +81,12 @@
 }
 
 // Retain removes the servers for which keep returns false, except those with
-// in-flight calls of this daemon.
-func (b *Balancer) Retain(keep func(id string) bool) {
+// in-flight calls of this daemon. The announcements of a removed server are kept for
+// departureMemory.
+func (b *Balancer) Retain(keep func(id string) bool, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.announcements.prune(keep, now)
 	for id, s := range b.servers {
 		if s.own.Calls == 0 && !keep(id) {
 			delete(b.servers, id)
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -34,6 +34,9 @@
 	// costUnsampled ranks servers outside the request's sample behind those in it, but
 	// ahead of ejected and tried ones.
 	costUnsampled = 20_000.0
+	// costLeaving ranks servers that announced their exit behind those outside the sample,
+	// but ahead of ejected and tried ones.
+	costLeaving = 30_000.0
 	// costNoise is the range of a pseudo-random cost that keeps daemons with the same
 	// information from choosing the same server.
 	costNoise = 12.0
@@ -91,6 +94,7 @@
 const (
 	Chosen     Result = iota
 	NoServer          // no allowed server is in service
+	Paused            // the allowed servers in service asked for a pause; see Choice.PausedUntil
 	AtCapacity        // the allowed servers in service have no free capacity
 )
 
@@ -110,6 +114,8 @@
 	// LastResort reports that every allowed server with free capacity is ejected or was
 	// already tried.
 	LastResort bool
+	// PausedUntil is the earliest end of the servers' pauses if the result is Paused.
+	PausedUntil clock.Millis
 }
 
 // Choose returns the server with the lowest cost for the request and counts the
@@ -131,16 +137,21 @@
 	prefillTokens := [...]int{r.Prompt.Tokens, b.uncachedTokens(r.Prompt)}
 	firstByte := [...]clock.Millis{latency.FirstByte(prefillTokens[0]), latency.FirstByte(prefillTokens[1])}
 	bound := r.sampleBound(len(entries))
+	pausedUntil := clock.Millis(math.MaxInt64)
 	for i := range entries {
 		e := &entries[i]
-		if !r.allows(v, e) {
+		n := b.announcements.of(e)
+		if !r.allows(v, e) || b.announcements.hasDeparted(n, r.Now) {
+			continue
+		}
+		if n.isPaused(r.Now) {
+			pausedUntil = min(pausedUntil, n.pausedUntil)
+			result = max(result, Paused)
 			continue
 		}
 		s := b.state(e)
-		if !b.hasCapacity(s, e, &r) {
-			if result == NoServer {
-				result = AtCapacity
-			}
+		if !b.hasCapacity(s, e, n, &r) {
+			result = AtCapacity
 			continue
 		}
 		which := 0
@@ -148,7 +159,10 @@
 			which = 1
 		}
 		cost := b.cost(s, e, &r, prefillTokens[which], firstByte[which])
-		if i != preferred && bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > bound {
+		switch {
+		case n.isLeaving():
+			cost += costLeaving
+		case i != preferred && bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > bound:
 			cost += costUnsampled
 		}
 		if cost < lowest {
@@ -156,7 +170,7 @@
 		}
 	}
 	if best < 0 {
-		return Choice{}, result
+		return Choice{PausedUntil: pausedUntil}, result
 	}
 	choice := Choice{PrefillTokens: prefillTokens[0], LastResort: lowest >= costEjected}
 	if best == preferred {
@@ -212,6 +226,14 @@
 		if !v.InService(e) {
 			continue
 		}
+		n := b.announcements.of(e)
+		if b.announcements.hasDeparted(n, now) {
+			continue
+		}
+		if n.isPaused(now) {
+			wait = min(wait, n.pausedUntil-now)
+			continue
+		}
 		s := b.state(e)
 		excess := max(float64(s.load(now).Calls)-s.maxCalls(e, &pool)+1, 1)
 		wait = min(wait, clock.Millis(requestMs*excess/float64(s.slotsOf(e))))
@@ -254,8 +276,9 @@
 }
 
 // hasCapacity reports whether the server can accept one more request.
-func (b *Balancer) hasCapacity(s *serverState, e *fleet.Entry, r *Request) bool {
-	if float64(s.load(r.Now).Calls) >= s.maxCalls(e, &r.Pool) {
+func (b *Balancer) hasCapacity(s *serverState, e *fleet.Entry, n *announcement, r *Request) bool {
+	limit := s.maxCalls(e, &r.Pool)
+	if float64(s.load(r.Now).Calls) >= limit || float64(s.own.Calls) >= n.returnLimit(r, e.ID, s.slotsOf(e), limit) {
 		return false
 	}
 	return !s.isCold(e, &r.Pool, r.Now) || s.coldBucket.ready(r.coldLimit(e.ID), r.Now)
@@ -298,7 +321,7 @@
 	prefix := b.prefixBuf[len(b.prefixBuf)-1].Hash
 	best, highest := -1, uint64(0)
 	for i := range entries {
-		if !r.allows(v, &entries[i]) {
+		if !r.allows(v, &entries[i]) || b.announcements.of(&entries[i]).isLeaving() {
 			continue
 		}
 		if weight := container.CombineHash(prefix, entries[i].ID); best < 0 || weight > highest {
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -189,7 +189,7 @@
 	balancer.Retain(func(id string) bool {
 		_, known := view.Server(id)
 		return known
-	})
+	}, c.Now())
 }
 
 // readinessHandler answers the readiness checks of the load balancer with status 200
@@ -246,5 +246,6 @@
 		debug.SetMemoryLimit(int64(float64(s.Entry.MemoryMB) * memoryLimitShare * (1 << 20)))
 	}
 	d.RetryBudget.SetLimits(s.Entry.RepeatRatio, s.Entry.RepeatSlack)
+	d.Balancer.SetDrainTime(clock.Millis(s.Entry.DrainMs))
 	d.Log.SetLevel(hclog.LevelFromString(s.Log.Level))
 }
