Read the announcements of servers in all of their answers

Server-Leaving in an answer of any status, and Retry-After of a 503, are decoded once in platform/ and recorded before the relay decides what becomes of the answer, so that errors, refusals, heads of streams, escalated and dropped answers count alike. Zero is a pause that is over at once, more than ten minutes are taken as ten, negative values, dates and rubbish are ignored; each is counted by its kind.

A 503 with a pause is no evidence against the version or the server, and the server doesn't count as full afterwards. Attempts that were planned earlier are checked again when they are sent. If all servers of a pool are paused, the request is rejected at once, with a Retry-After that doesn't end before the first pause.

--- a/internal/program/entry/metrics.go
+++ b/internal/program/entry/metrics.go
@@ -41,6 +41,14 @@
 		return 0
 	})
 	gauge("gypsumpitch_relay_open_requests", func(*fleet.View) float64 { return float64(d.Relay.InFlight()) })
+	gauge("gypsumpitch_servers_leaving", func(v *fleet.View) float64 {
+		leaving, _ := d.Balancer.AnnouncementCounts(v, d.Clock.Now())
+		return float64(leaving)
+	})
+	gauge("gypsumpitch_servers_paused", func(v *fleet.View) float64 {
+		_, paused := d.Balancer.AnnouncementCounts(v, d.Clock.Now())
+		return float64(paused)
+	})
 	gauge("gypsumpitch_server_calls_own", func(*fleet.View) float64 {
 		n := 0
 		for _, load := range d.Balancer.OwnLoads() {
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -34,7 +34,7 @@
 // whether an earlier attempt gave no usable response.
 func (ex *exchange) planAttempt(excluded func(id string) bool, failed bool, now clock.Millis) (*plannedAttempt, *result.Error) {
 	r, req := ex.relay, ex.req
-	view := r.View()
+	view := r.Balancer.WithoutDeparted(r.View(), now)
 	route, account, err := ex.match(view)
 	if err != nil {
 		return nil, result.From(err)
@@ -60,6 +60,9 @@
 	switch outcome {
 	case loadbalance.NoServer:
 		return nil, result.New(result.NoServer, "pool %s has no server in service; %s", pool.Name, ex.lastError)
+	case loadbalance.Paused:
+		rejection := result.New(result.Overloaded, "all servers of pool %s asked for a pause; %s", pool.Name, ex.lastError)
+		return nil, rejection.WithRetryAfter(retryAfterAtLeast(p.choice.PausedUntil - now))
 	case loadbalance.AtCapacity:
 		rejection := result.New(result.Overloaded, "all servers of pool %s are full; %s", pool.Name, ex.lastError)
 		return nil, rejection.WithRetryAfter(int64(r.Balancer.RetryAfter(view, pool, p.model, now)))
@@ -79,6 +82,17 @@
 	return nil
 }
 
+// releaseUnwanted releases an attempt that was planned before its server announced that it
+// wants no more requests. It returns nil then.
+func (ex *exchange) releaseUnwanted(p *plannedAttempt, now clock.Millis) *plannedAttempt {
+	if p == nil || ex.relay.Balancer.StillWanted(&p.choice, now) {
+		return p
+	}
+	ex.log("planned attempt dropped", &p.choice.Server)
+	ex.relay.Balancer.Done(&p.choice)
+	return nil
+}
+
 // successorPeriod is how often a silent attempt is checked for a server that can take
 // over.
 const successorPeriod = 250 * clock.Millis(1)
--- a/internal/traffic/relay/dialect.go
+++ b/internal/traffic/relay/dialect.go
@@ -31,8 +31,26 @@
 	// there is none.
 	Confidence    int
 	ColdRemaining clock.Millis // 0 if the server is not cold or does not say
+	Leaving       bool         // the server announces its exit
+	TurnedAway    bool         // the server turned the request away until the end of Pause
+	Pause         clock.Millis // for which it wants no requests from this daemon
+	PauseKind     PauseKind
 }
 
+// PauseKind is how the time for which a server wants no requests was understood.
+type PauseKind string
+
+// The kinds of pauses. A request for a pause of one of the last three kinds is ignored.
+const (
+	NoPause        PauseKind = ""
+	ValidPause     PauseKind = "valid"
+	ZeroPause      PauseKind = "zero"      // over at once
+	ShortenedPause PauseKind = "shortened" // longer than this daemon accepts
+	NegativePause  PauseKind = "negative"
+	DatePause      PauseKind = "date" // an instant, by a clock that may differ from this daemon's
+	MalformedPause PauseKind = "malformed"
+)
+
 // Dialect maps requests and responses to the headers that backend servers use.
 type Dialect interface {
 	// Encode returns the headers of the call to the backend server.
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -176,11 +176,12 @@
 	if ex.deadline-now < minAttemptTime {
 		return false, ex.deadlineError()
 	}
-	planned := ex.successor
+	inBudget := ex.successor != nil // it was taken from the retry budget when it was planned
+	planned := ex.releaseUnwanted(ex.successor, now)
 	ex.successor = nil
 	if planned == nil {
 		var rejection *result.Error
-		if planned, rejection = ex.planAttempt(ex.isExcluded, ex.backendFailed, now); rejection == nil {
+		if planned, rejection = ex.planAttempt(ex.isExcluded, ex.backendFailed, now); rejection == nil && !inBudget {
 			rejection = ex.acquireRetry(planned, now)
 		}
 		if rejection != nil {
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -37,6 +37,8 @@
 	headerNotExecuted = "X-Not-Run"
 	headerConfidence  = "X-Confidence"
 	headerSigned      = "X-Signed"
+	headerLeaving     = "X-Leaving"
+	headerPause       = "X-Pause" // ms
 )
 
 // testDialect implements Dialect for the test servers.
@@ -68,6 +70,10 @@
 	if c, err := strconv.Atoi(h.Get(headerConfidence)); err == nil {
 		info.Confidence = c
 	}
+	info.Leaving = h.Get(headerLeaving) != ""
+	if pause, err := strconv.Atoi(h.Get(headerPause)); err == nil {
+		info.TurnedAway, info.Pause, info.PauseKind = true, clock.Millis(pause), ValidPause
+	}
 	return info
 }
 
@@ -78,6 +84,9 @@
 	return header
 }
 
+// testDrainTime is the time after which a leaving server gets no new requests.
+const testDrainTime = 400 * clock.Millis(1)
+
 // fixture is a relay with test servers behind an HTTP front end.
 type fixture struct {
 	t      *testing.T
@@ -138,6 +147,7 @@
 		VersionRouter: AnyVersionRouter{}, ConfidenceThreshold: cascade.ConfidenceThreshold{Normal: 58, Overloaded: 44},
 		OnServerReplaced: func(string, clock.Millis) {},
 	})
+	f.relay.Balancer.SetDrainTime(testDrainTime)
 	f.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		req := &Request{
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
@@ -65,11 +66,19 @@
 	return result.From(err).Code
 }
 
+// retryAfterSpread is the share by which Retry-After varies up or down.
+const retryAfterSpread = 0.25
+
+// retryAfterAtLeast returns the retry time with which no caller returns before the end of
+// the wait.
+func retryAfterAtLeast(wait clock.Millis) int64 {
+	return int64(math.Ceil(float64(wait) / (1 - retryAfterSpread)))
+}
+
 // retryAfterSeconds returns the value of the Retry-After header, a decimal fraction
 // of seconds. It varies by a quarter up or down, so that callers rejected at the same
 // time do not retry at the same time.
 func retryAfterSeconds(e *result.Error, id string) string {
-	const spread = 0.25
-	ms := float64(e.RetryAfterMs()) * (1 - spread + 2*spread*container.UnitHash(id))
+	ms := float64(e.RetryAfterMs()) * (1 - retryAfterSpread + 2*retryAfterSpread*container.UnitHash(id))
 	return strconv.FormatFloat(math.Round(ms)/millisPerSecond, 'f', -1, 64)
 }
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -79,6 +79,11 @@
 	return h
 }
 
+// countPause counts a server's request for a pause by how it was understood.
+func (m *Metrics) countPause(kind PauseKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_pauses_total{kind=%q}`, string(kind))).Inc()
+}
+
 // countAttempt counts an attempt by its outcome.
 func (m *Metrics) countAttempt(pool, outcome string) {
 	m.mu.Lock()
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -94,12 +94,13 @@
 	r.Balancer.RecordReport(server, loadbalance.ServerReport{
 		HasLoad: info.HasLoad, Requests: info.Running + info.Waiting, Slots: info.Slots, ColdRemaining: info.ColdRemaining,
 	}, now)
+	ex.recordAnnouncement(server, info, now)
 	ex.confidence = info.Confidence
 	if info.WrongServer || info.NotExecuted || info.Unverified {
 		return false, ex.handleUnusable(server, resp, info, now)
 	}
 	failed := resp.Status >= http.StatusInternalServerError
-	ex.recordOutcome(choice, failed, now-startedAt)
+	ex.recordOutcome(choice, info, failed, now-startedAt)
 	switch {
 	case ex.headerSent && resp.Status != http.StatusOK:
 		// The caller has received events, which only further events may follow.
@@ -120,10 +121,26 @@
 	return ex.forwardBuffered(server, resp)
 }
 
+// recordAnnouncement records what the server states about the requests that it wants,
+// whatever becomes of its response.
+func (ex *exchange) recordAnnouncement(server *fleet.Entry, info ResponseInfo, now clock.Millis) {
+	r := ex.relay
+	if info.PauseKind != NoPause {
+		r.Metrics.countPause(info.PauseKind)
+		ex.log("server asked for a pause", server, "kind", string(info.PauseKind), "pause_ms", int64(info.Pause))
+	}
+	if r.Balancer.RecordAnnouncement(server, loadbalance.Announcement{Leaving: info.Leaving, Pause: info.Pause}, now) {
+		ex.log("server announced its exit", server)
+	}
+}
+
 // recordOutcome reports the attempt's result to the Balancer and the version
-// router.
-func (ex *exchange) recordOutcome(choice *loadbalance.Choice, failed bool, elapsed clock.Millis) {
+// router, unless the server only asked for a pause.
+func (ex *exchange) recordOutcome(choice *loadbalance.Choice, info ResponseInfo, failed bool, elapsed clock.Millis) {
 	r := ex.relay
+	if info.TurnedAway {
+		return
+	}
 	if failed {
 		r.Balancer.RecordServerError(&choice.Server, r.Clock.Now())
 	}
@@ -139,7 +156,7 @@
 		r.OnServerReplaced(server.ID, now)
 		return ex.recordRefusal(server, "the address belongs to another server")
 	case info.NotExecuted:
-		if impliesNotExecuted(resp.Status) {
+		if impliesNotExecuted(resp.Status) && !info.TurnedAway {
 			r.Balancer.RecordAtCapacity(server, now)
 		}
 		return ex.recordRefusal(server, "not run: "+http.StatusText(resp.Status))
