Tell the other daemons which servers leave

A daemon that gets no answer of a leaving server went on to use it like any other until the store said so. The reports that the daemons exchange anyway now list the servers that announced their exit to one of them; the others rank them last at once, and stop sending after the drain time from then on. Nothing that a report says or leaves out brings a server back.

--- a/internal/control/peerstats/aggregator.go
+++ b/internal/control/peerstats/aggregator.go
@@ -1,6 +1,8 @@
 package peerstats
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
@@ -54,9 +56,24 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	s.Departures = a.own.Departures
 	a.own, a.cached = s, nil
 }
 
+// SetOwnDepartures replaces the servers that announced their exit to this daemon.
+func (a *Aggregator) SetOwnDepartures(departures []loadbalance.Departure) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.own.Departures = departures
+}
+
+// PeerDepartures returns the servers that announced their exit to other daemons.
+func (a *Aggregator) PeerDepartures() []loadbalance.Departure {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Collect(maps.Keys(a.others().departures))
+}
+
 // Own returns the snapshot of this daemon.
 func (a *Aggregator) Own() Snapshot {
 	a.mu.Lock()
--- a/internal/control/peerstats/aggregator_test.go
+++ b/internal/control/peerstats/aggregator_test.go
@@ -29,6 +29,21 @@
 	return a
 }
 
+// TestDepartures checks that a server's departure reaches the daemons of both data centres
+// through the leaders, and stays in reports with new loads.
+func TestDepartures(t *testing.T) {
+	c := clock.NewManual(1_000)
+	leader, second, remote := newAggregator(c, 1, 11), newAggregator(c, 2, 12), newAggregator(c, 8, 14)
+	departure := loadbalance.Departure{ID: "e1", StartedAt: 5}
+	second.SetOwnDepartures([]loadbalance.Departure{departure})
+	second.SetOwn(nil, nil, nil)
+	second.SetPeerTotal(leader.HandleReport(Report{From: "second", Snapshot: second.Own()}))
+	remote.HandleReport(Report{From: "dc-1", IsDataCentre: true, Snapshot: leader.DataCentreTotal()})
+	assert.DeepEqual(t, leader.PeerDepartures(), []loadbalance.Departure{departure})
+	assert.DeepEqual(t, remote.PeerDepartures(), []loadbalance.Departure{departure})
+	assert.Equal(t, len(second.PeerDepartures()), 0, "its own")
+}
+
 // TestTotals has two daemons report to a leader that exchanges totals with another data
 // centre. Each daemon must end up with the total of all others.
 func TestTotals(t *testing.T) {
--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -8,6 +8,9 @@
 package peerstats
 
 import (
+	"maps"
+	"slices"
+
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/versionrouting"
@@ -21,6 +24,8 @@
 	// PinnedSessions are the hashes of the sessions that stay on an old version, by the
 	// order version of the roll-out.
 	PinnedSessions map[int64][]uint64 `json:"k,omitempty"`
+	// Departures are the servers that announced their exit to the daemons.
+	Departures []loadbalance.Departure `json:"x,omitempty"`
 }
 
 // AnswerStatsEntry is a key with its answer statistics.
@@ -41,6 +46,7 @@
 	loads       map[string]loadbalance.Load
 	answerStats map[versionrouting.AnswerStatsKey]rollout.AnswerStats
 	pinned      map[int64]map[uint64]bool
+	departures  map[loadbalance.Departure]bool
 }
 
 func newTotal() *total {
@@ -48,6 +54,7 @@
 		loads:       make(map[string]loadbalance.Load),
 		answerStats: make(map[versionrouting.AnswerStatsKey]rollout.AnswerStats),
 		pinned:      make(map[int64]map[uint64]bool),
+		departures:  make(map[loadbalance.Departure]bool),
 	}
 }
 
@@ -61,6 +68,9 @@
 	for _, e := range s.AnswerStats {
 		t.answerStats[e.Key] = t.answerStats[e.Key].Plus(e.Stats)
 	}
+	for _, d := range s.Departures {
+		t.departures[d] = true
+	}
 	for order, sessions := range s.PinnedSessions {
 		if t.pinned[order] == nil {
 			t.pinned[order] = make(map[uint64]bool, len(sessions))
@@ -73,7 +83,7 @@
 
 // snapshot returns the total as a snapshot, which shares the map of loads with it.
 func (t *total) snapshot() Snapshot {
-	s := Snapshot{Loads: t.loads}
+	s := Snapshot{Loads: t.loads, Departures: slices.Collect(maps.Keys(t.departures))}
 	for key, stats := range t.answerStats {
 		s.AnswerStats = append(s.AnswerStats, AnswerStatsEntry{key, stats})
 	}
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -184,7 +184,9 @@
 func refreshPeerStats(c clock.Clock, manager *viewstate.Manager, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, router *versionrouting.Router, retryBudget *admission.SharedRetryBudget) {
 	view := manager.View()
 	stats.SetOwn(balancer.OwnLoads(), router.AnswerStats(), router.PinnedSessions(view))
+	stats.SetOwnDepartures(balancer.OwnDepartures(view))
 	balancer.SetPeerLoads(stats.PeerLoads(), c.Now())
+	balancer.SetPeerDepartures(stats.PeerDepartures(), c.Now())
 	retryBudget.SetHostCount(len(view.Hosts))
 	balancer.Retain(func(id string) bool {
 		_, known := view.Server(id)
