Let the engines of the soak announce exits and ask for pauses

The soak knew neither, so nothing but unit tests held them. Two actions are new: an engine states in all of its answers that it leaves, while its entry says ready (and is written again); an engine turns requests away for 0.6 to 3 s and says for how long. The oracle goes by what callers and engines see: no request that was sent more than the drain time after a daemon had passed on the announcement reaches that engine from it, and at most two requests between half a second after a refusal and the end of the pause. Only a restart or a freeze of the daemon since then excuses it; faults of the store don't. Refused requests count, too.

--- a/internal/proof/soak/actions_test.go
+++ b/internal/proof/soak/actions_test.go
@@ -109,6 +109,33 @@
 		end()
 		c.addEngine(e.address)
 	}},
+	{"let an engine announce its exit", func(c *cluster, rng *rand.Rand) {
+		e := c.takeEngine(rng)
+		if e == nil {
+			return
+		}
+		e.update(func(e *engine) { e.announcesExit = true })
+		time.Sleep(randomDuration(rng, 0, 2_000))
+		c.mu.Lock()
+		c.register(e, "ready")
+		c.mu.Unlock()
+		time.Sleep(drainTimeout + randomDuration(rng, 300, 1_500))
+		end := c.oracle.beginDisruption(nil, "engine")
+		c.store.Put("servers", e.id, "")
+		e.crash()
+		end()
+		c.addEngine(e.address)
+	}},
+	{"let an engine ask for a pause", func(c *cluster, rng *rand.Rand) {
+		e := c.takeEngine(rng)
+		if e == nil {
+			return
+		}
+		pause := randomDuration(rng, 600, 3_000)
+		e.update(func(e *engine) { e.pausedUntil = time.Now().Add(pause) })
+		time.Sleep(pause)
+		c.returnEngine(e)
+	}},
 	{"crash and replace an engine", func(c *cluster, rng *rand.Rand) {
 		e := c.takeEngine(rng)
 		if e == nil {
--- a/internal/proof/soak/caller_test.go
+++ b/internal/proof/soak/caller_test.go
@@ -66,6 +66,7 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.oracle.recordResponse(d, response.Header)
 	body, err := io.ReadAll(response.Body)
 	c.recordEnd(sent, response.StatusCode, err != nil && ctx.Err() == nil)
 	if err == nil && response.StatusCode == http.StatusOK {
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -92,7 +92,7 @@
 // register writes the engine's registration to the store. c.mu must be held.
 func (c *cluster) register(e *engine, state string) {
 	c.store.Put("servers", e.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc-%d","version":"v1","slots":%d,"state":%q,"born":%d}`,
-		e.pool, e.address, c.enginesCreated%dataCentreCount, engineSlots, state, time.Now().UnixMilli()))
+		e.pool, e.address, c.enginesCreated%dataCentreCount, engineSlots, state, e.startedAt.UnixMilli()))
 }
 
 // takeEngine removes an engine from the list, so that no other action affects it. It
--- a/internal/proof/soak/engine_test.go
+++ b/internal/proof/soak/engine_test.go
@@ -20,6 +20,7 @@
 // engine is a stand-in for a backend server of one pool.
 type engine struct {
 	id, pool, address string
+	startedAt         time.Time
 	cluster           *cluster
 	server            *http.Server
 
@@ -28,6 +29,8 @@
 	returnsErrors  bool      // runs some requests and responds with status 500
 	dropsResponses bool      // runs requests and closes the connection without a response
 	drainingSince  time.Time // zero unless draining
+	announcesExit  bool      // states in all responses that it leaves
+	pausedUntil    time.Time // until then, turns requests away and states for how long
 }
 
 // startEngine starts an engine that listens on the address.
@@ -36,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, pool: pool, address: address, cluster: c}
+	e := &engine{id: id, pool: pool, address: address, startedAt: time.Now(), cluster: c}
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(listener) }()
 	return e, nil
@@ -71,6 +74,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.announce(w, id) {
+		return
+	}
 	returnsErrors, dropsResponses, ok := e.acquireSlot()
 	if !ok {
 		w.Header().Set("Not-Executed", "1")
@@ -93,6 +99,26 @@
 	}
 }
 
+// announce adds what the engine states about the requests that it wants. It reports whether
+// it turned the request away.
+func (e *engine) announce(w http.ResponseWriter, id string) bool {
+	e.mu.Lock()
+	pausedUntil, announcesExit := e.pausedUntil, e.announcesExit
+	e.mu.Unlock()
+	if announcesExit {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	pause := time.Until(pausedUntil)
+	e.cluster.oracle.recordArrival(e, id, pause)
+	if pause <= 0 {
+		return false
+	}
+	w.Header().Set("Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // stream sends the events that follow the one named by Last-Event-Id.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string) {
 	lastEvent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/internal/proof/soak/oracle_test.go
+++ b/internal/proof/soak/oracle_test.go
@@ -44,6 +44,8 @@
 type oracle struct {
 	mu          sync.Mutex
 	executions  map[string][]execution // by request ID
+	arrivals    []arrival
+	exits       map[exitKey]time.Time // when the first caller heard of it
 	requests    map[string]*request
 	disruptions []*disruption
 	violations  []string
@@ -51,7 +53,7 @@
 }
 
 func newOracle() *oracle {
-	return &oracle{executions: make(map[string][]execution), requests: make(map[string]*request)}
+	return &oracle{executions: make(map[string][]execution), requests: make(map[string]*request), exits: make(map[exitKey]time.Time)}
 }
 
 // reportf adds a violation.
@@ -160,6 +162,7 @@
 		}
 		violations = append(violations, o.checkDraining(r, executions)...)
 	}
+	violations = append(violations, o.checkArrivals()...)
 	for id := range o.executions {
 		if o.requests[id] == nil {
 			violations = append(violations, id+" ran but no caller sent it")
