End an interrupted stream at once if every pause outlasts its wait

If all servers of the pool have asked for pauses that end later, it is known at once that none comes, and the caller could resume elsewhere meanwhile. Such a stream now ends at once; one whose first pause ends in time goes on after it.

--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -61,8 +61,7 @@
 	case loadbalance.NoServer:
 		return nil, result.New(result.NoServer, "pool %s has no server in service; %s", pool.Name, ex.lastError)
 	case loadbalance.Paused:
-		rejection := result.New(result.Overloaded, "all servers of pool %s asked for a pause; %s", pool.Name, ex.lastError)
-		return nil, rejection.WithRetryAfter(retryAfterAtLeast(p.choice.PausedUntil - now))
+		return nil, ex.pauseError(&pool, p.choice.PausedUntil, now)
 	case loadbalance.AtCapacity:
 		rejection := result.New(result.Overloaded, "all servers of pool %s are full; %s", pool.Name, ex.lastError)
 		return nil, rejection.WithRetryAfter(int64(r.Balancer.RetryAfter(view, pool, p.model, now)))
@@ -71,6 +70,18 @@
 	return p, nil
 }
 
+// pauseError returns the error of a request for which all servers of the pool asked for a
+// pause; the first pause ends at the given time. A stream that has begun waits only for a
+// pause that ends in time.
+func (ex *exchange) pauseError(pool *catalog.Pool, until, now clock.Millis) *result.Error {
+	code := result.Overloaded
+	if ex.headerSent && until >= min(ex.deadline, now+resumeWait) {
+		code = result.DeadlineTooShort
+	}
+	rejection := result.New(code, "all servers of pool %s asked for a pause of %d ms; %s", pool.Name, until-now, ex.lastError)
+	return rejection.WithRetryAfter(retryAfterAtLeast(until - now))
+}
+
 // acquireRetry takes the planned attempt from the retry budget if the request has
 // reached a server before. If the budget is exhausted, it releases the attempt.
 func (ex *exchange) acquireRetry(p *plannedAttempt, now clock.Millis) *result.Error {
