--- a/internal/traffic/relay/announcements_test.go
+++ b/internal/traffic/relay/announcements_test.go
@@ -191,6 +191,31 @@
 	}
 }
 
+// firstVersionRouter allows the version v1 as long as one of its servers is in service.
+type firstVersionRouter struct{ AnyVersionRouter }
+
+func (firstVersionRouter) AllowedVersions(v *fleet.View, pool string, _ *Request, _ bool) func(string) bool {
+	for _, e := range v.Pool(pool) {
+		if e.Version == "v1" && v.InService(&e) {
+			return func(version string) bool { return version == "v1" }
+		}
+	}
+	return nil
+}
+
+// TestVersionOfDepartedServers has the only server of a version leave, while its entry says
+// that it is ready. Requests that would run on that version must run on another one.
+func TestVersionOfDepartedServers(t *testing.T) {
+	f := newFixture(t, routes(), announcing(respond("first")), respond("second"))
+	f.relay.VersionRouter = firstVersionRouter{}
+	entry, _ := f.currentView().Server("s1")
+	entry.Version = "v1"
+	f.setView(func(v *fleet.View) *fleet.View { return v.WithServer(entry.Server, 0) })
+	assert.Equal(t, f.send(http.MethodPost, "/read/1").body, "first")
+	time.Sleep(testDrainTime.Duration())
+	assert.Equal(t, f.send(http.MethodPost, "/read/1").body, "second")
+}
+
 // outcomeRecorder records the outcomes of attempts.
 type outcomeRecorder struct {
 	AnyVersionRouter
--- a/internal/traffic/versionrouting/router_test.go
+++ b/internal/traffic/versionrouting/router_test.go
@@ -174,12 +174,20 @@
 }
 
 // TestFallsBackToAnyVersion checks that requests may run on any version if the chosen one
-// has no server.
+// has no server that gets new requests.
 func TestFallsBackToAnyVersion(t *testing.T) {
-	d := newDaemon(fleet.Running, nil)
-	d.view = d.view.WithoutServer("v2")
-	d.clock.Advance(5_000)
-	assert.Equal(t, d.allowedVersions(earlySession(), false), "v1v2")
+	changes := map[string]func(v *fleet.View) *fleet.View{
+		"removed":        func(v *fleet.View) *fleet.View { return v.WithoutServer("v2") },
+		"out of service": func(v *fleet.View) *fleet.View { return v.WithOutOfService(map[string]bool{"v2": true}) },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			d := newDaemon(fleet.Running, nil)
+			d.view = change(d.view)
+			d.clock.Advance(5_000)
+			assert.Equal(t, d.allowedVersions(earlySession(), false), "v1v2")
+		})
+	}
 }
 
 // TestAnswerStatsPerOrder checks that outcomes are counted by version and route, and that
