Count a server as full that turns requests away without a pause

A 503 with Retry-After 0 asks for no pause, but set aside what the relay knows of a refusal without the header: that the server is full. It was chosen again and again, 13 of 30 requests.

Only a pause takes the place of counting the server as full now. TestZeroPauseCountsAsFull fails before (13 calls in place of 1), and passes after in three runs.

--- a/internal/traffic/relay/announcements_test.go
+++ b/internal/traffic/relay/announcements_test.go
@@ -127,6 +127,16 @@
 	assert.Equal(t, f.callsTo("s1"), 1)
 }
 
+// TestZeroPauseCountsAsFull has one of two servers turn requests away without a pause. For
+// some time it must be used less, as if it had only said that it is full.
+func TestZeroPauseCountsAsFull(t *testing.T) {
+	f := newFixture(t, routes(), turnAway(0, headerNotExecuted, "1"), respond("other"))
+	for i := range 30 {
+		assert.Equal(t, f.send(http.MethodPost, "/post/1", headerID, strconv.Itoa(i)).status, http.StatusOK)
+	}
+	assert.Equal(t, f.callsTo("s1"), 1)
+}
+
 // TestPausedPoolRejects has all servers turn requests away. Requests must be rejected at
 // once, and callers be told to return after the first pause, but not all at its end.
 func TestPausedPoolRejects(t *testing.T) {
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -156,7 +156,7 @@
 		r.OnServerReplaced(server.ID, now)
 		return ex.recordRefusal(server, "the address belongs to another server")
 	case info.NotExecuted:
-		if impliesNotExecuted(resp.Status) && !info.TurnedAway {
+		if impliesNotExecuted(resp.Status) && info.Pause == 0 {
 			r.Balancer.RecordAtCapacity(server, now)
 		}
 		return ex.recordRefusal(server, "not run: "+http.StatusText(resp.Status))
