Name what the announcements do by the field's terms

An interrupted stream's wait for a pause is also bounded by when the wait began rather than by the newest attempt, as awaitServer bounds it.

--- a/internal/decision/loadbalance/announcements.go
+++ b/internal/decision/loadbalance/announcements.go
@@ -212,9 +212,9 @@
 	return v.WithOutOfService(departed)
 }
 
-// StillWanted reports whether the server of a choice that was made earlier still accepts
+// StillAccepts reports whether the server of a choice that was made earlier still accepts
 // requests: it has neither left nor asked for a pause since.
-func (b *Balancer) StillWanted(c *Choice, now clock.Millis) bool {
+func (b *Balancer) StillAccepts(c *Choice, now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := b.announcements.of(&c.Server)
--- a/internal/decision/loadbalance/announcements_test.go
+++ b/internal/decision/loadbalance/announcements_test.go
@@ -118,8 +118,8 @@
 	c, result := place(b, v, 7, 1_100)
 	assert.Equal(t, result, Chosen)
 	assert.Equal(t, c.Server.ID, "engine-01")
-	assert.Assert(t, b.StillWanted(&c, 1_100))
-	assert.Assert(t, !b.StillWanted(&c, 1_000+testDrainTime))
+	assert.Assert(t, b.StillAccepts(&c, 1_100))
+	assert.Assert(t, !b.StillAccepts(&c, 1_000+testDrainTime))
 }
 
 // TestPausedServer checks which server gets a request while servers ask for pauses, and
@@ -273,7 +273,7 @@
 				}
 				c := planned[0]
 				planned = planned[1:]
-				if b.StillWanted(&c, now) {
+				if b.StillAccepts(&c, now) {
 					check(t, c)
 				}
 				b.Done(&c)
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -74,8 +74,11 @@
 // pause; the first pause ends at the given time. A stream that has begun waits only for a
 // pause that ends in time.
 func (ex *exchange) pauseError(pool *catalog.Pool, until, now clock.Millis) *result.Error {
-	code := result.Overloaded
-	if ex.headerSent && until >= min(ex.deadline, now+resumeWait) {
+	code, waitsSince := result.Overloaded, now
+	if ex.interruptedAt > 0 {
+		waitsSince = ex.interruptedAt
+	}
+	if ex.headerSent && until >= min(ex.deadline, waitsSince+resumeWait) {
 		code = result.DeadlineTooShort
 	}
 	rejection := result.New(code, "all servers of pool %s asked for a pause of %d ms; %s", pool.Name, until-now, ex.lastError)
@@ -93,10 +96,10 @@
 	return nil
 }
 
-// releaseUnwanted releases an attempt that was planned before its server announced that it
+// releaseOutdated releases an attempt that was planned before its server announced that it
 // wants no more requests. It returns nil then.
-func (ex *exchange) releaseUnwanted(p *plannedAttempt, now clock.Millis) *plannedAttempt {
-	if p == nil || ex.relay.Balancer.StillWanted(&p.choice, now) {
+func (ex *exchange) releaseOutdated(p *plannedAttempt, now clock.Millis) *plannedAttempt {
+	if p == nil || ex.relay.Balancer.StillAccepts(&p.choice, now) {
 		return p
 	}
 	ex.log("planned attempt dropped", &p.choice.Server)
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -177,7 +177,7 @@
 		return false, ex.deadlineError()
 	}
 	inBudget := ex.successor != nil // it was taken from the retry budget when it was planned
-	planned := ex.releaseUnwanted(ex.successor, now)
+	planned := ex.releaseOutdated(ex.successor, now)
 	ex.successor = nil
 	if planned == nil {
 		var rejection *result.Error
