--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -184,12 +184,14 @@
 func refreshPeerStats(c clock.Clock, manager *viewstate.Manager, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, router *versionrouting.Router, retryBudget *admission.SharedRetryBudget) {
 	view := manager.View()
 	stats.SetOwn(balancer.OwnLoads(), router.AnswerStats(), router.PinnedSessions(view))
+	stats.SetOwnDepartures(balancer.OwnDepartures(view))
 	balancer.SetPeerLoads(stats.PeerLoads(), c.Now())
+	balancer.SetPeerDepartures(stats.PeerDepartures(), c.Now())
 	retryBudget.SetHostCount(len(view.Hosts))
 	balancer.Retain(func(id string) bool {
 		_, known := view.Server(id)
 		return known
-	})
+	}, c.Now())
 }
 
 // readinessHandler answers the readiness checks of the load balancer with status 200
@@ -246,5 +248,6 @@
 		debug.SetMemoryLimit(int64(float64(s.Entry.MemoryMB) * memoryLimitShare * (1 << 20)))
 	}
 	d.RetryBudget.SetLimits(s.Entry.RepeatRatio, s.Entry.RepeatSlack)
+	d.Balancer.SetDrainTime(clock.Millis(s.Entry.DrainMs))
 	d.Log.SetLevel(hclog.LevelFromString(s.Log.Level))
 }
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -35,7 +35,7 @@
 // whether an earlier attempt gave no usable response.
 func (ex *exchange) planAttempt(excluded func(id string) bool, failed bool, now clock.Millis) (*plannedAttempt, *result.Error) {
 	r, req := ex.relay, ex.req
-	view := r.View()
+	view := r.Balancer.WithoutDeparted(r.View(), now)
 	route, account, err := ex.match(view)
 	if err != nil {
 		return nil, result.From(err)
@@ -61,6 +61,8 @@
 	switch outcome {
 	case loadbalance.NoServer:
 		return nil, result.New(result.NoServer, "pool %s has no server in service; %s", pool.Name, ex.lastError)
+	case loadbalance.Paused:
+		return nil, ex.pauseError(&pool, p.choice.PausedUntil, now)
 	case loadbalance.AtCapacity:
 		rejection := result.New(result.Overloaded, "all servers of pool %s are full; %s", pool.Name, ex.lastError)
 		return nil, rejection.WithRetryAfter(int64(r.Balancer.RetryAfter(view, pool, p.model, now)))
@@ -69,6 +71,21 @@
 	return p, nil
 }
 
+// pauseError returns the error of a request for which all servers of the pool asked for a
+// pause; the first pause ends at the given time. A stream that has begun waits only for a
+// pause that ends in time.
+func (ex *exchange) pauseError(pool *catalog.Pool, until, now clock.Millis) *result.Error {
+	code, waitsSince := result.Overloaded, now
+	if ex.interruptedAt > 0 {
+		waitsSince = ex.interruptedAt
+	}
+	if ex.headerSent && until >= min(ex.deadline, waitsSince+resumeWait) {
+		code = result.DeadlineTooShort
+	}
+	rejection := result.New(code, "all servers of pool %s asked for a pause of %d ms; %s", pool.Name, until-now, ex.lastError)
+	return rejection.WithRetryAfter(retryAfterAtLeast(until - now))
+}
+
 // acquireRetry takes the planned attempt from the retry budget if the request has
 // reached a server before. If the budget is exhausted, it releases the attempt.
 func (ex *exchange) acquireRetry(p *plannedAttempt, now clock.Millis) *result.Error {
@@ -80,6 +97,17 @@
 	return nil
 }
 
+// releaseOutdated releases an attempt that was planned before its server announced that it
+// wants no more requests. It returns nil then.
+func (ex *exchange) releaseOutdated(p *plannedAttempt, now clock.Millis) *plannedAttempt {
+	if p == nil || ex.relay.Balancer.StillAccepts(&p.choice, now) {
+		return p
+	}
+	ex.log("planned attempt dropped", &p.choice.Server)
+	ex.relay.Balancer.Done(&p.choice)
+	return nil
+}
+
 // successorPeriod is how often a silent attempt is checked for a server that can take
 // over.
 const successorPeriod = 250 * clock.Millis(1)
