Bound a request's runs and follow the newest policy of its route

- A route that became at-most-once, or got fewer attempts, while an attempt ran was retried by its old policy: the request ran twice where it must not.
- Attempts were counted by server, so a pool with one server that broke off every answer got 103 calls of one request in 0.1 s, until the retry budget of all requests was gone.

Change: a planned attempt is checked against the policy of the route that it was planned by, with the runs so far, and a request may run once more than the route's attempts.

--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"slices"
+
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
@@ -90,8 +92,16 @@
 // reached a server before. If the budget is exhausted, or the route that applies now allows
 // no further attempt, it releases the attempt. running is the server that the request still
 // runs on; nil if there is none.
-func (ex *exchange) acquireRetry(p *plannedAttempt, _ *fleet.Entry, now clock.Millis) *result.Error {
+func (ex *exchange) acquireRetry(p *plannedAttempt, running *fleet.Entry, now clock.Millis) *result.Error {
 	r := ex.relay
+	used := len(ex.executedOn)
+	if running != nil && !slices.Contains(ex.executedOn, running.ID) {
+		used++
+	}
+	if used > 0 && (p.route.RetryPolicy == catalog.AtMostOnce || used >= max(p.route.MaxAttempts, 1)) {
+		r.Balancer.Cancel(&p.choice)
+		return result.New(result.BackendFailed, "route %s allows no further attempt; %s", p.route.Name, ex.lastError)
+	}
 	if ex.reachedServer && !r.RetryBudget.TryAcquire(p.pool.Name, now) {
 		r.Balancer.Cancel(&p.choice)
 		return result.New(result.BackendRefused, "the retry budget is exhausted; %s", ex.lastError)
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -35,6 +35,7 @@
 	backendFailed   bool        // some attempt may have run and gave no usable response
 	attempts        int         // calls made to servers
 	reachedServer   bool        // some call reached a server, or may have
+	executions      int         // runs that gave no usable response, or whose answer was discarded
 	executedOn      []string    // servers on which the request ran or may have run
 	notExecutedOn   []string    // servers that did not run it: they refused it or could not be reached
 	mayHaveExecuted bool        // it may have run on some server
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -63,6 +63,7 @@
 // recordExecution records that the request ran or may have run on the server.
 func (ex *exchange) recordExecution(server *fleet.Entry) {
 	ex.mayHaveExecuted = true
+	ex.executions++
 	if !slices.Contains(ex.executedOn, server.ID) {
 		ex.executedOn = append(ex.executedOn, server.ID)
 	}
@@ -82,6 +83,11 @@
 	if len(ex.executedOn) >= max(ex.route.MaxAttempts, 1) {
 		return ex.executionError(result.New(result.BackendFailed, "failed on %d servers; %s", len(ex.executedOn), ex.lastError))
 	}
+	if ex.executions > max(ex.route.MaxAttempts, 1) {
+		// Servers are used again where a pool has few: one request must not take the retry
+		// budget of all others.
+		return ex.executionError(result.New(result.BackendFailed, "failed %d times; %s", ex.executions, ex.lastError))
+	}
 	return nil
 }
 
