Request the small model again when the largest has no server

Callers saw: 502, though a small model's answer had been in hand.

Cause: an escalation discards the small answer when an attempt on the largest model is planned; where that attempt is then refused, or its key has been revoked meanwhile, nothing led back. It was also planned at ejected servers.

Change: an escalation isn't planned at a server that is ejected or was tried; its attempt counts as one that replaced another, and once the largest model is rejected the small one is requested again, once. Keeping the small answer open until the largest responds was not taken: both servers would work on the request at the same time. An empty retry budget still ends it with 502.

--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -56,6 +56,9 @@
 	// if it doesn't. resumeDelay is the last pause in that wait, and pause the one before the
 	// next attempt.
 	interruptedAt, resumeDelay, pause clock.Millis
+	// escalation tells whether a small model's answer was discarded for the largest model's.
+	escalation escalation
+	smallModel int // index of the model whose answer was discarded
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -4,6 +4,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
 // largestModel returns the index of the route's largest model.
@@ -48,7 +49,7 @@
 // shouldEscalate reports whether a small model's answer, of which the caller has
 // received nothing yet, is discarded in favour of the largest model's.
 func (ex *exchange) shouldEscalate(info ResponseInfo, now clock.Millis) bool {
-	if !ex.req.AnyModel || ex.headerSent || ex.modelIndex >= ex.largestModel() || info.Confidence < 0 {
+	if !ex.req.AnyModel || ex.headerSent || ex.escalation != notEscalated || ex.modelIndex >= ex.largestModel() || info.Confidence < 0 {
 		return false
 	}
 	// One attempt is reserved for a retry after a server failure.
@@ -73,12 +74,25 @@
 // ratio returns a / b, with b at least 1 ms.
 func ratio(a, b clock.Millis) float64 { return float64(a) / float64(max(b, 1)) }
 
+// escalation is the state of a request whose small model's answer may be discarded.
+type escalation int
+
+const (
+	notEscalated escalation = iota
+	escalated               // the largest model is requested
+	fellBack                // the largest model had no server; the small one is requested again
+)
+
 // planEscalation plans an attempt on the largest model. It reports false if none can be
-// made, so that the small model's answer is kept.
+// made that is likely to succeed, so that the small model's answer is kept.
 func (ex *exchange) planEscalation(server *fleet.Entry, now clock.Millis) bool {
 	small := ex.modelIndex
 	ex.modelIndex = ex.largestModel()
 	next, rejection := ex.planAttempt(ex.isExcluded, ex.backendFailed, now)
+	if rejection == nil && next.choice.LastResort {
+		ex.relay.Balancer.Cancel(&next.choice)
+		rejection = result.New(result.NoServer, "only ejected servers are left")
+	}
 	if rejection == nil {
 		rejection = ex.acquireRetry(next, server, now)
 	}
@@ -88,6 +102,19 @@
 		return false
 	}
 	ex.releaseSuccessor()
-	ex.successor = next
+	ex.successor, ex.replaced = next, true
+	ex.escalation, ex.smallModel = escalated, small
+	return true
+}
+
+// fallBackToSmallModel requests the small model again if the largest has no server for the
+// request whose small answer was discarded. It reports false if there is nothing to fall
+// back to.
+func (ex *exchange) fallBackToSmallModel(rejection *result.Error) bool {
+	if ex.escalation != escalated || ex.headerSent {
+		return false
+	}
+	ex.escalation, ex.modelIndex = fellBack, ex.smallModel
+	ex.log("fell back to the small model", nil, "reason", rejection.Error())
 	return true
 }
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -252,7 +252,7 @@
 
 // reject ends the request with the rejection. It returns nil if the request may be retried.
 func (ex *exchange) reject(rejection *result.Error) error {
-	if ex.awaitServer(rejection) {
+	if ex.fallBackToSmallModel(rejection) || ex.awaitServer(rejection) {
 		return nil
 	}
 	return ex.rejectionError(rejection)
