Keep connections to servers that read a long body late

Callers saw: a stream cut in the middle, or 502 for a call, when a server answered before it had read a long body, or began to read it after 1.5 s.

Cause: TCP_USER_TIMEOUT of 1.5 s also ends a connection whose peer's receive window is full: the kernel gives up what it may not send, 1.75 s after the server stopped reading, while events still arrive. The relay takes that for the server's own break-off, after which a revoked key or an at-most-once route is final.

Change: a body over 32 KB may stay unread until the call's deadline; the limit returns with the connection to the pool. A server that vanishes in such a call is found by the limits of silence instead.

Evidence: TestLongBodyReadLate fails before for bodies of 130 KB and more.

--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -64,14 +64,19 @@
 		Timeout:         timeout,
 		KeepAliveConfig: keepAlive,
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				// If the option can't be set, keep-alive probes still detect a dead peer.
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
+			return setUserTimeout(raw, unackedTimeout)
 		},
 	}
 }
 
+// setUserTimeout sets how long sent bytes may stay unacknowledged.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	return raw.Control(func(fd uintptr) {
+		// If the option can't be set, keep-alive probes still detect a dead peer.
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
+	})
+}
+
 func (c *Client) pool(address string) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/traffic/h1/conn.go
+++ b/internal/traffic/h1/conn.go
@@ -13,6 +13,9 @@
 const (
 	readBufferBytes = 4 << 10 // several events of a stream
 	inlineBodyBytes = 2 << 10 // largest body that is written with the header: it fits any socket buffer
+	// receiveBufferBytes is the size up to which a server's socket takes a body that the
+	// server doesn't read yet.
+	receiveBufferBytes = 32 << 10
 )
 
 // conn is a connection to a backend server. It carries one call at a time.
@@ -21,6 +24,7 @@
 	reader    *bufio.Reader
 	pool      *pool
 	used      bool // has carried a call
+	longBody  bool // carries a body beyond receiveBufferBytes
 	idleSince time.Time
 	keepAlive time.Duration // idle time that the server allows; 0 if it did not say
 	patience  patience      // of the current call
@@ -75,6 +79,20 @@
 	return b
 }
 
+// limitUnread sets how long the peer may leave sent bytes unread. A peer that doesn't read
+// a body which exceeds its receive buffer acknowledges nothing more, and would count as
+// unreachable by the usual limit.
+func (c *conn) limitUnread(timeout time.Duration) {
+	syscallConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := syscallConn.SyscallConn(); err == nil {
+		// A connection that is closed already fails in its next write.
+		_ = setUserTimeout(raw, timeout)
+	}
+}
+
 // arrivedTimeout is how long a read whose wait is over looks for bytes that have arrived.
 const arrivedTimeout = time.Millisecond
 
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -105,6 +105,10 @@
 		_, err := c.Write(header.Bytes())
 		return &requestWritten, errors.Wrap(err, "write request")
 	}
+	if len(call.Body) > receiveBufferBytes {
+		c.limitUnread(max(time.Until(call.Deadline), unackedTimeout))
+		c.longBody = true
+	}
 	buffers := net.Buffers{header.Bytes(), call.Body}
 	go func() {
 		// A write error surfaces when the response is read.
@@ -176,6 +180,10 @@
 		c.pool.discard(c)
 		return
 	}
+	if c.longBody {
+		c.limitUnread(unackedTimeout)
+		c.longBody = false
+	}
 	_ = c.SetDeadline(time.Time{})
 	c.keepAlive = keepAliveTimeout(r.Header)
 	c.pool.put(c, time.Now())
--- a/internal/traffic/h1/silence_test.go
+++ b/internal/traffic/h1/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -91,3 +92,50 @@
 	}
 	assert.Check(t, err != nil, "the abandoned call got a response")
 }
+
+// TestLongBodyReadLate has a sound server pause before it reads a long body: at first it
+// doesn't read at all, or it answers first and reads on later. Its answer must arrive.
+func TestLongBodyReadLate(t *testing.T) {
+	cases := map[string]struct {
+		size  int
+		pause time.Duration
+		early bool
+	}{
+		"64 KB, 2.5 s":               {64 << 10, 2500 * time.Millisecond, false},
+		"72 KB, 2.5 s":               {72 << 10, 2500 * time.Millisecond, false},
+		"90 KB, 2.5 s":               {90 << 10, 2500 * time.Millisecond, false},
+		"130 KB, 2.5 s":              {130 << 10, 2500 * time.Millisecond, false},
+		"200 KB, 2.5 s":              {200 << 10, 2500 * time.Millisecond, false},
+		"300 KB, 2.5 s":              {300 << 10, 2500 * time.Millisecond, false},
+		"4 MB, 1.2 s":                {4 << 20, 1200 * time.Millisecond, false},
+		"4 MB, 2.5 s":                {4 << 20, 2500 * time.Millisecond, false},
+		"4 MB, answers first, 2.5 s": {4 << 20, 2500 * time.Millisecond, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := scriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				request, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				id := request.Header.Get(headerID)
+				if c.early {
+					write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\nContent-Length: 4\r\n\r\nhi")
+					time.Sleep(c.pause)
+					write(conn, "ho")
+					time.Sleep(time.Second)
+					return
+				}
+				time.Sleep(c.pause)
+				_, _ = io.Copy(io.Discard, request.Body)
+				write(conn, response(id, "hiho"))
+			})
+			request := newCall(address, "1")
+			request.Body = []byte(strings.Repeat("x", c.size))
+			body, err := call(t, newClient(), request)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "hiho")
+		})
+	}
+}
