Outlast a failing Accept, and drain before a listener's error ends the daemon

Callers saw: every request in flight on a host cut at once, streams in the middle, when its daemon ran out of file descriptors for a moment.

Cause: the server for peers returned on any error of Accept, so one EMFILE ended Run and with it the process. The server for callers had retried all along; the two had a loop each. And Run returned the error of a listener at once, without the graceful stop that SIGTERM gets, so any failure of a listener cut what was in flight.

When a listener fails all the same, Run makes the readiness check fail and drains as at a stop, then returns the error. The tests start daemons on listeners that they may replace.

--- a/internal/control/peer/server.go
+++ b/internal/control/peer/server.go
@@ -8,6 +8,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/accept"
 )
 
 const (
@@ -51,9 +53,10 @@
 	}
 }
 
-// Serve accepts and serves connections until the listener is closed. It returns nil if the
-// listener was closed or ctx has ended.
+// Serve accepts and serves connections until the listener is closed. It retries after
+// network errors, and returns nil if the listener was closed or ctx has ended.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	listener = accept.Retrying(s.log, listener)
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -24,6 +24,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/accept"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/logging"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
@@ -95,17 +96,25 @@
 	return d.Run(ctx, path)
 }
 
-// Run serves requests until ctx is done, then shuts down gracefully. It returns early if
-// a listener fails. The settings file at the path is reloaded when it changes.
+// Run serves requests until ctx is done or a listener fails, then shuts down gracefully.
+// It returns the error of the listener. The settings file at the path is reloaded when it
+// changes.
 func (d *Daemon) Run(ctx context.Context, path string) error {
-	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	listeners, err := d.listen()
 	if err != nil {
 		return err
 	}
+	return d.serve(ctx, path, listeners)
+}
+
+// serve is Run with open listeners.
+func (d *Daemon) serve(ctx context.Context, path string, listeners *listenerSet) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ctx, endReadiness := context.WithCancel(ctx)
+	defer endReadiness()
 	d.startControl(background)
-	callerServer := callerconn.NewServer(listeners.callers, d.CallerHandler)
+	callerServer := callerconn.NewServer(accept.Retrying(d.Log, listeners.callers), d.CallerHandler)
 	go clock.Every(background, limitsUpdatePeriod, func() {
 		if c := d.ViewState.View().Catalog; c != nil {
 			callerServer.SetLimits(c.Limits)
@@ -123,12 +132,17 @@
 	}
 	d.Log.Info("serving", "caller", d.Settings.Entry.Caller, "ready", d.Settings.Entry.Ready,
 		"store", d.Settings.Entry.Store, "peer", d.Settings.Listen.Peer)
+	var failure error
 	select {
-	case err := <-failures:
-		return err
+	case failure = <-failures:
+		d.Log.Error("a listener failed; stopping", "error", failure)
+		endReadiness()
 	case <-ctx.Done():
 	}
-	return d.stop(callerServer)
+	if err := d.stop(callerServer); failure == nil {
+		return err
+	}
+	return failure
 }
 
 const (
--- a/internal/program/entry/entry_test.go
+++ b/internal/program/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
@@ -81,6 +83,12 @@
 }
 
 func (d *deployment) startDaemon(name string) *runningDaemon {
+	d.t.Helper()
+	return d.startDaemonWith(name, func(*listenerSet) {})
+}
+
+// startDaemonWith starts a daemon whose listeners are changed before they serve.
+func (d *deployment) startDaemonWith(name string, change func(*listenerSet)) *runningDaemon {
 	d.t.Helper()
 	s := settings.Default()
 	s.Host, s.DataCentre = name, "dc-1"
@@ -92,7 +100,10 @@
 	r := &runningDaemon{t: d.t, settings: s, stop: stop, exited: make(chan error, 1)}
 	path := filepath.Join(d.t.TempDir(), "settings.hujson")
 	assert.NilError(d.t, os.WriteFile(path, []byte("{}"), 0o600))
-	go func() { r.exited <- daemon.Run(ctx, path) }()
+	listeners, err := daemon.listen()
+	assert.NilError(d.t, err)
+	change(listeners)
+	go func() { r.exited <- daemon.serve(ctx, path, listeners) }()
 	d.t.Cleanup(stop)
 	return r
 }
@@ -218,3 +229,39 @@
 	assert.Equal(t, status, 200)
 	assert.Assert(t, strings.HasPrefix(body, "answer of e2"), body)
 }
+
+// breakableListener returns errBroken from Accept once it is broken.
+type breakableListener struct {
+	net.Listener
+	broken chan struct{}
+}
+
+var errBroken = errors.New("broken")
+
+func (l *breakableListener) Accept() (net.Conn, error) {
+	<-l.broken
+	return nil, errBroken
+}
+
+// TestListenerFailureDrains breaks the listener for peers while a request is in flight. Its
+// caller must get the answer before the daemon returns the error, and the readiness check
+// must fail meanwhile.
+func TestListenerFailureDrains(t *testing.T) {
+	d := newDeployment(t)
+	server := d.startBackendServer("e1")
+	d.configure(1, "k1")
+	peers := &breakableListener{broken: make(chan struct{})}
+	daemon := d.startDaemonWith("entry-1", func(set *listenerSet) { peers.Listener, set.peers = set.peers, peers })
+	eventually(t, "served", func() bool { status, _ := daemon.request("k1"); return status == 200 })
+	server.release = make(chan struct{})
+	requests := server.requests.Load()
+	answered := make(chan int, 1)
+	go func() { status, _ := daemon.request("k1"); answered <- status }()
+	eventually(t, "request in flight", func() bool { return server.requests.Load() > requests || len(answered) > 0 })
+	close(peers.broken)
+	eventually(t, "readiness check fails", func() bool { status, _ := daemon.get(daemon.settings.Entry.Ready, "/"); return status == 503 })
+	assert.Equal(t, len(daemon.exited), 0, "the daemon must not return before the request in flight has ended")
+	close(server.release)
+	assert.Equal(t, <-answered, 200)
+	assert.ErrorIs(t, <-daemon.exited, errBroken)
+}
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -79,7 +79,7 @@
 	return d
 }
 
-// Serve accepts connections until the listener is closed. It retries after network errors.
+// Serve accepts connections until the listener is closed or fails.
 func (s *Server) Serve() error {
 	for {
 		conn, err := s.listener.Accept()
@@ -87,13 +87,6 @@
 			return nil
 		}
 		if err != nil {
-			var netErr net.Error
-			if errors.As(err, &netErr) {
-				// The process is out of file descriptors, or the caller has already
-				// disconnected.
-				time.Sleep(acceptRetryDelay)
-				continue
-			}
 			return errors.Wrap(err, "accept caller connection")
 		}
 		s.mu.Lock()
@@ -108,9 +101,6 @@
 	}
 }
 
-// acceptRetryDelay is the delay before Accept is retried after a network error.
-const acceptRetryDelay = 20 * time.Millisecond
-
 // Shutdown closes the listener and waits for in-flight requests until ctx ends. It returns
 // the first error of an HTTP server.
 func (s *Server) Shutdown(ctx context.Context) error {
