Apply raised limits to the open connections of callers

Callers saw: after a configuration that raised a limit, on connections that they had kept: 431 for a header that the new limit allows, 400 for a header sent within the new time, and a close within four fifths of the new idle limit, which loses a request that crosses it. They don't retry 400 or 431.

Cause: an http.Server can't change its limits, so each change started another one, and open connections stayed with the old. Those servers were kept for good, and Shutdown went through them one after the other, so a request in flight on an old one kept the idle connections of the newer ones open.

Change: one http.Server, whose own limits are the largest. The connections (conn.go) keep the limits: read deadlines for the header and for the idle time, which are looked up again when a read reaches one, and the size of the header for each request. A connection keeps a limit that is lowered, as before, since a request may be under way. The size of a header is now held exactly, with the new result 1010 (status 431); net/http let 4 KB more pass and answered without a code. A configuration can't allow headers over 1 MiB any more.

--- a/internal/foundation/result/code.go
+++ b/internal/foundation/result/code.go
@@ -27,6 +27,7 @@
 	SessionEnded      = Code{1007, "session_ended", http.StatusConflict, RunNo, 0, "The session's version was withdrawn; start a new session."}
 	SlowRequest       = Code{1008, "slow_request", http.StatusRequestTimeout, RunNo, 0, "The body did not arrive within limits.body_read_ms."}
 	UpgradeRefused    = Code{1009, "upgrade_refused", http.StatusNotImplemented, RunNo, 0, "Protocol upgrades and CONNECT are not served."}
+	HeaderTooLarge    = Code{1010, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, RunNo, 0, "The request header is over the limit of the configuration."}
 
 	NotConfirmed     = Code{2001, "not_confirmed", http.StatusServiceUnavailable, RunNo, 1000, "This daemon can't confirm that its configuration is current."}
 	Stopping         = Code{2002, "stopping", http.StatusServiceUnavailable, RunNo, 50, "This daemon is shutting down."}
@@ -64,7 +65,7 @@
 func All() []Code {
 	return []Code{
 		OK,
-		MalformedRequest, BodyTooLarge, UnknownCredential, NoRoute, NotAllowed, BadSessionToken, SessionEnded, SlowRequest, UpgradeRefused,
+		MalformedRequest, BodyTooLarge, UnknownCredential, NoRoute, NotAllowed, BadSessionToken, SessionEnded, SlowRequest, UpgradeRefused, HeaderTooLarge,
 		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured,
 		NoServer, BackendRefused, BackendFailed, BackendTimeout, AnswerMismatch, StreamCut, VersionWithdrawn, CallerLeft,
 		KeyRequired, KeyReused, InProgress, OutcomeUnknown, ClaimUnavailable,
--- /dev/null
+++ b/internal/traffic/callerconn/conn.go
@@ -0,0 +1,133 @@
+package callerconn
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+)
+
+// phase is what the server waits for on a connection.
+type phase int
+
+const (
+	phaseHeader phase = iota // the rest of a request header, or the first one
+	phaseIdle                // the next request
+	phaseActive              // nothing: a request is being served
+)
+
+// conn is a caller's connection. It limits how long the caller may be idle and may take to
+// send a header, by limits that may be raised meanwhile.
+type conn struct {
+	net.Conn
+	current func() catalog.Limits
+
+	mu     sync.Mutex // guards the fields below
+	limits catalog.Limits
+	phase  phase
+	since  time.Time // when the phase began
+}
+
+func newConn(c net.Conn, current func() catalog.Limits) *conn {
+	return &conn{Conn: c, current: current, limits: current(), since: time.Now()}
+}
+
+// Read reads from the connection. It returns a timeout error once a limit has passed.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		if err := c.setDeadline(); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.bytesArrived()
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.wasExtended() {
+			return n, err
+		}
+	}
+}
+
+// setDeadline sets the read deadline of the phase.
+func (c *conn) setDeadline() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseActive {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(c.deadline())
+}
+
+// deadline returns when the phase must end.
+func (c *conn) deadline() time.Time {
+	c.limits = larger(c.limits, c.current())
+	if c.phase == phaseIdle {
+		return c.since.Add(c.limits.IdleTimeout.Duration() + idleSlack)
+	}
+	return c.since.Add(c.limits.HeaderTimeout.Duration())
+}
+
+// wasExtended reports whether the phase may go on after a read reached its deadline.
+func (c *conn) wasExtended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase != phaseActive && time.Now().Before(c.deadline())
+}
+
+// bytesArrived ends the idle phase: a request header begins.
+func (c *conn) bytesArrived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle {
+		c.phase, c.since = phaseHeader, time.Now()
+	}
+}
+
+// requestBegan ends the limits of time, until requestEnded.
+func (c *conn) requestBegan() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseActive
+	// An error means that the connection is closed, which the next read returns.
+	_ = c.Conn.SetReadDeadline(time.Time{})
+}
+
+// headerLimit returns the size that a request header may have, in bytes.
+func (c *conn) headerLimit() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = larger(c.limits, c.current())
+	return c.limits.HeaderBytes
+}
+
+// requestEnded begins the idle phase.
+func (c *conn) requestEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = phaseIdle, time.Now()
+}
+
+// SetReadDeadline sets the deadline of reads. The HTTP server, which has no limits of its
+// own, would also remove those of the phase.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.IsZero() && c.phase != phaseActive {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite closes the sending side, so that a caller which still sends a body can read
+// the response. It has no effect on a connection that can't close one side.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -6,141 +6,135 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
-const (
-	// The defaults apply to limits that are not configured, and to all limits until a
-	// configuration is loaded.
-	defaultHeaderTimeout = 5 * time.Second
-	defaultIdleTimeout   = 30 * time.Second
-	defaultHeaderBytes   = 64 << 10
-	// idleSlack is added to the idle timeout, so that a caller which sends its next
-	// request at the end of the timeout does not find the connection closed.
-	idleSlack = 2 * time.Second
-)
+// maxHeaderBytes is the largest request header that a configuration can allow, in bytes.
+const maxHeaderBytes = 1 << 20
 
-// Server serves the connections of callers. An http.Server can't change its limits, so
-// SetLimits starts another one for the connections that are accepted from then on. Safe
-// for concurrent use.
+// Server serves the connections of callers. An http.Server can't change its limits, so they
+// are kept by the connections instead. Safe for concurrent use.
 type Server struct {
 	handler  http.Handler
-	listener net.Listener
-	stop     sync.Once
-	stopped  chan struct{} // closed by Shutdown
-
-	mu      sync.Mutex // guards the fields below
-	limits  catalog.Limits
-	servers []*http.Server // one per change of limits, newest last
-	conns   chan net.Conn  // of the newest HTTP server
+	listener *connListener
+	http     *http.Server
+	limits   atomic.Pointer[catalog.Limits] // of new connections
 }
 
 // NewServer returns a server with default limits. Serve must be called to accept
 // connections. The server closes the listener on Shutdown.
 func NewServer(listener net.Listener, handler http.Handler) *Server {
-	s := &Server{handler: handler, listener: listener, stopped: make(chan struct{})}
+	s := &Server{handler: handler}
+	s.listener = &connListener{Listener: listener, limits: s.currentLimits, closed: make(chan struct{})}
+	s.http = &http.Server{
+		Handler:        http.HandlerFunc(s.serveRequest),
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ConnState: func(c net.Conn, state http.ConnState) {
+			conn, ok := c.(*conn)
+			switch {
+			case !ok:
+			case state == http.StateActive:
+				conn.requestBegan()
+			case state == http.StateIdle:
+				conn.requestEnded()
+			}
+		},
+	}
 	s.SetLimits(catalog.Limits{})
 	return s
 }
 
-// SetLimits sets the limits of new connections; limits of 0 get their defaults. Open
-// connections keep their limits.
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// SetLimits sets the limits; limits of 0 get their defaults. An open connection keeps a
+// limit that is lowered: its caller may have sent a request under the old one.
 func (s *Server) SetLimits(limits catalog.Limits) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.servers) > 0 && limits == s.limits {
-		return
-	}
-	server := &http.Server{
-		Handler:           s.handler,
-		ReadHeaderTimeout: orDefault(limits.HeaderTimeout.Duration(), defaultHeaderTimeout),
-		IdleTimeout:       orDefault(limits.IdleTimeout.Duration(), defaultIdleTimeout) + idleSlack,
-		MaxHeaderBytes:    defaultHeaderBytes,
-	}
-	if limits.HeaderBytes > 0 {
-		server.MaxHeaderBytes = limits.HeaderBytes
+	limits = withDefaults(limits)
+	s.limits.Store(&limits)
+}
+
+func (s *Server) currentLimits() catalog.Limits { return *s.limits.Load() }
+
+// serveRequest passes the request to the handler unless its header is too large.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if conn, ok := r.Context().Value(connKey{}).(*conn); ok {
+		limit := conn.headerLimit()
+		if size := headerBytes(r); size > limit {
+			w.Header().Set("Connection", "close")
+			result.Write(w, result.New(result.HeaderTooLarge, "the header has %d bytes, more than %d", size, limit), "")
+			return
+		}
 	}
-	conns := make(chan net.Conn)
-	s.limits, s.conns, s.servers = limits, conns, append(s.servers, server)
-	go func() {
-		// Returns when the server is shut down.
-		_ = server.Serve(&connListener{conns: conns, address: s.listener.Addr(), closed: make(chan struct{})})
-	}()
+	s.handler.ServeHTTP(w, r)
 }
 
-func orDefault(d, defaultValue time.Duration) time.Duration {
-	if d <= 0 {
-		return defaultValue
+// headerBytes returns the least size in which the header of the request can be sent, in
+// bytes: optional white space is not counted.
+func headerBytes(r *http.Request) int {
+	const separators = len(":\r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
 	}
-	return d
+	return size
 }
 
 // Serve accepts connections until the listener is closed or fails.
 func (s *Server) Serve() error {
-	for {
-		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "accept caller connection")
-		}
-		s.mu.Lock()
-		conns := s.conns
-		s.mu.Unlock()
-		select {
-		case conns <- conn:
-		case <-s.stopped:
-			// No HTTP server may take it any more. The caller sees that nothing was read.
-			_ = conn.Close()
-		}
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
+	return errors.Wrap(err, "accept caller connection")
 }
 
-// Shutdown closes the listener and waits for in-flight requests until ctx ends. It returns
-// the first error of an HTTP server.
+// Shutdown closes the listener and waits for in-flight requests until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	_ = s.listener.Close()
-	s.stop.Do(func() { close(s.stopped) })
-	s.mu.Lock()
-	servers := s.servers
-	s.mu.Unlock()
-	var firstErr error
-	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil && firstErr == nil {
-			firstErr = errors.WithStack(err)
-		}
-	}
-	return firstErr
+	return errors.WithStack(s.http.Shutdown(ctx))
 }
 
-// connListener is a listener whose connections were accepted by Server.Serve.
+// connListener is a listener whose connections keep the limits.
 type connListener struct {
-	conns     chan net.Conn
-	address   net.Addr
+	net.Listener
+	limits    func() catalog.Limits
 	closeOnce sync.Once
 	closed    chan struct{}
 }
 
-// Accept returns the next connection from conns, or net.ErrClosed after Close.
+// Accept returns the next connection, or net.ErrClosed after Close.
 func (l *connListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
 	select {
-	case conn := <-l.conns:
-		return conn, nil
 	case <-l.closed:
+		// The HTTP server no longer serves it. The caller sees that nothing was read.
+		_ = c.Close()
 		return nil, net.ErrClosed
+	default:
+		return newConn(c, l.limits), nil
 	}
 }
 
 // Close makes Accept return net.ErrClosed. It may be called more than once.
 func (l *connListener) Close() error {
-	l.closeOnce.Do(func() { close(l.closed) })
-	return nil
+	var err error
+	l.closeOnce.Do(func() {
+		close(l.closed)
+		err = l.Listener.Close()
+	})
+	return err
 }
-
-// Addr returns the address of the listener that accepts the connections.
-func (l *connListener) Addr() net.Addr { return l.address }
