End writes to a caller that stopped reading soon after the deadline

Callers saw nothing at first: the one that stopped reading had given up. But its exchange, with a place on the backend server, stayed for as long as it kept its connection, and a stop of the daemon waited for it.

Cause: a write blocks once the buffers of the connection are full, and nothing limited it. The request's deadline ends what is read from the backend server, which the exchange no longer reached.

Change: the relay writes through callerWriter, which sets the connection's write deadline at the first write: the request's deadline and 1 s. net/http removes it after each response; TestKeptConnectionAfterWriteDeadline holds on to that, so the next request on the connection isn't cut.

Measured: the package's tests, those of program/entry and platform: green.

--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -112,7 +112,8 @@
 	if _, stopping := r.shutdownTime(); stopping {
 		w.Header().Set("Connection", "close")
 	}
-	ex := &exchange{relay: r, req: req, httpReq: httpReq, w: w}
+	ex := &exchange{relay: r, req: req, httpReq: httpReq}
+	ex.w = &callerWriter{ResponseWriter: w, ex: ex}
 	err := ex.serve()
 	if err == nil {
 		ex.finishWithResponse()
