Reset the connection of an HTTP/1.0 caller whose response is interrupted

Callers saw, with HTTP/1.0: a stream cut in the middle that looked complete.

Cause: an HTTP/1.0 response without Content-Length ends with its connection, since there is no chunked encoding. An interrupted one was closed in order as well, so both ends looked the same.

Change: when a response to such a caller is aborted, the relay takes over the connection and resets it. What the caller had received stays readable before the error. The connections of callerconn pass the linger time on. A process that ends with such a response open still closes it in order.

--- a/internal/traffic/callerconn/conn.go
+++ b/internal/traffic/callerconn/conn.go
@@ -131,3 +131,13 @@
 	}
 	return nil
 }
+
+// SetLinger sets how long closing waits for unsent data, in seconds; with 0 it resets the
+// connection. It returns an error for a connection that can't be reset.
+func (c *conn) SetLinger(sec int) error {
+	tcp, ok := c.Conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return errors.Errorf("connection of type %T can't be reset", c.Conn)
+	}
+	return errors.WithStack(tcp.SetLinger(sec))
+}
--- a/internal/traffic/relay/caller_writer.go
+++ b/internal/traffic/relay/caller_writer.go
@@ -47,3 +47,19 @@
 		w.ex.log("no write deadline", nil, "error", err.Error())
 	}
 }
+
+// resetConn resets the caller's connection. An HTTP/1.0 caller would take the response for
+// complete if the connection were closed in order: its length need not be stated.
+func (ex *exchange) resetConn(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		ex.log("failed to reset the connection", nil, "error", err.Error())
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); !ok {
+		ex.log("failed to reset the connection", nil, "error", "it has no linger time")
+	} else if err := tcp.SetLinger(0); err != nil {
+		ex.log("failed to reset the connection", nil, "error", err.Error())
+	}
+}
--- a/internal/traffic/relay/caller_writer_test.go
+++ b/internal/traffic/relay/caller_writer_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -93,6 +95,33 @@
 	}
 }
 
+// TestInterruptionShowsWithoutLength has a response without length to an HTTP/1.0 caller
+// break off. It must not look complete, and one that is complete must not look interrupted.
+func TestInterruptionShowsWithoutLength(t *testing.T) {
+	cases := map[string]struct {
+		server  behaviour
+		want    string
+		aborted bool
+	}{
+		"interrupted": {sendEvents(2, 5), events(1, 2), true},
+		"complete":    {sendEvents(5, 5), events(1, 5), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, streamRoutes(), c.server)
+			conn, reader := f.dial("/once/1", "HTTP/1.0")
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(8*time.Second)))
+			response, err := http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, string(body), c.want)
+			assert.Equal(t, errors.Is(err, syscall.ECONNRESET), c.aborted, "%v", err)
+		})
+	}
+}
+
 // waitFor waits until the condition holds, and fails the test after the time.
 func waitFor(t *testing.T, within time.Duration, condition func() bool) {
 	t.Helper()
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -114,12 +114,18 @@
 	}
 	ex := &exchange{relay: r, req: req, httpReq: httpReq}
 	ex.w = &callerWriter{ResponseWriter: w, ex: ex}
-	err := ex.serve()
-	if err == nil {
+	ended := false
+	defer func() {
+		if !ended && !httpReq.ProtoAtLeast(1, 1) {
+			ex.resetConn(w)
+		}
+	}()
+	if err := ex.serve(); err != nil {
+		ex.finishWithError(err)
+	} else {
 		ex.finishWithResponse()
-		return
 	}
-	ex.finishWithError(err)
+	ended = true
 }
 
 // match returns the request's route and client account in the view's configuration.
