Take SIGHUP from the start of the process on

Callers saw: the requests of a host refused for the time of a restart, when SIGHUP came while its daemon started; an operator who changes the settings of all hosts sends it to each, whether or not it has just started.

Cause: SIGHUP was registered when the watch of the settings began, after the listeners had opened. Until then it ended the process. Of the same class: the watch read the file anew as its first content, so a change between the first read and that one was never applied.

Change: openSettings registers the signal before it reads the file, and the watch begins with the content that the daemon was assembled from. A signal during the start makes the watch read the file at once.

--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -79,7 +79,7 @@
 
 // Main loads the settings file at the path and runs the daemon until ctx is done.
 func Main(ctx context.Context, path string) error {
-	s, err := settings.Load(path)
+	file, s, err := openSettings(path)
 	if err != nil {
 		return err
 	}
@@ -93,22 +93,21 @@
 		return err
 	}
 	d.applySettings(s)
-	return d.Run(ctx, path)
+	return d.Run(ctx, file)
 }
 
 // Run serves requests until ctx is done or a listener fails, then shuts down gracefully.
-// It returns the error of the listener. The settings file at the path is reloaded when it
-// changes.
-func (d *Daemon) Run(ctx context.Context, path string) error {
+// It returns the error of the listener. The settings file is reloaded when it changes.
+func (d *Daemon) Run(ctx context.Context, file *settingsFile) error {
 	listeners, err := d.listen()
 	if err != nil {
 		return err
 	}
-	return d.serve(ctx, path, listeners)
+	return d.serve(ctx, file, listeners)
 }
 
 // serve is Run with open listeners.
-func (d *Daemon) serve(ctx context.Context, path string, listeners *listenerSet) error {
+func (d *Daemon) serve(ctx context.Context, file *settingsFile, listeners *listenerSet) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	ctx, endReadiness := context.WithCancel(ctx)
@@ -120,7 +119,7 @@
 			callerServer.SetLimits(c.Limits)
 		}
 	})
-	go d.watchSettings(background, path)
+	go d.watchSettings(background, file)
 	readiness := &http.Server{Handler: d.readinessHandler(ctx), ReadHeaderTimeout: readHeaderTimeout}
 	d.registerGauges()
 	failures := make(chan error, listenerCount)
--- a/internal/program/entry/entry_test.go
+++ b/internal/program/entry/entry_test.go
@@ -100,10 +100,11 @@
 	r := &runningDaemon{t: d.t, settings: s, stop: stop, exited: make(chan error, 1)}
 	path := filepath.Join(d.t.TempDir(), "settings.hujson")
 	assert.NilError(d.t, os.WriteFile(path, []byte("{}"), 0o600))
+	file := &settingsFile{path: path, last: []byte("{}"), hangUp: make(chan os.Signal, 1)}
 	listeners, err := daemon.listen()
 	assert.NilError(d.t, err)
 	change(listeners)
-	go func() { r.exited <- daemon.serve(ctx, path, listeners) }()
+	go func() { r.exited <- daemon.serve(ctx, file, listeners) }()
 	d.t.Cleanup(stop)
 	return r
 }
--- a/internal/program/entry/reload.go
+++ b/internal/program/entry/reload.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
 )
 
@@ -14,39 +16,54 @@
 // a signal.
 const settingsPollPeriod = 3 * time.Second
 
+// settingsFile is the settings file of a daemon, with the signal that announces a change.
+type settingsFile struct {
+	path   string
+	last   []byte // content that was last read
+	hangUp chan os.Signal
+}
+
+// openSettings reads the settings file at the path. SIGHUP no longer ends the process from
+// then on, even before the daemon watches the file.
+func openSettings(path string) (*settingsFile, settings.Settings, error) {
+	f := &settingsFile{path: path, hangUp: make(chan os.Signal, 1)}
+	signal.Notify(f.hangUp, syscall.SIGHUP)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, settings.Settings{}, errors.Wrap(err, "settings")
+	}
+	f.last = text
+	s, err := settings.Parse(text)
+	return f, s, err
+}
+
 // watchSettings applies the settings file when its content changes. SIGHUP triggers a
 // check at once.
-func (d *Daemon) watchSettings(ctx context.Context, path string) {
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
+func (d *Daemon) watchSettings(ctx context.Context, file *settingsFile) {
+	defer signal.Stop(file.hangUp)
 	ticker := time.NewTicker(settingsPollPeriod)
 	defer ticker.Stop()
-	last, err := os.ReadFile(path)
-	if err != nil {
-		d.Log.Warn("failed to read settings; the next successful read applies them", "error", err.Error())
-	}
 	for {
 		signalled := false
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangUp:
+		case <-file.hangUp:
 			signalled = true
 		case <-ticker.C:
 		}
-		text, err := os.ReadFile(path)
+		text, err := os.ReadFile(file.path)
 		if err != nil {
 			d.Log.Error("failed to read settings; keeping the current ones", "error", err.Error())
 			continue
 		}
-		if string(text) == string(last) {
+		if string(text) == string(file.last) {
 			if signalled {
 				d.Log.Info("settings unchanged")
 			}
 			continue
 		}
-		last = text
+		file.last = text
 		s, err := settings.Parse(text)
 		if err != nil {
 			d.Log.Error("invalid settings; keeping the current ones", "error", err.Error())
