--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -24,6 +24,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/accept"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/logging"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
@@ -78,7 +79,7 @@
 
 // Main loads the settings file at the path and runs the daemon until ctx is done.
 func Main(ctx context.Context, path string) error {
-	s, err := settings.Load(path)
+	file, s, err := openSettings(path)
 	if err != nil {
 		return err
 	}
@@ -92,26 +93,33 @@
 		return err
 	}
 	d.applySettings(s)
-	return d.Run(ctx, path)
+	return d.Run(ctx, file)
 }
 
-// Run serves requests until ctx is done, then shuts down gracefully. It returns early if
-// a listener fails. The settings file at the path is reloaded when it changes.
-func (d *Daemon) Run(ctx context.Context, path string) error {
-	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+// Run serves requests until ctx is done or a listener fails, then shuts down gracefully.
+// It returns the error of the listener. The settings file is reloaded when it changes.
+func (d *Daemon) Run(ctx context.Context, file *settingsFile) error {
 	listeners, err := d.listen()
 	if err != nil {
 		return err
 	}
+	return d.serve(ctx, file, listeners)
+}
+
+// serve is Run with open listeners.
+func (d *Daemon) serve(ctx context.Context, file *settingsFile, listeners *listenerSet) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ctx, endReadiness := context.WithCancel(ctx)
+	defer endReadiness()
 	d.startControl(background)
-	callerServer := callerconn.NewServer(listeners.callers, d.CallerHandler)
+	callerServer := callerconn.NewServer(accept.Retrying(d.Log, listeners.callers), d.CallerHandler)
 	go clock.Every(background, limitsUpdatePeriod, func() {
 		if c := d.ViewState.View().Catalog; c != nil {
 			callerServer.SetLimits(c.Limits)
 		}
 	})
-	go d.watchSettings(background, path)
+	go d.watchSettings(background, file)
 	readiness := &http.Server{Handler: d.readinessHandler(ctx), ReadHeaderTimeout: readHeaderTimeout}
 	d.registerGauges()
 	failures := make(chan error, listenerCount)
@@ -123,12 +131,17 @@
 	}
 	d.Log.Info("serving", "caller", d.Settings.Entry.Caller, "ready", d.Settings.Entry.Ready,
 		"store", d.Settings.Entry.Store, "peer", d.Settings.Listen.Peer)
+	var failure error
 	select {
-	case err := <-failures:
-		return err
+	case failure = <-failures:
+		d.Log.Error("a listener failed; stopping", "error", failure)
+		endReadiness()
 	case <-ctx.Done():
 	}
-	return d.stop(callerServer)
+	if err := d.stop(callerServer); failure == nil {
+		return err
+	}
+	return failure
 }
 
 const (
