--- a/internal/proof/soak/oracle_test.go
+++ b/internal/proof/soak/oracle_test.go
@@ -175,22 +175,7 @@
 	defer o.mu.Unlock()
 	violations := o.violations
 	for id, r := range o.requests {
-		executions := o.executions[id]
-		if r.kind.atMostOnce() {
-			if len(executions) > 1 {
-				violations = append(violations, fmt.Sprintf("%s, a %s, ran %d times", id, r.kind, len(executions)))
-			}
-			if (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && len(executions) > 0 {
-				violations = append(violations, fmt.Sprintf("%s, a %s, was rejected as not run by %s but ran on %s", id, r.kind, r.daemon.name, executions[0].engine.id))
-			}
-		}
-		if r.status >= 400 && r.status < 500 && r.status != http.StatusTooManyRequests && !o.mayLackKey(r) {
-			violations = append(violations, fmt.Sprintf("%s was rejected by %s with status %d", id, r.daemon.name, r.status))
-		}
-		if r.interrupted && o.undisturbed(r.daemon, r.startedAt, r.endedAt, "stop") && !crossedClose(r, executions) && !o.outlastedStop(r, executions) {
-			violations = append(violations, fmt.Sprintf("%s, a %s, was interrupted by %s after %v with no disruption but a planned stop; it ran %d times", id, r.kind, r.daemon.name, r.endedAt.Sub(r.startedAt), len(executions)))
-		}
-		violations = append(violations, o.checkDraining(r, executions)...)
+		violations = append(violations, o.checkRequest(r, o.executions[id])...)
 	}
 	violations = append(violations, o.checkArrivals()...)
 	for id := range o.executions {
@@ -201,6 +186,25 @@
 	return violations
 }
 
+// checkRequest returns the violations of one request. o.mu must be held.
+func (o *oracle) checkRequest(r *request, executions []*execution) (violations []string) {
+	if r.kind.atMostOnce() {
+		if len(executions) > 1 {
+			violations = append(violations, fmt.Sprintf("%s, a %s, ran %d times", r.id, r.kind, len(executions)))
+		}
+		if (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && len(executions) > 0 {
+			violations = append(violations, fmt.Sprintf("%s, a %s, was rejected as not run by %s but ran on %s", r.id, r.kind, r.daemon.name, executions[0].engine.id))
+		}
+	}
+	if r.status >= 400 && r.status < 500 && r.status != http.StatusTooManyRequests && !o.mayLackKey(r) {
+		violations = append(violations, fmt.Sprintf("%s was rejected by %s with status %d", r.id, r.daemon.name, r.status))
+	}
+	if r.interrupted && o.undisturbed(r.daemon, r.startedAt, r.endedAt, "stop") && !crossedClose(r, executions) && !o.outlastedStop(r, executions) {
+		violations = append(violations, fmt.Sprintf("%s, a %s, was interrupted by %s after %v with no disruption but a planned stop; it ran %d times", r.id, r.kind, r.daemon.name, r.endedAt.Sub(r.startedAt), len(executions)))
+	}
+	return append(violations, o.checkDraining(r, executions)...)
+}
+
 // maxUnread is how long a daemon may hold an unread request before it closes the connection.
 const maxUnread = 200 * time.Millisecond
 
