End reads of a busy body at the deadline, and pass on any number of informational responses

A read whose deadline had passed looked once more at the socket, so a server that sends without a pause was read beyond the call's deadline (TestDeadlineEndsBusyBody fails before). Three informational responses before the final one counted as responses to other requests and gave 502 (TestInformationalResponses fails before).

--- a/internal/traffic/h1/conn.go
+++ b/internal/traffic/h1/conn.go
@@ -122,7 +122,7 @@
 // the response may have arrived while the process stood still.
 func (c *conn) readOrPoll(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(c.patience.deadline) {
 		return n, err
 	}
 	_ = c.SetReadDeadline(time.Now().Add(arrivedTimeout))
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -123,7 +123,7 @@
 // send a late second response to an earlier request.
 func (c *Client) readHeader(conn *conn, call *Call) (*Response, error) {
 	request := &http.Request{Method: call.Method}
-	for range maxResponsesRead {
+	for unrelated := 0; unrelated < maxResponsesRead; {
 		response, err := http.ReadResponse(conn.reader, request) //nolint:bodyclose // Response.Close ends the exchange; the body has nothing to close.
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
@@ -140,6 +140,7 @@
 				conn:           conn,
 			}, nil
 		}
+		unrelated++
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			break
 		}
--- a/internal/traffic/h1/silence_test.go
+++ b/internal/traffic/h1/silence_test.go
@@ -139,3 +139,43 @@
 		})
 	}
 }
+
+// TestDeadlineEndsBusyBody has a server send without a pause beyond the call's deadline. The
+// reads must end there.
+func TestDeadlineEndsBusyBody(t *testing.T) {
+	address, _ := scriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		id, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+			if _, err := io.WriteString(conn, "1\r\nx\r\n"); err != nil {
+				return
+			}
+		}
+	})
+	request := newCall(address, "1")
+	request.Deadline = time.Now().Add(300 * time.Millisecond)
+	request.OnSilence = func() time.Duration { return time.Second }
+	resp, err := newClient().Do(t.Context(), request)
+	assert.NilError(t, err)
+	defer resp.Close()
+	resp.LimitSilence(100 * time.Millisecond)
+	_, err = io.Copy(io.Discard, resp)
+	assert.Assert(t, isTimeout(err), "%v", err)
+	assert.Assert(t, time.Since(request.Deadline) < 500*time.Millisecond)
+}
+
+// TestInformationalResponses has a server send several informational responses before the
+// final one, which must be returned.
+func TestInformationalResponses(t *testing.T) {
+	address, _ := scriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		if id, err := readRequest(r); err == nil {
+			write(conn, strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 5)+response(id, "final"))
+		}
+	})
+	body, err := call(t, newClient(), newCall(address, "1"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "final")
+}
