--- a/internal/control/peerfeed/store_test.go
+++ b/internal/control/peerfeed/store_test.go
@@ -240,6 +240,34 @@
 	}
 }
 
+// TestPageStatesLastFailure checks that the first page after an outage states when the last
+// failed call to the store began, whether it comes from the store or from the leader.
+// Guards against waiting too long for servers that left during the outage.
+func TestPageStatesLastFailure(t *testing.T) {
+	cases := map[string]func(p *pair){
+		"from the store":  func(p *pair) { p.followerStore.unavailable = false },
+		"from the leader": func(p *pair) { clear(p.follower.skippedUntil) },
+	}
+	for name, recoverPath := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.follower.skipLeader(p.leader.SelfAddress, "t", errLeaderUnavailable)
+			p.followerStore.unavailable = true
+			before := p.follower.Clock.Now()
+			_, err := p.follower.Changes(t.Context(), "t", p.followerVersion, 0)
+			assert.ErrorIs(t, err, rowstore.ErrUnavailable)
+			after := p.follower.Clock.Now()
+			recoverPath(p)
+			p.store.put("b", "2")
+			p.pollLeader()
+			page, err := p.follower.Changes(t.Context(), "t", p.followerVersion, 0)
+			assert.NilError(t, err)
+			assert.Equal(t, page.FromPeer, name == "from the leader")
+			assert.Assert(t, page.StoreFailedAt >= before && page.StoreFailedAt <= after)
+		})
+	}
+}
+
 // TestOnlyLeaderListsAfterCompaction checks that after the store has compacted its
 // history, the leader reads the complete table and the follower gets the differences
 // from the leader, without a store call of its own.
