Let the probes of a failing store and the wait follow entry.calm_ms

Cause: set the probes 0.5 s apart and the wait for a lapsed registration to 2.65 s for all sites, which is what an entry.calm_ms of 3 s needs.

Change: the starts of probes are at most half of what entry.calm_ms leaves after the two seconds of a live server apart, up to 1.2 s (0.5, 1.0, 1.2 s for 3, 4, 5 s), and a missing registration counts as gone entry.calm_ms - 0.35 s after the start of the last failed call. Worst case, worked out from the return: gone after 2.85, 3.85, 4.3 s; a lost response 2.95, 3.9, 4.85 s.

--- a/internal/control/peerfeed/breaker.go
+++ b/internal/control/peerfeed/breaker.go
@@ -12,10 +12,15 @@
 const (
 	// The interval between probes of a failing store doubles from the minimum to the
 	// maximum. The store bills every call, even a rejected one, and changes made
-	// during an outage must be applied within about two seconds of its end. It also
-	// bounds how well the time of the store's return is known.
-	minProbeInterval = 100 * clock.Millis(1)
-	maxProbeInterval = 500 * clock.Millis(1)
+	// during an outage must be applied soon after its end. The maximum is a share of the
+	// time that is left after reregistrationTimeout, as it bounds how well the time of the
+	// store's return is known.
+	minProbeInterval  = 100 * clock.Millis(1)
+	maxProbeInterval  = 1_200 * clock.Millis(1)
+	probeIntervalPart = 2
+	// reregistrationTimeout is the time within which a live server registers again after
+	// the store's return.
+	reregistrationTimeout = 2_000 * clock.Millis(1)
 	// probeJitter is the fraction of the interval by which it is shortened at random,
 	// so that the daemons do not probe at the same time.
 	probeJitter = 0.3
@@ -27,7 +32,8 @@
 // fails, it admits one call at a time as a probe. Safe for concurrent use.
 type breaker struct {
 	clock         clock.Clock
-	mu            sync.Mutex // guards the fields below
+	maxInterval   clock.Millis // between the starts of probes
+	mu            sync.Mutex   // guards the fields below
 	failing       bool
 	probeInterval clock.Millis
 	nextProbe     clock.Millis  // earliest time of the next probe
@@ -35,7 +41,12 @@
 	callDone      chan struct{} // closed and replaced when a call has ended
 }
 
-func newBreaker(c clock.Clock) *breaker { return &breaker{clock: c, callDone: make(chan struct{})} }
+// newBreaker returns the breaker of a store after whose return changes must again be
+// applied in time once recovery is over.
+func newBreaker(c clock.Clock, recovery clock.Millis) *breaker {
+	maxInterval := min(max((recovery-reregistrationTimeout)/probeIntervalPart, minProbeInterval), maxProbeInterval)
+	return &breaker{clock: c, maxInterval: maxInterval, callDone: make(chan struct{})}
+}
 
 // acquire blocks until a call may be made. Returns rowstore.ErrUnavailable if ctx is
 // done first, or if it would leave less than answerTimeout for the call: a probe that is
@@ -88,7 +99,7 @@
 	if answered {
 		b.probeInterval = 0
 	} else {
-		b.probeInterval = min(max(2*b.probeInterval, minProbeInterval), maxProbeInterval)
+		b.probeInterval = min(max(2*b.probeInterval, minProbeInterval), b.maxInterval)
 		b.nextProbe = startedAt + b.probeInterval - clock.Millis(rand.Float64()*probeJitter*float64(b.probeInterval))
 		b.failedAt = max(b.failedAt, startedAt)
 	}
--- a/internal/control/peerfeed/store.go
+++ b/internal/control/peerfeed/store.go
@@ -44,6 +44,9 @@
 	Leaders func() []string
 	// ApplyTimeout is the time within which every daemon must apply a change.
 	ApplyTimeout clock.Millis
+	// Recovery is the time after a store outage from which on changes must again be
+	// applied in time.
+	Recovery clock.Millis
 }
 
 // Store is a rowstore.Store that gets changes from a leader where there is one. Safe
@@ -60,7 +63,7 @@
 // New returns a store that calls c.RowStore where no leader responds.
 func New(c Config) *Store {
 	return &Store{
-		Config: c, breaker: newBreaker(c.Clock), histories: make(map[string]*history), skippedUntil: make(map[string]clock.Millis),
+		Config: c, breaker: newBreaker(c.Clock, c.Recovery), histories: make(map[string]*history), skippedUntil: make(map[string]clock.Millis),
 	}
 }
 
--- a/internal/control/peerfeed/store_test.go
+++ b/internal/control/peerfeed/store_test.go
@@ -18,6 +18,9 @@
 // elapse unless they say so.
 const applyTimeout = 2_000 * clock.Millis(1)
 
+// recovery is the time after an outage in which probes are at most 500 ms apart.
+const recovery = 3_000 * clock.Millis(1)
+
 // memoryStore is a row store with one table, in memory.
 type memoryStore struct {
 	mu        sync.Mutex
@@ -136,9 +139,9 @@
 	p.listener = listener
 	address := listener.Addr().String()
 	system := clock.NewSystem()
-	p.leader = New(Config{Log: hclog.NewNullLogger(), Clock: system, RowStore: p.leaderStore, ApplyTimeout: applyTimeout, SelfAddress: address, Leaders: func() []string { return []string{address} }})
+	p.leader = New(Config{Log: hclog.NewNullLogger(), Clock: system, RowStore: p.leaderStore, ApplyTimeout: applyTimeout, Recovery: recovery, SelfAddress: address, Leaders: func() []string { return []string{address} }})
 	p.follower = New(Config{
-		Log: hclog.NewNullLogger(), Clock: system, RowStore: p.followerStore, ApplyTimeout: applyTimeout, Peers: peer.NewClient("", nil),
+		Log: hclog.NewNullLogger(), Clock: system, RowStore: p.followerStore, ApplyTimeout: applyTimeout, Recovery: recovery, Peers: peer.NewClient("", nil),
 		Leaders: func() []string { return []string{address} },
 	})
 	p.leader.Register(p.server)
--- a/internal/control/viewstate/manager.go
+++ b/internal/control/viewstate/manager.go
@@ -29,10 +29,11 @@
 	stale   atomic.Bool // changes in the store may have been missed
 }
 
-// New returns a manager with an empty view.
-func New(log hclog.Logger, c clock.Clock) *Manager {
+// New returns a manager with an empty view. Once recovery is over after a store outage,
+// changes must again be applied in time.
+func New(log hclog.Logger, c clock.Clock, recovery clock.Millis) *Manager {
 	m := &Manager{log: log, clock: c, changes: make(chan func(*State), changeQueueSize)}
-	m.state = newState(log)
+	m.state = newState(log, recovery)
 	m.view.Store(m.state.view)
 	return m
 }
--- a/internal/control/viewstate/page_test.go
+++ b/internal/control/viewstate/page_test.go
@@ -19,7 +19,7 @@
 			DataCentre: "dc-1", Version: version, Slots: 12,
 		}
 	}
-	s := newState(hclog.NewNullLogger())
+	s := newState(hclog.NewNullLogger(), 3_000)
 	for _, version := range []string{"v1", "v2"} {
 		for i := range servers {
 			s.SetServer(server(version, i))
--- a/internal/control/viewstate/state.go
+++ b/internal/control/viewstate/state.go
@@ -14,9 +14,12 @@
 // State collects what the store reports and derives the view from it. It must only
 // be used inside a change that Manager applies.
 type State struct {
-	log  hclog.Logger
-	now  clock.Millis
-	view *fleet.View // without the changes in editor
+	log hclog.Logger
+	now clock.Millis
+	// recovery is the time after a store outage from which on changes must again be applied
+	// in time.
+	recovery clock.Millis
+	view     *fleet.View // without the changes in editor
 
 	editor *fleet.Editor // of the servers and hosts; nil if they have not changed since view
 
@@ -32,11 +35,10 @@
 // after its registration expired during a store outage.
 const reregistrationTimeout = 2_000 * clock.Millis(1)
 
-// departureTimeout is the time since the start of the last failed call to the store after
-// which a registration that is still missing counts as gone. The store may have been back
-// since then, and entry.calm_ms after its return at the latest, the server must get no
-// more requests.
-const departureTimeout = 2_650 * clock.Millis(1)
+// departureMargin is how long before the end of the recovery, counted from the start of the
+// last failed call to the store, a registration that is still missing counts as gone. The
+// store may have been back since then.
+const departureMargin = 350 * clock.Millis(1)
 
 // lateExpiryWindow is the time after a store outage in which a registration that
 // disappears may have expired during the outage.
@@ -48,9 +50,10 @@
 	since     clock.Millis
 }
 
-func newState(log hclog.Logger) *State {
+func newState(log hclog.Logger, recovery clock.Millis) *State {
 	return &State{
 		log:            log,
+		recovery:       recovery,
 		view:           fleet.NewView(),
 		tables:         make(map[string]tableStatus),
 		rolloutOrders:  make(map[string]fleet.Rollout),
@@ -147,8 +150,7 @@
 
 // RemoveRegistration handles a server registration that disappeared from the table.
 // A registration that may have expired during a store outage stays in service until
-// reregistrationTimeout or departureTimeout is over: a live server registers again within
-// that time.
+// removalTime: a live server registers again before.
 func (s *State) RemoveRegistration(table, id string) {
 	e, known := s.edit().Server(id)
 	if !known {
@@ -172,7 +174,7 @@
 	if s.storeFailedAt == 0 {
 		return s.now + reregistrationTimeout
 	}
-	return min(s.now+reregistrationTimeout, s.storeFailedAt+departureTimeout)
+	return min(s.now+reregistrationTimeout, s.storeFailedAt+s.recovery-departureMargin)
 }
 
 // RemoveReplacedServer removes a server because a different server answered at its
--- a/internal/control/viewstate/state_test.go
+++ b/internal/control/viewstate/state_test.go
@@ -21,7 +21,7 @@
 }
 
 func newTestState() *State {
-	s := newState(hclog.NewNullLogger())
+	s := newState(hclog.NewNullLogger(), 3_000)
 	s.now = 1_000
 	s.SetStoreAvailable(table, true)
 	s.now = 10_000
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -27,6 +27,10 @@
 // viewFunc returns the current view.
 type viewFunc func() *fleet.View
 
+func newViewState(log hclog.Logger, c clock.Clock, s settings.Settings) *viewstate.Manager {
+	return viewstate.New(log, c, clock.Millis(s.Entry.CalmMs))
+}
+
 func newViewFunc(manager *viewstate.Manager) viewFunc { return manager.View }
 
 func newStore(s settings.Settings) *platform.Store { return platform.NewStore(s.Entry.Store) }
@@ -56,6 +60,7 @@
 		SelfAddress:  s.Listen.Peer,
 		Leaders:      exchange.Leaders,
 		ApplyTimeout: clock.Millis(min(s.Entry.DrainMs, s.Entry.ApplyMs)),
+		Recovery:     clock.Millis(s.Entry.CalmMs),
 	})
 }
 
--- a/internal/program/entry/wire.go
+++ b/internal/program/entry/wire.go
@@ -8,7 +8,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
-	"gypsumpitch.example/gypsumpitch/internal/control/viewstate"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
@@ -20,7 +19,7 @@
 	wire.Build(
 		clock.NewSystem,
 		wire.Bind(new(clock.Clock), new(*clock.System)),
-		viewstate.New,
+		newViewState,
 		peerstats.New,
 		loadbalance.NewBalancer,
 		newViewFunc,
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -10,7 +10,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
-	"gypsumpitch.example/gypsumpitch/internal/control/viewstate"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
@@ -22,7 +21,7 @@
 // Assemble creates a daemon from its settings. It opens no listeners.
 func Assemble(log hclog.Logger, s settings.Settings) (*Daemon, error) {
 	system := clock.NewSystem()
-	manager := viewstate.New(log, system)
+	manager := newViewState(log, system, s)
 	store := newStore(s)
 	client := newPeerClient(s)
 	aggregator := peerstats.New(system)
