--- a/internal/control/peerfeed/store_test.go
+++ b/internal/control/peerfeed/store_test.go
@@ -18,6 +18,9 @@
 // elapse unless they say so.
 const applyTimeout = 2_000 * clock.Millis(1)
 
+// recovery is the time after an outage in which probes are at most 500 ms apart.
+const recovery = 3_000 * clock.Millis(1)
+
 // memoryStore is a row store with one table, in memory.
 type memoryStore struct {
 	mu        sync.Mutex
@@ -136,9 +139,9 @@
 	p.listener = listener
 	address := listener.Addr().String()
 	system := clock.NewSystem()
-	p.leader = New(Config{Log: hclog.NewNullLogger(), Clock: system, RowStore: p.leaderStore, ApplyTimeout: applyTimeout, SelfAddress: address, Leaders: func() []string { return []string{address} }})
+	p.leader = New(Config{Log: hclog.NewNullLogger(), Clock: system, RowStore: p.leaderStore, ApplyTimeout: applyTimeout, Recovery: recovery, SelfAddress: address, Leaders: func() []string { return []string{address} }})
 	p.follower = New(Config{
-		Log: hclog.NewNullLogger(), Clock: system, RowStore: p.followerStore, ApplyTimeout: applyTimeout, Peers: peer.NewClient("", nil),
+		Log: hclog.NewNullLogger(), Clock: system, RowStore: p.followerStore, ApplyTimeout: applyTimeout, Recovery: recovery, Peers: peer.NewClient("", nil),
 		Leaders: func() []string { return []string{address} },
 	})
 	p.leader.Register(p.server)
@@ -240,6 +243,34 @@
 	}
 }
 
+// TestPageStatesLastFailure checks that the first page after an outage states when the last
+// failed call to the store began, whether it comes from the store or from the leader.
+// Guards against waiting too long for servers that left during the outage.
+func TestPageStatesLastFailure(t *testing.T) {
+	cases := map[string]func(p *pair){
+		"from the store":  func(p *pair) { p.followerStore.unavailable = false },
+		"from the leader": func(p *pair) { clear(p.follower.skippedUntil) },
+	}
+	for name, recoverPath := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.follower.skipLeader(p.leader.SelfAddress, "t", errLeaderUnavailable)
+			p.followerStore.unavailable = true
+			before := p.follower.Clock.Now()
+			_, err := p.follower.Changes(t.Context(), "t", p.followerVersion, 0)
+			assert.ErrorIs(t, err, rowstore.ErrUnavailable)
+			after := p.follower.Clock.Now()
+			recoverPath(p)
+			p.store.put("b", "2")
+			p.pollLeader()
+			page, err := p.follower.Changes(t.Context(), "t", p.followerVersion, 0)
+			assert.NilError(t, err)
+			assert.Equal(t, page.FromPeer, name == "from the leader")
+			assert.Assert(t, page.StoreFailedAt >= before && page.StoreFailedAt <= after)
+		})
+	}
+}
+
 // TestOnlyLeaderListsAfterCompaction checks that after the store has compacted its
 // history, the leader reads the complete table and the follower gets the differences
 // from the leader, without a store call of its own.
