Compare the pace of streams and small error rates of versions

A version that is slow for a share of its requests slows all of them by the same factor. The time to the first byte hides this: the new version's servers are idle, those of the other one queue prompts. The pause between events does not, so the lower quartile of a stream's first pauses is counted by model and load of the server and compared with the baseline's upper quantile. Errors are counted apart from slow answers, of which good versions have some in a hundred, and tested against small raised rates. Both tests are likelihood ratios, so they may be evaluated again and again, and discount answers confined to a few servers. Cold servers' streams do not count.

The threshold for a single route rises from 5 to 7 since several routes are tested; the sum of all routes keeps 5. Bad answers from two servers of many no longer pass as a fault of the version.

--- a/internal/control/rolloutcontrol/controller.go
+++ b/internal/control/rolloutcontrol/controller.go
@@ -194,7 +194,11 @@
 	routes[allRoutes] = sum
 	earlier := c.history[r.OrderVersion]
 	for route, comparison := range routes {
-		if finding := comparison.Evaluate(); finding != rollout.Healthy {
+		finding := comparison.Evaluate()
+		if route == allRoutes {
+			finding = comparison.EvaluatePool()
+		}
+		if finding != rollout.Healthy {
 			c.logFinding(r, route, finding, comparison)
 			return true
 		}
--- a/internal/control/rolloutcontrol/controller_test.go
+++ b/internal/control/rolloutcontrol/controller_test.go
@@ -267,3 +267,21 @@
 		}
 	}
 }
+
+// TestVersionSlowOnIdleServersRollsBack checks that a version whose streams are twice as
+// slow is rolled back, although its idle servers answer sooner than the baseline's.
+func TestVersionSlowOnIdleServersRollsBack(t *testing.T) {
+	for pace, want := range map[clock.Millis]fleet.Stage{24: fleet.Running, 47: fleet.RolledBack} {
+		c := newCluster(1)
+		c.baseline = rollout.AnswerStats{Good: 200, LatencySamples: 200, LogSlownessSum: 100}
+		c.canary = rollout.AnswerStats{Good: 20, LatencySamples: 20, LogSlownessSum: -10}
+		for i := range 60 {
+			c.baseline = c.baseline.WithPace(fmt.Sprintf("old-%d", i%9), rollout.NewPaceClass("m", i%12), 23+clock.Millis(i%10))
+		}
+		for i := range 20 {
+			c.canary = c.canary.WithPace(fmt.Sprintf("new-%d", i%9), rollout.NewPaceClass("m", i%3), pace)
+		}
+		c.run(startedAt+4_000, 0)
+		assert.Equal(t, c.recorder.stage, want, "pause of %d ms", pace)
+	}
+}
--- a/internal/decision/rollout/answer_stats.go
+++ b/internal/decision/rollout/answer_stats.go
@@ -2,9 +2,8 @@
 
 import (
 	"math"
-	"math/bits"
 
-	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
 // AnswerStats counts a version's answers on one route. Slowness is the time to
@@ -14,18 +13,38 @@
 	Good           int     `json:"g"`
 	Bad            int     `json:"b"`
 	BadServers     uint64  `json:"s"` // bit set of the hashed IDs of servers that gave bad answers
+	Servers        uint64  `json:"a"` // the same for the servers that gave any answers
+	Errors         int     `json:"e"` // bad answers that were errors rather than slow
+	ErrorServers   uint64  `json:"f"` // the same for the servers that gave errors
 	LatencySamples int     `json:"n"` // answers with a known slowness
 	LogSlownessSum float64 `json:"t"`
+	Paces          Paces   `json:"p,omitempty"` // of the streams
 }
 
 // WithAnswer returns the stats after one more answer.
 func (s AnswerStats) WithAnswer(server string, bad bool) AnswerStats {
+	s.Servers |= serverBit(server)
 	if !bad {
 		s.Good++
 		return s
 	}
 	s.Bad++
-	s.BadServers |= 1 << (container.Hash(server) % 64)
+	s.BadServers |= serverBit(server)
+	return s
+}
+
+// WithError returns the stats after one more bad answer that was an error.
+func (s AnswerStats) WithError(server string) AnswerStats {
+	s = s.WithAnswer(server, true)
+	s.Errors++
+	s.ErrorServers |= serverBit(server)
+	return s
+}
+
+// WithPace returns the stats after one more stream of the class with that typical pause
+// between two events.
+func (s AnswerStats) WithPace(server string, class PaceClass, pace clock.Millis) AnswerStats {
+	s.Paces = s.Paces.Plus(onePace(server, class, pace))
 	return s
 }
 
@@ -43,7 +62,9 @@
 func (s AnswerStats) Plus(o AnswerStats) AnswerStats {
 	return AnswerStats{
 		Good: s.Good + o.Good, Bad: s.Bad + o.Bad, BadServers: s.BadServers | o.BadServers,
+		Servers: s.Servers | o.Servers, Errors: s.Errors + o.Errors, ErrorServers: s.ErrorServers | o.ErrorServers,
 		LatencySamples: s.LatencySamples + o.LatencySamples, LogSlownessSum: s.LogSlownessSum + o.LogSlownessSum,
+		Paces: s.Paces.Plus(o.Paces),
 	}
 }
 
@@ -61,14 +82,13 @@
 	return s.LogSlownessSum / float64(max(s.LatencySamples, 1))
 }
 
-// badServerCount returns a lower bound: hash collisions are counted once.
-func (s AnswerStats) badServerCount() int { return bits.OnesCount64(s.BadServers) }
-
 // Minus returns the answers counted since an earlier snapshot of the same
-// stats. BadServers is kept whole, since a bit set cannot be subtracted.
+// stats. The server sets are kept whole, since a bit set cannot be subtracted.
 func (s AnswerStats) Minus(o AnswerStats) AnswerStats {
 	return AnswerStats{
 		Good: max(s.Good-o.Good, 0), Bad: max(s.Bad-o.Bad, 0), BadServers: s.BadServers,
+		Servers: s.Servers, Errors: max(s.Errors-o.Errors, 0), ErrorServers: s.ErrorServers,
 		LatencySamples: max(s.LatencySamples-o.LatencySamples, 0), LogSlownessSum: s.LogSlownessSum - o.LogSlownessSum,
+		Paces: s.Paces.Minus(o.Paces),
 	}
 }
--- a/internal/decision/rollout/comparison.go
+++ b/internal/decision/rollout/comparison.go
@@ -17,15 +17,24 @@
 	badRateIncrease = 0.3
 	// maxBadRate keeps the likelihood of a good answer above zero.
 	maxBadRate = 0.95
-	// failThreshold is the log likelihood ratio at which a version is failing.
-	// It gives about one false alarm in a hundred good versions.
-	failThreshold = 5.0
+	// routeFailThreshold and poolFailThreshold are the log likelihood ratios at which a
+	// version is failing on one route or in the sum of all. The former is higher because
+	// there are several routes.
+	routeFailThreshold = 7.0
+	poolFailThreshold  = 5.0
 	// recentFailThreshold is the threshold for the newest answers alone. It is
 	// higher because they are evaluated many times during a roll-out.
 	recentFailThreshold = 13.0
-	// oneServerFailThreshold is the minimum threshold if all bad answers came
-	// from one server, since the fault may be in that server.
-	oneServerFailThreshold = 14.0
+	// fewServersFailThreshold is the minimum threshold if the bad answers came from
+	// few of the servers, since the fault may be in those servers.
+	fewServersFailThreshold = 14.0
+	// errorThreshold is the log likelihood ratio at which a version's error rate is
+	// raised. One good version in a thousand reaches it by chance, however often it is
+	// evaluated.
+	errorThreshold = 7.0
+	// lagThreshold is the same for lagging streams. It is higher because the baseline's
+	// rate of lagging streams is an estimate.
+	lagThreshold = 8.0
 	// minLogSlowdown is the least difference of mean log slowness at which a
 	// version is slow.
 	minLogSlowdown = 0.45
@@ -48,8 +57,11 @@
 	Slow    Finding = "slow"
 )
 
-// Evaluate reports whether the canary does worse than the baseline.
-func (c Comparison) Evaluate() Finding { return c.evaluate(failThreshold, logSlownessSpread) }
+// Evaluate reports whether the canary does worse than the baseline on a route.
+func (c Comparison) Evaluate() Finding { return c.evaluate(routeFailThreshold, logSlownessSpread) }
+
+// EvaluatePool is Evaluate for the sum of all routes of a pool.
+func (c Comparison) EvaluatePool() Finding { return c.evaluate(poolFailThreshold, logSlownessSpread) }
 
 // EvaluateRecent is Evaluate for the newest answers only, as returned by Since.
 // It detects versions that turn bad after many good answers.
@@ -58,14 +70,19 @@
 }
 
 func (c Comparison) evaluate(threshold, spread float64) Finding {
-	if c.Canary.badServerCount() < 2 {
-		threshold = max(threshold, oneServerFailThreshold)
+	failing := threshold
+	if !isSpread(c.Canary.BadServers, c.Canary.Servers) {
+		failing = max(threshold, fewServersFailThreshold)
 	}
 	switch {
-	case c.logLikelihoodRatio() >= threshold:
+	case c.logLikelihoodRatio() >= failing:
+		return Failing
+	case c.hasRaisedErrorRate(threshold):
 		return Failing
 	case c.isSlow(spread):
 		return Slow
+	case lagRatio(c.Canary.Paces, c.Baseline.Paces) >= max(threshold, lagThreshold):
+		return Slow
 	}
 	return Healthy
 }
@@ -88,6 +105,9 @@
 	if baseline.Total() >= minRecentAnswers && baseline.badRate() > c.Baseline.badRate() {
 		recent.Baseline = baseline
 	}
+	if baseline.Total() >= minRecentAnswers && baseline.errorRate() > c.Baseline.errorRate() {
+		recent.Baseline.Errors = int(baseline.errorRate() * float64(recent.Baseline.Total()))
+	}
 	if baseline.LatencySamples >= minLatencySamples && baseline.meanLogSlowness() > c.Baseline.meanLogSlowness() {
 		recent.Baseline.LatencySamples, recent.Baseline.LogSlownessSum = baseline.LatencySamples, baseline.LogSlownessSum
 	}
--- a/internal/traffic/relay/any_version_router_test.go
+++ b/internal/traffic/relay/any_version_router_test.go
@@ -3,6 +3,7 @@
 import (
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
 // AnyVersionRouter is a VersionRouter that allows every version.
@@ -18,3 +19,6 @@
 
 // RecordOutcome does nothing.
 func (AnyVersionRouter) RecordOutcome(*fleet.View, *fleet.Entry, *catalog.Route, Outcome) {}
+
+// RecordPace does nothing.
+func (AnyVersionRouter) RecordPace(*fleet.View, *fleet.Entry, string, int, clock.Millis) {}
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -118,7 +118,7 @@
 
 // forwardStream forwards events as they arrive, and only complete ones, so that
 // another server can continue an interrupted stream from the last of them.
-func (ex *exchange) forwardStream(server *fleet.Entry, resp *h1.Response) (bool, error) {
+func (ex *exchange) forwardStream(server *fleet.Entry, resp *h1.Response, info ResponseInfo) (bool, error) {
 	if timeout := ex.idleTimeout(server); timeout > 0 {
 		resp.LimitSilence(timeout)
 	}
@@ -126,6 +126,8 @@
 	controller := http.NewResponseController(ex.w)
 	count, since := 0, ex.relay.Clock.Now()
 	defer func() { ex.recordEventTime(count, since) }()
+	meter := paceMeter{report: func(pace clock.Millis) { ex.recordPace(server, info, pace) }}
+	defer meter.finish()
 	for {
 		complete, id, err := source.Next()
 		if errors.Is(err, io.EOF) {
@@ -139,6 +141,7 @@
 			ex.startResponse(resp)
 			ex.w.WriteHeader(resp.Status)
 		}
+		meter.recordEvent(ex.relay.Clock.Now())
 		if count++; count > eventTimeSample {
 			ex.recordEventTime(count, since)
 			count, since = 1, ex.relay.Clock.Now()
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -122,7 +122,7 @@
 		ex.recordExecution(server)
 		return false, nil
 	case ex.route.Stream && resp.Status == http.StatusOK:
-		return ex.forwardStream(server, resp)
+		return ex.forwardStream(server, resp, info)
 	}
 	return ex.forwardBuffered(server, resp)
 }
@@ -186,7 +186,7 @@
 
 // newOutcome returns the outcome of an attempt whose response header took that long.
 func newOutcome(c *loadbalance.Choice, failed bool, elapsed clock.Millis) Outcome {
-	o := Outcome{Conclusive: true, Failed: failed || isSlow(c, elapsed)}
+	o := Outcome{Conclusive: true, Failed: failed || isSlow(c, elapsed), Error: failed}
 	if c.HasEstimate {
 		o.LatencyRatio = float64(max(elapsed, 1)) / float64(max(c.TypicalFirstByte, 1))
 	}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -56,12 +56,16 @@
 	RecordPlacement(r *Request, e *fleet.Entry)
 	// RecordOutcome records the outcome of an attempt on the server.
 	RecordOutcome(v *fleet.View, e *fleet.Entry, route *catalog.Route, o Outcome)
+	// RecordPace records the pace of a stream of the model from the server, which had
+	// that many requests when the stream began.
+	RecordPace(v *fleet.View, e *fleet.Entry, model string, requests int, pace clock.Millis)
 }
 
 // Outcome is the result of an attempt, as evidence about the server's version.
 type Outcome struct {
 	Conclusive bool // whether Failed counts for or against the version
 	Failed     bool // the server returned an error or was much slower than usual
+	Error      bool // the server returned an error
 	// LatencyRatio is the time to the response header, divided by the time expected at
 	// the server's load; 0 if unknown. After a timeout it is a lower bound.
 	LatencyRatio float64
--- a/internal/traffic/versionrouting/router.go
+++ b/internal/traffic/versionrouting/router.go
@@ -61,7 +61,7 @@
 	Pool         string `json:"p"`
 	OrderVersion int64  `json:"o"` // of the roll-out
 	Canary       bool   `json:"v"` // the target version; false for all other versions
-	Route        string `json:"r"`
+	Route        string `json:"r"` // empty for the paces of all routes
 }
 
 // New returns a router. sessionTimeout is the pause after which a session has ended;
@@ -213,7 +213,10 @@
 	current := r.statsFor(ro)
 	key := AnswerStatsKey{Pool: e.Pool, OrderVersion: ro.OrderVersion, Canary: e.Version == ro.Target, Route: route.Name}
 	s := current.stats[key]
-	if o.Conclusive {
+	switch {
+	case o.Conclusive && o.Error:
+		s = s.WithError(e.ID)
+	case o.Conclusive:
 		s = s.WithAnswer(e.ID, o.Failed)
 	}
 	if o.LatencyRatio > 0 {
@@ -222,6 +225,20 @@
 	current.stats[key] = s
 }
 
+// RecordPace counts the pace of a stream while the pool has a roll-out. The pace depends
+// on the model and the server's load, so streams of all routes are counted together.
+func (r *Router) RecordPace(v *fleet.View, e *fleet.Entry, model string, requests int, pace clock.Millis) {
+	ro, ok := v.Rollouts[e.Pool]
+	if !ok || ro.Stage == fleet.Completed || ro.Stage == fleet.RolledBack {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.statsFor(ro)
+	key := AnswerStatsKey{Pool: e.Pool, OrderVersion: ro.OrderVersion, Canary: e.Version == ro.Target}
+	current.stats[key] = current.stats[key].WithPace(e.ID, rollout.NewPaceClass(model, requests), pace)
+}
+
 // statsFor returns the statistics of the roll-out, new ones after a new order. r.mu must
 // be held.
 func (r *Router) statsFor(ro fleet.Rollout) *rolloutStats {
--- a/internal/traffic/versionrouting/router_test.go
+++ b/internal/traffic/versionrouting/router_test.go
@@ -212,3 +212,20 @@
 	assert.Equal(t, d.router.AnswerStats()[AnswerStatsKey{"text", 9, true, "draft"}].Good, 1)
 	assert.Equal(t, len(d.router.AnswerStats()), 1)
 }
+
+// TestPacesAreCountedByVersion checks that the paces of streams and the errors are counted
+// by version while the roll-out runs, and not afterwards.
+func TestPacesAreCountedByVersion(t *testing.T) {
+	v1 := fleet.Entry{Server: fleet.Server{ID: "s1", Pool: "text", Version: "v1"}}
+	v2 := fleet.Entry{Server: fleet.Server{ID: "s2", Pool: "text", Version: "v2"}}
+	for stage, want := range map[fleet.Stage]int{fleet.Running: 1, fleet.Completed: 0, fleet.RolledBack: 0} {
+		d := newDaemon(stage, nil)
+		d.router.RecordPace(d.view, &v1, "large", 7, 25)
+		d.router.RecordPace(d.view, &v2, "large", 1, 48)
+		d.router.RecordOutcome(d.view, &v2, &catalog.Route{Name: "draft"}, relay.Outcome{Conclusive: true, Failed: true, Error: true})
+		stats := d.router.AnswerStats()
+		assert.Equal(t, len(stats[AnswerStatsKey{"text", 7, false, ""}].Paces), want)
+		assert.Equal(t, len(stats[AnswerStatsKey{"text", 7, true, ""}].Paces), want)
+		assert.Equal(t, stats[AnswerStatsKey{"text", 7, true, "draft"}].Errors, want)
+	}
+}
