--- a/internal/decision/rollout/error_rate.go
+++ b/internal/decision/rollout/error_rate.go
@@ -7,7 +7,7 @@
 var raisedErrorRates = []float64{0.05, 0.1, 0.2, 0.4}
 
 // minErrorRate is the lowest error rate assumed for any version.
-const minErrorRate = 0.01
+const minErrorRate = 0.004
 
 // hasRaisedErrorRate reports whether the canary's error rate is raised at the threshold,
 // which is at least errorThreshold.
--- a/internal/decision/rollout/error_rate_test.go
+++ b/internal/decision/rollout/error_rate_test.go
@@ -110,9 +110,9 @@
 // TestErrorsOfGoodVersions simulates 1,000 good versions, of which less than one in a
 // hundred may be found to have a raised error rate.
 func TestErrorsOfGoodVersions(t *testing.T) {
-	const rollouts = 250
-	faultyServer := func(round, _, server int) float64 {
-		if server == 0 && round > 5 && round < 38 {
+	const rollouts = 200
+	faultyServers := func(round, _, server int) float64 {
+		if server < 2 && round > 5 && round < 38 {
 			return 0.45
 		}
 		return 0
@@ -125,10 +125,10 @@
 	}
 	hotRoute := func(_, route, _ int) float64 { return 0.02 * float64(route) }
 	cases := map[string]errorDay{
-		"calm":          {constant(0.01), constant(0.01)},
-		"outage":        {outage, outage},
-		"faulty server": {faultyServer, constant(0)},
-		"one route":     {hotRoute, hotRoute},
+		"calm":           {constant(0.01), constant(0.01)},
+		"outage":         {outage, outage},
+		"faulty servers": {faultyServers, constant(0)},
+		"one route":      {hotRoute, hotRoute},
 	}
 	wrong := 0
 	for name, d := range cases {
