Hold a new version back until its answers suffice for a verdict

Now it gets at most a third until 60 answers on each route or 0.8 of the time; less than the exposed share in all. A good version is completed by 0.9 of the time, as before where requests run on the old servers until then.

--- a/internal/control/rolloutcontrol/controller.go
+++ b/internal/control/rolloutcontrol/controller.go
@@ -27,6 +27,9 @@
 	// rankDelay is the delay per rank before a daemon records a stage, so that a daemon
 	// of higher rank only acts if those before it have not.
 	rankDelay = 400 * clock.Millis(1)
+	// rollBackRankDelay is the same for a roll-back, which is urgent: requests still reach
+	// the bad version, and a daemon that has not found it bad may complete it.
+	rollBackRankDelay = 100 * clock.Millis(1)
 	// recordTimeout bounds one call to the store.
 	recordTimeout = 1 * time.Second
 	// completeBy is the fraction of a roll-out's duration after which a good roll-out is
@@ -52,6 +55,9 @@
 	// StopCanary stops this daemon's requests to the target of the roll-out, before the
 	// roll-back is recorded.
 	StopCanary(r fleet.Rollout)
+	// HoldCanary limits this daemon's requests to the target while its answers are too
+	// few for a verdict.
+	HoldCanary(r fleet.Rollout, held bool)
 }
 
 // Controller advances the roll-outs of the view. Not safe for concurrent use.
@@ -68,6 +74,7 @@
 	dueSince map[string]clock.Millis                   // when a stage became due or was last attempted, by pool and stage
 	history  map[int64][]map[string]rollout.Comparison // by order version; comparisons by route of the last historyRounds rounds
 	bad      map[int64]bool                            // by order version; the target was found bad
+	judgedAt map[int64]clock.Millis                    // by order version; when the target's answers were enough for a verdict
 }
 
 // Config holds the dependencies of a Controller.
@@ -90,6 +97,7 @@
 		dueSince: make(map[string]clock.Millis),
 		history:  make(map[int64][]map[string]rollout.Comparison),
 		bad:      make(map[int64]bool),
+		judgedAt: make(map[int64]clock.Millis),
 	}
 }
 
@@ -112,6 +120,7 @@
 		c.bad[r.OrderVersion] = true
 		c.canaryStopper.StopCanary(r)
 	}
+	c.judge(r)
 	stage, due := c.nextStage(v, r)
 	if !due {
 		return
@@ -123,7 +132,11 @@
 		c.dueSince[key] = now
 		since = now
 	}
-	if now-since < clock.Millis(c.rank(v, r.Pool))*rankDelay {
+	delay := rankDelay
+	if stage == fleet.RolledBack {
+		delay = rollBackRankDelay
+	}
+	if now-since < clock.Millis(c.rank(v, r.Pool))*delay {
 		return
 	}
 	c.dueSince[key] = now // a failed attempt is retried after the same delay
@@ -148,7 +161,7 @@
 		return fleet.RolledBack, true
 	case r.Stage == fleet.Ordered:
 		return fleet.Running, true
-	case now < r.StartedAt+clock.Millis(float64(r.Duration)*rollout.FullShareProgress())+settleTime:
+	case now < c.fullShareAt(r)+settleTime:
 		return 0, false
 	case !targetInService(v, r):
 		return 0, false
@@ -156,6 +169,34 @@
 	return fleet.Completed, r.Progress(now) >= completeBy || !c.othersBusy(v, r)
 }
 
+// judge holds the canary back until its answers on every route are enough for a verdict.
+func (c *Controller) judge(r fleet.Rollout) {
+	if c.judgedAt[r.OrderVersion] != 0 {
+		return
+	}
+	routes := c.peerStats.CompareVersions(r.Pool, r.OrderVersion)
+	delete(routes, allRoutes)
+	judged := len(routes) > 0
+	for _, comparison := range routes {
+		judged = judged && comparison.BoundsHarm()
+	}
+	if judged {
+		c.judgedAt[r.OrderVersion] = c.clock.Now()
+	}
+	c.canaryStopper.HoldCanary(r, !judged)
+}
+
+// fullShareAt returns when the target gets all requests: when its answers are enough for a
+// verdict, within the schedule.
+func (c *Controller) fullShareAt(r fleet.Rollout) clock.Millis {
+	at := func(progress float64) clock.Millis { return r.StartedAt + clock.Millis(float64(r.Duration)*progress) }
+	latest := at(rollout.HeldUntil())
+	if judgedAt := c.judgedAt[r.OrderVersion]; judgedAt != 0 {
+		return min(max(judgedAt, at(rollout.FullShareProgress())), latest)
+	}
+	return latest
+}
+
 // targetInService reports whether the target version has a server in service.
 func targetInService(v *fleet.View, r fleet.Rollout) bool {
 	entries := v.Pool(r.Pool)
--- a/internal/control/rolloutcontrol/controller_test.go
+++ b/internal/control/rolloutcontrol/controller_test.go
@@ -71,9 +71,12 @@
 	f.pending = nil
 }
 
-type noopCanaryStopper struct{}
+// fakeCanaryStopper remembers whether the canary was last held back.
+type fakeCanaryStopper struct{ held bool }
 
-func (noopCanaryStopper) StopCanary(fleet.Rollout) {}
+func (*fakeCanaryStopper) StopCanary(fleet.Rollout) {}
+
+func (s *fakeCanaryStopper) HoldCanary(_ fleet.Rollout, held bool) { s.held = held }
 
 // cluster holds the controllers of several daemons with a common store and clock. The
 // answer statistics are those of the canary and of the baseline on one route.
@@ -83,6 +86,7 @@
 	peerStats   []*peerstats.Aggregator
 	controllers []*Controller
 	views       []*fleet.View
+	stoppers    []*fakeCanaryStopper
 	canary      rollout.AnswerStats
 	baseline    rollout.AnswerStats
 }
@@ -105,9 +109,10 @@
 		stats := peerstats.New(c.clock)
 		c.peerStats = append(c.peerStats, stats)
 		c.views = append(c.views, view)
+		c.stoppers = append(c.stoppers, &fakeCanaryStopper{})
 		c.controllers = append(c.controllers, New(Config{
 			Log: hclog.NewNullLogger(), Clock: c.clock, Host: fmt.Sprintf("host-%d", i),
-			View: func() *fleet.View { return c.views[i] }, PeerStats: stats, CanaryStopper: noopCanaryStopper{}, Recorder: c.recorder,
+			View: func() *fleet.View { return c.views[i] }, PeerStats: stats, CanaryStopper: c.stoppers[i], Recorder: c.recorder,
 			OwnLoads: func() map[string]loadbalance.Load { return nil },
 		}))
 	}
@@ -285,3 +290,46 @@
 		assert.Equal(t, c.recorder.stage, want, "pause of %d ms", pace)
 	}
 }
+
+// TestFewAnswersHoldTheCanary checks that a version is held back while its answers are too
+// few for a verdict, and completed in time all the same.
+func TestFewAnswersHoldTheCanary(t *testing.T) {
+	cases := map[string]struct {
+		answers     int
+		held        bool
+		completedBy clock.Millis
+	}{
+		"few":    {30, true, startedAt + duration*9/10},
+		"enough": {90, false, startedAt + duration*8/10},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(3)
+			c.baseline, c.canary = rollout.AnswerStats{Good: 200}, rollout.AnswerStats{Good: tc.answers}
+			c.run(startedAt+duration*7/10, 0, 1, 2)
+			for _, s := range c.stoppers {
+				assert.Equal(t, s.held, tc.held)
+			}
+			c.run(startedAt+duration*79/100, 0, 1, 2)
+			assert.Equal(t, c.recorder.stage == fleet.Completed, !tc.held)
+			c.run(tc.completedBy, 0, 1, 2)
+			assert.Equal(t, c.recorder.stage, fleet.Completed)
+		})
+	}
+}
+
+// TestLoneDaemonRollsBackInTime checks that a version is rolled back within a second if
+// only the last of seven daemons has found it bad.
+func TestLoneDaemonRollsBackInTime(t *testing.T) {
+	c := newCluster(7)
+	c.recorder.stage = fleet.Running
+	last := 0
+	for i, controller := range c.controllers {
+		if controller.rank(c.views[i], "text") == len(c.controllers)-1 {
+			last = i
+		}
+	}
+	c.baseline, c.canary = rollout.AnswerStats{Good: 200}, rollout.AnswerStats{Bad: 12, BadServers: 15}
+	c.run(startedAt+1_000, last)
+	assert.DeepEqual(t, c.recorder.history, []fleet.Stage{fleet.RolledBack})
+}
--- a/internal/decision/rollout/comparison.go
+++ b/internal/decision/rollout/comparison.go
@@ -87,6 +87,14 @@
 	return Healthy
 }
 
+// minVerdictAnswers is how many of a version's answers on a route bound its error rate: a
+// version that fails three in twenty would show nine errors on average.
+const minVerdictAnswers = 60
+
+// BoundsHarm reports whether the canary has given enough answers on the route to tell it
+// from a bad version.
+func (c Comparison) BoundsHarm() bool { return c.Canary.Total() >= minVerdictAnswers }
+
 // Plus returns the sum of two comparisons, such as those of two routes.
 func (c Comparison) Plus(o Comparison) Comparison {
 	return Comparison{Canary: c.Canary.Plus(o.Canary), Baseline: c.Baseline.Plus(o.Baseline)}
--- a/internal/decision/rollout/schedule.go
+++ b/internal/decision/rollout/schedule.go
@@ -28,6 +28,29 @@
 	return share
 }
 
+const (
+	// heldUntil is the progress until which a new version without a verdict is held back.
+	// Afterwards there is just the time to complete it.
+	heldUntil = 0.8
+	// heldMargin is the fraction of the exposed share that is used until then.
+	heldMargin = 0.9
+	// firstHalf is the progress from which sessions may change their version.
+	firstHalf = 0.5
+)
+
+// HeldShare returns the largest share of requests for a version whose answers are too few
+// for a verdict. It never falls, so that no session returns to the old version.
+func HeldShare(progress, exposed float64) float64 {
+	if progress >= heldUntil {
+		return 1
+	}
+	used := ShareAt(0, exposed) * firstHalf
+	return (exposed*heldMargin - used) / (heldUntil - firstHalf)
+}
+
+// HeldUntil returns the progress from which HeldShare no longer limits the share.
+func HeldUntil() float64 { return heldUntil }
+
 // FullShareProgress returns the progress from which the new version gets all
 // requests.
 func FullShareProgress() float64 { return shareSteps[len(shareSteps)-1].from }
--- a/internal/traffic/versionrouting/router.go
+++ b/internal/traffic/versionrouting/router.go
@@ -53,6 +53,7 @@
 type rolloutStats struct {
 	orderVersion int64
 	bad          bool // the canary was found bad
+	held         bool // the canary's answers are too few for a verdict
 	stats        map[AnswerStatsKey]rollout.AnswerStats
 }
 
@@ -119,7 +120,10 @@
 	}
 	progress := ro.Progress(now)
 	share := rollout.ShareAt(progress, r.exposedShare)
-	if progress >= rollout.FullShareProgress() {
+	if r.isHeld(ro) {
+		share = min(share, rollout.HeldShare(progress, r.exposedShare))
+	}
+	if share >= 1 {
 		return share
 	}
 	return min(share, targetServerShare(v, ro))
@@ -271,6 +275,21 @@
 	r.statsFor(ro).bad = true
 }
 
+// HoldCanary limits this daemon's requests to a canary while its answers are too few for a
+// verdict.
+func (r *Router) HoldCanary(ro fleet.Rollout, held bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statsFor(ro).held = held
+}
+
+func (r *Router) isHeld(ro fleet.Rollout) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.rollouts[ro.Pool]
+	return ok && s.orderVersion == ro.OrderVersion && s.held
+}
+
 func (r *Router) isBad(ro fleet.Rollout) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/traffic/versionrouting/router_test.go
+++ b/internal/traffic/versionrouting/router_test.go
@@ -229,3 +229,36 @@
 		assert.Equal(t, stats[AnswerStatsKey{"text", 7, true, "draft"}].Errors, want)
 	}
 }
+
+// TestHeldCanary checks the new version's share of the requests while its answers are too
+// few for a verdict.
+func TestHeldCanary(t *testing.T) {
+	cases := map[string]struct {
+		at       clock.Millis
+		held     bool
+		min, max float64
+	}{
+		"first half, held":         {15_000, true, 0.07, 0.11},
+		"second half, held":        {25_500, true, 0.25, 0.35},
+		"second half, judged":      {25_500, false, 0.45, 0.55},
+		"last step, held":          {28_000, true, 0.25, 0.35},
+		"last step, judged":        {28_000, false, 1, 1},
+		"just in time to complete": {29_300, true, 1, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDaemon(fleet.Running, nil)
+			d.router.HoldCanary(d.view.Rollouts["text"], c.held)
+			d.clock.Advance(c.at - 10_000)
+			const requests = 2_000
+			canary := 0
+			for i := range requests {
+				if d.allowedVersions(fmt.Sprintf("session-%d", i), false) == "v2" {
+					canary++
+				}
+			}
+			share := float64(canary) / requests
+			assert.Assert(t, share >= c.min && share <= c.max, "share %.3f", share)
+		})
+	}
+}
