--- a/internal/decision/rollout/comparison.go
+++ b/internal/decision/rollout/comparison.go
@@ -17,36 +17,36 @@
 	badRateIncrease = 0.3
 	// maxBadRate keeps the likelihood of a good answer above zero.
 	maxBadRate = 0.95
-	// routeFailThreshold and poolFailThreshold are the log likelihood ratios at which a
-	// version is failing on one route or in the sum of all. The former is higher because
-	// there are several routes.
-	routeFailThreshold = 7.0
-	poolFailThreshold  = 5.0
-	// recentFailThreshold is the threshold for the newest answers alone. It is
-	// higher because they are evaluated many times during a roll-out.
-	recentFailThreshold = 13.0
 	// fewServersFailThreshold is the minimum threshold if the bad answers came from
 	// few of the servers, since the fault may be in those servers.
 	fewServersFailThreshold = 14.0
-	// errorThreshold is the log likelihood ratio at which a version's error rate is
-	// raised. One good version in a thousand reaches it by chance, however often it is
-	// evaluated.
-	errorThreshold = 7.0
-	// lagThreshold is the same for lagging streams. It is higher because the baseline's
-	// rate of lagging streams is an estimate.
-	lagThreshold = 8.0
 	// minLogSlowdown is the least difference of mean log slowness at which a
 	// version is slow.
 	minLogSlowdown = 0.45
-	// logSlownessSpread is the assumed spread of the log slowness of one answer.
-	logSlownessSpread = 2.5
-	// recentLogSlownessSpread is the spread for the newest answers alone, which
-	// are evaluated many times.
-	recentLogSlownessSpread = 4.5
 	// minLatencySamples is how many samples a mean slowness needs.
 	minLatencySamples = 4
 )
 
+// criteria are what an evaluation takes for proof that a version is bad. The first three
+// are log likelihood ratios.
+type criteria struct {
+	fails float64 // bad answers, errors and slow ones
+	errs  float64 // errors alone
+	lags  float64 // lagging streams
+	// latencySpread is the assumed spread of the log slowness of one answer.
+	latencySpread float64
+}
+
+var (
+	// routeCriteria are for all answers of one route, poolCriteria for the sum of the
+	// routes. There are several routes, so one of them needs more proof.
+	routeCriteria = criteria{fails: 7, errs: 5, lags: 8, latencySpread: 2.5}
+	poolCriteria  = criteria{fails: 5, errs: 5, lags: 8, latencySpread: 2.5}
+	// recentCriteria are for the newest answers alone, which are evaluated many times
+	// during a roll-out.
+	recentCriteria = criteria{fails: 13, errs: 13, lags: 13, latencySpread: 4.5}
+)
+
 // Finding is the result of evaluating a canary version.
 type Finding string
 
@@ -58,30 +58,30 @@
 )
 
 // Evaluate reports whether the canary does worse than the baseline on a route.
-func (c Comparison) Evaluate() Finding { return c.evaluate(routeFailThreshold, logSlownessSpread) }
+func (c Comparison) Evaluate() Finding { return c.evaluate(routeCriteria) }
 
 // EvaluatePool is Evaluate for the sum of all routes of a pool.
-func (c Comparison) EvaluatePool() Finding { return c.evaluate(poolFailThreshold, logSlownessSpread) }
+func (c Comparison) EvaluatePool() Finding { return c.evaluate(poolCriteria) }
 
 // EvaluateRecent is Evaluate for the newest answers only, as returned by Since.
 // It detects versions that turn bad after many good answers.
 func (c Comparison) EvaluateRecent() Finding {
-	return c.evaluate(recentFailThreshold, recentLogSlownessSpread)
+	return c.evaluate(recentCriteria)
 }
 
-func (c Comparison) evaluate(threshold, spread float64) Finding {
-	failing := threshold
+func (c Comparison) evaluate(proof criteria) Finding {
+	failing := proof.fails
 	if !isSpread(c.Canary.BadServers, c.Canary.Servers) {
-		failing = max(threshold, fewServersFailThreshold)
+		failing = max(failing, fewServersFailThreshold)
 	}
 	switch {
 	case c.logLikelihoodRatio() >= failing:
 		return Failing
-	case c.hasRaisedErrorRate(threshold):
+	case c.errorRatio() >= proof.errs:
 		return Failing
-	case c.isSlow(spread):
+	case c.isSlow(proof.latencySpread):
 		return Slow
-	case lagRatio(c.Canary.Paces, c.Baseline.Paces) >= max(threshold, lagThreshold):
+	case lagRatio(c.Canary.Paces, c.Baseline.Paces) >= proof.lags:
 		return Slow
 	}
 	return Healthy
--- a/internal/decision/rollout/error_rate.go
+++ b/internal/decision/rollout/error_rate.go
@@ -9,12 +9,6 @@
 // minErrorRate is the lowest error rate assumed for any version.
 const minErrorRate = 0.004
 
-// hasRaisedErrorRate reports whether the canary's error rate is raised at the threshold,
-// which is at least errorThreshold.
-func (c Comparison) hasRaisedErrorRate(threshold float64) bool {
-	return c.errorRatio() >= max(threshold, errorThreshold)
-}
-
 // errorRatio returns the log likelihood ratio of the canary's error rate being raised
 // rather than the baseline's. It is zero if the errors are confined to a few servers.
 func (c Comparison) errorRatio() float64 {
--- a/internal/decision/rollout/error_rate_test.go
+++ b/internal/decision/rollout/error_rate_test.go
@@ -17,7 +17,7 @@
 // simulate returns the round in which the version is found failing, or -1, and the
 // number of its answers until then. One of 25 answers of either version is slow, which
 // counts as bad.
-func (d errorDay) simulate(random *rand.Rand, finds func(c Comparison, threshold float64) bool) (foundIn, answers int) {
+func (d errorDay) simulate(random *rand.Rand, finds func(c Comparison, proof criteria) bool) (foundIn, answers int) {
 	const rounds, windows, routes, servers = 65, 15, 3, 9
 	var now [routes]Comparison
 	var past [][routes]Comparison
@@ -45,15 +45,15 @@
 		for _, c := range now {
 			sum = sum.Plus(c)
 		}
-		if finds(sum, poolFailThreshold) {
+		if finds(sum, poolCriteria) {
 			return round, answers
 		}
 		for route, c := range now {
-			if finds(c, routeFailThreshold) {
+			if finds(c, routeCriteria) {
 				return round, answers
 			}
 			for _, earlier := range past {
-				if finds(c.Since(earlier[route]), recentFailThreshold) {
+				if finds(c.Since(earlier[route]), recentCriteria) {
 					return round, answers
 				}
 			}
@@ -64,10 +64,9 @@
 	return -1, answers
 }
 
-// isFailing is the whole evaluation at the threshold.
-func isFailing(c Comparison, threshold float64) bool {
-	return c.evaluate(threshold, recentLogSlownessSpread) != Healthy
-}
+func isBad(c Comparison, proof criteria) bool { return c.evaluate(proof) != Healthy }
+
+func hasRaisedErrorRate(c Comparison, proof criteria) bool { return c.errorRatio() >= proof.errs }
 
 func constant(rate float64) func(int, int, int) float64 {
 	return func(int, int, int) float64 { return rate }
@@ -98,7 +97,7 @@
 			random := rand.New(rand.NewPCG(17, 0))
 			late := 0
 			for range rollouts {
-				if foundIn, answers := d.simulate(random, isFailing); foundIn < 0 || float64(answers) > allowed {
+				if foundIn, answers := d.simulate(random, isBad); foundIn < 0 || float64(answers) > allowed {
 					late++
 				}
 			}
@@ -134,7 +133,7 @@
 	for name, d := range cases {
 		random := rand.New(rand.NewPCG(19, uint64(len(name))))
 		for range rollouts {
-			foundIn, _ := d.simulate(random, Comparison.hasRaisedErrorRate)
+			foundIn, _ := d.simulate(random, hasRaisedErrorRate)
 			if foundIn >= 0 {
 				t.Logf("%s: found failing in round %d", name, foundIn)
 				wrong++
