Let a held version take over in steps, and discount faulty servers more

Bad answers from fewer servers than one play in ten would show if all servers were alike count as the servers' fault.

--- a/internal/control/rolloutcontrol/controller.go
+++ b/internal/control/rolloutcontrol/controller.go
@@ -74,7 +74,7 @@
 	dueSince map[string]clock.Millis                   // when a stage became due or was last attempted, by pool and stage
 	history  map[int64][]map[string]rollout.Comparison // by order version; comparisons by route of the last historyRounds rounds
 	bad      map[int64]bool                            // by order version; the target was found bad
-	judgedAt map[int64]clock.Millis                    // by order version; when the target's answers were enough for a verdict
+	judged   map[int64]bool                            // by order version; the target's answers were enough for a verdict
 }
 
 // Config holds the dependencies of a Controller.
@@ -97,7 +97,7 @@
 		dueSince: make(map[string]clock.Millis),
 		history:  make(map[int64][]map[string]rollout.Comparison),
 		bad:      make(map[int64]bool),
-		judgedAt: make(map[int64]clock.Millis),
+		judged:   make(map[int64]bool),
 	}
 }
 
@@ -169,9 +169,10 @@
 	return fleet.Completed, r.Progress(now) >= completeBy || !c.othersBusy(v, r)
 }
 
-// judge holds the canary back until its answers on every route are enough for a verdict.
+// judge holds the canary back unless its answers on every route are enough for a verdict
+// in time.
 func (c *Controller) judge(r fleet.Rollout) {
-	if c.judgedAt[r.OrderVersion] != 0 {
+	if c.judged[r.OrderVersion] || r.Progress(c.clock.Now()) >= rollout.VerdictBy() {
 		return
 	}
 	routes := c.peerStats.CompareVersions(r.Pool, r.OrderVersion)
@@ -180,21 +181,17 @@
 	for _, comparison := range routes {
 		judged = judged && comparison.BoundsHarm()
 	}
-	if judged {
-		c.judgedAt[r.OrderVersion] = c.clock.Now()
-	}
+	c.judged[r.OrderVersion] = judged
 	c.canaryStopper.HoldCanary(r, !judged)
 }
 
-// fullShareAt returns when the target gets all requests: when its answers are enough for a
-// verdict, within the schedule.
+// fullShareAt returns when the target gets all requests.
 func (c *Controller) fullShareAt(r fleet.Rollout) clock.Millis {
-	at := func(progress float64) clock.Millis { return r.StartedAt + clock.Millis(float64(r.Duration)*progress) }
-	latest := at(rollout.HeldUntil())
-	if judgedAt := c.judgedAt[r.OrderVersion]; judgedAt != 0 {
-		return min(max(judgedAt, at(rollout.FullShareProgress())), latest)
+	progress := rollout.HeldUntil()
+	if c.judged[r.OrderVersion] {
+		progress = rollout.FullShareProgress()
 	}
-	return latest
+	return r.StartedAt + clock.Millis(float64(r.Duration)*progress)
 }
 
 // targetInService reports whether the target version has a server in service.
--- a/internal/decision/rollout/comparison.go
+++ b/internal/decision/rollout/comparison.go
@@ -71,7 +71,7 @@
 
 func (c Comparison) evaluate(proof criteria) Finding {
 	failing := proof.fails
-	if !isSpread(c.Canary.BadServers, c.Canary.Servers) {
+	if !isSpread(c.Canary.Bad, c.Canary.BadServers, c.Canary.Servers) {
 		failing = max(failing, fewServersFailThreshold)
 	}
 	switch {
--- a/internal/decision/rollout/error_rate.go
+++ b/internal/decision/rollout/error_rate.go
@@ -12,7 +12,7 @@
 // errorRatio returns the log likelihood ratio of the canary's error rate being raised
 // rather than the baseline's. It is zero if the errors are confined to a few servers.
 func (c Comparison) errorRatio() float64 {
-	if !isSpread(c.Canary.ErrorServers, c.Canary.Servers) {
+	if !isSpread(c.Canary.Errors, c.Canary.ErrorServers, c.Canary.Servers) {
 		return 0
 	}
 	usual := math.Max(c.Baseline.errorRate(), minErrorRate)
--- a/internal/decision/rollout/pace.go
+++ b/internal/decision/rollout/pace.go
@@ -169,7 +169,7 @@
 			ratio += float64(c.Streams) * math.Log((1-slow)/(1-l.lagging))
 		}
 	}
-	if !isSpread(lagServers, servers) {
+	if !isSpread(lagging, lagServers, servers) {
 		return 0
 	}
 	return ratio + lagged*spreadAnswers(lagging, lagServers, servers)/float64(lagging)
--- a/internal/decision/rollout/schedule.go
+++ b/internal/decision/rollout/schedule.go
@@ -28,15 +28,13 @@
 	return share
 }
 
-const (
-	// heldUntil is the progress until which a new version without a verdict is held back.
-	// Afterwards there is just the time to complete it.
-	heldUntil = 0.8
-	// heldMargin is the fraction of the exposed share that is used until then.
-	heldMargin = 0.9
-	// firstHalf is the progress from which sessions may change their version.
-	firstHalf = 0.5
-)
+// heldSteps is the schedule of a new version without a verdict in the second half. Until
+// the last step, when there is just the time to complete the version, it gets no more
+// requests in all than a bad version may.
+var heldSteps = []struct{ from, exposures float64 }{{0.5, 2}, {0.7, 3}}
+
+// heldUntil is the progress from which a version without a verdict gets all requests.
+const heldUntil = 0.8
 
 // HeldShare returns the largest share of requests for a version whose answers are too few
 // for a verdict. It never falls, so that no session returns to the old version.
@@ -44,13 +42,22 @@
 	if progress >= heldUntil {
 		return 1
 	}
-	used := ShareAt(0, exposed) * firstHalf
-	return (exposed*heldMargin - used) / (heldUntil - firstHalf)
+	share := exposed
+	for _, s := range heldSteps {
+		if progress >= s.from {
+			share = exposed * s.exposures
+		}
+	}
+	return share
 }
 
 // HeldUntil returns the progress from which HeldShare no longer limits the share.
 func HeldUntil() float64 { return heldUntil }
 
+// VerdictBy returns the progress until which a version must have enough answers in order
+// not to be held. A later release would move most requests at once.
+func VerdictBy() float64 { return shareSteps[1].from }
+
 // FullShareProgress returns the progress from which the new version gets all
 // requests.
 func FullShareProgress() float64 { return shareSteps[len(shareSteps)-1].from }
