Compare the newest times to the first byte with those of the same time

Without answers of the other version in the same time, the newest times to the first byte count no longer; the pace of streams, compared by load, and bad answers still do.

--- a/internal/decision/rollout/comparison.go
+++ b/internal/decision/rollout/comparison.go
@@ -116,6 +116,11 @@
 	if baseline.Total() >= minRecentAnswers && baseline.errorRate() > c.Baseline.errorRate() {
 		recent.Baseline.Errors = int(baseline.errorRate() * float64(recent.Baseline.Total()))
 	}
+	if baseline.LatencySamples < minLatencySamples {
+		// The times to the first byte depend on the load, so they are compared with those
+		// of the same time only.
+		recent.Canary.LatencySamples, recent.Canary.LogSlownessSum = 0, 0
+	}
 	if baseline.LatencySamples >= minLatencySamples && baseline.meanLogSlowness() > c.Baseline.meanLogSlowness() {
 		recent.Baseline.LatencySamples, recent.Baseline.LogSlownessSum = baseline.LatencySamples, baseline.LogSlownessSum
 	}
--- a/internal/decision/rollout/comparison_test.go
+++ b/internal/decision/rollout/comparison_test.go
@@ -97,6 +97,16 @@
 	}
 }
 
+// TestBusyAfterHandOver checks that a version whose answers take longer once it has all
+// requests is not compared with what the other version did at a lower load.
+func TestBusyAfterHandOver(t *testing.T) {
+	earlier := Comparison{Canary: latencies(300, 0.3), Baseline: latencies(2_000, 0.3)}
+	queued := Comparison{Canary: latencies(50, 4)}
+	assert.Equal(t, earlier.Plus(queued).Since(earlier).EvaluateRecent(), Healthy)
+	queued.Baseline = latencies(50, 0.3)
+	assert.Equal(t, earlier.Plus(queued).Since(earlier).EvaluateRecent(), Slow)
+}
+
 // simulateRollout simulates the answers of a roll-out that is evaluated every
 // 200 ms. It returns the round in which the canary is found bad, or -1, and the
 // canary's bad answers until then.
