--- a/internal/decision/rollout/comparison.go
+++ b/internal/decision/rollout/comparison.go
@@ -17,27 +17,36 @@
 	badRateIncrease = 0.3
 	// maxBadRate keeps the likelihood of a good answer above zero.
 	maxBadRate = 0.95
-	// failThreshold is the log likelihood ratio at which a version is failing.
-	// It gives about one false alarm in a hundred good versions.
-	failThreshold = 5.0
-	// recentFailThreshold is the threshold for the newest answers alone. It is
-	// higher because they are evaluated many times during a roll-out.
-	recentFailThreshold = 13.0
-	// oneServerFailThreshold is the minimum threshold if all bad answers came
-	// from one server, since the fault may be in that server.
-	oneServerFailThreshold = 14.0
+	// fewServersFailThreshold is the minimum threshold if the bad answers came from
+	// few of the servers, since the fault may be in those servers.
+	fewServersFailThreshold = 14.0
 	// minLogSlowdown is the least difference of mean log slowness at which a
 	// version is slow.
 	minLogSlowdown = 0.45
-	// logSlownessSpread is the assumed spread of the log slowness of one answer.
-	logSlownessSpread = 2.5
-	// recentLogSlownessSpread is the spread for the newest answers alone, which
-	// are evaluated many times.
-	recentLogSlownessSpread = 4.5
 	// minLatencySamples is how many samples a mean slowness needs.
 	minLatencySamples = 4
 )
 
+// criteria are what an evaluation takes for proof that a version is bad. The first three
+// are log likelihood ratios.
+type criteria struct {
+	fails float64 // bad answers, errors and slow ones
+	errs  float64 // errors alone
+	lags  float64 // lagging streams
+	// latencySpread is the assumed spread of the log slowness of one answer.
+	latencySpread float64
+}
+
+var (
+	// routeCriteria are for all answers of one route, poolCriteria for the sum of the
+	// routes. There are several routes, so one of them needs more proof.
+	routeCriteria = criteria{fails: 7, errs: 5, lags: 8, latencySpread: 2.5}
+	poolCriteria  = criteria{fails: 5, errs: 5, lags: 8, latencySpread: 2.5}
+	// recentCriteria are for the newest answers alone, which are evaluated many times
+	// during a roll-out.
+	recentCriteria = criteria{fails: 13, errs: 13, lags: 13, latencySpread: 4.5}
+)
+
 // Finding is the result of evaluating a canary version.
 type Finding string
 
@@ -48,28 +57,44 @@
 	Slow    Finding = "slow"
 )
 
-// Evaluate reports whether the canary does worse than the baseline.
-func (c Comparison) Evaluate() Finding { return c.evaluate(failThreshold, logSlownessSpread) }
+// Evaluate reports whether the canary does worse than the baseline on a route.
+func (c Comparison) Evaluate() Finding { return c.evaluate(routeCriteria) }
+
+// EvaluatePool is Evaluate for the sum of all routes of a pool.
+func (c Comparison) EvaluatePool() Finding { return c.evaluate(poolCriteria) }
 
 // EvaluateRecent is Evaluate for the newest answers only, as returned by Since.
 // It detects versions that turn bad after many good answers.
 func (c Comparison) EvaluateRecent() Finding {
-	return c.evaluate(recentFailThreshold, recentLogSlownessSpread)
+	return c.evaluate(recentCriteria)
 }
 
-func (c Comparison) evaluate(threshold, spread float64) Finding {
-	if c.Canary.badServerCount() < 2 {
-		threshold = max(threshold, oneServerFailThreshold)
+func (c Comparison) evaluate(proof criteria) Finding {
+	failing := proof.fails
+	if !isSpread(c.Canary.Bad, c.Canary.BadServers, c.Canary.Servers) {
+		failing = max(failing, fewServersFailThreshold)
 	}
 	switch {
-	case c.logLikelihoodRatio() >= threshold:
+	case c.logLikelihoodRatio() >= failing:
+		return Failing
+	case c.errorRatio() >= proof.errs:
 		return Failing
-	case c.isSlow(spread):
+	case c.isSlow(proof.latencySpread):
+		return Slow
+	case lagRatio(c.Canary.Paces, c.Baseline.Paces) >= proof.lags:
 		return Slow
 	}
 	return Healthy
 }
 
+// minVerdictAnswers is how many of a version's answers on a route bound its error rate: a
+// version that fails three in twenty would show nine errors on average.
+const minVerdictAnswers = 60
+
+// BoundsHarm reports whether the canary has given enough answers on the route to tell it
+// from a bad version.
+func (c Comparison) BoundsHarm() bool { return c.Canary.Total() >= minVerdictAnswers }
+
 // Plus returns the sum of two comparisons, such as those of two routes.
 func (c Comparison) Plus(o Comparison) Comparison {
 	return Comparison{Canary: c.Canary.Plus(o.Canary), Baseline: c.Baseline.Plus(o.Baseline)}
@@ -88,6 +113,14 @@
 	if baseline.Total() >= minRecentAnswers && baseline.badRate() > c.Baseline.badRate() {
 		recent.Baseline = baseline
 	}
+	if baseline.Total() >= minRecentAnswers && baseline.errorRate() > c.Baseline.errorRate() {
+		recent.Baseline.Errors = int(baseline.errorRate() * float64(recent.Baseline.Total()))
+	}
+	if baseline.LatencySamples < minLatencySamples {
+		// The times to the first byte depend on the load, so they are compared with those
+		// of the same time only.
+		recent.Canary.LatencySamples, recent.Canary.LogSlownessSum = 0, 0
+	}
 	if baseline.LatencySamples >= minLatencySamples && baseline.meanLogSlowness() > c.Baseline.meanLogSlowness() {
 		recent.Baseline.LatencySamples, recent.Baseline.LogSlownessSum = baseline.LatencySamples, baseline.LogSlownessSum
 	}
--- a/internal/traffic/versionrouting/router_test.go
+++ b/internal/traffic/versionrouting/router_test.go
@@ -212,3 +212,53 @@
 	assert.Equal(t, d.router.AnswerStats()[AnswerStatsKey{"text", 9, true, "draft"}].Good, 1)
 	assert.Equal(t, len(d.router.AnswerStats()), 1)
 }
+
+// TestPacesAreCountedByVersion checks that the paces of streams and the errors are counted
+// by version while the roll-out runs, and not afterwards.
+func TestPacesAreCountedByVersion(t *testing.T) {
+	v1 := fleet.Entry{Server: fleet.Server{ID: "s1", Pool: "text", Version: "v1"}}
+	v2 := fleet.Entry{Server: fleet.Server{ID: "s2", Pool: "text", Version: "v2"}}
+	for stage, want := range map[fleet.Stage]int{fleet.Running: 1, fleet.Completed: 0, fleet.RolledBack: 0} {
+		d := newDaemon(stage, nil)
+		d.router.RecordPace(d.view, &v1, "large", 7, 25)
+		d.router.RecordPace(d.view, &v2, "large", 1, 48)
+		d.router.RecordOutcome(d.view, &v2, &catalog.Route{Name: "draft"}, relay.Outcome{Conclusive: true, Failed: true, Error: true})
+		stats := d.router.AnswerStats()
+		assert.Equal(t, len(stats[AnswerStatsKey{"text", 7, false, ""}].Paces), want)
+		assert.Equal(t, len(stats[AnswerStatsKey{"text", 7, true, ""}].Paces), want)
+		assert.Equal(t, stats[AnswerStatsKey{"text", 7, true, "draft"}].Errors, want)
+	}
+}
+
+// TestHeldCanary checks the new version's share of the requests while its answers are too
+// few for a verdict.
+func TestHeldCanary(t *testing.T) {
+	cases := map[string]struct {
+		at       clock.Millis
+		held     bool
+		min, max float64
+	}{
+		"first half, held":         {15_000, true, 0.07, 0.11},
+		"second half, held":        {25_500, true, 0.25, 0.35},
+		"second half, judged":      {25_500, false, 0.45, 0.55},
+		"last step, held":          {28_000, true, 0.4, 0.5},
+		"last step, judged":        {28_000, false, 1, 1},
+		"just in time to complete": {29_300, true, 1, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDaemon(fleet.Running, nil)
+			d.router.HoldCanary(d.view.Rollouts["text"], c.held)
+			d.clock.Advance(c.at - 10_000)
+			const requests = 2_000
+			canary := 0
+			for i := range requests {
+				if d.allowedVersions(fmt.Sprintf("session-%d", i), false) == "v2" {
+					canary++
+				}
+			}
+			share := float64(canary) / requests
+			assert.Assert(t, share >= c.min && share <= c.max, "share %.3f", share)
+		})
+	}
+}
