Follow the store across its return from an older copy

Versions go back when the store returns from a copy, and are given out again. A follower kept the larger version and so never asked for what was written below it; a leader's history hid rows whose version it already knew.

A position is an epoch and a version: the store's client refuses changes across epochs and conditional writes whose version is of an earlier epoch. A leader lists the table anew and gives its followers the differences from the end of the epoch before; a follower that notices first waits for that, up to 0.3 of the apply time, before it lists by itself.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -58,7 +58,7 @@
 // Run updates the sink until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	retryDelay := minRetryDelay
-	version, loaded, available := int64(0), false, true
+	position, loaded, available := rowstore.Position{}, false, true
 	for ctx.Err() == nil {
 		// The first call after a failure does not wait for changes: this separates the
 		// changes made during the outage from later ones.
@@ -66,18 +66,27 @@
 		if !available {
 			wait = 0
 		}
-		page, err := f.read(ctx, loaded, version, wait)
+		page, err := f.read(ctx, loaded, position, wait)
 		if ctx.Err() != nil {
 			return
 		}
 		if errors.Is(err, rowstore.ErrCompacted) {
-			f.log.Info("store compacted its changes; reading the complete table", "table", f.table, "after", version)
+			f.log.Info("store compacted its changes; reading the complete table", "table", f.table, "after", position.Version)
 			loaded = false
 			continue
 		}
+		if loaded && errors.Is(err, rowstore.ErrEpochChanged) {
+			f.log.Info("store epoch changed; reading the complete table", "table", f.table, "after", position.Version, "epoch", position.Epoch)
+			loaded = false
+			continue
+		}
+		if err == nil && page.Epoch < position.Epoch {
+			// A late response: the table is already known as of a later epoch.
+			err = rowstore.ErrEpochChanged
+		}
 		if (err == nil) != available {
 			available = err == nil
-			f.logAvailability(available, err, version)
+			f.logAvailability(available, err, position.Version)
 		}
 		f.sink.SetAvailable(f.table, available)
 		if err != nil {
@@ -92,7 +101,7 @@
 		} else {
 			f.sink.Replace(f.table, page)
 		}
-		loaded, version = true, max(version, page.Version)
+		loaded, position = true, laterOf(position, page.Position)
 		if changed && !page.FromPeer {
 			clock.Sleep(ctx, f.batchDelay)
 		}
@@ -107,8 +116,17 @@
 	f.log.Warn("store unavailable", "table", f.table, "after", version, "error", err.Error())
 }
 
-// read lists the table, or waits for changes after the version if it is loaded.
-func (f *Follower) read(ctx context.Context, loaded bool, version int64, wait clock.Millis) (rowstore.Page, error) {
+// laterOf returns the later position. A list or a leader can return a page of an earlier
+// version of the same epoch.
+func laterOf(p, q rowstore.Position) rowstore.Position {
+	if p.Compare(q) > 0 {
+		return p
+	}
+	return q
+}
+
+// read lists the table, or waits for changes after the position if it is loaded.
+func (f *Follower) read(ctx context.Context, loaded bool, after rowstore.Position, wait clock.Millis) (rowstore.Page, error) {
 	timeout := listTimeout
 	if loaded {
 		timeout = wait + callMargin
@@ -118,5 +136,5 @@
 	if !loaded {
 		return f.store.List(callCtx, f.table)
 	}
-	return f.store.Changes(callCtx, f.table, version, wait)
+	return f.store.Changes(callCtx, f.table, after, wait)
 }
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -49,11 +49,13 @@
 	return s.next(ctx, "list", 0)
 }
 
-func (s *scriptedStore) Changes(ctx context.Context, _ string, after int64, wait clock.Millis) (rowstore.Page, error) {
-	return s.next(ctx, "changes after "+string(rune('0'+after)), wait)
+func (s *scriptedStore) Changes(ctx context.Context, _ string, after rowstore.Position, wait clock.Millis) (rowstore.Page, error) {
+	return s.next(ctx, "changes after "+string(rune('0'+after.Version)), wait)
 }
 
-func (s *scriptedStore) Commit(context.Context, ...rowstore.Write) (int64, error) { return 0, nil }
+func (s *scriptedStore) Commit(context.Context, ...rowstore.Write) (rowstore.Position, error) {
+	return rowstore.Position{}, nil
+}
 
 // silentStore never answers a call for changes. The second such call closes again.
 type silentStore struct {
@@ -62,7 +64,7 @@
 	again   chan struct{}
 }
 
-func (s *silentStore) Changes(ctx context.Context, _ string, _ int64, _ clock.Millis) (rowstore.Page, error) {
+func (s *silentStore) Changes(ctx context.Context, _ string, _ rowstore.Position, _ clock.Millis) (rowstore.Page, error) {
 	s.mu.Lock()
 	s.changes++
 	if s.changes == 2 {
@@ -94,7 +96,7 @@
 }
 
 func page(version int64, keys ...string) rowstore.Page {
-	p := rowstore.Page{Version: version}
+	p := rowstore.Page{Position: rowstore.Position{Version: version}}
 	for _, k := range keys {
 		p.Rows = append(p.Rows, rowstore.Row{Key: k})
 	}
--- a/internal/control/peerfeed/history.go
+++ b/internal/control/peerfeed/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/maphash"
 	"maps"
 	"slices"
 	"sync"
@@ -18,61 +19,112 @@
 type history struct {
 	mu          sync.Mutex // guards the fields below
 	loaded      bool
-	floor       int64 // rows holds all changes after this version
-	version     int64 // up to which the history is complete
+	floor       rowstore.Position // rows holds all changes after it
+	position    rowstore.Position // up to which the history is complete
+	base        rowstore.Position // first one known in the epoch of position
+	previous    rowstore.Position // last one known in the epoch before that
 	rows        []rowstore.Row
-	size        int             // of rows, in bytes
-	keys        map[string]bool // of the rows that the table holds
-	storeTime   clock.Millis    // the store's clock at confirmedAt
-	confirmedAt clock.Millis    // when the store last confirmed version
-	changed     chan struct{}   // closed and replaced when rows arrive
+	size        int                 // of rows, in bytes
+	keys        map[string]rowState // of the rows that the table holds
+	storeTime   clock.Millis        // the store's clock at confirmedAt
+	confirmedAt clock.Millis        // when the store last confirmed version
+	changed     chan struct{}       // closed and replaced when rows arrive
 }
 
 func newHistory() *history {
-	return &history{keys: make(map[string]bool), changed: make(chan struct{})}
+	return &history{keys: make(map[string]rowState), changed: make(chan struct{})}
 }
 
-// reset discards the rows and starts a new history at the version.
-func (h *history) reset(version int64) {
-	h.loaded, h.floor, h.version = true, version, version
+// rowState identifies the contents of a row. The value counts because a version that is
+// given out again may belong to another value.
+type rowState struct {
+	version   int64
+	valueHash uint64
+}
+
+var hashSeed = maphash.MakeSeed()
+
+func stateOf(r rowstore.Row) rowState {
+	return rowState{version: r.Version, valueHash: maphash.Bytes(hashSeed, r.Value)}
+}
+
+// positionOf returns the position at which the row was written, or for a difference
+// between two epochs, a position in the later one.
+func positionOf(r rowstore.Row) rowstore.Position {
+	return rowstore.Position{Epoch: r.Epoch, Version: r.Version}
+}
+
+// reset discards the rows and starts a new history at the position.
+func (h *history) reset(p rowstore.Position) {
+	h.loaded, h.floor, h.position, h.base = true, p, p, p
 	h.rows, h.size = nil, 0
 }
 
+// startEpoch prepares for rows of a later epoch. The rows of the epoch before it are kept
+// for daemons that have not noticed yet.
+func (h *history) startEpoch(p rowstore.Position) {
+	if h.floor.Epoch < h.position.Epoch {
+		h.floor = h.base
+		h.rows = slices.DeleteFunc(h.rows, func(r rowstore.Row) bool { return r.Epoch < h.position.Epoch })
+		h.size = 0
+		for _, r := range h.rows {
+			h.size += sizeOf(r)
+		}
+	}
+	h.previous, h.base = h.position, p
+}
+
 // applyList records a complete read of the table. Differences from the known keys and
-// versions become changes, so that after the store has compacted its history, only
-// this daemon has to read the complete table.
+// versions become changes, so that after the store has compacted its history or has
+// returned from an older copy, only this daemon has to read the complete table.
 func (h *history) applyList(page rowstore.Page, now clock.Millis) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.loaded {
-		h.reset(page.Version)
+		h.reset(page.Position)
+	}
+	if page.Epoch < h.position.Epoch {
+		return
+	}
+	risen := page.Epoch > h.position.Epoch
+	if risen {
+		h.startEpoch(page.Position)
 	}
 	removed := maps.Clone(h.keys)
 	rows := slices.SortedFunc(slices.Values(page.Rows), func(a, b rowstore.Row) int { return cmp.Compare(a.Version, b.Version) })
 	for _, r := range rows {
 		delete(removed, r.Key)
-		h.add(r)
+		if !risen || h.keys[r.Key] != stateOf(r) {
+			h.add(r)
+		}
 	}
 	for key := range removed {
-		h.add(rowstore.Row{Key: key, Version: page.Version, Deleted: true})
+		h.add(rowstore.Row{Key: key, Version: page.Version, Epoch: page.Epoch, Deleted: true})
 	}
-	h.trim(page.Version)
-	h.confirm(page, now)
+	h.trim(page.Position)
+	h.confirm(page, now, risen)
 }
 
-// applyChanges records the rows that changed after a version, as the store confirmed
+// applyChanges records the rows that changed after a position, as the store confirmed
 // them at confirmedAt. A gap before them discards the earlier rows.
-func (h *history) applyChanges(after int64, page rowstore.Page, confirmedAt clock.Millis) {
+func (h *history) applyChanges(after rowstore.Position, page rowstore.Page, confirmedAt clock.Millis) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.loaded || after > h.version {
+	if !h.loaded || after.Compare(h.position) > 0 {
 		h.reset(after)
 	}
+	if page.Epoch < h.position.Epoch {
+		return
+	}
+	risen := page.Epoch > h.position.Epoch
+	if risen {
+		h.startEpoch(page.Position)
+	}
 	for _, r := range page.Rows {
 		h.add(r)
 	}
-	h.trim(page.Version)
-	h.confirm(page, confirmedAt)
+	h.trim(page.Position)
+	h.confirm(page, confirmedAt, risen)
 }
 
 // add appends a row if it is newer than the history.
@@ -80,31 +132,33 @@
 	if r.Deleted {
 		delete(h.keys, r.Key)
 	} else {
-		h.keys[r.Key] = true
+		h.keys[r.Key] = stateOf(r)
 	}
-	if r.Version > h.version {
+	if positionOf(r).Compare(h.position) > 0 {
 		h.rows = append(h.rows, r)
 		h.size += sizeOf(r)
 	}
 }
 
-// trim raises the version, and discards the oldest rows above maxHistoryBytes.
-func (h *history) trim(version int64) {
-	h.version = max(h.version, version)
+// trim raises the position, and discards the oldest rows above maxHistoryBytes.
+func (h *history) trim(p rowstore.Position) {
+	if p.Compare(h.position) > 0 {
+		h.position = p
+	}
 	for h.size > maxHistoryBytes {
 		h.size -= sizeOf(h.rows[0])
-		h.floor = h.rows[0].Version
+		h.floor = positionOf(h.rows[0])
 		h.rows = h.rows[1:]
 	}
 }
 
-// confirm records when the store confirmed the version, and wakes waiting requests if
-// the page has rows.
-func (h *history) confirm(page rowstore.Page, confirmedAt clock.Millis) {
+// confirm records when the store confirmed the position, and wakes waiting requests if
+// the page has rows or starts an epoch.
+func (h *history) confirm(page rowstore.Page, confirmedAt clock.Millis, risen bool) {
 	if confirmedAt >= h.confirmedAt {
 		h.storeTime, h.confirmedAt = page.StoreTime, confirmedAt
 	}
-	if len(page.Rows) > 0 {
+	if len(page.Rows) > 0 || risen {
 		close(h.changed)
 		h.changed = make(chan struct{})
 	}
@@ -115,25 +169,39 @@
 // rowOverheadBytes is the memory of a row without its key and value.
 const rowOverheadBytes = 64
 
-// age returns the time since the store confirmed the version.
+// age returns the time since the store confirmed the position.
 func (h *history) age(now clock.Millis) clock.Millis {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return now - h.confirmedAt
 }
 
-// since returns the changes after the version, and a channel that is closed when more
-// rows arrive. The response is Unavailable if the history does not go back to the
-// version, or the store last confirmed it more than maxAge ago.
-func (h *history) since(after int64, now, maxAge clock.Millis) (ChangesResponse, <-chan struct{}) {
+// continues reports whether the history has all changes after the position. A position of
+// the current epoch must not be before its first known one: rows that were the same at
+// the end of the epoch before may have been missing in between. One of the epoch before
+// must not be after its last known one.
+func (h *history) continues(after rowstore.Position) bool {
+	if !h.loaded || after.Compare(h.floor) < 0 {
+		return false
+	}
+	if after.Epoch == h.position.Epoch {
+		return after.Compare(h.base) >= 0
+	}
+	return after.Epoch == h.previous.Epoch && after.Compare(h.previous) <= 0
+}
+
+// since returns the changes after the position, and a channel that is closed when more
+// rows arrive. The response is Unavailable if the history does not continue from the
+// position, or the store last confirmed it more than maxAge ago.
+func (h *history) since(after rowstore.Position, now, maxAge clock.Millis) (ChangesResponse, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.loaded || after < h.floor || now-h.confirmedAt > maxAge {
+	if !h.continues(after) || now-h.confirmedAt > maxAge {
 		return ChangesResponse{Unavailable: true}, h.changed
 	}
-	response := ChangesResponse{Version: h.version, Age: now - h.confirmedAt, Now: h.storeTime + now - h.confirmedAt}
+	response := ChangesResponse{Version: h.position.Version, Epoch: h.position.Epoch, Age: now - h.confirmedAt, Now: h.storeTime + now - h.confirmedAt}
 	for _, r := range h.rows {
-		if r.Version > after {
+		if positionOf(r).Compare(after) > 0 {
 			response.Rows = append(response.Rows, encodeRow(r))
 		}
 	}
--- a/internal/control/peerfeed/message.go
+++ b/internal/control/peerfeed/message.go
@@ -9,6 +9,7 @@
 type ChangesRequest struct {
 	Table   string       `json:"t"`
 	After   int64        `json:"a"` // store version up to which the requesting daemon has the table
+	Epoch   int64        `json:"e"` // of After
 	MaxWait clock.Millis `json:"w"` // how long the response may be held back while there are no changes
 }
 
@@ -16,6 +17,7 @@
 type ChangesResponse struct {
 	Rows    []changedRow `json:"r,omitempty"`
 	Version int64        `json:"v"` // store version up to which the response is complete
+	Epoch   int64        `json:"e"` // of Version; if it is not the requested one, Rows has all differences
 	Now     clock.Millis `json:"n"` // time of the store's clock
 	Age     clock.Millis `json:"a"` // time since the store confirmed Version
 	// Unavailable means that the requesting daemon must call the store itself: the
@@ -32,12 +34,13 @@
 	Value   []byte
 	Version int64
 	Deleted bool
+	Epoch   int64
 }
 
 func encodeRow(r rowstore.Row) changedRow {
-	return changedRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+	return changedRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted, Epoch: r.Epoch}
 }
 
 func (r changedRow) decode(table string) rowstore.Row {
-	return rowstore.Row{Table: table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+	return rowstore.Row{Table: table, Key: r.Key, Value: r.Value, Version: r.Version, Epoch: r.Epoch, Deleted: r.Deleted}
 }
--- a/internal/control/peerfeed/store.go
+++ b/internal/control/peerfeed/store.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,10 @@
 	// remaining time is for a follower's own call to the store.
 	leaderWaitShare = 0.45
 	maxAgeShare     = 0.65
+	// relistWaitShare is how long a daemon leaves reading a complete table to its leader.
+	relistWaitShare = 0.3
+	// leaderPollInterval is the interval between calls to leaders in that time.
+	leaderPollInterval = 100 * clock.Millis(1)
 	// peerCallMargin is how much longer than its MaxWait a call to the leader may take.
 	peerCallMargin = 500 * clock.Millis(1)
 )
@@ -89,13 +94,13 @@
 }
 
 // Commit writes to the store.
-func (s *Store) Commit(ctx context.Context, writes ...rowstore.Write) (int64, error) {
+func (s *Store) Commit(ctx context.Context, writes ...rowstore.Write) (rowstore.Position, error) {
 	return s.RowStore.Commit(ctx, writes...)
 }
 
 // Changes waits for changes of the table. It polls the first usable leader, or the
 // store if there is none or this daemon is the leader.
-func (s *Store) Changes(ctx context.Context, table string, after int64, wait clock.Millis) (rowstore.Page, error) {
+func (s *Store) Changes(ctx context.Context, table string, after rowstore.Position, wait clock.Millis) (rowstore.Page, error) {
 	leaders, h := s.Leaders(), s.history(table)
 	if len(leaders) > 0 {
 		wait = min(wait, s.timeShare(leaderWaitShare))
@@ -109,7 +114,7 @@
 		if s.isSkipped(address) {
 			continue
 		}
-		page, err := s.callLeader(ctx, address, ChangesRequest{Table: table, After: after, MaxWait: wait})
+		page, err := s.callLeader(ctx, address, ChangesRequest{Table: table, After: after.Version, Epoch: after.Epoch, MaxWait: wait})
 		if err == nil {
 			page.StoreFailedAt = s.breaker.lastFailure()
 			return page, nil
@@ -121,12 +126,38 @@
 		defer cancel()
 		return s.RowStore.Changes(callCtx, table, after, wait)
 	})
+	if errors.Is(err, rowstore.ErrEpochChanged) || errors.Is(err, rowstore.ErrCompacted) {
+		if differences, ok := s.awaitLeader(ctx, leaders, table, after); ok {
+			return differences, nil
+		}
+	}
 	if err == nil {
 		h.applyChanges(after, page, s.Clock.Now())
 	}
 	return page, errors.WithStack(err)
 }
 
+// awaitLeader polls the leaders before this daemon until one has the differences between
+// the position and a later state, for a share of ApplyTimeout. Otherwise all daemons
+// would read the complete table when the store returns with an older copy.
+func (s *Store) awaitLeader(ctx context.Context, leaders []string, table string, after rowstore.Position) (rowstore.Page, bool) {
+	if self := slices.Index(leaders, s.SelfAddress); self >= 0 {
+		leaders = leaders[:self]
+	}
+	until := s.Clock.Now() + s.timeShare(relistWaitShare)
+	for len(leaders) > 0 && ctx.Err() == nil && s.Clock.Now() < until {
+		for _, address := range leaders {
+			page, err := s.callLeader(ctx, address, ChangesRequest{Table: table, After: after.Version, Epoch: after.Epoch})
+			if err == nil && page.Compare(after) > 0 {
+				page.StoreFailedAt = s.breaker.lastFailure()
+				return page, true
+			}
+		}
+		clock.Sleep(ctx, leaderPollInterval)
+	}
+	return rowstore.Page{}, false
+}
+
 // call makes a call to the store. While the store fails, calls wait for their turn as
 // a probe or for another table's probe to succeed.
 func (s *Store) call(ctx context.Context, read func() (rowstore.Page, error)) (rowstore.Page, error) {
@@ -135,7 +166,8 @@
 	}
 	startedAt := s.Clock.Now()
 	page, err := read()
-	s.breaker.release(err == nil || errors.Is(err, rowstore.ErrCompacted), startedAt)
+	answered := err == nil || errors.Is(err, rowstore.ErrCompacted) || errors.Is(err, rowstore.ErrEpochChanged)
+	s.breaker.release(answered, startedAt)
 	page.StoreFailedAt = s.breaker.lastFailure()
 	return page, err
 }
@@ -155,6 +187,10 @@
 // store.
 func (s *Store) LeaderResponses() int64 { return s.leaderResponses.Load() }
 
+// errLeaderOutdated means that the leader has not noticed the store's return from an
+// older copy.
+var errLeaderOutdated = errors.New("leader is in an earlier epoch of the store")
+
 // errLeaderUnavailable corresponds to ChangesResponse.Unavailable.
 var errLeaderUnavailable = errors.New("leader is disconnected from the store or its history is too short")
 
@@ -180,12 +216,16 @@
 	if response.Unavailable {
 		return rowstore.Page{}, errLeaderUnavailable
 	}
+	after := rowstore.Position{Epoch: request.Epoch, Version: request.After}
+	if response.Epoch < after.Epoch {
+		return rowstore.Page{}, errLeaderOutdated
+	}
 	s.leaderResponses.Add(1)
-	page := rowstore.Page{Version: response.Version, StoreTime: response.Now, FromPeer: true}
+	page := rowstore.Page{Position: rowstore.Position{Epoch: response.Epoch, Version: response.Version}, StoreTime: response.Now, FromPeer: true}
 	for _, r := range response.Rows {
 		page.Rows = append(page.Rows, r.decode(request.Table))
 	}
-	s.history(request.Table).applyChanges(request.After, page, s.Clock.Now()-response.Age)
+	s.history(request.Table).applyChanges(after, page, s.Clock.Now()-response.Age)
 	return page, nil
 }
 
@@ -202,10 +242,11 @@
 	maxAge := s.timeShare(maxAgeShare)
 	until := s.Clock.Now() + request.MaxWait
 	h := s.history(request.Table)
+	after := rowstore.Position{Epoch: request.Epoch, Version: request.After}
 	for {
 		now := s.Clock.Now()
-		response, changed := h.since(request.After, now, maxAge)
-		if response.Unavailable || len(response.Rows) > 0 || now >= until || ctx.Err() != nil {
+		response, changed := h.since(after, now, maxAge)
+		if response.Unavailable || len(response.Rows) > 0 || response.Epoch != after.Epoch || now >= until || ctx.Err() != nil {
 			return response
 		}
 		timer := time.NewTimer(min(until-now, maxAge-response.Age+1).Duration())
--- a/internal/control/peerfeed/store_test.go
+++ b/internal/control/peerfeed/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 
@@ -25,6 +26,8 @@
 	rows      map[string]rowstore.Row
 	changed   chan struct{}
 	compacted int64 // version up to which changes are no longer available
+	epoch     int64
+	writes    []rowstore.Row // all that the current contents result from
 }
 
 func newMemoryStore() *memoryStore {
@@ -35,11 +38,49 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.rows[key] = rowstore.Row{Table: "t", Key: key, Value: []byte(value), Version: s.version, Deleted: value == ""}
+	row := rowstore.Row{Table: "t", Key: key, Value: []byte(value), Version: s.version, Deleted: value == ""}
+	s.rows[key] = row
+	s.writes = append(s.writes, row)
+	s.wake()
+}
+
+// wake must be called with mu held.
+func (s *memoryStore) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// restore returns to the contents as of the version, in a new epoch.
+func (s *memoryStore) restore(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes = slices.DeleteFunc(s.writes, func(r rowstore.Row) bool { return r.Version > version })
+	clear(s.rows)
+	for _, r := range s.writes {
+		s.rows[r.Key] = r
+	}
+	s.version = version
+	s.epoch++
+	s.wake()
+}
+
+// position must be called with mu held.
+func (s *memoryStore) position() rowstore.Position {
+	return rowstore.Position{Epoch: s.epoch, Version: s.version}
+}
+
+// read returns the rows written after the version. It must be called with mu held.
+func (s *memoryStore) read(after int64) rowstore.Page {
+	page := rowstore.Page{Position: s.position()}
+	for _, r := range s.rows {
+		if r.Version > after {
+			r.Epoch = s.epoch
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	return page
+}
+
 func (s *memoryStore) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -77,16 +118,12 @@
 	}
 	s.memoryStore.mu.Lock()
 	defer s.memoryStore.mu.Unlock()
-	page := rowstore.Page{Version: s.version}
-	for _, r := range s.rows {
-		if !r.Deleted {
-			page.Rows = append(page.Rows, r)
-		}
-	}
+	page := s.read(0)
+	page.Rows = slices.DeleteFunc(page.Rows, func(r rowstore.Row) bool { return r.Deleted })
 	return page, nil
 }
 
-func (s *daemonStore) Changes(ctx context.Context, _ string, after int64, wait clock.Millis) (rowstore.Page, error) {
+func (s *daemonStore) Changes(ctx context.Context, _ string, after rowstore.Position, wait clock.Millis) (rowstore.Page, error) {
 	if err := s.recordCall(); err != nil {
 		return rowstore.Page{}, err
 	}
@@ -94,16 +131,14 @@
 	defer cancel()
 	for {
 		s.memoryStore.mu.Lock()
-		page, changed, compacted := rowstore.Page{Version: s.version}, s.changed, s.compacted
-		for _, r := range s.rows {
-			if r.Version > after {
-				page.Rows = append(page.Rows, r)
-			}
-		}
+		page, changed, compacted := s.read(after.Version), s.changed, s.compacted
 		s.memoryStore.mu.Unlock()
-		if after < compacted {
+		if after.Version < compacted {
 			return rowstore.Page{}, rowstore.ErrCompacted
 		}
+		if after.Epoch != page.Epoch {
+			return rowstore.Page{}, rowstore.ErrEpochChanged
+		}
 		if len(page.Rows) > 0 || limit.Err() != nil {
 			return page, nil
 		}
@@ -114,17 +149,26 @@
 	}
 }
 
-func (s *daemonStore) Commit(context.Context, ...rowstore.Write) (int64, error) { return 0, nil }
+func (s *daemonStore) Commit(context.Context, ...rowstore.Write) (rowstore.Position, error) {
+	return rowstore.Position{}, nil
+}
+
+func laterOf(p, q rowstore.Position) rowstore.Position {
+	if p.Compare(q) > 0 {
+		return p
+	}
+	return q
+}
 
 // pair is a leader and a follower that polls it.
 type pair struct {
-	t                              *testing.T
-	store                          *memoryStore
-	leaderStore, followerStore     *daemonStore
-	leader, follower               *Store
-	leaderVersion, followerVersion int64
-	server                         *peer.Server
-	listener                       net.Listener
+	t                                *testing.T
+	store                            *memoryStore
+	leaderStore, followerStore       *daemonStore
+	leader, follower                 *Store
+	leaderPosition, followerPosition rowstore.Position
+	server                           *peer.Server
+	listener                         net.Listener
 }
 
 func newPair(t *testing.T) *pair {
@@ -149,7 +193,7 @@
 		page, err := s.List(t.Context(), "t")
 		assert.NilError(t, err)
 		assert.Equal(t, len(page.Rows), 1)
-		p.leaderVersion, p.followerVersion = page.Version, page.Version
+		p.leaderPosition, p.followerPosition = page.Position, page.Position
 	}
 	return p
 }
@@ -162,18 +206,18 @@
 // pollLeader makes the leader's next call for changes.
 func (p *pair) pollLeader() {
 	p.t.Helper()
-	page, err := p.leader.Changes(p.t.Context(), "t", p.leaderVersion, 100)
+	page, err := p.leader.Changes(p.t.Context(), "t", p.leaderPosition, 100)
 	assert.NilError(p.t, err)
-	p.leaderVersion = max(p.leaderVersion, page.Version)
+	p.leaderPosition = laterOf(p.leaderPosition, page.Position)
 }
 
 // pollFollower makes the follower's next call for changes and returns the changed
 // values by key.
 func (p *pair) pollFollower() map[string]string {
 	p.t.Helper()
-	page, err := p.follower.Changes(p.t.Context(), "t", p.followerVersion, applyTimeout)
+	page, err := p.follower.Changes(p.t.Context(), "t", p.followerPosition, applyTimeout)
 	assert.NilError(p.t, err)
-	p.followerVersion = max(p.followerVersion, page.Version)
+	p.followerPosition = laterOf(p.followerPosition, page.Position)
 	values := make(map[string]string)
 	for _, r := range page.Rows {
 		assert.Equal(p.t, r.Table, "t")
@@ -248,7 +292,7 @@
 	p.store.put("b", "2")
 	p.store.put("a", "")
 	p.store.compact()
-	_, err := p.leader.Changes(t.Context(), "t", p.leaderVersion, 100)
+	_, err := p.leader.Changes(t.Context(), "t", p.leaderPosition, 100)
 	assert.ErrorIs(t, err, rowstore.ErrCompacted)
 	calls := p.followerStore.count()
 	_, err = p.leader.List(t.Context(), "t")
@@ -275,12 +319,12 @@
 		var err error
 		for range callsUntilStale + 1 {
 			var page rowstore.Page
-			page, err = p.leader.Changes(t.Context(), "t", p.leaderVersion, applyTimeout)
-			p.leaderVersion = max(p.leaderVersion, page.Version)
+			page, err = p.leader.Changes(t.Context(), "t", p.leaderPosition, applyTimeout)
+			p.leaderPosition = laterOf(p.leaderPosition, page.Position)
 		}
 		leaderDone <- err
 	}()
 	assert.Equal(t, p.pollFollowerUntilStale("b"), "2")
 	assert.NilError(t, <-leaderDone)
-	assert.Equal(t, p.leaderVersion, p.followerVersion)
+	assert.Equal(t, p.leaderPosition, p.followerPosition)
 }
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -151,10 +151,10 @@
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		version, err := store.Commit(callCtx, rowstore.Write{Table: Table, Key: hostKeyPrefix + name, Value: value, Unconditional: true})
+		position, err := store.Commit(callCtx, rowstore.Write{Table: Table, Key: hostKeyPrefix + name, Value: value, Unconditional: true})
 		cancel()
 		if err == nil {
-			log.Info("host announced", "address", host.Address, "row_version", strconv.FormatInt(version, 10))
+			log.Info("host announced", "address", host.Address, "row_version", strconv.FormatInt(position.Version, 10))
 			return
 		}
 		log.Warn("failed to announce host", "address", host.Address, "error", err.Error())
--- a/internal/platform/rowstore/store.go
+++ b/internal/platform/rowstore/store.go
@@ -3,6 +3,7 @@
 package rowstore
 
 import (
+	"cmp"
 	"context"
 
 	"github.com/pkg/errors"
@@ -16,13 +17,28 @@
 	Key     string
 	Value   []byte
 	Version int64 // version of the store at the last write of the row
+	Epoch   int64 // in which the row was read
 	Deleted bool
 }
 
+// Position is a version of the store. Versions of different epochs can't be compared: a
+// store that returns from an older copy starts a new epoch and gives out the versions
+// after the copy again.
+type Position struct {
+	Epoch   int64 // rises with each return from a copy; 0 if the store does not tell
+	Version int64
+}
+
+// Compare orders positions by epoch and version. It returns a negative number if p is
+// before q, and 0 if they are equal.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Epoch, q.Epoch), cmp.Compare(p.Version, q.Version))
+}
+
 // Page is the result of a read.
 type Page struct {
 	Rows      []Row
-	Version   int64        // of the store; the rows include all changes up to it
+	Position               // of the store; the rows include all changes up to it
 	StoreTime clock.Millis // monotonic clock of the store at the time of the read
 	FromPeer  bool         // received from another daemon, without a call to the store
 	// StoreFailedAt is when this daemon's last failed call to the store began; 0: none
@@ -36,6 +52,7 @@
 	Key             string
 	Value           []byte
 	ExpectedVersion int64 // that the row must have; 0 if it must not exist
+	ExpectedEpoch   int64 // in which ExpectedVersion was read
 	Unconditional   bool  // ignore ExpectedVersion
 	Remove          bool  // remove the row; Value is ignored
 }
@@ -44,15 +61,17 @@
 type Store interface {
 	// List returns all rows of a table.
 	List(ctx context.Context, table string) (Page, error)
-	// Changes waits for up to wait for rows of the table that changed after the version,
+	// Changes waits for up to wait for rows of the table that changed after the position,
 	// and returns them in order. It returns ErrCompacted if the store no longer has the
-	// changes since that version; the caller must then call List.
-	Changes(ctx context.Context, table string, after int64, wait clock.Millis) (Page, error)
-	// Commit applies all writes or none, and returns the version of the store. It returns
-	// ErrConflict if a row did not have the expected version, ErrUnavailable if nothing
-	// was written, and ErrOutcomeUnknown if the writes may have been applied or may still
-	// be applied later.
-	Commit(ctx context.Context, writes ...Write) (int64, error)
+	// changes since that version, and ErrEpochChanged if the position is of another epoch
+	// of the store; the caller must then call List. A page of a later epoch has all
+	// differences between the position and the page.
+	Changes(ctx context.Context, table string, after Position, wait clock.Millis) (Page, error)
+	// Commit applies all writes or none, and returns the position of the store. It returns
+	// ErrConflict if a row did not have the expected version or that version is of an
+	// earlier epoch, ErrUnavailable if nothing was written, and ErrOutcomeUnknown if the
+	// writes may have been applied or may still be applied later.
+	Commit(ctx context.Context, writes ...Write) (Position, error)
 }
 
 // Errors of a Store.
@@ -61,4 +80,7 @@
 	ErrConflict       = errors.New("row store: version conflict")
 	ErrUnavailable    = errors.New("row store: unavailable")
 	ErrOutcomeUnknown = errors.New("row store: outcome unknown")
+	// ErrEpochChanged means that the store has returned from an older copy: the response
+	// does not continue from the requested position, or is of an earlier epoch.
+	ErrEpochChanged = errors.New("row store: epoch changed")
 )
--- a/internal/program/entry/metrics.go
+++ b/internal/program/entry/metrics.go
@@ -68,6 +68,10 @@
 		d.Metrics.GetOrCreateGauge(`gypsumpitch_store_calls{call="`+call+`"}`, func() float64 { return float64(d.Store.CallCount(call)) })
 		d.Metrics.GetOrCreateGauge(`gypsumpitch_store_failures{call="`+call+`"}`, func() float64 { return float64(d.Store.FailureCount(call)) })
 	}
+	d.Metrics.GetOrCreateGauge("gypsumpitch_store_epoch", func() float64 { return float64(d.Store.Epoch()) })
+	for _, kind := range platform.StoreEpochKinds() {
+		d.Metrics.GetOrCreateGauge(`gypsumpitch_store_epoch_responses{kind="`+kind+`"}`, func() float64 { return float64(d.Store.EpochCount(kind)) })
+	}
 }
 
 // metricsServer returns a server of the metrics in the Prometheus text format.
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -29,7 +29,9 @@
 
 func newViewFunc(manager *viewstate.Manager) viewFunc { return manager.View }
 
-func newStore(s settings.Settings) *platform.Store { return platform.NewStore(s.Entry.Store) }
+func newStore(log hclog.Logger, s settings.Settings) *platform.Store {
+	return platform.NewStore(log, s.Entry.Store)
+}
 
 func newServerClient() *h1.Client { return h1.NewClient(platform.RequestID) }
 
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -23,7 +23,7 @@
 func Assemble(log hclog.Logger, s settings.Settings) (*Daemon, error) {
 	system := clock.NewSystem()
 	manager := viewstate.New(log, system)
-	store := newStore(s)
+	store := newStore(log, s)
 	client := newPeerClient(s)
 	aggregator := peerstats.New(system)
 	balancer := loadbalance.NewBalancer()
