Keep what was in force when the store returns from a copy

Until the operator, the servers and the daemons have written again what the copy lacks, the store shows older rows. They came into force: a server that was leaving got requests again, an evacuation ended, a version that was rolled back got its share again. Rows that were missing were dropped, with servers that answer.

A roll-out's order that is written again goes on as it was (start, stage, evidence), stages only advance, and a lost record is written again by rank, once. Each daemon writes its own host row again, after 1 to 3 s. The write of a record also expects a token row of the write before it: a copy that lacks the record lacks its token, so a late write doesn't pass on a version that was given out again.

--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +26,11 @@
 const (
 	hostKeyPrefix    = "host/"
 	rolloutKeyPrefix = "rollout/"
+	// tokenKeyPrefix is followed by the pool, a slash and a token that is never used
+	// again. The row is written with the pool's record. If the store loses the record, it
+	// loses this row as well, and a write that expects it conflicts even if the version of
+	// the record is given out again.
+	tokenKeyPrefix = "token/"
 )
 
 // hostRow is the row of a host that runs a daemon; Address is its peer address.
@@ -40,6 +46,8 @@
 	OrderVersion int64  `json:"order"`
 	StartedAtMs  int64  `json:"began_ms"`
 	Stage        string `json:"stage"`
+	Target       string `json:"target"`
+	Token        string `json:"token"` // names the token row of the same write
 }
 
 // Sink applies the daemons' own table to a view state. It implements follower.Sink.
@@ -74,6 +82,7 @@
 func (s *Sink) Update(_ string, page rowstore.Page) {
 	s.manager.Apply(s.ctx, func(state *viewstate.State) {
 		state.ObserveStoreTime(page.StoreTime)
+		state.StartRecordEpoch(page.Epoch)
 		s.apply(state, page.Rows)
 	})
 }
@@ -88,6 +97,10 @@
 
 func applyRow(state *viewstate.State, row rowstore.Row) error {
 	if name, ok := strings.CutPrefix(row.Key, hostKeyPrefix); ok {
+		if row.Superseded {
+			state.LoseHost(name)
+			return nil
+		}
 		if row.Deleted {
 			state.SetHost(name, fleet.Host{})
 			return nil
@@ -96,31 +109,65 @@
 		if err := json.Unmarshal(row.Value, &host); err != nil {
 			return errors.WithStack(err)
 		}
-		state.SetHost(name, fleet.Host(host))
+		state.SetHost(name, fleet.Host{Address: host.Address, DataCentre: host.DataCentre, LinkMbps: host.LinkMbps})
 		return nil
 	}
-	if pool, ok := strings.CutPrefix(row.Key, rolloutKeyPrefix); ok && !row.Deleted {
-		var record rolloutRow
-		if err := json.Unmarshal(row.Value, &record); err != nil {
-			return errors.WithStack(err)
-		}
-		stage, ok := fleet.ParseStage(record.Stage)
-		if !ok {
-			return errors.Errorf("unknown roll-out stage %q", record.Stage)
+	if pool, ok := strings.CutPrefix(row.Key, rolloutKeyPrefix); ok {
+		return applyRolloutRow(state, pool, row)
+	}
+	return nil
+}
+
+// applyRolloutRow applies the record of a pool's roll-out. The removal of a record is
+// ignored unless the store lost it.
+func applyRolloutRow(state *viewstate.State, pool string, row rowstore.Row) error {
+	if row.Deleted {
+		if row.Superseded {
+			state.LoseRolloutRecord(pool, fleet.RolloutRecord{RowEpoch: row.Epoch})
 		}
-		state.SetRolloutRecord(pool, fleet.RolloutRecord{
-			OrderVersion: record.OrderVersion, StartedAt: clock.Millis(record.StartedAtMs), Stage: stage, RowVersion: row.Version,
-		})
+		return nil
+	}
+	var record rolloutRow
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		return errors.WithStack(err)
+	}
+	stage, ok := fleet.ParseStage(record.Stage)
+	if !ok {
+		return errors.Errorf("unknown roll-out stage %q", record.Stage)
+	}
+	decoded := fleet.RolloutRecord{
+		OrderVersion: record.OrderVersion, Target: record.Target, StartedAt: clock.Millis(record.StartedAtMs), Stage: stage,
+		RowVersion: row.Version, RowEpoch: row.Epoch, WrittenEpoch: row.Epoch, Token: record.Token,
+	}
+	if row.Superseded {
+		state.LoseRolloutRecord(pool, decoded)
+	} else {
+		state.SetRolloutRecord(pool, decoded)
 	}
 	return nil
 }
 
-// RolloutWrite returns the write that records a stage of the roll-out. The write
-// conflicts if the record has changed since r was read. startedAt is a time of the
-// store's clock.
-func RolloutWrite(r fleet.Rollout, to fleet.Stage, startedAt clock.Millis) (rowstore.Write, error) {
-	value, err := json.Marshal(rolloutRow{OrderVersion: r.OrderVersion, StartedAtMs: int64(startedAt), Stage: to.String()})
-	return rowstore.Write{Table: Table, Key: rolloutKeyPrefix + r.Pool, Value: value, ExpectedVersion: r.RecordVersion}, errors.WithStack(err)
+// RolloutWrites returns the writes that record a stage of the roll-out under the token,
+// which must not have been used before. The writes conflict if the record has changed
+// since r was read. startedAt is a time of the store's clock.
+func RolloutWrites(r fleet.Rollout, to fleet.Stage, startedAt clock.Millis, token string) ([]rowstore.Write, error) {
+	value, err := json.Marshal(rolloutRow{
+		OrderVersion: r.OrderVersion, StartedAtMs: int64(startedAt), Stage: to.String(), Target: r.Target, Token: token,
+	})
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	tokenKey := func(token string) string { return tokenKeyPrefix + r.Pool + "/" + token }
+	writes := []rowstore.Write{
+		{Table: Table, Key: rolloutKeyPrefix + r.Pool, Value: value, ExpectedVersion: r.RecordVersion, ExpectedEpoch: r.RecordEpoch},
+		{Table: Table, Key: tokenKey(token), Value: []byte("{}")},
+	}
+	if r.RecordVersion != 0 && r.RecordToken != "" {
+		writes = append(writes, rowstore.Write{
+			Table: Table, Key: tokenKey(r.RecordToken), ExpectedVersion: r.RecordVersion, ExpectedEpoch: r.RecordEpoch, Remove: true,
+		})
+	}
+	return writes, nil
 }
 
 const (
@@ -129,34 +176,44 @@
 	// The delay before each attempt doubles from the minimum to the maximum.
 	minRetryDelay = 200 * clock.Millis(1)
 	maxRetryDelay = 3_000 * clock.Millis(1)
+	// The mean delay before it is checked again whether the store holds the row. It doubles
+	// with each write that has not become visible.
+	minCheckDelay = 2_000 * clock.Millis(1)
+	maxCheckDelay = 30_000 * clock.Millis(1)
 )
 
-// Announce writes the row of this daemon's host unless the store already holds it. It
-// retries until that succeeds or ctx is done.
+// Announce writes the row of this daemon's host whenever the store does not hold it, until
+// ctx is done.
 func Announce(ctx context.Context, log hclog.Logger, m *viewstate.Manager, store rowstore.Store, name string, host fleet.Host) {
-	value, err := json.Marshal(hostRow(host))
+	value, err := json.Marshal(hostRow{Address: host.Address, DataCentre: host.DataCentre, LinkMbps: host.LinkMbps})
 	if err != nil {
 		log.Error("failed to announce host", "error", err.Error())
 		return
 	}
-	for delay := minRetryDelay; ; delay = min(delay*2, maxRetryDelay) {
-		if clock.Sleep(ctx, delay); ctx.Err() != nil {
-			return
-		}
+	delay, checkDelay := minRetryDelay, minCheckDelay
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, delay)
 		view := m.View()
 		if !view.LoadedTables[Table] {
+			delay = min(delay*2, maxRetryDelay)
 			continue
 		}
 		if view.Hosts[name] == host {
-			return
+			// All daemons lose their rows at the same time if the store returns from a copy.
+			checkDelay = minCheckDelay
+			delay = checkDelay/2 + rand.N(checkDelay)
+			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 		position, err := store.Commit(callCtx, rowstore.Write{Table: Table, Key: hostKeyPrefix + name, Value: value, Unconditional: true})
 		cancel()
 		if err == nil {
 			log.Info("host announced", "address", host.Address, "row_version", strconv.FormatInt(position.Version, 10))
-			return
+			delay = checkDelay/2 + rand.N(checkDelay)
+			checkDelay = min(checkDelay*2, maxCheckDelay)
+			continue
 		}
+		delay = min(delay*2, maxRetryDelay)
 		log.Warn("failed to announce host", "address", host.Address, "error", err.Error())
 	}
 }
--- a/internal/control/rolloutcontrol/controller.go
+++ b/internal/control/rolloutcontrol/controller.go
@@ -65,11 +65,19 @@
 	recorder      Recorder
 	ownLoads      func() map[string]loadbalance.Load // this daemon's, by server ID
 
-	dueSince map[string]clock.Millis                   // when a stage became due or was last attempted, by pool and stage
+	dueSince map[attemptKey]clock.Millis               // when a stage became due or was last attempted
 	history  map[int64][]map[string]rollout.Comparison // by order version; comparisons by route of the last historyRounds rounds
 	bad      map[int64]bool                            // by order version; the target was found bad
 }
 
+// attemptKey identifies the record of a stage. A stage is recorded again, by the same
+// ranks, if the store has lost the record.
+type attemptKey struct {
+	pool  string
+	stage fleet.Stage
+	epoch int64 // of the store, in which a lost record is replaced; else 0
+}
+
 // Config holds the dependencies of a Controller.
 type Config struct {
 	Log           hclog.Logger
@@ -87,7 +95,7 @@
 	return &Controller{
 		log: c.Log, clock: c.Clock, host: c.Host, view: c.View, peerStats: c.PeerStats, canaryStopper: c.CanaryStopper,
 		recorder: c.Recorder, ownLoads: c.OwnLoads,
-		dueSince: make(map[string]clock.Millis),
+		dueSince: make(map[attemptKey]clock.Millis),
 		history:  make(map[int64][]map[string]rollout.Comparison),
 		bad:      make(map[int64]bool),
 	}
@@ -98,7 +106,7 @@
 	clock.Every(ctx, evaluationPeriod, func() {
 		v := c.view()
 		for _, r := range v.Rollouts {
-			if r.Stage == fleet.Ordered || r.Stage == fleet.Running {
+			if r.Stage == fleet.Ordered || r.Stage == fleet.Running || r.RecordLost {
 				c.evaluate(ctx, v, r)
 			}
 		}
@@ -108,7 +116,8 @@
 // evaluate stops the canary if it is bad, and records the next stage if it is due and
 // the daemons of lower rank have not recorded it.
 func (c *Controller) evaluate(ctx context.Context, v *fleet.View, r fleet.Rollout) {
-	if !c.bad[r.OrderVersion] && c.isBad(r) {
+	ended := r.Stage == fleet.Completed || r.Stage == fleet.RolledBack
+	if !ended && !c.bad[r.OrderVersion] && (c.bad[r.RenumberedFrom] || c.isBad(r)) {
 		c.bad[r.OrderVersion] = true
 		c.canaryStopper.StopCanary(r)
 	}
@@ -117,7 +126,10 @@
 		return
 	}
 	now := c.clock.Now()
-	key := r.Pool + " " + stage.String()
+	key := attemptKey{pool: r.Pool, stage: stage}
+	if r.RecordLost {
+		key.epoch = r.RecordEpoch
+	}
 	since, pending := c.dueSince[key]
 	if !pending {
 		c.dueSince[key] = now
@@ -144,8 +156,12 @@
 func (c *Controller) nextStage(v *fleet.View, r fleet.Rollout) (fleet.Stage, bool) {
 	now := c.clock.Now()
 	switch {
+	case r.Stage == fleet.Completed || r.Stage == fleet.RolledBack:
+		return r.Stage, r.RecordLost
 	case c.bad[r.OrderVersion]:
 		return fleet.RolledBack, true
+	case r.RecordLost:
+		return r.Stage, true
 	case r.Stage == fleet.Ordered:
 		return fleet.Running, true
 	case now < r.StartedAt+clock.Millis(float64(r.Duration)*rollout.FullShareProgress())+settleTime:
--- a/internal/control/viewstate/state.go
+++ b/internal/control/viewstate/state.go
@@ -23,6 +23,8 @@
 	tables         map[string]tableStatus         // by table name
 	rolloutOrders  map[string]fleet.Rollout       // by pool
 	rolloutRecords map[string]fleet.RolloutRecord // by pool
+	orderEpoch     int64                          // of the store, in which the orders were read
+	recordEpoch    int64                          // of the store, in which the records were read
 	storeTimeKnown bool
 	storeFailedAt  clock.Millis            // when the last failed call to the store began; 0: none failed
 	removeAt       map[string]clock.Millis // by server ID; registrations that expired during a store outage
@@ -220,12 +222,19 @@
 	}
 }
 
-// SetRolloutOrder applies an operator's order of a roll-out.
+// SetRolloutOrder applies an operator's order of a roll-out. An order that is written
+// again after the store returned from a copy goes on as it was.
 func (s *State) SetRolloutOrder(r fleet.Rollout) {
-	if old, ok := s.rolloutOrders[r.Pool]; ok && old.OrderVersion == r.OrderVersion {
-		return
+	old, ok := s.rolloutOrders[r.Pool]
+	same := ok && old.IsSameOrder(r)
+	switch {
+	case same && old.OrderVersion == r.OrderVersion:
+		r = old.WithOrderEpoch(r.OrderEpoch)
+	case same && r.OrderEpoch > old.OrderEpoch:
+		r = s.renumber(old, r)
+	default:
+		r.StartedAt = s.now
 	}
-	r.StartedAt = s.now
 	s.rolloutOrders[r.Pool] = r
 	s.publishRollout(r.Pool)
 }
@@ -233,10 +242,11 @@
 // SetRolloutRecord applies the record that the store has of a pool's roll-out. A
 // record older than the current one is ignored.
 func (s *State) SetRolloutRecord(pool string, r fleet.RolloutRecord) {
-	if s.rolloutRecords[pool].RowVersion > r.RowVersion {
+	old := s.rolloutRecords[pool]
+	if recordPosition(old).Compare(recordPosition(r)) > 0 {
 		return
 	}
-	s.rolloutRecords[pool] = r
+	s.rolloutRecords[pool] = s.reconcileRecord(pool, old, r)
 	s.publishRollout(pool)
 }
 
@@ -248,9 +258,11 @@
 		return
 	}
 	record := s.rolloutRecords[pool]
-	r.RecordVersion = record.RowVersion
-	if record.OrderVersion == r.OrderVersion {
+	r.RecordVersion, r.RecordEpoch, r.RecordToken = record.RowVersion, record.RowEpoch, record.Token
+	if r.Owns(record) {
 		r.Stage = record.Stage
+		// The order may itself not have been written again yet.
+		r.RecordLost = record.Lost && r.OrderEpoch >= record.RowEpoch
 		if s.storeTimeKnown {
 			// A daemon that starts later uses the same start time.
 			r.StartedAt = record.StartedAt - s.View().StoreOffset
--- a/internal/decision/fleet/rollout.go
+++ b/internal/decision/fleet/rollout.go
@@ -32,9 +32,14 @@
 // RolloutRecord is the recorded state of a roll-out in the store.
 type RolloutRecord struct {
 	OrderVersion int64        // version of the row that holds the order
+	Target       string       // of the order; empty in records of earlier releases
 	StartedAt    clock.Millis // by the store's clock
 	Stage        Stage
-	RowVersion   int64 // of the row that holds the record
+	RowVersion   int64  // of the row that holds the record; 0 if the store lacks it
+	RowEpoch     int64  // of the store, in which RowVersion is valid
+	WrittenEpoch int64  // of the store, in which the record was first seen
+	Token        string // unique to the write of the record; empty in records of earlier releases
+	Lost         bool   // the store shows an older record or none
 }
 
 // Rollout is an operator's order to move a pool's traffic to one version.
@@ -44,10 +49,33 @@
 	Duration     clock.Millis
 	StartedAt    clock.Millis // by this daemon's clock: recorded start, or else receipt of the order
 	OrderVersion int64        // version of the row that holds the order
-	Stage        Stage
-	// RecordVersion is the version of the pool's record in the store, which may be of
-	// an earlier roll-out; 0 if there is none.
+	OrderEpoch   int64        // epoch of the store in which OrderVersion is valid
+	// RenumberedFrom is the OrderVersion before the order was written again after the
+	// store returned from a copy; 0 if it was not.
+	RenumberedFrom int64
+	Stage          Stage
+	// RecordVersion, RecordEpoch and RecordToken are those of the pool's record in the
+	// store, which may be of an earlier roll-out; 0 and empty if there is none.
 	RecordVersion int64
+	RecordEpoch   int64
+	RecordToken   string
+	// RecordLost means that the store's return from a copy has lost the record of Stage.
+	RecordLost bool
+}
+
+// IsSameOrder reports whether both are orders of the same change, regardless of when.
+func (r Rollout) IsSameOrder(other Rollout) bool {
+	return r.Pool == other.Pool && r.Target == other.Target && r.Duration == other.Duration
+}
+
+// Owns reports whether the record belongs to the order. A record of a later epoch than
+// the order belongs to it if it has the same target: another daemon has seen the order
+// written again under another version.
+func (r Rollout) Owns(record RolloutRecord) bool {
+	if record.Target != "" && record.Target != r.Target {
+		return false
+	}
+	return record.OrderVersion == r.OrderVersion || (record.Target != "" && record.WrittenEpoch > r.OrderEpoch)
 }
 
 // Progress returns the elapsed share of Duration. It exceeds 1 after the end.
@@ -57,3 +85,9 @@
 
 // PastHalf reports whether half of Duration has passed.
 func (r Rollout) PastHalf(now clock.Millis) bool { return now >= r.StartedAt+r.Duration/2 }
+
+// WithOrderEpoch returns a copy with the epoch in which OrderVersion is valid.
+func (r Rollout) WithOrderEpoch(epoch int64) Rollout {
+	r.OrderEpoch = epoch
+	return r
+}
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -148,7 +148,8 @@
 type Host struct {
 	Address    string // where its daemon listens for peers
 	DataCentre string
-	LinkMbps   int // bandwidth of its network link; 0 if unknown
+	LinkMbps   int  // bandwidth of its network link; 0 if unknown
+	Lost       bool // the store has returned from a copy without the host's row
 }
 
 // WithHost returns a copy with the host added or replaced, or removed if it has no
--- a/internal/platform/rowstore/store.go
+++ b/internal/platform/rowstore/store.go
@@ -19,6 +19,9 @@
 	Version int64 // version of the store at the last write of the row
 	Epoch   int64 // in which the row was read
 	Deleted bool
+	// Superseded means that the store has returned from a copy and shows an older state
+	// of the row than was in force, or with Deleted, lacks the row.
+	Superseded bool
 }
 
 // Position is a version of the store. Versions of different epochs can't be compared: a
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -19,6 +19,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/peerfeed"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
 	"gypsumpitch.example/gypsumpitch/internal/control/registry"
+	"gypsumpitch.example/gypsumpitch/internal/control/restore"
 	"gypsumpitch.example/gypsumpitch/internal/control/rolloutcontrol"
 	"gypsumpitch.example/gypsumpitch/internal/control/viewstate"
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
@@ -156,7 +157,7 @@
 func (d *Daemon) startControl(ctx context.Context) {
 	go d.ViewState.Run(ctx)
 	sink := registry.NewSink(ctx, d.Log, d.ViewState)
-	go follower.New(d.Log, d.PeerFeed, sink, registry.Table, ownTableBatchDelay, ownTableWait).Run(ctx)
+	go follower.New(d.Log, d.PeerFeed, restore.NewSink(d.Log, d.Clock, sink), registry.Table, ownTableBatchDelay, ownTableWait).Run(ctx)
 	go registry.Announce(ctx, d.Log, d.ViewState, d.Store, d.Settings.Host,
 		fleet.Host{
 			Address: d.Settings.Listen.Peer, DataCentre: d.Settings.DataCentre, LinkMbps: int(d.Settings.Entry.LinkMbps),
@@ -179,9 +180,9 @@
 	}
 	sink := platform.NewTableSink(ctx, d.Log, d.ViewState)
 	wait := clock.Millis(float64(d.Settings.Entry.CalmMs) * waitShare)
-	go follower.New(d.Log, d.PeerFeed, sink, platform.TableOperator, operatorBatchDelay, wait).Run(ctx)
+	go follower.New(d.Log, d.PeerFeed, restore.NewSink(d.Log, d.Clock, sink), platform.TableOperator, operatorBatchDelay, wait).Run(ctx)
 	serverBatchDelay := clock.Millis(float64(d.Settings.Entry.DrainMs) * serverBatchShare)
-	go follower.New(d.Log, d.PeerFeed, sink, platform.TableServers, serverBatchDelay, wait).Run(ctx)
+	go follower.New(d.Log, d.PeerFeed, restore.NewSink(d.Log, d.Clock, sink), platform.TableServers, serverBatchDelay, wait).Run(ctx)
 }
 
 const (
--- a/internal/traffic/versionrouting/router.go
+++ b/internal/traffic/versionrouting/router.go
@@ -222,10 +222,14 @@
 	current.stats[key] = s
 }
 
-// statsFor returns the statistics of the roll-out, new ones after a new order. r.mu must
-// be held.
+// statsFor returns the statistics of the roll-out, new ones after a new order. An order
+// that was renumbered keeps them. r.mu must be held.
 func (r *Router) statsFor(ro fleet.Rollout) *rolloutStats {
 	s, ok := r.rollouts[ro.Pool]
+	if ok && ro.RenumberedFrom != 0 && s.orderVersion == ro.RenumberedFrom {
+		s = s.renumbered(ro.OrderVersion)
+		r.rollouts[ro.Pool] = s
+	}
 	if !ok || s.orderVersion != ro.OrderVersion {
 		s = &rolloutStats{orderVersion: ro.OrderVersion, stats: make(map[AnswerStatsKey]rollout.AnswerStats)}
 		r.rollouts[ro.Pool] = s
@@ -233,6 +237,16 @@
 	return s
 }
 
+// renumbered returns a copy under another version of the order.
+func (s *rolloutStats) renumbered(orderVersion int64) *rolloutStats {
+	n := &rolloutStats{orderVersion: orderVersion, bad: s.bad, stats: make(map[AnswerStatsKey]rollout.AnswerStats, len(s.stats))}
+	for key, stats := range s.stats {
+		key.OrderVersion = orderVersion
+		n.stats[key] = stats
+	}
+	return n
+}
+
 // AnswerStats returns a copy of this daemon's statistics.
 func (r *Router) AnswerStats() map[AnswerStatsKey]rollout.AnswerStats {
 	r.mu.Lock()
@@ -258,5 +272,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, ok := r.rollouts[ro.Pool]
-	return ok && s.orderVersion == ro.OrderVersion && s.bad
+	return ok && s.bad && (s.orderVersion == ro.OrderVersion || s.orderVersion == ro.RenumberedFrom)
 }
