--- a/internal/proof/soak/actions_test.go
+++ b/internal/proof/soak/actions_test.go
@@ -48,6 +48,23 @@
 	end()
 }
 
+// drain marks the engine as draining.
+func (c *cluster) drain(e *engine) {
+	c.mu.Lock()
+	c.register(e, "draining")
+	c.mu.Unlock()
+	e.update(func(e *engine) { e.drainingSince = time.Now() })
+}
+
+// replaceDrained stops the engine and starts another one at its address.
+func (c *cluster) replaceDrained(e *engine) {
+	c.store.Put("servers", e.id, "")
+	end := c.oracle.beginDisruption(nil, "engine")
+	e.crash()
+	end()
+	c.addEngine(e.address)
+}
+
 var actions = []action{
 	{"kill a daemon", func(c *cluster, rng *rand.Rand) {
 		d := c.randomDaemon(rng)
@@ -107,6 +124,23 @@
 		defer c.oracle.beginDisruption(nil, "store")()
 		c.store.Compact()
 	}, false},
+	{"return the store to an older copy", func(c *cluster, rng *rand.Rand) {
+		c.returnMu.Lock()
+		defer c.returnMu.Unlock()
+		if e := c.takeEngine(rng); e != nil {
+			c.drain(e)
+			time.Sleep(drainTimeout + randomDuration(rng, 50, 300))
+			defer c.replaceDrained(e)
+		}
+		defer c.oracle.beginDisruption(nil, "return")()
+		known := c.daemonsThatReject(c.revokedKey())
+		lost, version := c.store.RestoreAt(time.Now().Add(-randomDuration(rng, 100, 6_000)))
+		lost = slices.DeleteFunc(lost, func(r standin.Row) bool { return r.Table != "op" && r.Table != "servers" })
+		time.Sleep(randomDuration(rng, 0, 1_500))
+		c.checkStillRejected(known)
+		c.store.WriteAgain(lost, version)
+		c.checkStillRejected(known)
+	}, false},
 	{"write new configurations", func(c *cluster, rng *rand.Rand) {
 		for range 1 + rng.IntN(3) {
 			c.writeNextConfiguration()
@@ -118,16 +152,9 @@
 		if e == nil {
 			return
 		}
-		c.mu.Lock()
-		c.register(e, "draining")
-		c.mu.Unlock()
-		e.update(func(e *engine) { e.drainingSince = time.Now() })
+		c.drain(e)
 		time.Sleep(drainTimeout + randomDuration(rng, 300, 1_500))
-		c.store.Put("servers", e.id, "")
-		end := c.oracle.beginDisruption(nil, "engine")
-		e.crash()
-		end()
-		c.addEngine(e.address)
+		c.replaceDrained(e)
 	}, false},
 	{"let an engine announce its exit", func(c *cluster, rng *rand.Rand) {
 		e := c.takeEngine(rng)
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -19,7 +19,9 @@
 	accountKey  = "smiths-key"
 	poolName    = "desk"
 	engineCount = 4
-	callerCount = 12
+	// Versions of the configuration increase in steps.
+	configVersionStep = 3
+	callerCount       = 12
 	// recoveryTimeout is within the documented time to recover after the last fault.
 	recoveryTimeout = 12 * time.Second
 )
@@ -31,6 +33,8 @@
 	store   *standin.Store
 	daemons []*daemon
 
+	returnMu sync.Mutex // held while the store is in an older state
+
 	mu             sync.Mutex
 	engines        []*engine // those that no action has taken; guarded by mu
 	enginesCreated int
@@ -90,14 +94,17 @@
 	return c
 }
 
+// guestKey returns the client account key that only one version of the configuration has.
+func guestKey(configVersion int) string { return fmt.Sprintf("guest-%d", configVersion) }
+
 // writeNextConfiguration writes a new version of the configuration. Versions differ only
-// in a route without requests and in the rotated keys.
+// in a route without requests and in the keys.
 func (c *cluster) writeNextConfiguration() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.configVersion += 3
+	c.configVersion += configVersionStep
 	c.rotateKeys()
-	keys := fmt.Sprintf("%q", accountKey)
+	keys := fmt.Sprintf("%q,%q", accountKey, guestKey(c.configVersion))
 	for _, k := range c.rotatedKeys {
 		keys += fmt.Sprintf(",%q", k.key)
 	}
--- a/internal/proof/soak/daemon_test.go
+++ b/internal/proof/soak/daemon_test.go
@@ -81,6 +81,13 @@
 	}()
 }
 
+// currentProcess returns the running process; nil if none is running.
+func (d *daemon) currentProcess() *exec.Cmd {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process
+}
+
 // signal sends the signal to the process, if one is running. Only the process that start
 // created is signalled, by its ID.
 func (d *daemon) signal(s syscall.Signal) {
--- a/internal/proof/soak/oracle_test.go
+++ b/internal/proof/soak/oracle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -84,11 +85,11 @@
 }
 
 // undisturbed reports whether no disruption affected the daemon between from and to, or
-// in the settlingTime before from. Disruptions whose cause is exceptCause do not count.
+// in the settlingTime before from. Disruptions with one of the causes do not count.
 // o.mu must be held.
-func (o *oracle) undisturbed(d *daemon, from, to time.Time, exceptCause string) bool {
+func (o *oracle) undisturbed(d *daemon, from, to time.Time, exceptCauses ...string) bool {
 	for _, period := range o.disruptions {
-		if (period.daemon == nil || period.daemon == d) && period.cause != exceptCause && period.startedAt.Before(to) && (period.endedAt.IsZero() || period.endedAt.After(from.Add(-settlingTime))) {
+		if (period.daemon == nil || period.daemon == d) && !slices.Contains(exceptCauses, period.cause) && period.startedAt.Before(to) && (period.endedAt.IsZero() || period.endedAt.After(from.Add(-settlingTime))) {
 			return false
 		}
 	}
@@ -199,7 +200,7 @@
 	if r.status >= 400 && r.status < 500 && r.status != http.StatusTooManyRequests && !o.mayLackKey(r) {
 		violations = append(violations, fmt.Sprintf("%s was rejected by %s with status %d", r.id, r.daemon.name, r.status))
 	}
-	if r.interrupted && o.undisturbed(r.daemon, r.startedAt, r.endedAt, "stop") && !crossedClose(r, executions) && !o.outlastedStop(r, executions) {
+	if r.interrupted && o.undisturbed(r.daemon, r.startedAt, r.endedAt, "stop", "return") && !crossedClose(r, executions) && !o.outlastedStop(r, executions) {
 		violations = append(violations, fmt.Sprintf("%s, a %s, was interrupted by %s after %v with no disruption but a planned stop; it ran %d times", r.id, r.kind, r.daemon.name, r.endedAt.Sub(r.startedAt), len(executions)))
 	}
 	return append(violations, o.checkDraining(r, executions)...)
@@ -231,6 +232,15 @@
 	return false
 }
 
+// knowsDrain reports whether the daemon must know at the given time that an engine drains.
+// A return of the store to an older copy excuses a daemon only if it comes before the
+// daemon must know, and a fault of an engine does not. o.mu must be held.
+func (o *oracle) knowsDrain(d *daemon, drainingSince, at time.Time) bool {
+	known := drainingSince.Add(drainTimeout)
+	return o.undisturbed(d, drainingSince, at, "engine") ||
+		(at.After(known) && o.undisturbed(d, drainingSince, known, "engine") && o.undisturbed(d, drainingSince, at, "engine", "return"))
+}
+
 // checkDraining returns the executions on engines that had been draining for drainTimeout
 // when the request was sent. o.mu must be held.
 func (o *oracle) checkDraining(r *request, executions []*execution) (violations []string) {
@@ -238,7 +248,7 @@
 		e.engine.mu.Lock()
 		drainingSince := e.engine.drainingSince
 		e.engine.mu.Unlock()
-		if drainingSince.IsZero() || r.startedAt.Sub(drainingSince) < drainTimeout || !o.undisturbed(r.daemon, drainingSince, e.startedAt, "") {
+		if drainingSince.IsZero() || r.startedAt.Sub(drainingSince) < drainTimeout || !o.knowsDrain(r.daemon, drainingSince, e.startedAt) {
 			continue
 		}
 		violations = append(violations, fmt.Sprintf("%s, sent by %s, ran on %s %v after it began to drain", r.id, r.daemon.name, e.engine.id, e.startedAt.Sub(drainingSince)))
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -4,13 +4,14 @@
 set -u
 cd "$(dirname "$0")/.."
 deadline=$((SECONDS + 60 * ${MINUTES:-10}))
+packages="./internal/proof/cluster ./internal/proof/traffic ./internal/control/peerfeed ./platform"
 runs=0
 while [ "$SECONDS" -lt "$deadline" ]; do
   seed=$((RANDOM * 32768 + RANDOM + 1))
   export GYPSUMPITCH_SEED=$seed GYPSUMPITCH_CHECKS=${CHECKS:-400}
-  if ! output=$(go test -count=1 -timeout 30m ./internal/proof/cluster ./internal/proof/traffic 2>&1); then
+  if ! output=$(go test -count=1 -timeout 30m $packages 2>&1); then
     grep -v '\[rapid\] draw' <<<"$output" | head -40
-    echo "FAILED: GYPSUMPITCH_SEED=$seed GYPSUMPITCH_CHECKS=$GYPSUMPITCH_CHECKS go test -count=1 ./internal/proof/cluster ./internal/proof/traffic"
+    echo "FAILED: GYPSUMPITCH_SEED=$seed GYPSUMPITCH_CHECKS=$GYPSUMPITCH_CHECKS go test -count=1 $packages"
     exit 1
   fi
   runs=$((runs + 1))
