Hold roll-outs across the store's return in random series

TestRestoredRollout (stateful: three daemons, orders, records with lost responses and late writes, returns) found, each shrunk and mended in turn: a newer record at a lower version was passed over, since all records were taken as valid in the new epoch before the page was read; a record of a newer order set the order still known back to 'ordered' (without any return, too) and a daemon could then replace that record; a daemon that didn't know of the return could record a stage for a lost order, which all others waited for; an older order that no daemon had read before cost the lost one its record when it was written again.

Records now name their order's epoch, a record of a newer order waits for it, one of an earlier order counts as a loss, and an order written again within 30 s takes its record back.

--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -44,6 +44,7 @@
 // the store's clock.
 type rolloutRow struct {
 	OrderVersion int64  `json:"order"`
+	OrderEpoch   int64  `json:"order_epoch"`
 	StartedAtMs  int64  `json:"began_ms"`
 	Stage        string `json:"stage"`
 	Target       string `json:"target"`
@@ -82,7 +83,7 @@
 func (s *Sink) Update(_ string, page rowstore.Page) {
 	s.manager.Apply(s.ctx, func(state *viewstate.State) {
 		state.ObserveStoreTime(page.StoreTime)
-		state.StartRecordEpoch(page.Epoch)
+		state.StartRecordEpoch(page.Epoch, rowstore.Suffixes(page.Rows, rolloutKeyPrefix))
 		s.apply(state, page.Rows)
 	})
 }
@@ -136,8 +137,8 @@
 		return errors.Errorf("unknown roll-out stage %q", record.Stage)
 	}
 	decoded := fleet.RolloutRecord{
-		OrderVersion: record.OrderVersion, Target: record.Target, StartedAt: clock.Millis(record.StartedAtMs), Stage: stage,
-		RowVersion: row.Version, RowEpoch: row.Epoch, WrittenEpoch: row.Epoch, Token: record.Token,
+		OrderVersion: record.OrderVersion, OrderEpoch: record.OrderEpoch, Target: record.Target,
+		StartedAt: clock.Millis(record.StartedAtMs), Stage: stage, RowVersion: row.Version, RowEpoch: row.Epoch, Token: record.Token,
 	}
 	if row.Superseded {
 		state.LoseRolloutRecord(pool, decoded)
@@ -152,7 +153,8 @@
 // since r was read. startedAt is a time of the store's clock.
 func RolloutWrites(r fleet.Rollout, to fleet.Stage, startedAt clock.Millis, token string) ([]rowstore.Write, error) {
 	value, err := json.Marshal(rolloutRow{
-		OrderVersion: r.OrderVersion, StartedAtMs: int64(startedAt), Stage: to.String(), Target: r.Target, Token: token,
+		OrderVersion: r.OrderVersion, OrderEpoch: r.OrderEpoch, StartedAtMs: int64(startedAt), Stage: to.String(),
+		Target: r.Target, Token: token,
 	})
 	if err != nil {
 		return nil, errors.WithStack(err)
--- a/internal/control/restore/ledger.go
+++ b/internal/control/restore/ledger.go
@@ -4,7 +4,6 @@
 package restore
 
 import (
-	"hash/maphash"
 	"maps"
 	"slices"
 
@@ -23,26 +22,19 @@
 	maxPast = 8
 )
 
-// rowState identifies a state of a row. The value counts because a version that is given
-// out again may belong to another value.
-type rowState struct {
-	version   int64
-	valueHash uint64
-}
-
 // pastState is a state of a row that was replaced or deleted.
 type pastState struct {
-	rowState
+	rowstore.State
 	endedAt clock.Millis
 }
 
 // entry is what is known of one row.
 type entry struct {
-	current   rowState // the newest known state, or the last one if the row is deleted
+	current   rowstore.State // the newest known state, or the last one if the row is deleted
 	deleted   bool
-	past      []pastState  // oldest first
-	shown     rowState     // older state that the store shows instead; zero if none
-	heldUntil clock.Millis // 0 unless the store lacks the row
+	past      []pastState    // oldest first
+	shown     rowstore.State // older state that the store shows instead; zero if none
+	heldUntil clock.Millis   // 0 unless the store lacks the row
 }
 
 // Ledger compares the pages of one table with what is known of its rows. Not safe for
@@ -109,27 +101,21 @@
 	return e, known
 }
 
-func stateOf(r rowstore.Row) rowState {
-	return rowState{version: r.Version, valueHash: maphash.Bytes(hashSeed, r.Value)}
-}
-
-var hashSeed = maphash.MakeSeed()
-
 // record notes a write in the current epoch, or the state that the store already showed
 // before.
 func (l *Ledger) record(row rowstore.Row, now clock.Millis) rowstore.Row {
-	state := stateOf(row)
+	state := row.State()
 	e, known := l.entry(row.Key)
-	if !row.Deleted && e.shown == state && e.shown != (rowState{}) {
+	if !row.Deleted && e.shown == state && e.shown != (rowstore.State{}) {
 		row.Superseded = true
 		return row
 	}
 	// A state that gives way to one of a lower version was lost and not replaced.
-	if known && !e.deleted && (row.Deleted || row.Version > e.current.version) {
+	if known && !e.deleted && (row.Deleted || row.Version > e.current.Version) {
 		e.past = append(e.past, pastState{e.current, now})
 		e.past = e.past[max(len(e.past)-maxPast, 0):]
 	}
-	e.deleted, e.shown, e.heldUntil = row.Deleted, rowState{}, 0
+	e.deleted, e.shown, e.heldUntil = row.Deleted, rowstore.State{}, 0
 	if !row.Deleted {
 		e.current = state
 	}
@@ -150,8 +136,8 @@
 		}
 		return row
 	}
-	state := stateOf(row)
-	if slices.ContainsFunc(e.past, func(p pastState) bool { return p.rowState == state }) {
+	state := row.State()
+	if slices.ContainsFunc(e.past, func(p pastState) bool { return p.State == state }) {
 		e.shown, e.heldUntil = state, 0
 		row.Superseded = true
 		return row
@@ -160,7 +146,7 @@
 }
 
 func (l *Ledger) hold(e *entry, now clock.Millis) {
-	e.shown = rowState{}
+	e.shown = rowstore.State{}
 	if e.heldUntil == 0 {
 		e.heldUntil = now + holdTime
 	}
@@ -208,7 +194,7 @@
 	l.nextPrune = now + pastTime/4
 	for key, e := range l.entries {
 		e.past = slices.DeleteFunc(e.past, func(p pastState) bool { return now-p.endedAt > pastTime })
-		if e.deleted && len(e.past) == 0 && e.shown == (rowState{}) {
+		if e.deleted && len(e.past) == 0 && e.shown == (rowstore.State{}) {
 			delete(l.entries, key)
 		}
 	}
--- a/internal/control/viewstate/epoch.go
+++ b/internal/control/viewstate/epoch.go
@@ -2,6 +2,7 @@
 
 import (
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/platform/rowstore"
 )
 
@@ -12,7 +13,7 @@
 	if epoch <= s.orderEpoch {
 		return
 	}
-	s.orderEpoch = epoch
+	s.orderEpoch, s.returnedAt = epoch, s.now
 	for pool, r := range s.rolloutOrders {
 		if !differing[pool] {
 			s.rolloutOrders[pool] = r.WithOrderEpoch(epoch)
@@ -22,17 +23,19 @@
 }
 
 // StartRecordEpoch records that the store has returned from a copy if the epoch is a
-// later one. The versions of the records are valid in it, except for those that the
-// caller then reports as changed or lost.
-func (s *State) StartRecordEpoch(epoch int64) {
+// later one. The versions of the records are valid in it, except for the pools whose rows
+// differ.
+func (s *State) StartRecordEpoch(epoch int64, differing map[string]bool) {
 	if epoch <= s.recordEpoch {
 		return
 	}
 	s.recordEpoch = epoch
 	for pool, r := range s.rolloutRecords {
-		r.RowEpoch = epoch
-		s.rolloutRecords[pool] = r
-		s.publishRollout(pool)
+		if !differing[pool] {
+			r.RowEpoch = epoch
+			s.rolloutRecords[pool] = r
+			s.publishRollout(pool)
+		}
 	}
 }
 
@@ -44,6 +47,9 @@
 	if !ok {
 		return
 	}
+	if !r.Lost {
+		s.lostRecords[pool] = lostRecord{record: r, at: s.now}
+	}
 	r.Lost = true
 	r.RowVersion, r.RowEpoch, r.Token = shown.RowVersion, shown.RowEpoch, shown.Token
 	s.log.Info("roll-out record lost by the store", "pool", pool, "stage", r.Stage.String(), "row_version", r.RowVersion)
@@ -51,6 +57,38 @@
 	s.publishRollout(pool)
 }
 
+// lostRecord is a record that the store has lost with its order.
+type lostRecord struct {
+	record fleet.RolloutRecord
+	at     clock.Millis
+}
+
+// lostRecordTimeout is how long an order may take to be written again after its record
+// was lost.
+const lostRecordTimeout = 30_000 * clock.Millis(1)
+
+// adoptLostRecord gives the order its record back if the order was written again, even if
+// another order was in force in between.
+func (s *State) adoptLostRecord(r fleet.Rollout) {
+	lost, current := s.lostRecords[r.Pool], s.rolloutRecords[r.Pool]
+	earlier := func(record fleet.RolloutRecord) bool {
+		return record.Target == r.Target && record.OrderEpoch < r.OrderEpoch
+	}
+	record := lost.record
+	switch {
+	case r.Owns(current):
+		return
+	case earlier(current) && s.now-s.returnedAt <= lostRecordTimeout:
+		record = current
+	case !earlier(lost.record) || s.now-lost.at > lostRecordTimeout:
+		return
+	}
+	record.OrderVersion, record.OrderEpoch, record.Lost = r.OrderVersion, r.OrderEpoch, true
+	record.RowVersion, record.RowEpoch, record.Token = current.RowVersion, current.RowEpoch, current.Token
+	s.rolloutRecords[r.Pool] = record
+	delete(s.lostRecords, r.Pool)
+}
+
 // LoseHost marks a host whose row was lost in the store's return from a copy. Its daemon
 // writes the row again.
 func (s *State) LoseHost(name string) {
@@ -65,7 +103,7 @@
 func (s *State) renumber(known, again fleet.Rollout) fleet.Rollout {
 	s.log.Info("roll-out order was written again", "pool", again.Pool, "order_version", again.OrderVersion, "previous", known.OrderVersion)
 	if record, ok := s.rolloutRecords[again.Pool]; ok && known.Owns(record) && !again.Owns(record) {
-		record.OrderVersion, record.Target, record.Lost = again.OrderVersion, again.Target, true
+		record.OrderVersion, record.OrderEpoch, record.Target, record.Lost = again.OrderVersion, again.OrderEpoch, again.Target, true
 		s.rolloutRecords[again.Pool] = record
 	}
 	again.StartedAt, again.RenumberedFrom = known.StartedAt, known.OrderVersion
@@ -76,9 +114,6 @@
 // earlier one of the same order: daemons that did not know it have recorded that since the
 // return from a copy. Since a roll-back is the last stage, it prevails over a completion.
 func (s *State) reconcileRecord(pool string, known, r fleet.RolloutRecord) fleet.RolloutRecord {
-	if known.RowVersion == r.RowVersion && known.Token == r.Token && !known.Lost {
-		r.WrittenEpoch = known.WrittenEpoch
-	}
 	order, ok := s.rolloutOrders[pool]
 	if ok && known.Stage > r.Stage && order.Owns(known) && order.Owns(r) {
 		r.Stage, r.StartedAt, r.Lost = known.Stage, known.StartedAt, true
--- a/internal/control/viewstate/state.go
+++ b/internal/control/viewstate/state.go
@@ -23,8 +23,10 @@
 	tables         map[string]tableStatus         // by table name
 	rolloutOrders  map[string]fleet.Rollout       // by pool
 	rolloutRecords map[string]fleet.RolloutRecord // by pool
+	lostRecords    map[string]lostRecord          // by pool; see LoseRolloutRecord
 	orderEpoch     int64                          // of the store, in which the orders were read
 	recordEpoch    int64                          // of the store, in which the records were read
+	returnedAt     clock.Millis                   // when orderEpoch was first seen
 	storeTimeKnown bool
 	storeFailedAt  clock.Millis            // when the last failed call to the store began; 0: none failed
 	removeAt       map[string]clock.Millis // by server ID; registrations that expired during a store outage
@@ -57,6 +59,7 @@
 		tables:         make(map[string]tableStatus),
 		rolloutOrders:  make(map[string]fleet.Rollout),
 		rolloutRecords: make(map[string]fleet.RolloutRecord),
+		lostRecords:    make(map[string]lostRecord),
 		removeAt:       make(map[string]clock.Millis),
 	}
 }
@@ -235,6 +238,7 @@
 	default:
 		r.StartedAt = s.now
 	}
+	s.adoptLostRecord(r)
 	s.rolloutOrders[r.Pool] = r
 	s.publishRollout(r.Pool)
 }
@@ -246,6 +250,10 @@
 	if recordPosition(old).Compare(recordPosition(r)) > 0 {
 		return
 	}
+	if order, ok := s.rolloutOrders[pool]; ok && order.Owns(old) && !order.Owns(r) && !order.IsReplacedBy(r) {
+		s.LoseRolloutRecord(pool, r) // of an earlier order
+		return
+	}
 	s.rolloutRecords[pool] = s.reconcileRecord(pool, old, r)
 	s.publishRollout(pool)
 }
@@ -258,6 +266,9 @@
 		return
 	}
 	record := s.rolloutRecords[pool]
+	if s.View().Rollouts[pool].OrderVersion == r.OrderVersion && r.IsReplacedBy(record) {
+		return // keeps its stage until the newer order is known
+	}
 	r.RecordVersion, r.RecordEpoch, r.RecordToken = record.RowVersion, record.RowEpoch, record.Token
 	if r.Owns(record) {
 		r.Stage = record.Stage
--- a/internal/decision/fleet/rollout.go
+++ b/internal/decision/fleet/rollout.go
@@ -32,12 +32,12 @@
 // RolloutRecord is the recorded state of a roll-out in the store.
 type RolloutRecord struct {
 	OrderVersion int64        // version of the row that holds the order
+	OrderEpoch   int64        // epoch of the store in which OrderVersion was valid
 	Target       string       // of the order; empty in records of earlier releases
 	StartedAt    clock.Millis // by the store's clock
 	Stage        Stage
 	RowVersion   int64  // of the row that holds the record; 0 if the store lacks it
 	RowEpoch     int64  // of the store, in which RowVersion is valid
-	WrittenEpoch int64  // of the store, in which the record was first seen
 	Token        string // unique to the write of the record; empty in records of earlier releases
 	Lost         bool   // the store shows an older record or none
 }
@@ -68,14 +68,14 @@
 	return r.Pool == other.Pool && r.Target == other.Target && r.Duration == other.Duration
 }
 
-// Owns reports whether the record belongs to the order. A record of a later epoch than
-// the order belongs to it if it has the same target: another daemon has seen the order
-// written again under another version.
+// Owns reports whether the record belongs to the order. A record whose order is of a later
+// epoch belongs to it if it has the same target: another daemon has seen the order written
+// again under another version.
 func (r Rollout) Owns(record RolloutRecord) bool {
 	if record.Target != "" && record.Target != r.Target {
 		return false
 	}
-	return record.OrderVersion == r.OrderVersion || (record.Target != "" && record.WrittenEpoch > r.OrderEpoch)
+	return record.OrderVersion == r.OrderVersion || (record.Target != "" && record.OrderEpoch > r.OrderEpoch)
 }
 
 // Progress returns the elapsed share of Duration. It exceeds 1 after the end.
@@ -86,6 +86,14 @@
 // PastHalf reports whether half of Duration has passed.
 func (r Rollout) PastHalf(now clock.Millis) bool { return now >= r.StartedAt+r.Duration/2 }
 
+// IsReplacedBy reports whether the record belongs to a newer order than this one.
+func (r Rollout) IsReplacedBy(record RolloutRecord) bool {
+	if r.Owns(record) {
+		return false
+	}
+	return record.OrderEpoch > r.OrderEpoch || (record.OrderEpoch == r.OrderEpoch && record.OrderVersion > r.OrderVersion)
+}
+
 // WithOrderEpoch returns a copy with the epoch in which OrderVersion is valid.
 func (r Rollout) WithOrderEpoch(epoch int64) Rollout {
 	r.OrderEpoch = epoch
--- a/internal/platform/rowstore/store.go
+++ b/internal/platform/rowstore/store.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"context"
+	"hash/maphash"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -24,6 +26,31 @@
 	Superseded bool
 }
 
+// State identifies the contents of a row. The value counts because a version that is given
+// out again may belong to another value.
+type State struct {
+	Version   int64
+	valueHash uint64
+}
+
+var hashSeed = maphash.MakeSeed()
+
+// State returns the state of the row, within this process.
+func (r Row) State() State {
+	return State{Version: r.Version, valueHash: maphash.Bytes(hashSeed, r.Value)}
+}
+
+// Suffixes returns what follows the prefix in the keys that have it.
+func Suffixes(rows []Row, prefix string) map[string]bool {
+	suffixes := make(map[string]bool)
+	for _, r := range rows {
+		if suffix, ok := strings.CutPrefix(r.Key, prefix); ok {
+			suffixes[suffix] = true
+		}
+	}
+	return suffixes
+}
+
 // Position is a version of the store. Versions of different epochs can't be compared: a
 // store that returns from an older copy starts a new epoch and gives out the versions
 // after the copy again.
