--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -33,7 +33,9 @@
 
 func newViewFunc(manager *viewstate.Manager) viewFunc { return manager.View }
 
-func newStore(s settings.Settings) *platform.Store { return platform.NewStore(s.Entry.Store) }
+func newStore(log hclog.Logger, s settings.Settings) *platform.Store {
+	return platform.NewStore(log, s.Entry.Store)
+}
 
 func newServerClient() *h1.Client { return h1.NewClient(platform.RequestID) }
 
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -22,7 +22,7 @@
 func Assemble(log hclog.Logger, s settings.Settings) (*Daemon, error) {
 	system := clock.NewSystem()
 	manager := newViewState(log, system, s)
-	store := newStore(s)
+	store := newStore(log, s)
 	client := newPeerClient(s)
 	aggregator := peerstats.New(system)
 	balancer := loadbalance.NewBalancer()
