Keep a leaving server out of service when the store shows it as ready again

Trace: engine-5 registered and was draining 0.7 s later; entry-1 and entry-2 read only the second state. The store returned from a copy in between and showed the first. A state that a daemon has never read looks like one that was written after the return, so both daemons took the server back ("leaving": false at 34.190 s) until its removal at 34.89.

Change: an entry of the same start doesn't take back that a server leaves; only a later start does. Servers without a stated start are treated as before.

Evidence: TestLeavingServerStaysOutOfService fails before.

--- a/internal/control/viewstate/state.go
+++ b/internal/control/viewstate/state.go
@@ -133,6 +133,11 @@
 func (s *State) SetServer(server fleet.Server) {
 	delete(s.removeAt, server.ID)
 	old, known := s.edit().Server(server.ID)
+	if known && old.Draining && server.StartedAt != 0 && server.StartedAt == old.StartedAt {
+		// A server that leaves doesn't come back before its next start. The store may show an
+		// older state that this daemon has never read.
+		server.Draining = true
+	}
 	if known && old.Server == server {
 		return
 	}
--- a/internal/control/viewstate/state_test.go
+++ b/internal/control/viewstate/state_test.go
@@ -94,6 +94,30 @@
 	s.SetServer(e.Server)
 }
 
+// TestLeavingServerStaysOutOfService shows a leaving server's entry as ready again, as a store
+// that returns from an older copy does. Only a new start may bring it back.
+func TestLeavingServerStaysOutOfService(t *testing.T) {
+	cases := map[string]struct {
+		startedAt int64 // of the leaving server
+		shown     int64 // of the ready one
+		want      bool
+	}{
+		"older state":         {5, 5, false},
+		"started again":       {5, 6, true},
+		"starts aren't known": {0, 0, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newTestState()
+			server := fleet.Server{ID: "e2", Pool: "text", Address: "127.0.0.1:2", DataCentre: "dc-1", StartedAt: c.startedAt, Draining: true}
+			s.SetServer(server)
+			server.Draining, server.StartedAt = false, c.shown
+			s.SetServer(server)
+			assert.Equal(t, inService(s, "e2"), c.want)
+		})
+	}
+}
+
 // TestReturnedDataCentreIsCold checks that the servers of a data centre count as cold
 // when its evacuation ends, which limits their load at first.
 func TestReturnedDataCentreIsCold(t *testing.T) {
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -33,8 +33,8 @@
 	return route, account, err
 }
 
-// planAttempt chooses a server for the next attempt. The error states why no attempt can be made. failed reports
-// whether an earlier attempt gave no usable response.
+// planAttempt chooses a server for the next attempt. The error states why no attempt can be
+// made. failed reports whether an earlier attempt gave no usable response.
 func (ex *exchange) planAttempt(excluded func(id string) bool, failed bool, now clock.Millis) (*plannedAttempt, *result.Error) {
 	r, req := ex.relay, ex.req
 	view := r.Balancer.WithoutDeparted(r.View(), now)
