Log the prompt's segments of requests whose server broke off

When servers end one after the other, the logs could not tell a request that makes them end from the sound ones beside it, nor show what several such requests have in common.

--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -31,20 +31,21 @@
 	model    string       // of the last attempt
 	deadline clock.Millis // for the complete response
 
-	modelIndex      int         // in the route's models, smallest first
-	backendFailed   bool        // some attempt may have run and gave no usable response
-	attempts        int         // calls made to servers
-	reachedServer   bool        // some call reached a server, or may have
-	executions      int         // runs that gave no usable response, or whose answer was discarded
-	executedOn      []string    // servers on which the request ran or may have run
-	notExecutedOn   []string    // servers that did not run it: they refused it or could not be reached
-	mayHaveExecuted bool        // it may have run on some server
-	headerSent      bool        // the response to the caller has begun
-	status          int         // HTTP status sent to the caller
-	lastEventID     string      // last event that the caller received
-	confidence      int         // stated in the last response, 0 to 100; -1 if none was
-	lastError       string      // why the last attempt failed
-	server          fleet.Entry // of the last attempt
+	modelIndex      int          // in the route's models, smallest first
+	backendFailed   bool         // some attempt may have run and gave no usable response
+	attempts        int          // calls made to servers
+	reachedServer   bool         // some call reached a server, or may have
+	executions      int          // runs that gave no usable response, or whose answer was discarded
+	executedOn      []string     // servers on which the request ran or may have run
+	notExecutedOn   []string     // servers that did not run it: they refused it or could not be reached
+	mayHaveExecuted bool         // it may have run on some server
+	headerSent      bool         // the response to the caller has begun
+	status          int          // HTTP status sent to the caller
+	lastEventID     string       // last event that the caller received
+	confidence      int          // stated in the last response, 0 to 100; -1 if none was
+	lastError       string       // why the last attempt failed
+	server          fleet.Entry  // of the last attempt
+	answeredAt      clock.Millis // when the last attempt's response header arrived
 
 	// successor is the next attempt, if it was planned while the last one still ran.
 	successor *plannedAttempt
@@ -252,7 +253,7 @@
 		return false, ex.handleCallError(choice, startedAt, err)
 	}
 	defer resp.Close()
-	ex.reachedServer = true
+	ex.reachedServer, ex.answeredAt = true, r.Clock.Now()
 	r.Balancer.PrefillDone(choice)
 	r.Metrics.recordFirstByte(ex.account.Name, r.Clock.Now()-req.ReceivedAt)
 	if resp.Status < http.StatusMultipleChoices {
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -72,7 +72,8 @@
 	ex.relay.Balancer.RecordServerError(server, now)
 	cause := ex.interruptionCause(now)
 	ex.relay.Metrics.countAttempt(ex.pool.Name, cause)
-	ex.log("response interrupted", server, "cause", cause, "error", err.Error(), "last_event", ex.lastEventID, "remaining_ms", int64(ex.deadline-now))
+	ex.log("response interrupted", server, "cause", cause, "error", err.Error(), "last_event", ex.lastEventID, "answer_ms", int64(now-ex.answeredAt),
+		"remaining_ms", int64(ex.deadline-now), "prompt_segments", ex.promptSegments())
 	if now >= ex.deadline {
 		return ex.executionError(result.New(result.BackendTimeout, "%s", ex.lastError))
 	}
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -38,6 +38,21 @@
 	r.Log.Info(message, append(fields, extra...)...)
 }
 
+// maxLoggedSegments bounds the segments of a prompt in a log line.
+const maxLoggedSegments = 8
+
+// promptSegments returns the IDs of the prompt's first segments, which tell what requests
+// whose servers failed have in common.
+func (ex *exchange) promptSegments() []string {
+	segments := ex.req.Prompt.Segments
+	segments = segments[:min(len(segments), maxLoggedSegments)]
+	ids := make([]string, 0, len(segments))
+	for _, s := range segments {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
 // countOutcome records the result and the duration of the request.
 func (ex *exchange) countOutcome(code result.Code) {
 	ex.relay.Metrics.countRequest(ex.pool.Name, ex.account.Name, code, ex.relay.Clock.Now()-ex.req.ReceivedAt)
