Reproduce requests that crash servers one after the other

Four daemons as processes get requests with one segment that makes every engine crash 60 ms after it began to answer, and sound ones that share their other segments. Daemons are killed alone and together.

--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 	store   *standin.Store
 	daemons []*daemon
 
+	crashingPrompt atomic.Pointer[crashingPrompt] // nil unless a test sets it
+
 	returnMu sync.Mutex // held while the store is in an older state
 
 	mu             sync.Mutex
--- /dev/null
+++ b/internal/proof/soak/crashing_prompt_test.go
@@ -0,0 +1,226 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	crashDelay   = 60 * time.Millisecond // from the response header to the crash
+	restartDelay = 800 * time.Millisecond
+	// crashesToLearn is the number of crashes after which, and stableTime later, at most
+	// maxLateArrivals requests with the segment may reach engines.
+	crashesToLearn  = 5
+	stableTime      = 3 * time.Second
+	maxLateArrivals = 3
+	// minLateShare is the least share of the sound requests that must be served from twice
+	// stableTime after the last crash that counts.
+	minLateShare = 0.5
+)
+
+// crashingPrompt makes an engine crash soon after it began to answer a request whose prompt
+// has the segment. Safe for concurrent use.
+type crashingPrompt struct {
+	segment string
+
+	mu       sync.Mutex
+	crashes  []time.Time
+	arrivals []time.Time // of requests with the segment, at any engine
+}
+
+// matches reports whether the request has the segment, and records its arrival.
+func (p *crashingPrompt) matches(r *http.Request) bool {
+	if p == nil || !strings.Contains(r.Header.Get("Prompt-Prefix"), p.segment+":") {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.arrivals = append(p.arrivals, time.Now())
+	return true
+}
+
+// answer begins a response and crashes the engine, which starts again later under another ID.
+func (p *crashingPrompt) answer(w http.ResponseWriter, e *engine) {
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(crashDelay)
+	if !e.crashOnce() {
+		return
+	}
+	p.mu.Lock()
+	p.crashes = append(p.crashes, time.Now())
+	p.mu.Unlock()
+	go func() {
+		time.Sleep(restartDelay)
+		e.cluster.store.Put("servers", e.id, "")
+		e.cluster.addEngine(e.address)
+	}()
+}
+
+// learnedAt returns the time from which on the daemons must know the segment; zero if there
+// were too few crashes.
+func (p *crashingPrompt) learnedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.crashes) < crashesToLearn {
+		return time.Time{}
+	}
+	return p.crashes[crashesToLearn-1].Add(stableTime)
+}
+
+// arrivalsBetween returns how many requests with the segment reached engines.
+func (p *crashingPrompt) arrivalsBetween(from, to time.Time) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, at := range p.arrivals {
+		if at.After(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// sendPrompt sends a resumable stream with the prompt to the daemon and reports whether the
+// caller got it completely.
+func sendPrompt(ctx context.Context, d *daemon, prompt string) bool {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callerAddress+"/draft/"+id, nil)
+	if err != nil {
+		return false
+	}
+	r.Host = "desk.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Authorization", "Bearer "+accountKey)
+	r.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
+	r.Header.Set("Token-Counts", "900,60")
+	r.Header.Set("Prompt-Prefix", prompt)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK && strings.Contains(string(body), streamEvent(id, streamEventCount))
+}
+
+// soundCount counts the sound requests of a period.
+type soundCount struct {
+	mu           sync.Mutex
+	sent, served int
+}
+
+// sendPrompts sends, until ctx ends, requests with the segment and sound ones that share
+// their first segment. Both come at any daemon.
+func (c *cluster) sendPrompts(ctx context.Context, segment string, sound func() *soundCount) {
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	for i := 0; ctx.Err() == nil; i++ {
+		first := fmt.Sprintf("a%d", i%3)
+		crashing := fmt.Sprintf("%s:400,%s:400,c%d:100", first, segment, i)
+		callers.Go(func() { sendPrompt(ctx, c.daemons[rand.IntN(len(c.daemons))], crashing) })
+		for j := range 2 {
+			prompt := fmt.Sprintf("%s:400,b%d:400,d%d-%d:100", first, rand.IntN(20), i, j)
+			callers.Go(func() {
+				count := sound()
+				ok := sendPrompt(ctx, c.daemons[rand.IntN(len(c.daemons))], prompt)
+				if ctx.Err() != nil {
+					return
+				}
+				count.mu.Lock()
+				defer count.mu.Unlock()
+				count.sent++
+				if ok {
+					count.served++
+				}
+			})
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
+// TestPromptThatCrashesEngines sends requests with one segment that crashes every engine
+// which begins to answer them. Daemons are killed one at a time, all together, and lose the
+// store. From a while after the fifth crash the segment must reach no engine, and sound
+// requests that share their other segments must be served.
+func TestPromptThatCrashesEngines(t *testing.T) {
+	c := newCluster(t, daemonBinary, *daemonCount)
+	p := &crashingPrompt{segment: "bad"}
+	c.crashingPrompt.Store(p)
+	c.waitUntilServing(recoveryTimeout)
+	ctx, stop := context.WithCancel(t.Context())
+	var early, late soundCount
+	current := &early
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	callers.Go(func() {
+		c.sendPrompts(ctx, p.segment, func() *soundCount {
+			mu.Lock()
+			defer mu.Unlock()
+			return current
+		})
+	})
+	defer func() {
+		stop()
+		callers.Wait()
+	}()
+	for deadline := time.Now().Add(20 * time.Second); p.learnedAt().IsZero() && time.Now().Before(deadline); {
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(2 * stableTime)
+	mu.Lock()
+	current = &late
+	mu.Unlock()
+	calm := time.Now()
+	time.Sleep(stableTime)
+	afterCalm := time.Now()
+
+	restart := func(daemons ...*daemon) (calmAgain time.Time) {
+		for _, d := range daemons {
+			d.signalAndWait(syscall.SIGKILL)
+		}
+		for _, d := range daemons {
+			d.start()
+		}
+		c.waitUntilServing(recoveryTimeout)
+		time.Sleep(stableTime)
+		return time.Now()
+	}
+	one := restart(c.daemons[0])
+	time.Sleep(stableTime)
+	afterOne := time.Now()
+	all := restart(c.daemons...)
+	time.Sleep(stableTime)
+	afterAll := time.Now()
+	stop()
+	callers.Wait()
+
+	learnedAt := p.learnedAt()
+	total := 0
+	for _, period := range []struct {
+		name     string
+		from, to time.Time
+	}{
+		{"after the fifth crash", learnedAt, afterCalm},
+		{"after the restart of a daemon", one, afterOne},
+		{"after the restart of all daemons", all, afterAll},
+	} {
+		n := p.arrivalsBetween(period.from, period.to)
+		t.Logf("%s: %d requests with the segment reached engines", period.name, n)
+		total += n
+	}
+	t.Logf("%d crashes; sound requests served: %d of %d, from %s on %d of %d", len(p.crashes),
+		early.served, early.sent, calm.Format("05.000"), late.served, late.sent)
+	assert.Assert(t, total <= maxLateArrivals, "%d requests with the segment reached engines late", total)
+	assert.Assert(t, late.sent > 0 && float64(late.served) >= minLateShare*float64(late.sent), "sound requests")
+}
--- a/internal/proof/soak/engine_test.go
+++ b/internal/proof/soak/engine_test.go
@@ -33,6 +33,7 @@
 	announcesExit  bool      // states in all responses that it leaves
 	pausedUntil    time.Time // until then, turns requests away and states for how long
 	silentUntil    time.Time // it sends nothing until then, and then goes on
+	crashed        bool
 }
 
 // awaitSilence returns once the engine is no longer silent or the caller has left.
@@ -61,6 +62,18 @@
 // crash closes the listener and all connections, as if the process had been killed.
 func (e *engine) crash() { _ = e.server.Close() }
 
+// crashOnce crashes the engine. It reports false if it has crashed before.
+func (e *engine) crashOnce() bool {
+	e.mu.Lock()
+	crashed := e.crashed
+	e.crashed = true
+	e.mu.Unlock()
+	if !crashed {
+		e.crash()
+	}
+	return !crashed
+}
+
 func (e *engine) update(change func(e *engine)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -98,10 +111,16 @@
 	}
 	defer e.update(func(e *engine) { e.running-- })
 	defer e.cluster.oracle.recordExecution(e, r)()
+	prompt := e.cluster.crashingPrompt.Load()
+	crashes := prompt.matches(r)
 	time.Sleep(executionTime)
 	e.awaitSilence(r.Context())
 	w.Header().Set("Engine-Stamp", engineStamp(id, e.id))
 	switch {
+	case crashes:
+		w.Header().Set("Content-Type", "text/event-stream")
+		prompt.answer(w, e)
+		panic(http.ErrAbortHandler)
 	case dropsResponses:
 		panic(http.ErrAbortHandler)
 	case returnsErrors && len(id)%2 == 0 && id[len(id)-1] < '8':
