--- a/internal/control/peerstats/aggregator.go
+++ b/internal/control/peerstats/aggregator.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/versionrouting"
@@ -56,7 +57,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s.Departures = a.own.Departures
+	s.Departures, s.Crashes, s.SoundRuns = a.own.Departures, a.own.Crashes, a.own.SoundRuns
 	a.own, a.cached = s, nil
 }
 
@@ -67,6 +68,21 @@
 	a.own.Departures = departures
 }
 
+// SetOwnEvidence replaces this daemon's evidence of crashed servers.
+func (a *Aggregator) SetOwnEvidence(crashes []quarantine.Crash, sound []quarantine.SoundRuns) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.own.Crashes, a.own.SoundRuns = crashes, sound
+}
+
+// PeerEvidence returns the other daemons' evidence of crashed servers.
+func (a *Aggregator) PeerEvidence() ([]quarantine.Crash, []quarantine.SoundRuns) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	others := a.others()
+	return slices.Collect(maps.Values(others.crashes)), slices.Collect(maps.Values(others.soundRuns))
+}
+
 // PeerDepartures returns the servers that announced their exit to other daemons.
 func (a *Aggregator) PeerDepartures() []loadbalance.Departure {
 	a.mu.Lock()
@@ -92,7 +108,7 @@
 // given host. allDataCentres includes the other data centres. a.mu must be held.
 func (a *Aggregator) total(exceptHost string, allDataCentres bool) *total {
 	t := newTotal()
-	t.add(a.own, true)
+	t.add(a.own, true, 0)
 	a.addReports(t, exceptHost, allDataCentres)
 	return t
 }
@@ -107,7 +123,7 @@
 				continue
 			}
 			if name != exceptHost {
-				t.add(r.Snapshot, now-r.receivedAt < loadLifetime)
+				t.add(r.Snapshot, now-r.receivedAt < loadLifetime, now-r.receivedAt)
 			}
 		}
 	}
@@ -157,11 +173,11 @@
 	now := a.clock.Now()
 	t := newTotal()
 	if a.peerTotal != nil && now-a.peerTotal.receivedAt < loadLifetime {
-		t.add(a.peerTotal.Snapshot, true)
+		t.add(a.peerTotal.Snapshot, true, now-a.peerTotal.receivedAt)
 	} else {
 		a.addReports(t, "", true)
 		if a.peerTotal != nil {
-			t.add(Snapshot{PinnedSessions: a.peerTotal.PinnedSessions}, false)
+			t.add(Snapshot{PinnedSessions: a.peerTotal.PinnedSessions}, false, 0)
 		}
 	}
 	a.cached = t
--- a/internal/control/peerstats/aggregator_test.go
+++ b/internal/control/peerstats/aggregator_test.go
@@ -13,6 +13,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/peer"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/versionrouting"
@@ -44,6 +45,40 @@
 	assert.Equal(t, len(second.PeerDepartures()), 0, "its own")
 }
 
+// TestCrashEvidence checks that the evidence of a crash reaches the daemons of both data
+// centres through the leaders with the ages that it has there, and outlives its daemon.
+func TestCrashEvidence(t *testing.T) {
+	c := clock.NewManual(1_000)
+	leader, second, remote := newAggregator(c, 1, 11), newAggregator(c, 2, 12), newAggregator(c, 8, 14)
+	crash := func(age clock.Millis, suspects ...[]uint64) quarantine.Crash {
+		return quarantine.Crash{Server: quarantine.ServerStart{ID: "e1", StartedAt: 5}, Age: age, Begun: true, Suspects: suspects}
+	}
+	second.SetOwnEvidence([]quarantine.Crash{crash(100, []uint64{1, 9})}, []quarantine.SoundRuns{{Segment: 1, Count: 2, Age: 50}})
+	second.SetOwn(nil, nil, nil)
+	leader.SetOwnEvidence([]quarantine.Crash{crash(90, []uint64{2, 9})}, []quarantine.SoundRuns{{Segment: 1, Count: 3, Age: 700}})
+	c.Advance(10)
+	leader.HandleReport(Report{From: "second", Snapshot: second.Own()})
+	c.Advance(300)
+	remote.HandleReport(Report{From: "dc-1", IsDataCentre: true, Snapshot: leader.DataCentreTotal()})
+	c.Advance(20_000)
+	crashes, sound := remote.PeerEvidence()
+	assert.DeepEqual(t, crashes, []quarantine.Crash{crash(20_400, []uint64{2, 9}, []uint64{1, 9})})
+	assert.DeepEqual(t, sound, []quarantine.SoundRuns{{Segment: 1, Count: 5, Age: 20_350}})
+}
+
+// TestCrashesInSnapshotAreBounded checks that the newest crashes are passed on.
+func TestCrashesInSnapshotAreBounded(t *testing.T) {
+	a := New(clock.NewManual(1_000))
+	var crashes []quarantine.Crash
+	for i := range 10 * maxCrashes {
+		crashes = append(crashes, quarantine.Crash{Server: quarantine.ServerStart{StartedAt: int64(i)}, Age: clock.Millis(i)})
+	}
+	a.SetOwnEvidence(crashes, nil)
+	total := a.DataCentreTotal().Crashes
+	assert.Equal(t, len(total), maxCrashes)
+	assert.Equal(t, total[maxCrashes-1].Age, clock.Millis(maxCrashes-1))
+}
+
 // TestTotals has two daemons report to a leader that exchanges totals with another data
 // centre. Each daemon must end up with the total of all others.
 func TestTotals(t *testing.T) {
--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -8,11 +8,14 @@
 package peerstats
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/versionrouting"
 )
 
@@ -26,8 +29,15 @@
 	PinnedSessions map[int64][]uint64 `json:"k,omitempty"`
 	// Departures are the servers that announced their exit to the daemons.
 	Departures []loadbalance.Departure `json:"x,omitempty"`
+	// Crashes are the recent crashes of servers and what may have caused them. SoundRuns are
+	// the recent answers to requests with suspected segments that crashed no server.
+	Crashes   []quarantine.Crash     `json:"q,omitempty"`
+	SoundRuns []quarantine.SoundRuns `json:"g,omitempty"`
 }
 
+// maxCrashes bounds the crashes in a snapshot. The newest ones are kept.
+const maxCrashes = 32
+
 // AnswerStatsEntry is a key with its answer statistics.
 type AnswerStatsEntry struct {
 	Key   versionrouting.AnswerStatsKey `json:"s"`
@@ -47,6 +57,8 @@
 	answerStats map[versionrouting.AnswerStatsKey]rollout.AnswerStats
 	pinned      map[int64]map[uint64]bool
 	departures  map[loadbalance.Departure]bool
+	crashes     map[quarantine.ServerStart]quarantine.Crash
+	soundRuns   map[uint64]quarantine.SoundRuns
 }
 
 func newTotal() *total {
@@ -55,11 +67,15 @@
 		answerStats: make(map[versionrouting.AnswerStatsKey]rollout.AnswerStats),
 		pinned:      make(map[int64]map[uint64]bool),
 		departures:  make(map[loadbalance.Departure]bool),
+		crashes:     make(map[quarantine.ServerStart]quarantine.Crash),
+		soundRuns:   make(map[uint64]quarantine.SoundRuns),
 	}
 }
 
-// add adds a snapshot, without its loads unless they are fresh.
-func (t *total) add(s Snapshot, fresh bool) {
+// add adds a snapshot that was received that long ago, without its loads unless they are
+// fresh.
+func (t *total) add(s Snapshot, fresh bool, elapsed clock.Millis) {
+	t.addEvidence(s, elapsed)
 	if fresh {
 		for id, load := range s.Loads {
 			t.loads[id] = t.loads[id].Plus(load)
@@ -81,9 +97,36 @@
 	}
 }
 
+// addEvidence adds the crashes and the sound runs of a snapshot.
+func (t *total) addEvidence(s Snapshot, elapsed clock.Millis) {
+	for _, c := range s.Crashes {
+		c.Age += elapsed
+		if other, known := t.crashes[c.Server]; known {
+			c = other.Merge(c)
+		}
+		t.crashes[c.Server] = c
+	}
+	for _, r := range s.SoundRuns {
+		r.Age += elapsed
+		if other, known := t.soundRuns[r.Segment]; known {
+			r = other.Plus(r)
+		}
+		t.soundRuns[r.Segment] = r
+	}
+}
+
+// newestCrashes returns at most maxCrashes crashes.
+func (t *total) newestCrashes() []quarantine.Crash {
+	newest := slices.SortedFunc(maps.Values(t.crashes), func(a, b quarantine.Crash) int { return cmp.Compare(a.Age, b.Age) })
+	return newest[:min(len(newest), maxCrashes)]
+}
+
 // snapshot returns the total as a snapshot, which shares the map of loads with it.
 func (t *total) snapshot() Snapshot {
-	s := Snapshot{Loads: t.loads, Departures: slices.Collect(maps.Keys(t.departures))}
+	s := Snapshot{
+		Loads: t.loads, Departures: slices.Collect(maps.Keys(t.departures)),
+		Crashes: t.newestCrashes(), SoundRuns: slices.Collect(maps.Values(t.soundRuns)),
+	}
 	for key, stats := range t.answerStats {
 		s.AnswerStats = append(s.AnswerStats, AnswerStatsEntry{key, stats})
 	}
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -1,5 +1,6 @@
 // Package registry reads and writes the daemons' own table in the row store: the
-// address of each daemon, and the stage and start time of each roll-out.
+// address of each daemon, the stage and start time of each roll-out, and the prompt segments
+// that are quarantined.
 package registry
 
 import (
@@ -116,6 +117,9 @@
 	if pool, ok := strings.CutPrefix(row.Key, rolloutKeyPrefix); ok {
 		return applyRolloutRow(state, pool, row)
 	}
+	if segment, ok := strings.CutPrefix(row.Key, quarantineKeyPrefix); ok {
+		return applyQuarantineRow(state, segment, row)
+	}
 	return nil
 }
 
--- a/internal/control/rolloutcontrol/controller.go
+++ b/internal/control/rolloutcontrol/controller.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,7 +16,6 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
-	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 	"gypsumpitch.example/gypsumpitch/internal/platform/rowstore"
 )
 
@@ -148,7 +146,7 @@
 	if stage == fleet.RolledBack {
 		delay = rollBackRankDelay
 	}
-	if now-since < clock.Millis(c.rank(v, r.Pool))*delay {
+	if now-since < clock.Millis(v.Rank(r.Pool, c.host))*delay {
 		return
 	}
 	c.dueSince[key] = now // a failed attempt is retried after the same delay
@@ -276,13 +274,3 @@
 		"trial_timed", comparison.Canary.LatencySamples, "trial_slowness", comparison.Canary.MeanSlowness(),
 		"rest_timed", comparison.Baseline.LatencySamples, "rest_slowness", comparison.Baseline.MeanSlowness())
 }
-
-// rank returns this daemon's position among the hosts in the pool's order of
-// precedence.
-func (c *Controller) rank(v *fleet.View, pool string) int {
-	order := container.Rendezvous(pool, v.HostNames(), func(h string) string { return h })
-	if i := slices.Index(order, c.host); i >= 0 {
-		return i
-	}
-	return len(order)
-}
--- a/internal/control/rolloutcontrol/controller_test.go
+++ b/internal/control/rolloutcontrol/controller_test.go
@@ -325,7 +325,7 @@
 	c.recorder.stage = fleet.Running
 	last := 0
 	for i, controller := range c.controllers {
-		if controller.rank(c.views[i], "text") == len(c.controllers)-1 {
+		if c.views[i].Rank("text", controller.host) == len(c.controllers)-1 {
 			last = i
 		}
 	}
--- /dev/null
+++ b/internal/decision/fleet/quarantine.go
@@ -0,0 +1,10 @@
+package fleet
+
+import "gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+
+// Quarantine is the record in the store of a prompt segment that crashes servers.
+type Quarantine struct {
+	Since clock.Millis // by the store's clock
+	Hold  clock.Millis // until a request with the segment is let through on trial
+	Lost  bool         // the store's return from a copy has lost the record
+}
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -10,6 +10,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
 // View is the state that requests are routed by. It is immutable; the With and Without
@@ -20,6 +21,8 @@
 	Rollouts     map[string]Rollout
 	Hosts        map[string]Host // by name
 	LoadedTables map[string]bool // tables of the store that have been read completely
+	// Quarantines are those that the store holds, by the hash of the prompt's segment.
+	Quarantines map[uint64]Quarantine
 	// StoreOffset is the store's clock minus this daemon's clock.
 	StoreOffset clock.Millis
 
@@ -44,6 +47,7 @@
 		Rollouts:     map[string]Rollout{},
 		Hosts:        map[string]Host{},
 		LoadedTables: map[string]bool{},
+		Quarantines:  map[uint64]Quarantine{},
 		servers:      map[string]Entry{},
 		pools:        map[string][]Entry{},
 	}
@@ -56,6 +60,32 @@
 	return &n
 }
 
+// WithQuarantine returns a copy with the quarantine of the segment.
+func (v *View) WithQuarantine(segment uint64, q Quarantine) *View {
+	n := *v
+	n.Quarantines = maps.Clone(v.Quarantines)
+	n.Quarantines[segment] = q
+	return &n
+}
+
+// WithoutQuarantine returns a copy without the quarantine of the segment.
+func (v *View) WithoutQuarantine(segment uint64) *View {
+	n := *v
+	n.Quarantines = maps.Clone(v.Quarantines)
+	delete(n.Quarantines, segment)
+	return &n
+}
+
+// Rank returns the host's position in the order of precedence that all daemons derive for
+// the key, or the number of hosts if the view lacks the host.
+func (v *View) Rank(key, host string) int {
+	order := container.Rendezvous(key, v.HostNames(), func(h string) string { return h })
+	if i := slices.Index(order, host); i >= 0 {
+		return i
+	}
+	return len(order)
+}
+
 // WithServer returns a copy with the server added or replaced; see Editor.SetServer.
 func (v *View) WithServer(s Server, now clock.Millis) *View {
 	e := v.Edit()
--- /dev/null
+++ b/internal/decision/quarantine/evidence_test.go
@@ -0,0 +1,131 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+// crashes returns crashes of different servers, 200 ms apart, under requests that had begun.
+// Each crash is given by the segments of its suspects.
+func crashes(suspects ...[][]uint64) []Crash {
+	list := make([]Crash, 0, len(suspects))
+	for i, s := range suspects {
+		list = append(list, Crash{
+			Server: ServerStart{ID: fmt.Sprintf("s%d", i), StartedAt: 1}, Age: clock.Millis(200 * (len(suspects) - i)), Begun: true, Suspects: s,
+		})
+	}
+	return list
+}
+
+// suspect returns the suspects of a crash with a single one.
+func suspect(segments ...uint64) [][]uint64 { return [][]uint64{segments} }
+
+func soundRuns(counts map[uint64]int) map[uint64]SoundRuns {
+	runs := make(map[uint64]SoundRuns)
+	for segment, n := range counts {
+		runs[segment] = SoundRuns{Segment: segment, Count: n}
+	}
+	return runs
+}
+
+// waiting returns the crashes as those of servers that were not seen to begin an answer.
+func waiting(list []Crash) []Crash {
+	for i := range list {
+		list[i].Begun = false
+	}
+	return list
+}
+
+func TestFind(t *testing.T) {
+	simultaneousCrashes := crashes(suspect(1, 10), suspect(1, 11), suspect(1, 12), suspect(1, 13))
+	for i := range simultaneousCrashes {
+		simultaneousCrashes[i].Age = clock.Millis(500 + 8*i)
+	}
+	cases := map[string]struct {
+		crashes []Crash
+		sound   map[uint64]int
+		want    []uint64
+	}{
+		"two crashes":                       {crashes(suspect(1, 9), suspect(1, 9)), nil, nil},
+		"the first segment":                 {crashes(suspect(9, 1), suspect(9, 2), suspect(9, 3)), nil, []uint64{9}},
+		"a later segment":                   {crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9)), nil, []uint64{9}},
+		"a shared segment is sound":         {crashes(suspect(1, 9), suspect(1, 9), suspect(1, 9)), map[uint64]int{1: 1}, []uint64{9}},
+		"a shared later segment is sound":   {crashes(suspect(9, 1), suspect(9, 1), suspect(9, 1)), map[uint64]int{1: 1}, []uint64{9}},
+		"nothing is known of either":        {crashes(suspect(1, 9), suspect(1, 9), suspect(1, 9)), nil, []uint64{9}},
+		"a popular segment beside crashes":  {crashes(suspect(1, 2), suspect(1, 3), suspect(1, 4)), map[uint64]int{1: 40}, nil},
+		"sound beside the cause each time":  {crashes([][]uint64{{1, 9}, {2, 5}}, [][]uint64{{2, 5}, {3, 9}}, [][]uint64{{4, 9}, {2, 5}}, suspect(4, 9)), nil, []uint64{9}},
+		"two causes":                        {crashes(suspect(1, 9), suspect(1, 8), suspect(1, 9), suspect(2, 8), suspect(2, 9), suspect(2, 8)), map[uint64]int{1: 4, 2: 4}, []uint64{8, 9}},
+		"one answer survived":               {crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9), suspect(4, 9)), map[uint64]int{9: 1}, []uint64{9}},
+		"as many answers survived":          {crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9)), map[uint64]int{9: 3}, nil},
+		"servers that crash simultaneously": {simultaneousCrashes, nil, nil},
+		"three servers of waiting requests": {waiting(crashes(suspect(1, 9), suspect(1, 9), suspect(1, 9))), nil, nil},
+		"four servers of waiting requests":  {waiting(crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9), suspect(4, 9))), nil, []uint64{9}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			found := Find(c.crashes, soundRuns(c.sound))
+			assert.Equal(t, len(found), len(c.want), "%v", found)
+			for _, segment := range c.want {
+				assert.Assert(t, has(found, segment), "%d is not in %v", segment, found)
+			}
+		})
+	}
+}
+
+func has(list []uint64, segment uint64) bool {
+	for _, s := range list {
+		if s == segment {
+			return true
+		}
+	}
+	return false
+}
+
+func TestMerge(t *testing.T) {
+	begun := Crash{Server: ServerStart{ID: "s"}, Age: 10, Begun: true, Suspects: suspect(1, 2)}
+	waits := Crash{Server: ServerStart{ID: "s"}, Age: 30, Suspects: suspect(3, 4)}
+	cases := map[string]struct{ a, b, want Crash }{
+		"the beginning of an answer counts more": {waits, begun, Crash{begun.Server, 30, true, begun.Suspects}},
+		"in either order":                        {begun, waits, Crash{begun.Server, 30, true, begun.Suspects}},
+		"the same suspect twice":                 {begun, begun, begun},
+		"two suspects":                           {begun, Crash{begun.Server, 5, true, suspect(5)}, Crash{begun.Server, 10, true, [][]uint64{{1, 2}, {5}}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, c.a.Merge(c.b), c.want) })
+	}
+}
+
+// TestSharedSegmentsStaySound has one segment crash servers under requests whose other
+// segments are sound: among the requests on a server are others that have just begun. Only
+// the cause must be found, by its fifth crash.
+func TestSharedSegmentsStaySound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const cause = 1_000
+		shared := rapid.Uint64Range(1, 5)
+		private := rapid.Uint64Range(100, 130)
+		causeFirst := rapid.Bool().Draw(t, "cause_first")
+		sound := map[uint64]int{}
+		for segment := uint64(1); segment <= 5; segment++ {
+			sound[segment] = rapid.IntRange(2, 9).Draw(t, "sound")
+		}
+		var suspects [][][]uint64
+		for range 5 {
+			request := []uint64{shared.Draw(t, "shared"), cause}
+			if causeFirst {
+				request = []uint64{cause, private.Draw(t, "private")}
+			}
+			suspects = append(suspects, append([][]uint64{request}, rapid.SliceOfN(rapid.Custom(func(t *rapid.T) []uint64 {
+				return []uint64{shared.Draw(t, "shared"), private.Draw(t, "private")}
+			}), 0, 2).Draw(t, "beside")...))
+		}
+		found := Find(crashes(suspects...), soundRuns(sound))
+		if len(found) != 1 || found[0] != cause {
+			t.Fatalf("found %v", found)
+		}
+	})
+}
--- /dev/null
+++ b/internal/decision/quarantine/tracker_test.go
@@ -0,0 +1,264 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+const (
+	bad    = 9
+	shared = 1
+	start  = 1_000_000 * clock.Millis(1)
+)
+
+// nothing is called when an attempt is to end and need not be.
+func nothing() {}
+
+// crashUnder has the server begin to answer a request with the segments, and crash.
+func crashUnder(t *Tracker, server string, now clock.Millis, segments ...uint64) []Change {
+	r := t.Start(ServerStart{ID: server, StartedAt: 1}, segments, false, nothing, now)
+	r.Begin(now + 20)
+	crash, ok := t.Suspect(r.server, now+100)
+	r.End(false, now+100)
+	if !ok {
+		return nil
+	}
+	return t.Confirm(crash, now+100, now+101)
+}
+
+// answer has the server answer a request with the segments.
+func answer(t *Tracker, now clock.Millis, segments ...uint64) {
+	r := t.Start(ServerStart{ID: "sound"}, segments, false, nothing, now)
+	r.Begin(now)
+	r.End(true, now+50)
+}
+
+func isBlocked(t *Tracker, segments ...uint64) bool {
+	_, blocked := t.Blocked(segments)
+	return blocked
+}
+
+// exchange passes what each tracker knows to all others.
+func exchange(now clock.Millis, trackers ...*Tracker) {
+	for i, to := range trackers {
+		var e Evidence
+		for j, from := range trackers {
+			if i == j {
+				continue
+			}
+			crashes, sound := from.Own(now)
+			e.Crashes = append(e.Crashes, crashes...)
+			e.Sound = append(e.Sound, sound...)
+		}
+		to.Update(e, now)
+	}
+}
+
+// quarantined returns a tracker that has quarantined the segment bad at the time.
+func quarantined(now clock.Millis) *Tracker {
+	t := NewTracker()
+	for i := range 3 {
+		crashUnder(t, fmt.Sprintf("s%d", i), now+clock.Millis(200*i)-600, shared, bad)
+	}
+	return t
+}
+
+// TestCrashesJoinAcrossDaemons has each of three daemons see one crash. None of them alone
+// could tell the cause.
+func TestCrashesJoinAcrossDaemons(t *testing.T) {
+	trackers := []*Tracker{NewTracker(), NewTracker(), NewTracker()}
+	now := start
+	answer(trackers[2], now, shared)
+	for i, tracker := range trackers {
+		assert.Equal(t, len(crashUnder(tracker, fmt.Sprintf("s%d", i), now, shared, bad)), 0)
+		now += 300
+	}
+	exchange(now, trackers...)
+	exchange(now+400, trackers...)
+	for _, tracker := range trackers {
+		assert.Assert(t, isBlocked(tracker, shared, bad))
+		assert.Assert(t, !isBlocked(tracker, shared, 5))
+	}
+}
+
+// TestPeerCrashesOutliveTheirReports checks that a daemon that has lost its peers still
+// counts the crashes that they reported.
+func TestPeerCrashesOutliveTheirReports(t *testing.T) {
+	a, b := NewTracker(), NewTracker()
+	crashUnder(a, "s1", start, shared, bad)
+	crashUnder(a, "s2", start+300, shared, bad)
+	exchange(start+500, a, b)
+	b.Update(Evidence{}, start+20_000)
+	crashUnder(b, "s3", start+20_000, 2, bad)
+	assert.Assert(t, isBlocked(b, bad))
+}
+
+// TestStoredQuarantineAppliesAtStart checks a daemon that starts without evidence.
+func TestStoredQuarantineAppliesAtStart(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Update(Evidence{Stored: map[uint64]Quarantine{bad: {start - 10_000, minHold}}}, start)
+	assert.Assert(t, isBlocked(tracker, bad))
+	tracker.Update(Evidence{}, start+400)
+	assert.Assert(t, !isBlocked(tracker, bad), "removed from the store")
+}
+
+// TestOneServerCountsOnce checks that several calls which one crash broke off are one crash.
+func TestOneServerCountsOnce(t *testing.T) {
+	tracker := NewTracker()
+	for i := range clock.Millis(5) {
+		crashUnder(tracker, "s1", start+2_000*i, shared, bad)
+	}
+	assert.Assert(t, !isBlocked(tracker, bad))
+}
+
+// TestAbandonedAnswerIsSuspect has the daemon abandon an answer shortly before the server
+// crashes, as it does with an answer of low confidence.
+func TestAbandonedAnswerIsSuspect(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 3 {
+		now := start + clock.Millis(300*i)
+		server := ServerStart{ID: fmt.Sprintf("s%d", i)}
+		abandoned := tracker.Start(server, []uint64{bad}, false, nothing, now)
+		abandoned.Begin(now)
+		abandoned.End(false, now+5)
+		tracker.Start(server, []uint64{7}, false, nothing, now)
+		crash, ok := tracker.Suspect(server, now+80)
+		assert.Assert(t, ok)
+		tracker.Confirm(crash, now+80, now+81)
+	}
+	assert.Assert(t, isBlocked(tracker, bad))
+	assert.Assert(t, !isBlocked(tracker, 7))
+}
+
+// TestQuarantineEndsWaitingAttempts checks that requests which still wait at servers are
+// ended, and those that a server has answered for a while are not.
+func TestQuarantineEndsWaitingAttempts(t *testing.T) {
+	tracker := NewTracker()
+	ended := map[string]bool{}
+	begin := func(name string, segments ...uint64) *Run {
+		return tracker.Start(ServerStart{ID: "other"}, segments, false, func() { ended[name] = true }, start-5_000)
+	}
+	waits, other, answered := begin("waiting", bad), begin("other", 3), begin("answered", shared)
+	answered.Begin(start - 4_000)
+	answered.Progress(start - 1_000)
+	for i := range 3 {
+		crashUnder(tracker, fmt.Sprintf("s%d", i), start+clock.Millis(200*i), shared, bad)
+	}
+	assert.DeepEqual(t, ended, map[string]bool{"waiting": true})
+	assert.Assert(t, waits.Canceled() && !other.Canceled())
+}
+
+// TestTrial lets the time of a quarantine pass. Then one request is let through in each turn,
+// by the daemon whose turn it is.
+func TestTrial(t *testing.T) {
+	ownsSecond := func(_ uint64, turn int) bool { return turn == 1 }
+	setUp := func() (*Tracker, clock.Millis) {
+		tracker := quarantined(start)
+		tracker.Update(Evidence{Owns: ownsSecond}, start)
+		q, _ := tracker.Blocked([]uint64{bad})
+		return tracker, q.TrialAt()
+	}
+	t.Run("one request in the daemon's turn", func(t *testing.T) {
+		tracker, due := setUp()
+		assert.Assert(t, !tracker.TryTrial([]uint64{bad}, due-1))
+		assert.Assert(t, !tracker.TryTrial([]uint64{bad}, due), "another daemon's turn")
+		assert.Assert(t, tracker.TryTrial([]uint64{bad}, due+trialTurn))
+		assert.Assert(t, !tracker.TryTrial([]uint64{bad}, due+trialTurn+10), "only one")
+	})
+	t.Run("a sound answer releases it", func(t *testing.T) {
+		tracker, due := setUp()
+		answer(tracker, due+trialTurn, bad)
+		tracker.Update(Evidence{Owns: ownsSecond}, due+trialTurn+100)
+		assert.Assert(t, !isBlocked(tracker, bad))
+		_, released := tracker.Records()
+		assert.DeepEqual(t, released, []uint64{bad})
+	})
+	t.Run("the store's record doesn't bring it back", func(t *testing.T) {
+		tracker, due := setUp()
+		answer(tracker, due+trialTurn, bad)
+		stored := Evidence{Stored: map[uint64]Quarantine{bad: {start, minHold}}}
+		tracker.Update(stored, due+trialTurn+100)
+		tracker.Update(stored, due+trialTurn+500)
+		assert.Assert(t, !isBlocked(tracker, bad))
+	})
+	t.Run("a crash doubles the time", func(t *testing.T) {
+		tracker, due := setUp()
+		at := due + trialTurn
+		crashUnder(tracker, "s9", at, shared, bad)
+		q, blocked := tracker.Blocked([]uint64{bad})
+		assert.Assert(t, blocked)
+		assert.Equal(t, q.Hold, 2*minHold)
+		assert.Assert(t, !tracker.TryTrial([]uint64{bad}, at+trialTurn))
+	})
+}
+
+// TestFalseSuspicionEnds lists how a quarantined segment that is sound is released.
+func TestFalseSuspicionEnds(t *testing.T) {
+	t.Run("a peer had answers with it", func(t *testing.T) {
+		tracker := quarantined(start)
+		assert.Assert(t, isBlocked(tracker, bad))
+		tracker.Update(Evidence{Sound: []SoundRuns{{bad, 4, 100}}}, start+300)
+		assert.Assert(t, !isBlocked(tracker, bad))
+	})
+	t.Run("another segment explains the crashes", func(t *testing.T) {
+		tracker := NewTracker()
+		// The cause has the earlier position, so that the later segment is suspected first.
+		for i := range 3 {
+			crashUnder(tracker, fmt.Sprintf("s%d", i), start+clock.Millis(200*i), bad, 5)
+		}
+		assert.Assert(t, isBlocked(tracker, 5) && !isBlocked(tracker, bad))
+		crashUnder(tracker, "s3", start+900, bad, 6)
+		assert.Assert(t, !isBlocked(tracker, 5) && isBlocked(tracker, bad))
+	})
+}
+
+// TestQuarantineOutlastsItsEvidence checks that the segment is not released when its crashes
+// are forgotten one after the other.
+func TestQuarantineOutlastsItsEvidence(t *testing.T) {
+	tracker := quarantined(start)
+	for now := start; now < start+2*crashMemory; now += 100 {
+		tracker.Update(Evidence{}, now)
+		assert.Assert(t, isBlocked(tracker, bad), "after %d ms", now-start)
+	}
+	tracker.Update(Evidence{}, start+minHold+expiry+1)
+	assert.Assert(t, !isBlocked(tracker, bad), "no request has come for long")
+}
+
+// TestMemoryIsBounded floods a tracker with requests, crashes and quarantines.
+func TestMemoryIsBounded(t *testing.T) {
+	tracker := NewTracker()
+	now := start
+	for i := range uint64(2_000) {
+		now += 20
+		crashUnder(tracker, fmt.Sprintf("s%d", i), now, i, i+1, i+2, i+3)
+		answer(tracker, now, 100_000+2*i)
+		var peers []Crash
+		for j := range 100 {
+			peers = append(peers, Crash{Server: ServerStart{ID: fmt.Sprintf("p%d-%d", i, j)}, Begun: true, Suspects: suspect(i * 100)})
+		}
+		tracker.Update(Evidence{Crashes: peers}, now)
+	}
+	tracker.Update(Evidence{}, now+2*suspectTime)
+	assert.Assert(t, len(tracker.own) <= maxCrashes && len(tracker.peers) <= maxCrashes)
+	assert.Assert(t, len(tracker.active) <= maxQuarantined)
+	assert.Assert(t, len(tracker.nextCheck) <= maxCrashes)
+	assert.Equal(t, len(tracker.runs), 0)
+	assert.Equal(t, len(tracker.ended), 0)
+	long := make([]loadbalance.Segment, 5_000)
+	assert.Equal(t, len(Segments(loadbalance.Prompt{Segments: long})), maxSegments)
+}
+
+// TestLastSegmentIsNeverSuspected checks that the private segment of a request is left out.
+func TestLastSegmentIsNeverSuspected(t *testing.T) {
+	cases := map[string]struct{ segments, want int }{"none": {0, 0}, "one": {1, 0}, "three": {3, 2}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, len(Segments(loadbalance.Prompt{Segments: make([]loadbalance.Segment, c.segments)})), c.want)
+		})
+	}
+}
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -18,6 +18,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/peer"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerfeed"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
+	"gypsumpitch.example/gypsumpitch/internal/control/quarantinecontrol"
 	"gypsumpitch.example/gypsumpitch/internal/control/registry"
 	"gypsumpitch.example/gypsumpitch/internal/control/restore"
 	"gypsumpitch.example/gypsumpitch/internal/control/rolloutcontrol"
@@ -25,6 +26,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/accept"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/logging"
@@ -52,6 +54,8 @@
 	Exchange      *peerstats.Exchange
 	PeerServer    *peer.Server
 	Rollouts      *rolloutcontrol.Controller
+	Quarantine    *quarantine.Tracker
+	Quarantines   *quarantinecontrol.Recorder
 	Metrics       *metrics.Set
 }
 
@@ -167,6 +171,7 @@
 	d.PeerFeed.Register(d.PeerServer)
 	go d.Exchange.Run(ctx)
 	go d.Rollouts.Run(ctx)
+	go d.Quarantines.Run(ctx)
 }
 
 // followPlatformTables follows the tables of the operator and of the servers. It waits
--- a/internal/program/entry/metrics.go
+++ b/internal/program/entry/metrics.go
@@ -49,6 +49,10 @@
 		_, paused := d.Balancer.AnnouncementCounts(v, d.Clock.Now())
 		return float64(paused)
 	})
+	gauge("gypsumpitch_prompt_segments_quarantined", func(*fleet.View) float64 {
+		active, _ := d.Quarantine.Records()
+		return float64(len(active))
+	})
 	gauge("gypsumpitch_server_calls_own", func(*fleet.View) float64 {
 		n := 0
 		for _, load := range d.Balancer.OwnLoads() {
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -12,6 +12,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
@@ -69,6 +70,7 @@
 func newExchange(
 	log hclog.Logger, c clock.Clock, s settings.Settings, manager *viewstate.Manager, stats *peerstats.Aggregator,
 	balancer *loadbalance.Balancer, router *versionrouting.Router, retryBudget *admission.SharedRetryBudget, peers *peer.Client,
+	tracker *quarantine.Tracker,
 ) *peerstats.Exchange {
 	return peerstats.NewExchange(peerstats.Config{
 		Log:        log,
@@ -78,7 +80,10 @@
 		Aggregator: stats,
 		Peers:      peers,
 		Hosts:      func() map[string]fleet.Host { return manager.View().Hosts },
-		Refresh:    func() { refreshPeerStats(c, manager, stats, balancer, router, retryBudget) },
+		Refresh: func() {
+			refreshPeerStats(c, manager, stats, balancer, router, retryBudget)
+			relay.LogQuarantines(log, refreshQuarantine(s.Host, c.Now(), manager.View(), stats, tracker))
+		},
 	})
 }
 
@@ -95,6 +100,7 @@
 func newRelay(
 	log hclog.Logger, c clock.Clock, s settings.Settings, manager *viewstate.Manager, client *h1.Client,
 	balancer *loadbalance.Balancer, retryBudget *admission.SharedRetryBudget, router *versionrouting.Router, metrics *relay.Metrics,
+	tracker *quarantine.Tracker,
 ) *relay.Relay {
 	return relay.New(relay.Dependencies{
 		Log:                 log,
@@ -109,6 +115,7 @@
 		Balancer:            balancer,
 		RetryBudget:         retryBudget,
 		VersionRouter:       router,
+		Quarantine:          tracker,
 		Metrics:             metrics,
 		ConfidenceThreshold: cascade.ConfidenceThreshold{Normal: int(s.Entry.AcceptCalm), Overloaded: int(s.Entry.AcceptBusy)},
 		OnServerReplaced: func(id string, now clock.Millis) {
--- a/internal/program/entry/wire.go
+++ b/internal/program/entry/wire.go
@@ -9,6 +9,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/relay"
@@ -22,6 +23,7 @@
 		newViewState,
 		peerstats.New,
 		loadbalance.NewBalancer,
+		quarantine.NewTracker,
 		newViewFunc,
 		newStore,
 		newServerClient,
@@ -32,6 +34,7 @@
 		newPeerFeed,
 		newExchange,
 		newRolloutController,
+		newQuarantineRecorder,
 		newRelay,
 		newCallerHandler,
 		metrics.NewSet,
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/relay"
@@ -28,16 +29,18 @@
 	balancer := loadbalance.NewBalancer()
 	router := newVersionRouter(system, s, aggregator)
 	sharedRetryBudget := newRetryBudget(s)
-	exchange := newExchange(log, system, s, manager, aggregator, balancer, router, sharedRetryBudget, client)
+	tracker := quarantine.NewTracker()
+	exchange := newExchange(log, system, s, manager, aggregator, balancer, router, sharedRetryBudget, client, tracker)
 	peerfeedStore := newPeerFeed(log, system, s, store, client, exchange)
 	h1Client := newServerClient()
 	set := metrics.NewSet()
 	relayMetrics := relay.NewMetrics(set)
-	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics)
+	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics, tracker)
 	entryViewFunc := newViewFunc(manager)
 	callerHandler := newCallerHandler(system, s, relayRelay, entryViewFunc)
 	server := newPeerServer(log, s)
 	controller := newRolloutController(log, system, s, entryViewFunc, aggregator, router, store, balancer)
+	recorder := newQuarantineRecorder(log, system, s, manager, tracker, store)
 	daemon := &Daemon{
 		Log:           log,
 		Clock:         system,
@@ -54,6 +57,8 @@
 		Exchange:      exchange,
 		PeerServer:    server,
 		Rollouts:      controller,
+		Quarantine:    tracker,
+		Quarantines:   recorder,
 		Metrics:       set,
 	}
 	return daemon, nil
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -164,11 +164,11 @@
 }
 
 // waitUntilServing waits until each daemon has served a request. It reports a violation if
-// one does not within the limit.
-func (c *cluster) waitUntilServing(limit time.Duration) {
+// one does not within recoveryTimeout.
+func (c *cluster) waitUntilServing() {
 	transport := &http.Transport{DisableKeepAlives: true}
 	client := &http.Client{Transport: transport, Timeout: time.Second}
-	deadline := time.Now().Add(limit)
+	deadline := time.Now().Add(recoveryTimeout)
 	for _, d := range c.daemons {
 		for {
 			id := fmt.Sprintf("%016x", rand.Uint64())
@@ -178,7 +178,7 @@
 				break
 			}
 			if time.Now().After(deadline) {
-				c.oracle.reportf("%s does not serve requests %v after the last fault", d.name, limit)
+				c.oracle.reportf("%s does not serve requests %v after the last fault", d.name, recoveryTimeout)
 				break
 			}
 			time.Sleep(100 * time.Millisecond)
@@ -195,7 +195,7 @@
 // run sends callers' requests while it starts random actions for the duration, waits for
 // the recovery, and returns the violations.
 func (c *cluster) run(seed uint64, duration time.Duration) []string {
-	c.waitUntilServing(recoveryTimeout)
+	c.waitUntilServing()
 	ctx, stop := context.WithCancel(context.Background())
 	var callers, running sync.WaitGroup
 	for i := range callerCount {
@@ -216,7 +216,7 @@
 		d.signal(syscall.SIGCONT)
 		d.start()
 	}
-	c.waitUntilServing(recoveryTimeout)
+	c.waitUntilServing()
 	stop()
 	callers.Wait()
 	return c.oracle.check()
--- a/internal/proof/soak/crashing_prompt_test.go
+++ b/internal/proof/soak/crashing_prompt_test.go
@@ -157,7 +157,7 @@
 	c := newCluster(t, daemonBinary, *daemonCount)
 	p := &crashingPrompt{segment: "bad"}
 	c.crashingPrompt.Store(p)
-	c.waitUntilServing(recoveryTimeout)
+	c.waitUntilServing()
 	ctx, stop := context.WithCancel(t.Context())
 	var early, late soundCount
 	current := &early
@@ -192,7 +192,7 @@
 		for _, d := range daemons {
 			d.start()
 		}
-		c.waitUntilServing(recoveryTimeout)
+		c.waitUntilServing()
 		time.Sleep(stableTime)
 		return time.Now()
 	}
--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -77,6 +77,15 @@
 	})
 }
 
+// Refuses reports whether nothing listens at the address, as after a crash of the server.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = raw.Close() // nothing was sent
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (c *Client) pool(address string) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -42,6 +42,9 @@
 	if err != nil {
 		return nil, result.From(err)
 	}
+	if rejection := ex.checkQuarantine(now); rejection != nil {
+		return nil, rejection
+	}
 	pool, ok := view.Catalog.Pool(route.PoolAt(ex.poolPoint()))
 	if !ok {
 		return nil, result.New(result.NoServer, "the pool of route %s does not exist", route.Name)
@@ -110,9 +113,12 @@
 }
 
 // releaseOutdated releases an attempt that was planned before its server announced that it
-// wants no more requests. It returns nil then.
+// wants no more requests, or before the prompt was quarantined. It returns nil then.
 func (ex *exchange) releaseOutdated(p *plannedAttempt, now clock.Millis) *plannedAttempt {
-	if p == nil || ex.relay.Balancer.StillAccepts(&p.choice, now) {
+	if p == nil {
+		return nil
+	}
+	if _, blocked := ex.relay.Quarantine.Blocked(ex.segments); !blocked && ex.relay.Balancer.StillAccepts(&p.choice, now) {
 		return p
 	}
 	ex.log("planned attempt dropped", &p.choice.Server)
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -11,6 +11,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
@@ -47,6 +48,10 @@
 	server          fleet.Entry  // of the last attempt
 	answeredAt      clock.Millis // when the last attempt's response header arrived
 
+	segments []uint64        // of the prompt; see quarantine.Segments
+	run      *quarantine.Run // of the last attempt
+	onTrial  bool            // the next attempt may have a quarantined segment
+
 	// successor is the next attempt, if it was planned while the last one still ran.
 	successor *plannedAttempt
 	// keptOn is the silent server that the request was last kept on.
@@ -212,9 +217,11 @@
 }
 
 // sendTo calls the chosen server and forwards its response.
-func (ex *exchange) sendTo(choice *loadbalance.Choice, startedAt clock.Millis) (bool, error) {
+func (ex *exchange) sendTo(choice *loadbalance.Choice, startedAt clock.Millis) (done bool, err error) {
 	r, req := ex.relay, ex.req
 	server := &choice.Server
+	ctx, endRun := ex.startRun(server, startedAt)
+	defer func() { endRun(done && err == nil) }()
 	attempt := Attempt{
 		Server:      *server,
 		Account:     ex.account.Name,
@@ -231,7 +238,7 @@
 	if timeout := ex.headerTimeout(choice.ExpectedFirstByte); timeout > 0 {
 		headerDeadline = time.Now().Add(timeout)
 	}
-	resp, err := r.Client.Do(ex.httpReq.Context(), &h1.Call{
+	resp, err := r.Client.Do(ctx, &h1.Call{
 		Address:        server.Address,
 		Method:         req.Method,
 		Target:         req.Target,
@@ -259,6 +266,7 @@
 	if resp.Status < http.StatusMultipleChoices {
 		now := r.Clock.Now()
 		r.Balancer.RecordFirstByte(choice, ex.model, now-startedAt, now)
+		ex.run.Begin(now)
 	}
 	return ex.handleResponse(choice, resp, startedAt)
 }
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -67,13 +67,19 @@
 	if ex.httpReq.Context().Err() != nil {
 		return errCallerDisconnected
 	}
-	ex.lastError = "response interrupted: " + err.Error()
 	now := ex.relay.Clock.Now()
+	if ex.run.Canceled() {
+		return ex.quarantineError(server, true, now)
+	}
+	ex.lastError = "response interrupted: " + err.Error()
 	ex.relay.Balancer.RecordServerError(server, now)
 	cause := ex.interruptionCause(now)
 	ex.relay.Metrics.countAttempt(ex.pool.Name, cause)
 	ex.log("response interrupted", server, "cause", cause, "error", err.Error(), "last_event", ex.lastEventID, "answer_ms", int64(now-ex.answeredAt),
 		"remaining_ms", int64(ex.deadline-now), "prompt_segments", ex.promptSegments())
+	if cause == causeServer {
+		ex.checkCrash(server, now)
+	}
 	if now >= ex.deadline {
 		return ex.executionError(result.New(result.BackendTimeout, "%s", ex.lastError))
 	}
@@ -138,6 +144,7 @@
 			return false, ex.handleInterruption(server, err)
 		}
 		ex.resumed()
+		ex.run.Progress(ex.relay.Clock.Now())
 		if !ex.headerSent {
 			ex.startResponse(resp)
 			ex.w.WriteHeader(resp.Status)
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -21,6 +21,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
 )
@@ -38,7 +39,8 @@
 	headerConfidence  = "X-Confidence"
 	headerSigned      = "X-Signed"
 	headerLeaving     = "X-Leaving"
-	headerPause       = "X-Pause" // ms
+	headerPause       = "X-Pause"  // ms
+	headerPrompt      = "X-Prompt" // segments
 )
 
 // testDialect implements Dialect for the test servers.
@@ -61,6 +63,9 @@
 	h.Set(headerAccount, a.Account)
 	h.Set(headerRemaining, strconv.FormatInt(int64(a.Remaining), 10))
 	h.Set(headerLastEventID, a.LastEventID)
+	for _, s := range r.Prompt.Segments {
+		h.Add(headerPrompt, s.ID)
+	}
 	return h
 }
 
@@ -97,6 +102,8 @@
 	view   *fleet.View    // guarded by mu once requests are served
 	calls  []receivedCall // in the order of arrival; guarded by mu
 	routes []catalog.Route
+	// servers by ID
+	servers map[string]*httptest.Server
 }
 
 // receivedCall is a call that reached a server.
@@ -113,7 +120,7 @@
 // relay may choose any of them first.
 func newFixture(t *testing.T, routes []catalog.Route, servers ...behaviour) *fixture {
 	t.Helper()
-	f := &fixture{t: t, routes: routes, view: fleet.NewView()}
+	f := &fixture{t: t, routes: routes, view: fleet.NewView(), servers: make(map[string]*httptest.Server)}
 	system := clock.NewSystem()
 	f.setCatalog(1, routes)
 	for i, b := range servers {
@@ -131,6 +138,7 @@
 			b(current, w, r)
 		}))
 		t.Cleanup(s.Close)
+		f.servers[id] = s
 		f.view = f.view.WithServer(fleet.Server{
 			ID: id, Pool: "text", Address: s.Listener.Addr().String(), DataCentre: "dc-1", Slots: 8,
 		}, system.Now())
@@ -143,6 +151,7 @@
 		Dialect:         testDialect{},
 		Client:          h1.NewClient(func(h http.Header) string { return h.Get(headerID) }),
 		Balancer:        loadbalance.NewBalancer(), RetryBudget: admission.NewSharedRetryBudget(10, 100, 10_000),
+		Quarantine:    quarantine.NewTracker(),
 		Metrics:       NewMetrics(metrics.NewSet()),
 		VersionRouter: AnyVersionRouter{}, ConfidenceThreshold: cascade.ConfidenceThreshold{Normal: 58, Overloaded: 44},
 		OnServerReplaced: func(string, clock.Millis) {},
@@ -156,6 +165,9 @@
 			LengthHint: lengthHint(r.Header),
 			Model:      r.Header.Get(headerModel), AnyModel: r.Header.Get(headerModel) == "*", LastEventID: r.Header.Get(headerLastEventID),
 		}
+		if prompt := r.Header.Get(headerPrompt); prompt != "" {
+			req.Prompt = promptOf(prompt)
+		}
 		if timeout, err := strconv.Atoi(r.Header.Get(headerRemaining)); err == nil {
 			req.Timeout = clock.Millis(timeout)
 		}
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -84,6 +84,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_pauses_total{kind=%q}`, string(kind))).Inc()
 }
 
+// countCrash counts a server that crashed while this daemon's requests ran there.
+func (m *Metrics) countCrash(pool string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_server_crashes_total{pool=%q}`, pool)).Inc()
+}
+
 // countAttempt counts an attempt by its outcome.
 func (m *Metrics) countAttempt(pool, outcome string) {
 	m.mu.Lock()
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -28,6 +28,9 @@
 	if !errors.As(err, &callErr) {
 		callErr = &h1.CallError{Sent: true, Err: err}
 	}
+	if ex.run.Canceled() {
+		return ex.quarantineError(server, callErr.Sent, now)
+	}
 	ex.lastError = callErr.Error()
 	r.Metrics.countAttempt(ex.pool.Name, "no_answer")
 	ex.log("attempt failed", server, "sent", callErr.Sent, "reused", callErr.Reused, "error", callErr.Error(),
@@ -53,6 +56,9 @@
 		return nil
 	}
 	ex.reachedServer = true
+	if !callErr.TimedOut {
+		ex.checkCrash(server, now)
+	}
 	if callErr.TimedOut {
 		// The elapsed time is a lower bound of the response time.
 		r.VersionRouter.RecordOutcome(ex.view, server, ex.route, newOutcome(choice, false, now-startedAt))
--- /dev/null
+++ b/internal/traffic/relay/quarantine.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/hashicorp/go-hclog"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+)
+
+// minQuarantineRetry is the least retry time stated for a quarantined prompt.
+const minQuarantineRetry = 1_000 * clock.Millis(1)
+
+// checkQuarantine returns the error of a request that must not reach a server, because a
+// segment of its prompt crashes servers. Only a first attempt can be let through on trial.
+func (ex *exchange) checkQuarantine(now clock.Millis) *result.Error {
+	q, blocked := ex.relay.Quarantine.Blocked(ex.segments)
+	if !blocked || ex.onTrial {
+		return nil
+	}
+	if ex.attempts == 0 && ex.relay.Quarantine.TryTrial(ex.segments, now) {
+		ex.onTrial = true
+		ex.log("quarantined prompt tried", nil, "prompt_segments", ex.promptSegments())
+		return nil
+	}
+	rejection := result.New(result.PromptQuarantined, "a segment of the prompt is quarantined; %s", ex.lastError)
+	return rejection.WithRetryAfter(retryAfterAtLeast(max(q.TrialAt()-now, minQuarantineRetry)))
+}
+
+// startRun notes that the request is sent to the server. The context that it returns also
+// ends when a segment of the prompt is quarantined.
+func (ex *exchange) startRun(server *fleet.Entry, now clock.Millis) (ctx context.Context, end func(complete bool)) {
+	ctx, cancel := context.WithCancel(ex.httpReq.Context())
+	run := ex.relay.Quarantine.Start(serverStart(server), ex.segments, ex.onTrial, cancel, now)
+	ex.run, ex.onTrial = run, false
+	return ctx, func(complete bool) {
+		run.End(complete, ex.relay.Clock.Now())
+		cancel()
+	}
+}
+
+// quarantineError ends a request whose attempt was ended by a quarantine.
+func (ex *exchange) quarantineError(server *fleet.Entry, mayHaveRun bool, now clock.Millis) error {
+	ex.relay.Metrics.countAttempt(ex.pool.Name, "quarantined")
+	ex.log("attempt ended by a quarantine", server, "prompt_segments", ex.promptSegments())
+	if mayHaveRun {
+		ex.recordExecution(server)
+	}
+	ex.lastError = "the attempt was ended"
+	rejection := ex.checkQuarantine(now)
+	if rejection == nil { // released in the meantime
+		rejection = result.New(result.PromptQuarantined, "%s", ex.lastError)
+	}
+	return ex.rejectionError(rejection)
+}
+
+func serverStart(server *fleet.Entry) quarantine.ServerStart {
+	return quarantine.ServerStart{ID: server.ID, StartedAt: server.StartedAt}
+}
+
+// checkCrash checks whether the server, which broke off an answer, has crashed and notes the
+// requests that may have caused it. A server that leaves ends by itself.
+func (ex *exchange) checkCrash(server *fleet.Entry, now clock.Millis) {
+	r := ex.relay
+	current, known := r.View().Server(server.ID)
+	if !known || current.Draining || current.StartedAt != server.StartedAt {
+		return
+	}
+	crash, suspicious := r.Quarantine.Suspect(serverStart(server), now)
+	if !suspicious {
+		return
+	}
+	go func() {
+		if !r.Client.Refuses(context.Background(), server.Address) {
+			return
+		}
+		r.Metrics.countCrash(server.Pool)
+		r.Log.Warn("server crashed", "server", server.ID, "pool", server.Pool, "begun", crash.Begun, "suspects", len(crash.Suspects))
+		LogQuarantines(r.Log, r.Quarantine.Confirm(crash, now, r.Clock.Now()))
+	}()
+}
+
+// LogQuarantines logs changes of the quarantined prompt segments.
+func LogQuarantines(log hclog.Logger, changes []quarantine.Change) {
+	for _, c := range changes {
+		message := "prompt segment released"
+		if c.Quarantined {
+			message = "prompt segment quarantined"
+		}
+		log.Warn(message, "segment", quarantine.SegmentName(c.Segment), "reason", c.Reason, "crashes", c.Crashes,
+			"hold_ms", int64(c.Quarantine.Hold))
+	}
+}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -14,6 +14,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
@@ -37,6 +38,7 @@
 	Balancer        *loadbalance.Balancer
 	RetryBudget     *admission.SharedRetryBudget
 	VersionRouter   VersionRouter
+	Quarantine      *quarantine.Tracker
 	Metrics         *Metrics
 	// ConfidenceThreshold is the confidence below which a small model's answer is
 	// escalated to the largest model.
@@ -116,7 +118,7 @@
 	if _, stopping := r.shutdownTime(); stopping {
 		w.Header().Set("Connection", "close")
 	}
-	ex := &exchange{relay: r, req: req, httpReq: httpReq}
+	ex := &exchange{relay: r, req: req, httpReq: httpReq, segments: quarantine.Segments(req.Prompt)}
 	ex.w = &callerWriter{ResponseWriter: w, ex: ex}
 	ended := false
 	defer func() {
