Quarantine no segment on evidence that others contradict

Causes: sound runs were forgotten after 10 to 20 s, crashes after 60 s, so that crashes outlived what spoke against them; a daemon that had seen no answer begin suspected the waiting requests at once, before the note of the daemon that had; and a sound run that was reported late ended no quarantine.

Sound runs now count at least as long as crashes, a quarantine begins only with a new crash, waiting requests are suspected once the notes are joined, and sound runs reported within 5 s release the segment. A request is suspect for 0.5 s after its answer began instead of 1 s; the recorded crashes came within 0.11 s.

--- a/internal/control/quarantinecontrol/recorder.go
+++ b/internal/control/quarantinecontrol/recorder.go
@@ -20,8 +20,8 @@
 	// rankDelay is the delay per rank before a daemon writes, so that a daemon of higher rank
 	// only writes if those before it have not. maxRankDelay bounds it: a daemon that has lost
 	// its peers may be the only one to know the segment.
-	rankDelay     = 100 * clock.Millis(1)
-	maxRankDelay  = 1_000 * clock.Millis(1)
+	rankDelay     = 250 * clock.Millis(1)
+	maxRankDelay  = 2_000 * clock.Millis(1)
 	retryDelay    = 3_000 * clock.Millis(1) // before a write that has not become visible is repeated
 	recordTimeout = 1 * time.Second
 	// maxWrites bounds the records written in one period.
--- a/internal/decision/quarantine/evaluate.go
+++ b/internal/decision/quarantine/evaluate.go
@@ -29,7 +29,7 @@
 		changes = append(changes, Change{segment, true, q, crashCount(crashes, segment), reason})
 	}
 	for _, segment := range found {
-		if _, ok := t.active[segment]; !ok {
+		if _, ok := t.active[segment]; !ok && crashedSince(crashes, segment, settleTime) {
 			delete(t.released, segment)
 			set(segment, Quarantine{now, minHold}, ReasonCrashes)
 		}
@@ -78,7 +78,9 @@
 	_, stored := t.evidence.Stored[segment]
 	switch {
 	case slices.Contains(found, segment):
-	case isSound && now-s.Age > q.Since-reportDelay:
+	case isSound && now < q.Since+settleTime:
+		return ReasonSound
+	case isSound && now-s.Age > q.Since:
 		return ReasonSound
 	case explained(crashes, segment, found):
 		return ReasonExplained
@@ -90,8 +92,13 @@
 	return ""
 }
 
-// reportDelay is how long the report of a sound run takes at most.
-const reportDelay = 2_000 * clock.Millis(1)
+// settleTime is how long the reports of sound runs from before a quarantine may take.
+const settleTime = 5_000 * clock.Millis(1)
+
+// crashedSince reports whether a crash with the segment is younger than the given age.
+func crashedSince(crashes []Crash, segment uint64, age clock.Millis) bool {
+	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.Age < age && c.has(segment) })
+}
 
 // explained reports whether the crashes with the segment have been found to have other
 // causes, all but a few that would not suffice for a quarantine.
--- a/internal/decision/quarantine/evidence.go
+++ b/internal/decision/quarantine/evidence.go
@@ -81,6 +81,9 @@
 	// minWaitingCrashes replaces it while no daemon has seen which answers had begun: a
 	// request waits at many servers before it is answered.
 	minWaitingCrashes = 4
+	// joinTime is the time after which another daemon's note of a crash has arrived. Until
+	// then, waiting requests are not suspected: the other may have seen which answer had begun.
+	joinTime = 1_500 * clock.Millis(1)
 	// simultaneous is the time within which the crashes of several servers count as one:
 	// they have a common cause other than a request.
 	simultaneous = 40 * clock.Millis(1)
@@ -90,7 +93,7 @@
 // that explains most comes first, and the crashes it explains count for no other.
 func Find(crashes []Crash, sound map[uint64]SoundRuns) []uint64 {
 	var found []uint64
-	remaining := slices.Clone(crashes)
+	remaining := slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return !c.Begun && c.Age < joinTime })
 	slices.SortFunc(remaining, func(a, b Crash) int { return cmp.Compare(b.Age, a.Age) })
 	for {
 		segment, ok := likeliest(remaining, sound)
--- a/internal/decision/quarantine/evidence_test.go
+++ b/internal/decision/quarantine/evidence_test.go
@@ -33,10 +33,12 @@
 	return runs
 }
 
-// waiting returns the crashes as those of servers that were not seen to begin an answer.
-func waiting(list []Crash) []Crash {
+// waiting returns the crashes as those of servers that were not seen to begin an answer, the
+// last one of them of the given age.
+func waiting(age clock.Millis, list []Crash) []Crash {
 	for i := range list {
 		list[i].Begun = false
+		list[i].Age += age
 	}
 	return list
 }
@@ -63,8 +65,9 @@
 		"one answer survived":               {crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9), suspect(4, 9)), map[uint64]int{9: 1}, []uint64{9}},
 		"as many answers survived":          {crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9)), map[uint64]int{9: 3}, nil},
 		"servers that crash simultaneously": {simultaneousCrashes, nil, nil},
-		"three servers of waiting requests": {waiting(crashes(suspect(1, 9), suspect(1, 9), suspect(1, 9))), nil, nil},
-		"four servers of waiting requests":  {waiting(crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9), suspect(4, 9))), nil, []uint64{9}},
+		"three servers of waiting requests": {waiting(joinTime, crashes(suspect(1, 9), suspect(1, 9), suspect(1, 9))), nil, nil},
+		"four servers of waiting requests":  {waiting(joinTime, crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9), suspect(4, 9))), nil, []uint64{9}},
+		"other daemons may know more":       {waiting(0, crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9), suspect(4, 9))), nil, nil},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/decision/quarantine/runs.go
+++ b/internal/decision/quarantine/runs.go
@@ -14,7 +14,7 @@
 
 const (
 	// suspectTime is how long after the beginning of its answer a request may cause a crash.
-	suspectTime = 1_000 * clock.Millis(1)
+	suspectTime = 500 * clock.Millis(1)
 	// checkPause is the time between two checks whether a server has crashed.
 	checkPause = 1_000 * clock.Millis(1)
 )
--- a/internal/decision/quarantine/sound_counts.go
+++ b/internal/decision/quarantine/sound_counts.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// soundPeriod is the time over which sound runs are counted. The counts of the current
-	// and the last period add up.
-	soundPeriod = 10_000 * clock.Millis(1)
+	// soundPeriod is the least time for which a sound run counts. The counts of the current
+	// and the last period add up. It must not be below crashMemory, or crashes would outlive
+	// what speaks against them.
+	soundPeriod = crashMemory
 	// maxSoundSegments bounds the memory for counts.
 	maxSoundSegments = 8_192
 )
--- a/internal/decision/quarantine/tracker_test.go
+++ b/internal/decision/quarantine/tracker_test.go
@@ -205,6 +205,11 @@
 		tracker.Update(Evidence{Sound: []SoundRuns{{bad, 4, 100}}}, start+300)
 		assert.Assert(t, !isBlocked(tracker, bad))
 	})
+	t.Run("a peer's older answers with it are reported late", func(t *testing.T) {
+		tracker := quarantined(start)
+		tracker.Update(Evidence{Sound: []SoundRuns{{bad, 4, 20_000}}}, start+2_000)
+		assert.Assert(t, !isBlocked(tracker, bad))
+	})
 	t.Run("another segment explains the crashes", func(t *testing.T) {
 		tracker := NewTracker()
 		// The cause has the earlier position, so that the later segment is suspected first.
@@ -217,6 +222,22 @@
 	})
 }
 
+// TestOldCrashesQuarantineNothing has the sound runs of a segment be forgotten before the
+// crashes that they speak against.
+func TestOldCrashesQuarantineNothing(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 3 {
+		answer(tracker, start+clock.Millis(200*i), bad)
+	}
+	for i := range 4 {
+		crashUnder(tracker, fmt.Sprintf("s%d", i), start+clock.Millis(1_000+200*i), shared, bad)
+	}
+	for now := start + 2_000; now < start+3*crashMemory; now += 400 {
+		tracker.Update(Evidence{}, now)
+		assert.Assert(t, !isBlocked(tracker, bad), "after %d ms", now-start)
+	}
+}
+
 // TestQuarantineOutlastsItsEvidence checks that the segment is not released when its crashes
 // are forgotten one after the other.
 func TestQuarantineOutlastsItsEvidence(t *testing.T) {
