--- a/internal/decision/quarantine/evaluate.go
+++ b/internal/decision/quarantine/evaluate.go
@@ -29,7 +29,7 @@
 		changes = append(changes, Change{segment, true, q, crashCount(crashes, segment), reason})
 	}
 	for _, segment := range found {
-		if _, ok := t.active[segment]; !ok && crashedSince(crashes, segment, settleTime) {
+		if _, ok := t.active[segment]; !ok && crashedRecently(crashes, segment) {
 			delete(t.released, segment)
 			set(segment, Quarantine{now, minHold}, ReasonCrashes)
 		}
@@ -95,9 +95,9 @@
 // settleTime is how long the reports of sound runs from before a quarantine may take.
 const settleTime = 5_000 * clock.Millis(1)
 
-// crashedSince reports whether a crash with the segment is younger than the given age.
-func crashedSince(crashes []Crash, segment uint64, age clock.Millis) bool {
-	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.Age < age && c.has(segment) })
+// crashedRecently reports whether a crash with the segment is younger than settleTime.
+func crashedRecently(crashes []Crash, segment uint64) bool {
+	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.Age < settleTime && c.has(segment) })
 }
 
 // explained reports whether the crashes with the segment have been found to have other
--- a/internal/decision/quarantine/tracker_test.go
+++ b/internal/decision/quarantine/tracker_test.go
@@ -59,11 +59,11 @@
 	}
 }
 
-// quarantined returns a tracker that has quarantined the segment bad at the time.
-func quarantined(now clock.Millis) *Tracker {
+// quarantined returns a tracker that has just quarantined the segment bad.
+func quarantined() *Tracker {
 	t := NewTracker()
 	for i := range 3 {
-		crashUnder(t, fmt.Sprintf("s%d", i), now+clock.Millis(200*i)-600, shared, bad)
+		crashUnder(t, fmt.Sprintf("s%d", i), start+clock.Millis(200*i)-600, shared, bad)
 	}
 	return t
 }
@@ -158,7 +158,7 @@
 func TestTrial(t *testing.T) {
 	ownsSecond := func(_ uint64, turn int) bool { return turn == 1 }
 	setUp := func() (*Tracker, clock.Millis) {
-		tracker := quarantined(start)
+		tracker := quarantined()
 		tracker.Update(Evidence{Owns: ownsSecond}, start)
 		q, _ := tracker.Blocked([]uint64{bad})
 		return tracker, q.TrialAt()
@@ -200,14 +200,14 @@
 // TestFalseSuspicionEnds lists how a quarantined segment that is sound is released.
 func TestFalseSuspicionEnds(t *testing.T) {
 	t.Run("a peer had answers with it", func(t *testing.T) {
-		tracker := quarantined(start)
+		tracker := quarantined()
 		assert.Assert(t, isBlocked(tracker, bad))
 		tracker.Update(Evidence{Sound: []SoundRuns{{bad, 4, 100}}}, start+300)
 		assert.Assert(t, !isBlocked(tracker, bad))
 	})
 	t.Run("a peer's older answers with it are reported late", func(t *testing.T) {
-		tracker := quarantined(start)
-		tracker.Update(Evidence{Sound: []SoundRuns{{bad, 4, 20_000}}}, start+2_000)
+		tracker := quarantined()
+		tracker.Update(Evidence{Sound: []SoundRuns{{bad, 4, 20_000}, {shared, 4, 20_000}}}, start+2_000)
 		assert.Assert(t, !isBlocked(tracker, bad))
 	})
 	t.Run("another segment explains the crashes", func(t *testing.T) {
@@ -241,7 +241,7 @@
 // TestQuarantineOutlastsItsEvidence checks that the segment is not released when its crashes
 // are forgotten one after the other.
 func TestQuarantineOutlastsItsEvidence(t *testing.T) {
-	tracker := quarantined(start)
+	tracker := quarantined()
 	for now := start; now < start+2*crashMemory; now += 100 {
 		tracker.Update(Evidence{}, now)
 		assert.Assert(t, isBlocked(tracker, bad), "after %d ms", now-start)
