Bound the bytes read before an answer's header

A server that sends bytes without end in place of an answer (a status line, a header line, header lines, informational responses, the body of a response to another request) was read until the call's deadline, up to 25 s away. What was read of a head stayed in memory, so that a few such calls could take the daemon over its memory limit and end it.

The parser of net/http puts no bound on a response head. The connection now allows 64 KiB for the heads of a call and 1 MiB for each response to another request that is discarded, and fails the call beyond that.

--- a/internal/traffic/h1/conn.go
+++ b/internal/traffic/h1/conn.go
@@ -28,6 +28,40 @@
 	idleSince time.Time
 	keepAlive time.Duration // idle time that the server allows; 0 if it did not say
 	patience  patience      // of the current call
+	allowance allowance
+}
+
+const (
+	// maxHeadBytes bounds the heads of a response and of the informational ones before it.
+	maxHeadBytes = 64 << 10
+	// maxDiscardedBytes bounds the body of a response to another request.
+	maxDiscardedBytes = 1 << 20
+)
+
+// errNoAnswer means that the server sends bytes without end that are no answer.
+var errNoAnswer = errors.New("the server sends too many bytes before its answer")
+
+// allowance bounds the bytes that are read while the response header is awaited. The zero
+// value allows any number.
+type allowance struct {
+	limited bool
+	bytes   int
+}
+
+// allow lets n more bytes be read.
+func (a *allowance) allow(n int) { a.limited, a.bytes = true, a.bytes+n }
+
+// Read reads from the connection within the call's allowance.
+func (c *conn) Read(b []byte) (int, error) {
+	if !c.allowance.limited {
+		return c.readPatiently(b)
+	}
+	if c.allowance.bytes <= 0 {
+		return 0, errNoAnswer
+	}
+	n, err := c.readPatiently(b[:min(len(b), c.allowance.bytes)])
+	c.allowance.bytes -= n
+	return n, err
 }
 
 // patience bounds the waits for a silent server during a call. The zero value waits until
@@ -96,8 +130,8 @@
 // arrivedTimeout is how long a read whose wait is over looks for bytes that have arrived.
 const arrivedTimeout = time.Millisecond
 
-// Read reads from the connection and waits as long as the call's patience lasts.
-func (c *conn) Read(b []byte) (int, error) {
+// readPatiently reads from the connection and waits as long as the call's patience lasts.
+func (c *conn) readPatiently(b []byte) (int, error) {
 	if c.patience.extend == nil {
 		return c.Conn.Read(b)
 	}
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -123,6 +123,9 @@
 // send a late second response to an earlier request.
 func (c *Client) readHeader(conn *conn, call *Call) (*Response, error) {
 	request := &http.Request{Method: call.Method}
+	conn.allowance = allowance{}
+	conn.allowance.allow(maxHeadBytes)
+	defer func() { conn.allowance = allowance{} }()
 	for unrelated := 0; unrelated < maxResponsesRead; {
 		response, err := http.ReadResponse(conn.reader, request) //nolint:bodyclose // Response.Close ends the exchange; the body has nothing to close.
 		if err != nil {
@@ -144,6 +147,7 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			break
 		}
+		conn.allowance.allow(maxDiscardedBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, errors.Wrap(err, "discard unrelated response")
 		}
