Measure the silence of a stream from event to event

A stalled stream whose server sent a byte, a line end or a comment now and then was never taken over: each read began the wait anew. The caller waited until the route's timeout, though another server could have gone on.

A slow stream whose events arrive in parts keeps its server.

--- a/internal/traffic/h1/conn.go
+++ b/internal/traffic/h1/conn.go
@@ -67,9 +67,8 @@
 // patience bounds the waits for a silent server during a call. The zero value waits until
 // the read deadline of the connection.
 type patience struct {
-	deadline time.Time     // of the call; no wait exceeds it
-	until    time.Time     // end of the current wait; zero if each read has its own wait
-	longest  time.Duration // wait of one read, unless until is set
+	deadline time.Time // of the call; no wait exceeds it
+	until    time.Time // end of the current wait, whatever arrives
 	// extend is called at the end of a wait. It returns how much longer to wait, or 0 to
 	// abandon the call. It isn't called again then.
 	extend func() time.Duration
@@ -78,13 +77,7 @@
 }
 
 // nextWait returns the end of the wait of a read that begins now.
-func (p *patience) nextWait() time.Time {
-	until := p.until
-	if until.IsZero() {
-		until = time.Now().Add(p.longest)
-	}
-	return earlier(until, p.deadline)
-}
+func (p *patience) nextWait() time.Time { return earlier(p.until, p.deadline) }
 
 // extended returns the end of a wait that goes on, or false if the call is abandoned. It
 // asks at every limit before the call's deadline, wherever in a message the server has
@@ -99,11 +92,8 @@
 		return time.Time{}, false
 	}
 	p.abandoned = false
-	until := earlier(time.Now().Add(longer), p.deadline)
-	if !p.until.IsZero() {
-		p.until = until
-	}
-	return until, true
+	p.until = earlier(time.Now().Add(longer), p.deadline)
+	return p.until, true
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -155,10 +155,11 @@
 	return nil, ErrUnrelatedResponse
 }
 
-// LimitSilence makes reads of the body call Call.OnSilence when the server has sent
-// nothing for the given time. The reads fail with os.ErrDeadlineExceeded once it returns 0.
+// LimitSilence makes reads of the body call Call.OnSilence after the given time, unless the
+// limit is set anew before. Only the caller can tell which bytes end the silence. The reads
+// fail with os.ErrDeadlineExceeded once OnSilence returns 0.
 func (r *Response) LimitSilence(longest time.Duration) {
-	r.conn.patience = patience{deadline: r.call.Deadline, longest: longest, extend: r.call.OnSilence}
+	r.conn.patience = patience{deadline: r.call.Deadline, until: time.Now().Add(longest), extend: r.call.OnSilence}
 }
 
 // Read reads the body. io.EOF means that the body is complete, as far as its
--- a/internal/traffic/relay/event_reader.go
+++ b/internal/traffic/relay/event_reader.go
@@ -68,6 +68,17 @@
 	return 0
 }
 
+// hasEvent reports whether the bytes, which end with a blank line, hold an event and not only
+// comments and line ends.
+func hasEvent(b []byte) bool {
+	for line := range bytes.Lines(b) {
+		if bytes.HasPrefix(line, []byte("data")) || bytes.HasPrefix(line, []byte("id:")) {
+			return true
+		}
+	}
+	return false
+}
+
 // lastEventID returns the value of the last id field of the events.
 func lastEventID(b []byte) string {
 	start := bytes.LastIndex(b, []byte("\nid:"))
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -126,9 +126,8 @@
 // forwardStream forwards events as they arrive, and only complete ones, so that
 // another server can continue an interrupted stream from the last of them.
 func (ex *exchange) forwardStream(server *fleet.Entry, resp *h1.Response, info ResponseInfo) (bool, error) {
-	if timeout := ex.idleTimeout(server); timeout > 0 {
-		resp.LimitSilence(timeout)
-	}
+	idle := idleLimit{timeout: ex.idleTimeout(server), resp: resp, clock: ex.relay.Clock}
+	idle.restart()
 	source := eventReader{source: resp}
 	controller := http.NewResponseController(ex.w)
 	count, since := 0, ex.relay.Clock.Now()
@@ -143,6 +142,11 @@
 		if err != nil {
 			return false, ex.handleInterruption(server, err)
 		}
+		if hasEvent(complete) {
+			idle.restart()
+		} else if idle.exceeded() && ex.planSuccessor(server) {
+			return false, ex.handleInterruption(server, errNoEvents)
+		}
 		ex.resumed()
 		ex.run.Progress(ex.relay.Clock.Now())
 		if !ex.headerSent {
