Let a claimed frame size take no memory

A peer, or anything else that connects to the peers' port, could claim a frame of 64 MiB in four bytes, before any authentication. The whole buffer was allocated at once: a few such connections exceed the memory of an entry host. The buffer now grows with what arrives.

TestClaimedFrameTakesNoMemory failed before: 512 MiB for 8 connections.

--- a/internal/control/peer/frame.go
+++ b/internal/control/peer/frame.go
@@ -46,11 +46,12 @@
 	if size > maxFrameBytes {
 		return errors.Errorf("frame of %d bytes exceeds the limit of %d", size, maxFrameBytes)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	// The buffer grows with what arrives, since a peer may claim any size.
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
 		return errors.Wrap(err, "read frame")
 	}
-	return decode(body, value)
+	return decode(body.Bytes(), value)
 }
 
 func decode(body []byte, value any) error {
