End one peer call, and not the daemon, when its handler panics

Calls of other daemons are handled in goroutines of their own, where nothing recovered a panic: one unexpected error in a handler ended the process with all its requests. The call now fails with the panic's text, and the stack goes to the log.

TestPanicOfHandlerEndsOneCall ended the test's process before.

--- a/internal/control/peer/malformed_test.go
+++ b/internal/control/peer/malformed_test.go
@@ -25,6 +25,18 @@
 	return listener.Addr().String()
 }
 
+// TestPanicOfHandlerEndsOneCall checks that an unexpected error in a handler fails its call
+// and no other.
+func TestPanicOfHandlerEndsOneCall(t *testing.T) {
+	address := startServer(t)
+	client := NewClient("key", nil)
+	_, err := Call[[]string, string](t.Context(), client, address, "panic", nil)
+	assert.ErrorContains(t, err, "unexpected")
+	reply, err := Call[string, string](t.Context(), client, address, "echo", "hello")
+	assert.NilError(t, err)
+	assert.Equal(t, reply, "hello")
+}
+
 // TestClaimedFrameTakesNoMemory has connections claim frames of nearly the greatest size and
 // send nothing more. The claim alone must take no memory.
 func TestClaimedFrameTakesNoMemory(t *testing.T) {
--- a/internal/control/peer/server.go
+++ b/internal/control/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -115,6 +116,17 @@
 	}
 }
 
+// callHandler returns an error if the handler panics: one call must not end the daemon.
+func (s *Server) callHandler(ctx context.Context, kind Kind, handle handler, body []byte) (reply []byte, err error) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			s.log.Error("handler of a peer call panicked", "kind", string(kind), "panic", recovered, "stack", string(debug.Stack()))
+			err = errors.Errorf("the handler panicked: %v", recovered)
+		}
+	}()
+	return handle(ctx, body)
+}
+
 // handleCall runs the handler of the call and writes the response. It closes the connection
 // if the write fails.
 func (s *Server) handleCall(ctx context.Context, conn net.Conn, writeMu *sync.Mutex, call envelope) {
@@ -123,7 +135,7 @@
 	if !ok {
 		reply.Error = "unknown call kind " + string(call.Kind)
 	} else {
-		body, err := handle(ctx, call.Body)
+		body, err := s.callHandler(ctx, call.Kind, handle, call.Body)
 		reply.Body = body
 		if err != nil {
 			reply.Error = err.Error()
