State the server's length in answers to HEAD

Callers got Content-Length 0 for every HEAD request, as the relay stated the length of the body that it had read. It now passes on what the server stated.

--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -28,8 +28,8 @@
 	}
 	isLong := len(body) == maxBufferedBytes
 	ex.startResponse(resp)
-	if !isLong {
-		ex.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if length := responseLength(ex.req.Method, resp, body); !isLong && length != "" {
+		ex.w.Header().Set("Content-Length", length)
 	}
 	ex.w.WriteHeader(resp.Status)
 	if _, err := ex.w.Write(body); err != nil {
@@ -43,6 +43,15 @@
 	return true, nil
 }
 
+// responseLength returns the length to state for a complete body; empty to state none. The
+// response to a HEAD request has no body but states the length that another would have.
+func responseLength(method string, resp *h1.Response, body []byte) string {
+	if method == http.MethodHead {
+		return resp.Header.Get("Content-Length")
+	}
+	return strconv.Itoa(len(body))
+}
+
 const (
 	// idleTimeoutFactor times the route's target for the longest pause between events
 	// is how long a stream may be silent before another server may take it over.
