Take an unframed answer for broken off when its server has crashed

An answer, a stream too, may have neither a length nor chunks and end with its connection. If its server crashed meanwhile, the connection closed as at the regular end: callers got a stream cut after some event, or before the first, or a part of a body, as complete answers. The crash would not have been noted either, and the answer would have counted as sound for its prompt segments.

At the end of such an answer the relay now checks that the server still listens, unless it is leaving, and a stream without any event counts as broken off. TestUnframedAnswerOfCrashedServer failed before in all cases with a crash and for a stream without events.

--- a/internal/decision/loadbalance/announcements.go
+++ b/internal/decision/loadbalance/announcements.go
@@ -164,6 +164,13 @@
 	return a.Leaving && b.announcements.setLeaving(Departure{ID: e.ID, StartedAt: e.StartedAt}, true, now)
 }
 
+// IsLeaving reports whether the server has announced its exit to any daemon.
+func (b *Balancer) IsLeaving(e *fleet.Entry) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.announcements.of(e).isLeaving()
+}
+
 // SetPeerDepartures records the servers that announced their exit to other daemons. Nothing
 // that a peer reports or omits ends what is known of a server.
 func (b *Balancer) SetPeerDepartures(departures []Departure, now clock.Millis) {
--- /dev/null
+++ b/internal/traffic/relay/close_delimited_test.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// unframed sends a response with neither a length nor chunks, and crashes the server if the
+// request is the first one of a stream.
+func unframed(f **fixture, body, resumed string, crash bool) behaviour {
+	return func(_ int, w http.ResponseWriter, r *http.Request) {
+		id := w.Header().Get(headerServer)
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n" + headerID + ": " + r.Header.Get(headerID) + "\r\n" + headerSigned + ": yes\r\n\r\n")
+		switch {
+		case (*f).callCount() > 1:
+			_, _ = buffered.WriteString(resumed)
+		default:
+			_, _ = buffered.WriteString(body)
+			if crash {
+				_ = (*f).servers[id].Listener.Close()
+			}
+		}
+		_ = buffered.Flush()
+	}
+}
+
+// TestUnframedAnswerOfCrashedServer has a server end an answer that has neither a length nor
+// chunks with its connection. It is complete only if the server hasn't crashed, and a stream
+// only if it has events.
+func TestUnframedAnswerOfCrashedServer(t *testing.T) {
+	cases := map[string]struct {
+		path, body, resumed, want string
+		crash                     bool
+		calls                     int
+	}{
+		"stream, server up":              {"/draft/1", events(1, 5), "", events(1, 5), false, 1},
+		"stream, crash after an event":   {"/draft/1", events(1, 2), events(3, 5), events(1, 5), true, 2},
+		"stream, crash before any event": {"/draft/1", "", events(1, 5), events(1, 5), true, 2},
+		"stream without events":          {"/draft/1", "", events(1, 5), events(1, 5), false, 2},
+		"stream without event IDs":       {"/draft/1", "data: x\n\n", "", "data: x\n\n", false, 1},
+		"plain, server up":               {"/read/1", "ledger", "", "ledger", false, 1},
+		"plain, crash":                   {"/read/1", "led", "ledger", "ledger", true, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			b := unframed(&f, c.body, c.resumed, c.crash)
+			f = newFixture(t, append(routes(), streamRoutes()...), b, b)
+			got := f.send(http.MethodPost, c.path, headerModel, "large")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, c.want)
+			assert.Equal(t, f.callCount(), c.calls)
+		})
+	}
+}
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -23,6 +23,9 @@
 // request can be retried if the response is interrupted.
 func (ex *exchange) forwardBuffered(server *fleet.Entry, resp *h1.Response) (bool, error) {
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
+	if err == nil && len(body) < maxBufferedBytes && ex.isCutByCrash(server, resp) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return false, ex.handleInterruption(server, err)
 	}
@@ -113,6 +116,18 @@
 	return causeServer
 }
 
+// isCutShort reports whether a stream that seems to have ended after a complete event was
+// broken off. One that is framed by its connection shows no end of its own.
+func (ex *exchange) isCutShort(server *fleet.Entry, resp *h1.Response) bool {
+	return resp.CloseDelimited && ((!ex.headerSent && ex.lastEventID == "") || ex.isCutByCrash(server, resp))
+}
+
+// isCutByCrash reports whether the connection that frames the response ended with its
+// server. A server that leaves completes its responses first.
+func (ex *exchange) isCutByCrash(server *fleet.Entry, resp *h1.Response) bool {
+	return resp.CloseDelimited && ex.isExpectedToRun(server) && ex.relay.Client.Refuses(ex.httpReq.Context(), server.Address)
+}
+
 // startResponse sets the headers of the response to the caller.
 func (ex *exchange) startResponse(resp *h1.Response) {
 	maps.Copy(ex.w.Header(), ex.relay.Dialect.ResponseHeader(resp.Header))
@@ -146,7 +161,10 @@
 	for {
 		complete, id, err := source.Next()
 		if errors.Is(err, io.EOF) {
-			break
+			if !ex.isCutShort(server, resp) {
+				break
+			}
+			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return false, ex.handleInterruption(server, err)
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -61,12 +61,17 @@
 	return quarantine.ServerStart{ID: server.ID, StartedAt: server.StartedAt}
 }
 
+// isExpectedToRun reports whether nothing is known that would make the server end by itself.
+func (ex *exchange) isExpectedToRun(server *fleet.Entry) bool {
+	current, known := ex.relay.View().Server(server.ID)
+	return known && !current.Draining && current.StartedAt == server.StartedAt && !ex.relay.Balancer.IsLeaving(server)
+}
+
 // checkCrash checks whether the server, which broke off an answer, has crashed and notes the
 // requests that may have caused it. A server that leaves ends by itself.
 func (ex *exchange) checkCrash(server *fleet.Entry, now clock.Millis) {
 	r := ex.relay
-	current, known := r.View().Server(server.ID)
-	if !known || current.Draining || current.StartedAt != server.StartedAt {
+	if !ex.isExpectedToRun(server) {
 		return
 	}
 	crash, suspicious := r.Quarantine.Suspect(serverStart(server), now)
