Search each byte of a stream for an event's end once

For each 4 KiB of an event that hadn't ended, the whole event was searched anew from its end. An event without end took 1.1 s of a core before it was given up at 1 MiB, where an entry host has two fifths of one. Under the race detector the stream missed its deadline of 5 s.

Only the new bytes are searched now. TestEndlessEventCostsLittle failed before with 11.4 s for ten events; they take 0.1 s. TestEventReader compares the events with the stream for parts of any size.

A rejected prompt states 5 s at least until the next trial, instead of 1 s.

--- a/internal/traffic/relay/event_reader.go
+++ b/internal/traffic/relay/event_reader.go
@@ -31,11 +31,13 @@
 func (e *eventReader) Next() (complete []byte, id string, err error) {
 	e.buffer = append(e.buffer[:0], e.buffer[e.start:]...)
 	e.start = 0
+	searched := 0 // no event ends before
 	for {
-		if end := endOfLastEvent(e.buffer); end > 0 {
-			e.start = end
-			return e.buffer[:end], lastEventID(e.buffer[:end]), nil
+		if end := endOfLastEvent(e.buffer[searched:]); end > 0 {
+			e.start = searched + end
+			return e.buffer[:e.start], lastEventID(e.buffer[:e.start]), nil
 		}
+		searched = max(len(e.buffer)-maxBlankLineBytes+1, 0)
 		if len(e.buffer) > maxEventBytes {
 			return nil, "", errEventTooLong
 		}
@@ -55,6 +57,9 @@
 	}
 }
 
+// maxBlankLineBytes is the length of the longest end of an event.
+const maxBlankLineBytes = len("\r\n\r\n")
+
 // endOfLastEvent returns the index after the last blank line, or 0 if there is none.
 func endOfLastEvent(b []byte) int {
 	lf := bytes.LastIndex(b, []byte("\n\n"))
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -12,7 +12,7 @@
 )
 
 // minQuarantineRetry is the least retry time stated for a quarantined prompt.
-const minQuarantineRetry = 1_000 * clock.Millis(1)
+const minQuarantineRetry = 5_000 * clock.Millis(1)
 
 // checkQuarantine returns the error of a request that must not reach a server, because a
 // segment of its prompt crashes servers. Only a first attempt can be let through on trial.
