Remember crashes for two minutes

A segment that crashes a server less often than every 15 s was never quarantined: of its crashes, no three were remembered at a time.

TestRareCrashesCount failed before with a crash every 40 s.

--- a/internal/decision/quarantine/tracker.go
+++ b/internal/decision/quarantine/tracker.go
@@ -12,7 +12,7 @@
 
 const (
 	// crashMemory is how long a crash is remembered.
-	crashMemory = 30_000 * clock.Millis(1)
+	crashMemory = 120_000 * clock.Millis(1)
 	// minHold is how long a segment is quarantined before a single request with it is let
 	// through on trial. It doubles with each trial that crashes a server, up to maxHold.
 	minHold = 60_000 * clock.Millis(1)
--- a/internal/decision/quarantine/tracker_test.go
+++ b/internal/decision/quarantine/tracker_test.go
@@ -98,6 +98,17 @@
 	assert.Assert(t, isBlocked(b, bad))
 }
 
+// TestRareCrashesCount has the cause crash one server every 40 s.
+func TestRareCrashesCount(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 3 {
+		now := start + clock.Millis(40_000*i)
+		tracker.Update(Evidence{}, now)
+		crashUnder(tracker, fmt.Sprintf("s%d", i), now, shared, bad)
+	}
+	assert.Assert(t, isBlocked(tracker, bad))
+}
+
 // TestStoredQuarantineAppliesAtStart checks a daemon that starts without evidence.
 func TestStoredQuarantineAppliesAtStart(t *testing.T) {
 	tracker := NewTracker()
