Log and count what servers state about their rate limits

Logs and metrics didn't show that a server named a limit, so a limit that nobody obeys couldn't be told from one that is known too late or that repeats exceed. Nothing obeys it yet.

--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -4,6 +4,7 @@
 package loadbalance
 
 import (
+	"maps"
 	"math"
 	"sync"
 
@@ -33,6 +34,7 @@
 	prefixBuf []Prefix // reused by Choose
 
 	announcements announcements
+	limits        map[string]*serverLimit // by server ID
 }
 
 // serverState is the state of one incarnation of a server.
@@ -60,7 +62,7 @@
 func NewBalancer() *Balancer {
 	return &Balancer{
 		servers: make(map[string]*serverState), models: make(map[modelKey]LatencyModel),
-		announcements: announcements{servers: make(map[string]*announcement)},
+		announcements: announcements{servers: make(map[string]*announcement)}, limits: make(map[string]*serverLimit),
 	}
 }
 
@@ -87,6 +89,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.announcements.prune(keep, now)
+	maps.DeleteFunc(b.limits, func(id string, _ *serverLimit) bool { return !keep(id) })
 	for id, s := range b.servers {
 		if s.own.Calls == 0 && !keep(id) {
 			delete(b.servers, id)
--- a/internal/traffic/relay/dialect.go
+++ b/internal/traffic/relay/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
@@ -35,6 +36,7 @@
 	TurnedAway    bool         // the server turned the request away until the end of Pause
 	Pause         clock.Millis // for which it wants no requests from this daemon
 	PauseKind     PauseKind
+	Limit         loadbalance.Limit // of the requests from all daemons
 }
 
 // PauseKind is how the time for which a server wants no requests was understood.
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
@@ -84,6 +85,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_pauses_total{kind=%q}`, string(kind))).Inc()
 }
 
+// countLimit counts a change of what a server states about its rate limit by how it was
+// understood.
+func (m *Metrics) countLimit(kind loadbalance.LimitKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_limits_total{kind=%q}`, string(kind))).Inc()
+}
+
 // countCrash counts a server that crashed while this daemon's requests ran there.
 func (m *Metrics) countCrash(pool string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_server_crashes_total{pool=%q}`, pool)).Inc()
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -144,6 +144,10 @@
 	if r.Balancer.RecordAnnouncement(server, loadbalance.Announcement{Leaving: info.Leaving, Pause: info.Pause}, now) {
 		ex.log("server announced its exit", server)
 	}
+	if r.Balancer.RecordLimit(server, info.Limit, now) {
+		r.Metrics.countLimit(info.Limit.Kind)
+		ex.log("server changed its rate limit", server, "kind", string(info.Limit.Kind), "per_second", info.Limit.PerSecond)
+	}
 }
 
 // recordOutcome reports the attempt's result to the Balancer and the version
