Reproduce a server that gets more than the rate it named for all daemons

Six daemons as processes, four engines. One engine, and then all of them, name a limit; a daemon is killed, one is frozen and one loses the store. The test fails: 97 requests in 4 s at 15 a second, of 95 allowed; 85 at 0.5 a second, of 8 allowed; with all engines limited 611 requests in 8 s where the rates allow 16, and none is rejected.

--- a/internal/proof/soak/engine_test.go
+++ b/internal/proof/soak/engine_test.go
@@ -24,6 +24,7 @@
 	startedAt         time.Time
 	cluster           *cluster
 	server            *http.Server
+	limit             rateLimit
 
 	mu             sync.Mutex
 	running        int
@@ -100,6 +101,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.limit.state(w.Header())
 	if e.announce(w, id) {
 		return
 	}
