Divide a server's rate limit among the daemons

Callers' requests reached a server that had named a rate for all daemons as if it had named none: nothing obeyed Server-Limit, and a rate that each daemon keeps for itself is as many times too high as there are daemons.

The rate and the burst of a limited server are divided by rendezvous hash among as many daemons as the burst has tokens (2 + 0.3 x the rate), so they hold without any message. Every attempt takes a token when it is planned: first ones, repeats, escalations, resumed streams and requests of a version on trial; one that was planned before the limit was known takes it when it is sent. A daemon without a token borrows one from a daemon that has a share, or sends the request to another server, or rejects it at once with code 2011 and a Retry-After by which callers return at the rate of the limits.

Daemons tell each other with the reports what servers state, with its age; the newest statement counts. An answer without a limit ends the limit only if its request was sent after the limit was last stated, so a late answer ends none. While a majority is in touch it divides the limits among its members; others divide them among all and use 0.4 of the result, so that both sides of a partition stay below one and a half times the rate. A daemon that wasn't heard of for a minute counts as gone.

--- a/internal/control/peer/message.go
+++ b/internal/control/peer/message.go
@@ -22,6 +22,7 @@
 	KindPutPins         Kind = "put_pins"
 	KindReport          Kind = "report"
 	KindChanges         Kind = "changes"
+	KindBorrowToken     Kind = "borrow_token"
 )
 
 // Empty is the body of requests and responses without content.
--- a/internal/control/peerstats/aggregator.go
+++ b/internal/control/peerstats/aggregator.go
@@ -27,6 +27,7 @@
 
 	mu          sync.Mutex
 	own         Snapshot
+	ownAt       clock.Millis        // when own was set; each refresh sets all of it
 	hosts       map[string]received // from the daemons that report to this one
 	dataCentres map[string]received // totals of other data centres
 	peerTotal   *received           // of all other daemons, from this daemon's leader
@@ -58,7 +59,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s.Departures, s.Crashes, s.SoundRuns = a.own.Departures, a.own.Crashes, a.own.SoundRuns
-	a.own, a.cached = s, nil
+	s.Limits, s.LimitMembers = a.own.Limits, a.own.LimitMembers
+	a.own, a.ownAt, a.cached = s, a.clock.Now(), nil
 }
 
 // SetOwnDepartures replaces the servers that announced their exit to this daemon.
@@ -68,11 +70,30 @@
 	a.own.Departures = departures
 }
 
+// SetOwnLimits replaces what this daemon knows of servers' rate limits, and the IDs of the
+// daemons that share them: its own, or none.
+func (a *Aggregator) SetOwnLimits(limits []loadbalance.LimitReport, members []uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.own.Limits, a.own.LimitMembers, a.ownAt = limits, members, a.clock.Now()
+}
+
+// PeerLimits returns what the other daemons know of servers' rate limits.
+func (a *Aggregator) PeerLimits() loadbalance.LimitPeers {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cached = nil // its members may have expired
+	others := a.others()
+	return loadbalance.LimitPeers{
+		Reports: slices.Collect(maps.Values(others.limits)), Members: slices.Collect(maps.Keys(others.members)),
+	}
+}
+
 // SetOwnEvidence replaces this daemon's evidence of crashed servers.
 func (a *Aggregator) SetOwnEvidence(crashes []quarantine.Crash, sound []quarantine.SoundRuns) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.own.Crashes, a.own.SoundRuns = crashes, sound
+	a.own.Crashes, a.own.SoundRuns, a.ownAt = crashes, sound, a.clock.Now()
 }
 
 // PeerEvidence returns the other daemons' evidence of crashed servers.
@@ -108,7 +129,7 @@
 // given host. allDataCentres includes the other data centres. a.mu must be held.
 func (a *Aggregator) total(exceptHost string, allDataCentres bool) *total {
 	t := newTotal()
-	t.add(a.own, true, 0)
+	t.add(a.own, true, a.clock.Now()-a.ownAt)
 	a.addReports(t, exceptHost, allDataCentres)
 	return t
 }
--- a/internal/control/peerstats/aggregator_test.go
+++ b/internal/control/peerstats/aggregator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -45,6 +46,29 @@
 	assert.Equal(t, len(second.PeerDepartures()), 0, "its own")
 }
 
+// TestLimits checks that what servers state of their limits reaches the daemons of both data
+// centres with its age there, the newest statement alone, and so does who shares the limits.
+func TestLimits(t *testing.T) {
+	c := clock.NewManual(1_000)
+	leader, second, remote := newAggregator(c, 1, 11), newAggregator(c, 2, 12), newAggregator(c, 8, 14)
+	limit := func(perSecond float64, age clock.Millis) loadbalance.LimitReport {
+		return loadbalance.LimitReport{ID: "e1", StartedAt: 5, PerSecond: perSecond, Age: age, ValueAge: age}
+	}
+	second.SetOwnLimits([]loadbalance.LimitReport{limit(3, 500)}, []uint32{2})
+	second.SetOwn(nil, nil, nil)
+	leader.SetOwnLimits([]loadbalance.LimitReport{limit(0, 700)}, []uint32{1})
+	second.SetPeerTotal(leader.HandleReport(Report{From: "second", Snapshot: second.Own()}))
+	c.Advance(300)
+	remote.HandleReport(Report{From: "dc-1", IsDataCentre: true, Snapshot: leader.DataCentreTotal()})
+	c.Advance(100)
+	got := remote.PeerLimits()
+	slices.Sort(got.Members)
+	assert.DeepEqual(t, got, loadbalance.LimitPeers{Reports: []loadbalance.LimitReport{limit(3, 900)}, Members: []uint32{1, 2}})
+	assert.DeepEqual(t, second.PeerLimits(), loadbalance.LimitPeers{Reports: []loadbalance.LimitReport{limit(0, 1_100)}, Members: []uint32{1}})
+	c.Advance(2_000)
+	assert.Equal(t, len(remote.PeerLimits().Members), 0, "not heard of lately")
+}
+
 // TestCrashEvidence checks that the evidence of a crash reaches the daemons of both data
 // centres through the leaders with the ages that it has there, and outlives its daemon.
 func TestCrashEvidence(t *testing.T) {
--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -33,6 +33,10 @@
 	// the recent answers to requests with suspected segments that crashed no server.
 	Crashes   []quarantine.Crash     `json:"q,omitempty"`
 	SoundRuns []quarantine.SoundRuns `json:"g,omitempty"`
+	// Limits are what servers state about their rate limits, and LimitMembers the daemons that
+	// know of any; see loadbalance.MemberID.
+	Limits       []loadbalance.LimitReport `json:"m,omitempty"`
+	LimitMembers []uint32                  `json:"n,omitempty"`
 }
 
 // maxCrashes bounds the crashes in a snapshot. The newest ones are kept.
@@ -59,6 +63,14 @@
 	departures  map[loadbalance.Departure]bool
 	crashes     map[quarantine.ServerStart]quarantine.Crash
 	soundRuns   map[uint64]quarantine.SoundRuns
+	limits      map[serverStart]loadbalance.LimitReport
+	members     map[uint32]bool // that share the limits
+}
+
+// serverStart is one start of a server.
+type serverStart struct {
+	id        string
+	startedAt int64
 }
 
 func newTotal() *total {
@@ -69,14 +81,20 @@
 		departures:  make(map[loadbalance.Departure]bool),
 		crashes:     make(map[quarantine.ServerStart]quarantine.Crash),
 		soundRuns:   make(map[uint64]quarantine.SoundRuns),
+		limits:      make(map[serverStart]loadbalance.LimitReport),
+		members:     make(map[uint32]bool),
 	}
 }
 
-// add adds a snapshot that was received that long ago, without its loads unless they are
-// fresh.
+// add adds a snapshot that was received that long ago, without its loads and members unless
+// they are fresh.
 func (t *total) add(s Snapshot, fresh bool, elapsed clock.Millis) {
 	t.addEvidence(s, elapsed)
+	t.addLimits(s.Limits, elapsed)
 	if fresh {
+		for _, member := range s.LimitMembers {
+			t.members[member] = true
+		}
 		for id, load := range s.Loads {
 			t.loads[id] = t.loads[id].Plus(load)
 		}
@@ -115,6 +133,18 @@
 	}
 }
 
+// addLimits adds the statements of servers about their limits. The newest one counts.
+func (t *total) addLimits(limits []loadbalance.LimitReport, elapsed clock.Millis) {
+	for _, l := range limits {
+		l.Age += elapsed
+		l.ValueAge += elapsed
+		key := serverStart{l.ID, l.StartedAt}
+		if other, known := t.limits[key]; !known || l.Age < other.Age || (l.Age == other.Age && other.PerSecond == 0) {
+			t.limits[key] = l
+		}
+	}
+}
+
 // newestCrashes returns at most maxCrashes crashes.
 func (t *total) newestCrashes() []quarantine.Crash {
 	newest := slices.SortedFunc(maps.Values(t.crashes), func(a, b quarantine.Crash) int { return cmp.Compare(a.Age, b.Age) })
@@ -126,6 +156,7 @@
 	s := Snapshot{
 		Loads: t.loads, Departures: slices.Collect(maps.Keys(t.departures)),
 		Crashes: t.newestCrashes(), SoundRuns: slices.Collect(maps.Values(t.soundRuns)),
+		Limits: loadbalance.LatestLimits(slices.Collect(maps.Values(t.limits))), LimitMembers: slices.Collect(maps.Keys(t.members)),
 	}
 	for key, stats := range t.answerStats {
 		s.AnswerStats = append(s.AnswerStats, AnswerStatsEntry{key, stats})
--- a/internal/decision/coldstart/slot_cache.go
+++ b/internal/decision/coldstart/slot_cache.go
@@ -20,6 +20,9 @@
 	return &SlotCache{self: self, servers: make(map[string]cachedSlots)}
 }
 
+// Self returns the member whose slots the cache holds.
+func (c *SlotCache) Self() string { return c.self }
+
 // SetMembers replaces the list of members, which the cache keeps.
 func (c *SlotCache) SetMembers(members []string) {
 	if slices.Equal(c.members, members) {
--- a/internal/decision/coldstart/slots.go
+++ b/internal/decision/coldstart/slots.go
@@ -22,6 +22,12 @@
 	return each
 }
 
+// Owners returns the members that have slots at the server, in rendezvous order.
+func Owners(server string, capacity int, members []string) []string {
+	order := container.Rendezvous(server, members, func(m string) string { return m })
+	return order[:min(max(capacity, 0), len(order))]
+}
+
 // rank returns the position of self in the members' rendezvous order for the server.
 func rank(server string, members []string, self string) int {
 	own, position := container.Hash(server, self), 0
--- a/internal/decision/loadbalance/announcements.go
+++ b/internal/decision/loadbalance/announcements.go
@@ -220,12 +220,20 @@
 }
 
 // StillAccepts reports whether the server of a choice that was made earlier still accepts
-// requests: it has neither left nor asked for a pause since.
+// the request: it has neither left nor asked for a pause since, and a rate limit that it
+// has stated since allows the request.
 func (b *Balancer) StillAccepts(c *Choice, now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := b.announcements.of(&c.Server)
-	return !b.announcements.hasDeparted(n, now) && !n.isPaused(now)
+	if b.announcements.hasDeparted(n, now) || n.isPaused(now) {
+		return false
+	}
+	if l := b.limits.of(&c.Server); l != nil && !c.usesLimitToken {
+		c.usesLimitToken = b.limits.take(c.Server.ID, l, now)
+		return c.usesLimitToken
+	}
+	return true
 }
 
 // AnnouncementCounts returns the number of servers in the view that are leaving, and of
--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -4,7 +4,6 @@
 package loadbalance
 
 import (
-	"maps"
 	"math"
 	"sync"
 
@@ -34,7 +33,8 @@
 	prefixBuf []Prefix // reused by Choose
 
 	announcements announcements
-	limits        map[string]*serverLimit // by server ID
+	limits        serverLimits
+	returns       map[string]clock.Millis // when the last rejected caller returns, by pool; see ScheduleReturn
 }
 
 // serverState is the state of one incarnation of a server.
@@ -62,7 +62,9 @@
 func NewBalancer() *Balancer {
 	return &Balancer{
 		servers: make(map[string]*serverState), models: make(map[modelKey]LatencyModel),
-		announcements: announcements{servers: make(map[string]*announcement)}, limits: make(map[string]*serverLimit),
+		announcements: announcements{servers: make(map[string]*announcement)},
+		limits:        serverLimits{servers: make(map[string]*serverLimit), members: newLimitMembers()},
+		returns:       make(map[string]clock.Millis),
 	}
 }
 
@@ -89,7 +91,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.announcements.prune(keep, now)
-	maps.DeleteFunc(b.limits, func(id string, _ *serverLimit) bool { return !keep(id) })
+	b.limits.prune(keep, now)
 	for id, s := range b.servers {
 		if s.own.Calls == 0 && !keep(id) {
 			delete(b.servers, id)
@@ -232,7 +234,7 @@
 }
 
 // Cancel takes back a choice whose request was not sent, in place of Done: the request
-// doesn't count towards the rate of a cold server.
+// doesn't count towards the rate of a cold or limited server.
 func (b *Balancer) Cancel(c *Choice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -240,6 +242,9 @@
 	if c.usesColdToken {
 		s.coldBucket.giveBack()
 	}
+	if l := b.limits.of(&c.Server); l != nil && c.usesLimitToken {
+		l.bucket.giveBack()
+	}
 }
 
 // done ends the call and returns the state of its server. The caller must hold mu.
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -40,6 +40,8 @@
 	// costNoise is the range of a pseudo-random cost that keeps daemons with the same
 	// information from choosing the same server.
 	costNoise = 12.0
+	// costUnusedToken is the cost of leaving a limited server's token unused for now.
+	costUnusedToken = costNoise
 	// cachedShare is the share of a prompt's shared prefix that the preferred server is
 	// assumed to have cached.
 	cachedShare = 0.85
@@ -92,10 +94,11 @@
 
 // The results of Choose.
 const (
-	Chosen     Result = iota
-	NoServer          // no allowed server is in service
-	Paused            // the allowed servers in service asked for a pause; see Choice.PausedUntil
-	AtCapacity        // the allowed servers in service have no free capacity
+	Chosen      Result = iota
+	NoServer           // no allowed server is in service
+	Paused             // the allowed servers in service asked for a pause; see Choice.PausedUntil
+	RateLimited        // the others of them have used up their rate limits; see Choice.Limited
+	AtCapacity         // the allowed servers in service have no free capacity
 )
 
 // Choice is the server chosen for a request. It holds a slot there until Done.
@@ -116,8 +119,11 @@
 	LastResort bool
 	// PausedUntil is the earliest end of the servers' pauses if the result is Paused.
 	PausedUntil clock.Millis
+	// Limited are some servers that only their rate limits exclude, if no server was chosen.
+	Limited []fleet.Entry
 
-	usesColdToken bool // the choice took a token of a cold server's bucket
+	usesColdToken  bool // the choice took a token of a cold server's bucket
+	usesLimitToken bool // the choice took a token of a limited server
 }
 
 // Choose returns the server with the lowest cost for the request and counts the
@@ -142,18 +148,15 @@
 	pausedUntil := clock.Millis(math.MaxInt64)
 	for i := range entries {
 		e := &entries[i]
-		n := b.announcements.of(e)
-		if !r.allows(v, e) || b.announcements.hasDeparted(n, r.Now) {
+		if !r.allows(v, e) {
 			continue
 		}
-		if n.isPaused(r.Now) {
-			pausedUntil = min(pausedUntil, n.pausedUntil)
-			result = max(result, Paused)
-			continue
-		}
-		s := b.state(e)
-		if !b.hasCapacity(s, e, n, &r) {
-			result = AtCapacity
+		n, s := b.announcements.of(e), b.state(e)
+		if admission := b.admit(s, e, n, &r); admission != Chosen {
+			result = max(result, admission)
+			if admission == Paused {
+				pausedUntil = min(pausedUntil, n.pausedUntil)
+			}
 			continue
 		}
 		which := 0
@@ -164,7 +167,7 @@
 		switch {
 		case n.isLeaving():
 			cost += costLeaving
-		case i != preferred && bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > bound:
+		case i != preferred && bound < math.MaxUint64 && b.limits.of(e) == nil && container.CombineHash(r.Salt, e.ID) > bound:
 			cost += costUnsampled
 		}
 		if cost < lowest {
@@ -172,7 +175,7 @@
 		}
 	}
 	if best < 0 {
-		return Choice{PausedUntil: pausedUntil}, result
+		return Choice{PausedUntil: pausedUntil, Limited: b.limitedServers(v, entries, &r)}, result
 	}
 	choice := Choice{PrefillTokens: prefillTokens[0], LastResort: lowest >= costEjected}
 	if best == preferred {
@@ -188,12 +191,50 @@
 	return choice, Chosen
 }
 
+// admit returns Chosen if the server can get the request, and otherwise why it can't.
+func (b *Balancer) admit(s *serverState, e *fleet.Entry, n *announcement, r *Request) Result {
+	switch {
+	case b.announcements.hasDeparted(n, r.Now):
+		return NoServer
+	case n.isPaused(r.Now):
+		return Paused
+	case !b.hasCapacity(s, e, n, r):
+		return AtCapacity
+	case b.limits.blocks(e, r.Now):
+		return RateLimited
+	}
+	return Chosen
+}
+
+// maxLimitedServers bounds Choice.Limited.
+const maxLimitedServers = 2
+
+// limitedServers returns some servers that only their rate limits exclude, others for each
+// request.
+func (b *Balancer) limitedServers(v *fleet.View, entries []fleet.Entry, r *Request) (limited []fleet.Entry) {
+	if len(b.limits.servers) == 0 {
+		return nil
+	}
+	for i := range entries {
+		e := &entries[(uint64(i)+r.Salt)%uint64(len(entries))]
+		if r.allows(v, e) && b.admit(b.state(e), e, b.announcements.of(e), r) == RateLimited {
+			if limited = append(limited, *e); len(limited) == maxLimitedServers {
+				break
+			}
+		}
+	}
+	return limited
+}
+
 // start counts the request as in flight at the chosen server.
 func (b *Balancer) start(c *Choice, r *Request) {
 	s := b.state(&c.Server)
 	if s.isCold(&c.Server, &r.Pool, r.Now) {
 		c.usesColdToken = s.coldBucket.take(r.coldLimit(c.Server.ID), r.Now)
 	}
+	if l := b.limits.of(&c.Server); l != nil {
+		c.usesLimitToken = b.limits.take(c.Server.ID, l, r.Now)
+	}
 	s.own.Calls++
 	s.own.Prefill += c.PrefillTime
 }
@@ -236,6 +277,9 @@
 			wait = min(wait, n.pausedUntil-now)
 			continue
 		}
+		if b.limits.blocks(e, now) {
+			continue
+		}
 		s := b.state(e)
 		excess := max(float64(s.load(now).Calls)-s.maxCalls(e, &pool)+1, 1)
 		wait = min(wait, clock.Millis(requestMs*excess/float64(s.slotsOf(e))))
@@ -304,6 +348,9 @@
 	if e.DataCentre != r.DataCentre {
 		cost += costRemote
 	}
+	if b.limits.of(e) != nil {
+		cost -= costUnusedToken
+	}
 	if r.Now < s.ejectedUntil {
 		cost += costEjected
 	}
@@ -323,7 +370,7 @@
 	prefix := b.prefixBuf[len(b.prefixBuf)-1].Hash
 	best, highest := -1, uint64(0)
 	for i := range entries {
-		if !r.allows(v, &entries[i]) || b.announcements.of(&entries[i]).isLeaving() {
+		if !r.allows(v, &entries[i]) || b.announcements.of(&entries[i]).isLeaving() || b.limits.blocks(&entries[i], r.Now) {
 			continue
 		}
 		if weight := container.CombineHash(prefix, entries[i].ID); best < 0 || weight > highest {
--- a/internal/decision/loadbalance/token_bucket.go
+++ b/internal/decision/loadbalance/token_bucket.go
@@ -9,7 +9,7 @@
 	filledAt clock.Millis
 }
 
-// rateLimit is the rate at which this daemon may send requests to a cold server.
+// rateLimit is the rate at which this daemon may send requests to a server.
 type rateLimit struct {
 	perSecond float64
 	burst     float64
--- a/internal/foundation/result/code.go
+++ b/internal/foundation/result/code.go
@@ -39,6 +39,7 @@
 	OutOfService      = Code{2008, "out_of_service", http.StatusServiceUnavailable, RunNo, 1000, "This daemon's host or data centre was taken out of service."}
 	NotConfigured     = Code{2009, "not_configured", http.StatusServiceUnavailable, RunNo, 200, "This daemon has no configuration yet."}
 	PromptQuarantined = Code{2010, "prompt_quarantined", http.StatusServiceUnavailable, RunNo, 60_000, "A segment of the prompt has crashed several backend servers; one request with it is tried at the stated time."}
+	RateLimited       = Code{2011, "rate_limited", http.StatusServiceUnavailable, RunNo, 1000, "The pool's backend servers have stated rate limits for all daemons together, which are used up; the stated time fits the rate."}
 
 	NoServer         = Code{3001, "no_server", http.StatusServiceUnavailable, RunNo, 1000, "No backend server in service holds an allowed model and version."}
 	BackendRefused   = Code{3002, "backend_refused", http.StatusServiceUnavailable, RunNo, 1000, "The backend servers refused the request before running it."}
@@ -67,7 +68,7 @@
 	return []Code{
 		OK,
 		MalformedRequest, BodyTooLarge, UnknownCredential, NoRoute, NotAllowed, BadSessionToken, SessionEnded, SlowRequest, UpgradeRefused, HeaderTooLarge,
-		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured, PromptQuarantined,
+		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured, PromptQuarantined, RateLimited,
 		NoServer, BackendRefused, BackendFailed, BackendTimeout, AnswerMismatch, StreamCut, VersionWithdrawn, CallerLeft,
 		KeyRequired, KeyReused, InProgress, OutcomeUnknown, ClaimUnavailable,
 		EditConflict, EditInvalid, EditPending, StoreUnavailable, EditUnknown,
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -17,6 +17,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/follower"
 	"gypsumpitch.example/gypsumpitch/internal/control/peer"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerfeed"
+	"gypsumpitch.example/gypsumpitch/internal/control/peerlimits"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
 	"gypsumpitch.example/gypsumpitch/internal/control/quarantinecontrol"
 	"gypsumpitch.example/gypsumpitch/internal/control/registry"
@@ -56,6 +57,7 @@
 	Rollouts      *rolloutcontrol.Controller
 	Quarantine    *quarantine.Tracker
 	Quarantines   *quarantinecontrol.Recorder
+	LimitBroker   *peerlimits.Broker
 	Metrics       *metrics.Set
 }
 
@@ -169,6 +171,7 @@
 	go d.followPlatformTables(ctx)
 	d.Exchange.Register(d.PeerServer)
 	d.PeerFeed.Register(d.PeerServer)
+	d.LimitBroker.Register(d.PeerServer)
 	go d.Exchange.Run(ctx)
 	go d.Rollouts.Run(ctx)
 	go d.Quarantines.Run(ctx)
@@ -200,12 +203,13 @@
 // refreshPeerStats passes the counts of this daemon to the aggregator, and the counts of
 // the peers and the number of hosts to the components that decide on requests. It also
 // removes from the balancer the servers that the view no longer has.
-func refreshPeerStats(c clock.Clock, manager *viewstate.Manager, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, router *versionrouting.Router, retryBudget *admission.SharedRetryBudget) {
+func refreshPeerStats(c clock.Clock, host string, manager *viewstate.Manager, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, router *versionrouting.Router, retryBudget *admission.SharedRetryBudget) {
 	view := manager.View()
 	stats.SetOwn(balancer.OwnLoads(), router.AnswerStats(), router.PinnedSessions(view))
 	stats.SetOwnDepartures(balancer.OwnDepartures(view))
 	balancer.SetPeerLoads(stats.PeerLoads(), c.Now())
 	balancer.SetPeerDepartures(stats.PeerDepartures(), c.Now())
+	refreshLimits(host, view, stats, balancer, c.Now())
 	retryBudget.SetHostCount(len(view.Hosts))
 	balancer.Retain(func(id string) bool {
 		_, known := view.Server(id)
@@ -213,6 +217,18 @@
 	}, c.Now())
 }
 
+// refreshLimits passes what this daemon and its peers know of servers' rate limits between
+// the balancer and the aggregator.
+func refreshLimits(host string, view *fleet.View, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, now clock.Millis) {
+	limits, shares := balancer.OwnLimits(now)
+	var members []uint32
+	if shares {
+		members = []uint32{loadbalance.MemberID(host)}
+	}
+	stats.SetOwnLimits(limits, members)
+	balancer.SetLimitPeers(stats.PeerLimits(), view.HostNames(), host, now)
+}
+
 // readinessHandler answers the readiness checks of the load balancer with status 200
 // from the time when the view is complete until ctx is done, and with 503 otherwise.
 func (d *Daemon) readinessHandler(ctx context.Context) http.Handler {
--- a/internal/program/entry/metrics.go
+++ b/internal/program/entry/metrics.go
@@ -49,6 +49,7 @@
 		_, paused := d.Balancer.AnnouncementCounts(v, d.Clock.Now())
 		return float64(paused)
 	})
+	gauge("gypsumpitch_servers_limited", func(v *fleet.View) float64 { return float64(d.Balancer.LimitedServers(v)) })
 	gauge("gypsumpitch_prompt_segments_quarantined", func(*fleet.View) float64 {
 		active, _ := d.Quarantine.Records()
 		return float64(len(active))
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -5,6 +5,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/control/peer"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerfeed"
+	"gypsumpitch.example/gypsumpitch/internal/control/peerlimits"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
 	"gypsumpitch.example/gypsumpitch/internal/control/rolloutcontrol"
 	"gypsumpitch.example/gypsumpitch/internal/control/viewstate"
@@ -81,12 +82,20 @@
 		Peers:      peers,
 		Hosts:      func() map[string]fleet.Host { return manager.View().Hosts },
 		Refresh: func() {
-			refreshPeerStats(c, manager, stats, balancer, router, retryBudget)
+			refreshPeerStats(c, s.Host, manager, stats, balancer, router, retryBudget)
 			feed.refresh()
 		},
 	})
 }
 
+func newLimitBroker(
+	c clock.Clock, s settings.Settings, manager *viewstate.Manager, balancer *loadbalance.Balancer, peers *peer.Client,
+) *peerlimits.Broker {
+	return peerlimits.New(peerlimits.Config{
+		Clock: c, Host: s.Host, Balancer: balancer, Peers: peers, Hosts: func() map[string]fleet.Host { return manager.View().Hosts },
+	})
+}
+
 func newRolloutController(
 	log hclog.Logger, c clock.Clock, s settings.Settings, view viewFunc, stats *peerstats.Aggregator, router *versionrouting.Router,
 	store *platform.Store, balancer *loadbalance.Balancer,
@@ -100,7 +109,7 @@
 func newRelay(
 	log hclog.Logger, c clock.Clock, s settings.Settings, manager *viewstate.Manager, client *h1.Client,
 	balancer *loadbalance.Balancer, retryBudget *admission.SharedRetryBudget, router *versionrouting.Router, metrics *relay.Metrics,
-	tracker *quarantine.Tracker, feed *quarantineFeed,
+	tracker *quarantine.Tracker, feed *quarantineFeed, broker *peerlimits.Broker,
 ) *relay.Relay {
 	return relay.New(relay.Dependencies{
 		Log:                 log,
@@ -116,6 +125,7 @@
 		RetryBudget:         retryBudget,
 		VersionRouter:       router,
 		Quarantine:          tracker,
+		TokenLender:         broker,
 		Metrics:             metrics,
 		ConfidenceThreshold: cascade.ConfidenceThreshold{Normal: int(s.Entry.AcceptCalm), Overloaded: int(s.Entry.AcceptBusy)},
 		OnServerReplaced: func(id string, now clock.Millis) {
--- a/internal/program/entry/wire.go
+++ b/internal/program/entry/wire.go
@@ -36,6 +36,7 @@
 		newRolloutController,
 		newQuarantineFeed,
 		newQuarantineRecorder,
+		newLimitBroker,
 		newRelay,
 		newCallerHandler,
 		metrics.NewSet,
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -36,7 +36,8 @@
 	h1Client := newServerClient()
 	set := metrics.NewSet()
 	relayMetrics := relay.NewMetrics(set)
-	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics, tracker, entryQuarantineFeed)
+	broker := newLimitBroker(system, s, manager, balancer, client)
+	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics, tracker, entryQuarantineFeed, broker)
 	entryViewFunc := newViewFunc(manager)
 	callerHandler := newCallerHandler(system, s, relayRelay, entryViewFunc)
 	server := newPeerServer(log, s)
@@ -60,6 +61,7 @@
 		Rollouts:      controller,
 		Quarantine:    tracker,
 		Quarantines:   recorder,
+		LimitBroker:   broker,
 		Metrics:       set,
 	}
 	return daemon, nil
--- a/internal/proof/soak/server_limit_test.go
+++ b/internal/proof/soak/server_limit_test.go
@@ -154,86 +154,116 @@
 	}
 }
 
-func testServerLimit(t *testing.T, perSecond float64) {
-	const callsPerSecond = 80
-	c := newCluster(t, daemonBinary, 6)
-	c.waitUntilServing()
+// limitCallsPerSecond is the rate of the callers in tests of rate limits.
+const limitCallsPerSecond = 80
+
+// limitTest is a cluster whose callers send requests all the time.
+type limitTest struct {
+	*cluster
+	perSecond float64 // of each limited engine
+
+	mu      sync.Mutex
+	current *rejections
+}
+
+func newLimitTest(t *testing.T, perSecond float64, daemons int) *limitTest {
+	t.Helper()
+	l := &limitTest{cluster: newCluster(t, daemonBinary, daemons), perSecond: perSecond, current: &rejections{}}
+	l.waitUntilServing()
 	ctx, stop := context.WithCancel(t.Context())
-	var mu sync.Mutex
-	current := &rejections{}
 	var callers sync.WaitGroup
 	callers.Go(func() {
-		c.sendCalls(ctx, callsPerSecond, func() *rejections {
-			mu.Lock()
-			defer mu.Unlock()
-			return current
+		l.sendCalls(ctx, limitCallsPerSecond, func() *rejections {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.current
 		})
 	})
-	defer func() {
+	t.Cleanup(func() {
 		stop()
 		callers.Wait()
-	}()
-	nextPeriod := func() *rejections {
-		mu.Lock()
-		defer mu.Unlock()
-		last := current
-		current = &rejections{}
-		return last
+	})
+	return l
+}
+
+// nextPeriod returns the results since its last call.
+func (l *limitTest) nextPeriod() *rejections {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := l.current
+	l.current = &rejections{}
+	return last
+}
+
+// limitEngines lets the engines state the limit, or none.
+func (l *limitTest) limitEngines(engines []*engine, limited bool) (at time.Time) {
+	value := ""
+	if limited {
+		value = strconv.FormatFloat(l.perSecond, 'f', -1, 64)
 	}
-	value := strconv.FormatFloat(perSecond, 'f', -1, 64)
-	limited := &c.engines[0].limit
+	for _, e := range engines {
+		e.limit.set(value)
+	}
+	return time.Now()
+}
 
-	// One engine is limited, and all daemons suffer in turn.
-	time.Sleep(time.Second)
-	limited.set(value)
-	limitedAt := time.Now()
-	time.Sleep(2 * stableTime)
-	c.daemons[1].signalAndWait(syscall.SIGKILL)
-	c.daemons[2].signal(syscall.SIGSTOP)
-	c.daemons[3].storeProxy.setMode(modeDrop)
+// checkEngines checks that no engine got more than its limit allows since it was limited.
+func (l *limitTest) checkEngines(t *testing.T, engines []*engine, limitedAt time.Time) {
+	t.Helper()
+	for _, e := range engines {
+		most := mostInWindow(e.limit.between(limitedAt.Add(stableTime), time.Now()))
+		t.Logf("%s got %d requests in %v, %.1f allowed", e.id, most, limitWindow, allowedInWindow(l.perSecond))
+		assert.Check(t, float64(most) <= allowedInWindow(l.perSecond))
+	}
+}
+
+// disturb kills, freezes and cuts off daemons from the store at the same time.
+func (l *limitTest) disturb() {
+	l.daemons[1].signalAndWait(syscall.SIGKILL)
+	l.daemons[2].signal(syscall.SIGSTOP)
+	l.daemons[3].storeProxy.setMode(modeDrop)
 	time.Sleep(2 * time.Second)
-	c.daemons[1].start()
-	c.daemons[2].signal(syscall.SIGCONT)
-	c.daemons[3].storeProxy.setMode(modeForward)
+	l.daemons[1].start()
+	l.daemons[2].signal(syscall.SIGCONT)
+	l.daemons[3].storeProxy.setMode(modeForward)
 	time.Sleep(limitWindow)
-	one := nextPeriod()
-	most := mostInWindow(limited.between(limitedAt.Add(stableTime), time.Now()))
-	t.Logf("one engine limited: %d requests in %v, %.1f allowed; %d of %d served", most, limitWindow, allowedInWindow(perSecond), one.served, one.sent)
-	assert.Check(t, float64(most) <= allowedInWindow(perSecond))
+}
+
+func testServerLimit(t *testing.T, perSecond float64) {
+	l := newLimitTest(t, perSecond, 6)
+	first := l.engines[:1]
+
+	time.Sleep(time.Second)
+	limitedAt := l.limitEngines(first, true)
+	time.Sleep(2 * stableTime)
+	l.disturb()
+	one := l.nextPeriod()
+	t.Logf("one engine limited: %d of %d served", one.served, one.sent)
+	l.checkEngines(t, first, limitedAt)
 	assert.Check(t, float64(one.served) >= 0.9*float64(one.sent), "the others serve the rest")
 
-	// All are limited.
-	allAt := time.Now()
-	for _, e := range c.engines {
-		e.limit.set(value)
-	}
+	limitedAt = l.limitEngines(l.engines, true)
 	time.Sleep(2 * stableTime)
-	nextPeriod()
+	l.nextPeriod()
 	calm := time.Now()
 	time.Sleep(2 * limitWindow)
-	all := nextPeriod()
-	used := 0
-	for _, e := range c.engines {
-		most := mostInWindow(e.limit.between(allAt.Add(stableTime), time.Now()))
-		assert.Check(t, float64(most) <= allowedInWindow(perSecond), "%s got %d requests in %v", e.id, most, limitWindow)
+	all, used := l.nextPeriod(), 0
+	l.checkEngines(t, l.engines, limitedAt)
+	for _, e := range l.engines {
 		used += len(e.limit.between(calm, time.Now()))
 	}
-	allowed := perSecond * float64(len(c.engines)) * time.Since(calm).Seconds()
+	allowed := perSecond * float64(len(l.engines)) * time.Since(calm).Seconds()
 	t.Logf("all engines limited: %d requests used of %.1f; %d of %d rejected, %d late, %d without Retry-After", used, allowed, all.rejected, all.sent, all.late, all.unstated)
 	assert.Check(t, float64(used) >= minLimitUse*allowed)
 	assert.Check(t, all.late == 0 && all.unstated == 0)
 
-	// The limits end.
-	for _, e := range c.engines {
-		e.limit.set("")
-	}
+	l.limitEngines(l.engines, false)
 	time.Sleep(2*stableTime + time.Duration(2/perSecond*float64(time.Second)))
-	nextPeriod()
+	l.nextPeriod()
 	calm = time.Now()
 	time.Sleep(limitWindow)
-	ended := nextPeriod()
-	back := len(limited.between(calm, time.Now()))
-	share := callsPerSecond * limitWindow.Seconds() / float64(len(c.engines))
+	ended, back := l.nextPeriod(), len(first[0].limit.between(calm, time.Now()))
+	share := limitCallsPerSecond * limitWindow.Seconds() / float64(len(l.engines))
 	t.Logf("limits ended: %d requests of %.0f; %d of %d served", back, share, ended.served, ended.sent)
 	assert.Check(t, float64(back) >= share/2)
 	assert.Check(t, float64(ended.served) >= 0.95*float64(ended.sent))
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -37,6 +37,7 @@
 // made. failed reports whether an earlier attempt gave no usable response.
 func (ex *exchange) planAttempt(excluded func(id string) bool, failed bool, now clock.Millis) (*plannedAttempt, *result.Error) {
 	r, req := ex.relay, ex.req
+	ex.limited = nil
 	view := r.Balancer.WithoutDeparted(r.View(), now)
 	route, account, err := ex.match(view)
 	if err != nil {
@@ -63,11 +64,14 @@
 		Tried:          excluded,
 		Now:            now,
 	})
+	ex.limited = p.choice.Limited
 	switch outcome {
 	case loadbalance.NoServer:
 		return nil, result.New(result.NoServer, "pool %s has no server in service; %s", pool.Name, ex.lastError)
 	case loadbalance.Paused:
 		return nil, ex.pauseError(&pool, p.choice.PausedUntil, now)
+	case loadbalance.RateLimited:
+		return nil, result.New(result.RateLimited, "the servers of pool %s have used up their rate limits; %s", pool.Name, ex.lastError)
 	case loadbalance.AtCapacity:
 		rejection := result.New(result.Overloaded, "all servers of pool %s are full; %s", pool.Name, ex.lastError)
 		return nil, rejection.WithRetryAfter(int64(r.Balancer.RetryAfter(view, pool, p.model, now)))
@@ -76,6 +80,28 @@
 	return p, nil
 }
 
+// planFirstOrNext plans an attempt for a request that runs nowhere. If only the share of this
+// daemon in servers' rate limits keeps the request from them, it borrows from others.
+func (ex *exchange) planFirstOrNext(now clock.Millis) (*plannedAttempt, *result.Error) {
+	planned, rejection := ex.planAttempt(ex.isExcluded, ex.backendFailed, now)
+	if rejection == nil {
+		return planned, nil
+	}
+	r := ex.relay
+	for _, server := range ex.limited {
+		if r.TokenLender.Borrow(ex.httpReq.Context(), &server) {
+			planned, rejection = ex.planAttempt(ex.isExcluded, ex.backendFailed, r.Clock.Now())
+			break
+		}
+	}
+	if rejection != nil && rejection.Code == result.RateLimited {
+		now := r.Clock.Now()
+		wait := r.Balancer.ScheduleReturn(r.View(), ex.pool.Name, r.Host, ex.deadline-now, now)
+		rejection = rejection.WithRetryAfter(int64(wait))
+	}
+	return planned, rejection
+}
+
 // pauseError returns the error of a request for which all servers of the pool asked for a
 // pause; the first pause ends at the given time. A stream that has begun waits only for a
 // pause that ends in time.
@@ -189,7 +215,7 @@
 // ended no attempt that would have gone on, or the request has been interrupted for too long.
 func (ex *exchange) awaitServer(rejection *result.Error) bool {
 	switch rejection.Code {
-	case result.NoServer, result.Overloaded, result.BackendRefused:
+	case result.NoServer, result.Overloaded, result.RateLimited, result.BackendRefused:
 	default:
 		return false
 	}
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -32,21 +32,22 @@
 	model    string       // of the last attempt
 	deadline clock.Millis // for the complete response
 
-	modelIndex      int          // in the route's models, smallest first
-	backendFailed   bool         // some attempt may have run and gave no usable response
-	attempts        int          // calls made to servers
-	reachedServer   bool         // some call reached a server, or may have
-	executions      int          // runs that gave no usable response, or whose answer was discarded
-	executedOn      []string     // servers on which the request ran or may have run
-	notExecutedOn   []string     // servers that did not run it: they refused it or could not be reached
-	mayHaveExecuted bool         // it may have run on some server
-	headerSent      bool         // the response to the caller has begun
-	status          int          // HTTP status sent to the caller
-	lastEventID     string       // last event that the caller received
-	confidence      int          // stated in the last response, 0 to 100; -1 if none was
-	lastError       string       // why the last attempt failed
-	server          fleet.Entry  // of the last attempt
-	answeredAt      clock.Millis // when the last attempt's response header arrived
+	modelIndex      int           // in the route's models, smallest first
+	backendFailed   bool          // some attempt may have run and gave no usable response
+	attempts        int           // calls made to servers
+	reachedServer   bool          // some call reached a server, or may have
+	executions      int           // runs that gave no usable response, or whose answer was discarded
+	executedOn      []string      // servers on which the request ran or may have run
+	notExecutedOn   []string      // servers that did not run it: they refused it or could not be reached
+	mayHaveExecuted bool          // it may have run on some server
+	headerSent      bool          // the response to the caller has begun
+	status          int           // HTTP status sent to the caller
+	lastEventID     string        // last event that the caller received
+	confidence      int           // stated in the last response, 0 to 100; -1 if none was
+	lastError       string        // why the last attempt failed
+	server          fleet.Entry   // of the last attempt
+	limited         []fleet.Entry // servers that only their rate limits kept the last plan from
+	answeredAt      clock.Millis  // when the last attempt's response header arrived
 
 	segments []uint64        // of the prompt; see quarantine.Segments
 	run      *quarantine.Run // of the last attempt
@@ -197,7 +198,7 @@
 	ex.successor = nil
 	if planned == nil {
 		var rejection *result.Error
-		if planned, rejection = ex.planAttempt(ex.isExcluded, ex.backendFailed, now); rejection == nil && !inBudget {
+		if planned, rejection = ex.planFirstOrNext(now); rejection == nil && !inBudget {
 			rejection = ex.acquireRetry(planned, nil, now)
 		}
 		if rejection != nil {
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -40,6 +41,7 @@
 	headerSigned      = "X-Signed"
 	headerLeaving     = "X-Leaving"
 	headerPause       = "X-Pause"  // ms
+	headerLimit       = "X-Limit"  // requests a second
 	headerPrompt      = "X-Prompt" // segments
 )
 
@@ -76,6 +78,11 @@
 		info.Confidence = c
 	}
 	info.Leaving = h.Get(headerLeaving) != ""
+	if limit, err := strconv.ParseFloat(h.Get(headerLimit), 64); err == nil {
+		info.Limit = loadbalance.Limit{Kind: loadbalance.ValidLimit, PerSecond: limit}
+	} else if h.Get(headerSigned) != "" {
+		info.Limit = loadbalance.Limit{Kind: loadbalance.NoLimit}
+	}
 	if pause, err := strconv.Atoi(h.Get(headerPause)); err == nil {
 		info.TurnedAway, info.Pause, info.PauseKind = true, clock.Millis(pause), ValidPause
 	}
@@ -89,6 +96,11 @@
 	return header
 }
 
+// noLender lends no tokens.
+type noLender struct{}
+
+func (noLender) Borrow(context.Context, *fleet.Entry) bool { return false }
+
 // testDrainTime is the time after which a leaving server gets no new requests.
 const testDrainTime = 400 * clock.Millis(1)
 
@@ -152,6 +164,7 @@
 		Client:          h1.NewClient(func(h http.Header) string { return h.Get(headerID) }),
 		Balancer:        loadbalance.NewBalancer(), RetryBudget: admission.NewSharedRetryBudget(10, 100, 10_000),
 		Quarantine:    quarantine.NewTracker(),
+		TokenLender:   noLender{},
 		Metrics:       NewMetrics(metrics.NewSet()),
 		VersionRouter: AnyVersionRouter{}, ConfidenceThreshold: cascade.ConfidenceThreshold{Normal: 58, Overloaded: 44},
 		OnServerReplaced: func(string, clock.Millis) {},
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -106,7 +106,7 @@
 	r.Balancer.RecordReport(server, loadbalance.ServerReport{
 		HasLoad: info.HasLoad, Requests: info.Running + info.Waiting, Slots: info.Slots, ColdRemaining: info.ColdRemaining,
 	}, now)
-	ex.recordAnnouncement(server, info, now)
+	ex.recordAnnouncement(server, info, startedAt, now)
 	ex.confidence = info.Confidence
 	if info.WrongServer || info.NotExecuted || info.Unverified {
 		return false, ex.handleUnusable(server, resp, info, now)
@@ -135,7 +135,7 @@
 
 // recordAnnouncement records what the server states about the requests that it wants,
 // whatever becomes of its response.
-func (ex *exchange) recordAnnouncement(server *fleet.Entry, info ResponseInfo, now clock.Millis) {
+func (ex *exchange) recordAnnouncement(server *fleet.Entry, info ResponseInfo, sentAt, now clock.Millis) {
 	r := ex.relay
 	if info.PauseKind != NoPause {
 		r.Metrics.countPause(info.PauseKind)
@@ -144,7 +144,7 @@
 	if r.Balancer.RecordAnnouncement(server, loadbalance.Announcement{Leaving: info.Leaving, Pause: info.Pause}, now) {
 		ex.log("server announced its exit", server)
 	}
-	if r.Balancer.RecordLimit(server, info.Limit, now) {
+	if r.Balancer.RecordLimit(server, info.Limit, sentAt, now) {
 		r.Metrics.countLimit(info.Limit.Kind)
 		ex.log("server changed its rate limit", server, "kind", string(info.Limit.Kind), "per_second", info.Limit.PerSecond)
 	}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 	RetryBudget     *admission.SharedRetryBudget
 	VersionRouter   VersionRouter
 	Quarantine      *quarantine.Tracker
+	TokenLender     TokenLender
 	Metrics         *Metrics
 	// ConfidenceThreshold is the confidence below which a small model's answer is
 	// escalated to the largest model.
@@ -63,6 +65,13 @@
 	RecordPace(v *fleet.View, e *fleet.Entry, model string, requests int, pace clock.Millis)
 }
 
+// TokenLender lends tokens of other daemons for servers whose rate limits this daemon's
+// share of is used up.
+type TokenLender interface {
+	// Borrow passes a token for the server to the Balancer. It reports false if it got none.
+	Borrow(ctx context.Context, e *fleet.Entry) bool
+}
+
 // Outcome is the result of an attempt, as evidence about the server's version.
 type Outcome struct {
 	Conclusive bool // whether Failed counts for or against the version
