--- a/internal/decision/loadbalance/server_limits_test.go
+++ b/internal/decision/loadbalance/server_limits_test.go
@@ -195,6 +195,24 @@
 	})
 }
 
+// TestLimitOnBothSidesOfPartition cuts off a minority of the daemons that has had the whole
+// limit to itself. Both sides together must not send more than the limit allows.
+func TestLimitOnBothSidesOfPartition(t *testing.T) {
+	f := newLimitFleet(9, valid(4))
+	pick := func() int { return rand.IntN(9) }
+	f.run(5_000, 200, pick)
+	owners := f.daemons[0].LimitOwners(&f.server)
+	assert.Assert(t, len(owners) < 9/2)
+	for _, owner := range owners {
+		f.group[slices.Index(f.hosts, owner)] = 1
+	}
+	start := f.now
+	f.run(40_000, 200, pick)
+	most := mostIn4s(f.since(start))
+	assert.Assert(t, float64(most) <= allowedIn4s(4), "%d in 4 s", most)
+	assert.Assert(t, len(f.since(start)) >= 4*30, "%d of 160", len(f.since(start)))
+}
+
 // TestShareOfLostDaemonIsTakenOver checks that the rate of a limited server is used after
 // most of the daemons that shared it have gone one after the other.
 func TestShareOfLostDaemonIsTakenOver(t *testing.T) {
