Let engines of the soak state rate limits

A random action limits an engine to 0.5, 2, 15 or 60 requests a second for 5 to 8 s, beside all other faults and changes. The oracle counts the requests from daemons that weren't restarted or paused since.

--- a/internal/proof/soak/actions_test.go
+++ b/internal/proof/soak/actions_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -183,6 +184,20 @@
 		time.Sleep(pause)
 		c.returnEngine(e)
 	}, true},
+	{"let an engine state a rate limit", func(c *cluster, rng *rand.Rand) {
+		e := c.takeEngine(rng)
+		if e == nil {
+			return
+		}
+		perSecond := []float64{0.5, 2, 15, 60}[rng.IntN(4)]
+		e.limit.set(strconv.FormatFloat(perSecond, 'f', -1, 64))
+		period := limitPeriod{engine: e, perSecond: perSecond, from: time.Now()}
+		time.Sleep(randomDuration(rng, 5_000, 8_000))
+		e.limit.set("")
+		period.to = time.Now()
+		c.oracle.recordLimit(period)
+		c.returnEngine(e)
+	}, true},
 	{"crash and replace an engine", func(c *cluster, rng *rand.Rand) {
 		e := c.takeEngine(rng)
 		if e == nil {
--- a/internal/proof/soak/announcements_test.go
+++ b/internal/proof/soak/announcements_test.go
@@ -90,3 +90,34 @@
 	}
 	return n
 }
+
+// limitPeriod is a period in which an engine stated a rate limit.
+type limitPeriod struct {
+	engine    *engine
+	perSecond float64
+	from, to  time.Time
+}
+
+func (o *oracle) recordLimit(p limitPeriod) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.limits = append(o.limits, p)
+}
+
+// checkLimits returns the engines that got more requests than their limits allow, from
+// daemons that were not restarted or paused since the limit was stated. o.mu must be held.
+func (o *oracle) checkLimits() (violations []string) {
+	for _, p := range o.limits {
+		var counted []time.Time
+		for _, a := range o.arrivals {
+			r := o.requests[a.requestID]
+			if a.engine == p.engine && r != nil && a.at.After(p.from.Add(stableTime)) && a.at.Before(p.to) && !o.lostMemory(r.daemon, p.from, a.at) {
+				counted = append(counted, a.at)
+			}
+		}
+		if most := mostInWindow(counted); float64(most) > allowedInWindow(p.perSecond) {
+			violations = append(violations, fmt.Sprintf("%s got %d requests in %v, limited to %v a second from %s on", p.engine.id, most, limitWindow, p.perSecond, p.from.Format("05.000")))
+		}
+	}
+	return violations
+}
--- a/internal/proof/soak/oracle_test.go
+++ b/internal/proof/soak/oracle_test.go
@@ -51,6 +51,7 @@
 	exits       map[exitKey]time.Time // when the first caller heard of it
 	requests    map[string]*request
 	disruptions []*disruption
+	limits      []limitPeriod
 	revokedAt   map[string]time.Time // by API key
 	violations  []string
 	served      int
@@ -179,6 +180,7 @@
 		violations = append(violations, o.checkRequest(r, o.executions[id])...)
 	}
 	violations = append(violations, o.checkArrivals()...)
+	violations = append(violations, o.checkLimits()...)
 	for id := range o.executions {
 		if o.requests[id] == nil {
 			violations = append(violations, id+" ran but no caller sent it")
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -64,7 +64,7 @@
 // TestSoak runs the seeds given by the flags -first and -seeds. While faults of daemons, the
 // store and engines overlap, it guards against requests that run twice, requests that run
 // although they were rejected, wrong or interrupted responses, and new requests to an
-// engine that drains, announced its exit or asked for a pause.
+// engine that drains, announced its exit, asked for a pause or has a rate limit that is used up.
 func TestSoak(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed) })
