Send what a limited canary can't take to the other versions

Requests meant for the target of a roll-out were rejected when its few servers had used up their rate limits, though the servers of the other version had room. Requests without a session, and those that begin one, now go there; a session keeps its version. TestLimitedCanaryOverflows failed before.

--- a/internal/traffic/relay/any_version_router_test.go
+++ b/internal/traffic/relay/any_version_router_test.go
@@ -14,6 +14,9 @@
 	return nil
 }
 
+// OverflowVersions allows none, since all are allowed anyway.
+func (AnyVersionRouter) OverflowVersions(*fleet.View, string, *Request) func(string) bool { return nil }
+
 // RecordPlacement does nothing.
 func (AnyVersionRouter) RecordPlacement(*Request, *fleet.Entry) {}
 
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -52,7 +52,7 @@
 	}
 	p := &plannedAttempt{view: view, route: route, account: account, pool: pool, model: ex.attemptModel(route)}
 	var outcome loadbalance.Result
-	p.choice, outcome = r.Balancer.Choose(view, loadbalance.Request{
+	p.choice, outcome = ex.choose(view, loadbalance.Request{
 		Pool:           pool,
 		DataCentre:     r.DataCentre,
 		Self:           r.Host,
@@ -80,6 +80,24 @@
 	return p, nil
 }
 
+// choose chooses a server for the request. One whose version has used up its servers' rate
+// limits goes to another version if it may.
+func (ex *exchange) choose(view *fleet.View, request loadbalance.Request) (loadbalance.Choice, loadbalance.Result) {
+	r := ex.relay
+	choice, outcome := r.Balancer.Choose(view, request)
+	if outcome != loadbalance.RateLimited {
+		return choice, outcome
+	}
+	request.VersionAllowed = r.VersionRouter.OverflowVersions(view, request.Pool.Name, ex.req)
+	if request.VersionAllowed == nil {
+		return choice, outcome
+	}
+	if other, result := r.Balancer.Choose(view, request); result == loadbalance.Chosen {
+		return other, result
+	}
+	return choice, outcome
+}
+
 // planFirstOrNext plans an attempt for a request that runs nowhere. If only the share of this
 // daemon in servers' rate limits keeps the request from them, it borrows from others.
 func (ex *exchange) planFirstOrNext(now clock.Millis) (*plannedAttempt, *result.Error) {
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -56,6 +56,10 @@
 	// AllowedVersions returns a predicate for the versions that the request may run
 	// on; nil allows all. With failed set, an earlier attempt gave no usable response.
 	AllowedVersions(v *fleet.View, pool string, r *Request, failed bool) func(version string) bool
+	// OverflowVersions returns a predicate for the versions that the request may run on
+	// instead if the servers of its allowed versions have used up their rate limits; nil
+	// if there are none.
+	OverflowVersions(v *fleet.View, pool string, r *Request) func(version string) bool
 	// RecordPlacement records the server that the request is sent to.
 	RecordPlacement(r *Request, e *fleet.Entry)
 	// RecordOutcome records the outcome of an attempt on the server.
--- a/internal/traffic/relay/server_limits_test.go
+++ b/internal/traffic/relay/server_limits_test.go
@@ -137,3 +137,42 @@
 	}
 	assert.DeepEqual(t, statuses, []int{200, 200, 200, 503})
 }
+
+// canaryRouter sends all requests to the version v2, and to v1 if they may overflow.
+type canaryRouter struct {
+	AnyVersionRouter
+	overflows bool
+}
+
+func (canaryRouter) AllowedVersions(*fleet.View, string, *Request, bool) func(string) bool {
+	return func(version string) bool { return version == "v2" }
+}
+
+func (c canaryRouter) OverflowVersions(*fleet.View, string, *Request) func(string) bool {
+	if !c.overflows {
+		return nil
+	}
+	return func(version string) bool { return version == "v1" }
+}
+
+// TestLimitedCanaryOverflows has the only server of a canary limited. What it can't take must
+// go to the servers of the other version, unless the request must keep its version.
+func TestLimitedCanaryOverflows(t *testing.T) {
+	for name, overflows := range map[string]bool{"may change its version": true, "keeps its version": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, routes(), respond("old"), limiting("0.1", respond("canary")))
+			f.shareLimits()
+			f.relay.VersionRouter = canaryRouter{overflows: overflows}
+			for id, version := range map[string]string{"s1": "v1", "s2": "v2"} {
+				entry, _ := f.currentView().Server(id)
+				entry.Version = version
+				f.setView(func(v *fleet.View) *fleet.View { return v.WithServer(entry.Server, 0) })
+			}
+			assert.Equal(t, f.send(http.MethodPost, "/read/1").body, "canary")
+			got := f.send(http.MethodPost, "/read/1")
+			assert.Equal(t, got.body == "old", overflows)
+			assert.Equal(t, got.status == http.StatusOK, overflows)
+			assert.Equal(t, f.callsTo("s2"), 1)
+		})
+	}
+}
--- a/internal/traffic/versionrouting/router.go
+++ b/internal/traffic/versionrouting/router.go
@@ -110,6 +110,20 @@
 	return r.ifServed(v, pool, isOther)
 }
 
+// OverflowVersions returns a predicate of the versions other than the target of a roll-out,
+// which requests meant for the target may use; nil if the request must keep its version.
+func (r *Router) OverflowVersions(v *fleet.View, pool string, q *relay.Request) func(string) bool {
+	ro, ok := v.Rollouts[pool]
+	if !ok || ro.Stage == fleet.Completed {
+		return nil
+	}
+	now := r.clock.Now()
+	if _, pinned := r.pinnedVersion(pool, q.Session, now); pinned {
+		return nil
+	}
+	return r.ifServed(v, pool, func(version string) bool { return version != ro.Target })
+}
+
 // targetShare returns the share of requests that the target version gets now. Until it
 // gets all requests, that is at most its share of the servers: the target's servers
 // start one after the other, and the first of them would be overloaded and make the
--- a/internal/traffic/versionrouting/router_test.go
+++ b/internal/traffic/versionrouting/router_test.go
@@ -99,6 +99,38 @@
 	}
 }
 
+// TestOverflowVersions checks which version a request may use when the servers of its own
+// have used up their rate limits.
+func TestOverflowVersions(t *testing.T) {
+	cases := map[string]struct {
+		stage   fleet.Stage
+		session string
+		pinned  bool
+		want    string
+	}{
+		"new session":           {fleet.Running, earlySession(), false, "v1"},
+		"no session":            {fleet.Running, "", false, "v1"},
+		"session on the target": {fleet.Running, earlySession(), true, ""},
+		"completed":             {fleet.Completed, earlySession(), false, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDaemon(c.stage, nil)
+			d.clock.Advance(5_000)
+			if c.pinned {
+				assert.Equal(t, d.place(c.session), "v2")
+			}
+			versions, got := d.router.OverflowVersions(d.view, "text", &relay.Request{ID: "r", Session: c.session}), ""
+			for _, v := range []string{"v1", "v2"} {
+				if versions != nil && versions(v) {
+					got += v
+				}
+			}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
+
 // TestSessionsKeepTheirVersion checks that a session which ran before the order stays on
 // its version in the first half of the roll-out, also on another daemon.
 func TestSessionsKeepTheirVersion(t *testing.T) {
