Give a restarted daemon no retry allowance for one window

The allowance of the shared retry budget is divided among the daemons, but a daemon that started again could use its part again within the same window. The part that follows the daemon's own requests isn't affected.

--- a/internal/decision/admission/shared_retry_budget.go
+++ b/internal/decision/admission/shared_retry_budget.go
@@ -17,6 +17,8 @@
 	window    clock.Millis
 	pools     map[string]*slidingWindow
 	hosts     int
+	// allowanceFrom is the time from which on the allowance applies.
+	allowanceFrom clock.Millis
 }
 
 // slidingWindow counts requests and retries in slices of time. It has one slice more
@@ -50,6 +52,14 @@
 	b.ratio, b.allowance = ratio, allowance
 }
 
+// StartAt sets the time at which this daemon started. It gets no part of the allowance for
+// the length of a window, since its former incarnation may have used that part.
+func (b *SharedRetryBudget) StartAt(startedAt clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.allowanceFrom = startedAt + b.window
+}
+
 // SetHostCount sets the number of daemons that share the allowance.
 func (b *SharedRetryBudget) SetHostCount(n int) {
 	b.mu.Lock()
@@ -106,7 +116,11 @@
 			requests += float64(s.requests)
 		}
 	}
-	return retries, usableFraction * (b.ratio*requests + b.allowance/float64(b.hosts))
+	allowance := b.allowance
+	if now < b.allowanceFrom {
+		allowance = 0
+	}
+	return retries, usableFraction * (b.ratio*requests + allowance/float64(b.hosts))
 }
 
 func (b *SharedRetryBudget) sliceLength() clock.Millis { return max(b.window/slicesPerWindow, 1) }
--- a/internal/decision/admission/shared_retry_budget_test.go
+++ b/internal/decision/admission/shared_retry_budget_test.go
@@ -50,6 +50,37 @@
 	})
 }
 
+// TestRestartsDoNotRenewAllowance restarts all daemons after they have used up the budget.
+// Together with their former incarnations they must not retry more than one budget allows.
+func TestRestartsDoNotRenewAllowance(t *testing.T) {
+	const (
+		ratio     = 0.9
+		allowance = 54.0
+		window    = clock.Millis(10_000)
+		hosts     = 7
+		start     = clock.Millis(1_000_000)
+	)
+	requests, retries := 0, 0
+	for incarnation := range clock.Millis(3) {
+		for range hosts {
+			b := NewSharedRetryBudget(ratio, allowance, window)
+			b.StartAt(start + 3_000*incarnation)
+			if incarnation == 0 {
+				b.StartAt(start - window)
+			}
+			b.SetHostCount(hosts)
+			for now := start + 3_000*incarnation; now < start+3_000*(incarnation+1); now += 500 {
+				b.RecordRequest("text", now)
+				requests++
+				for b.TryAcquire("text", now) {
+					retries++
+				}
+			}
+		}
+	}
+	assert.Assert(t, float64(retries) <= ratio*float64(requests)+allowance, "%d retries of %d requests", retries, requests)
+}
+
 func sum(list []int) float64 {
 	total := 0
 	for _, n := range list {
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -45,8 +45,10 @@
 	return versionrouting.New(c, clock.Millis(s.Entry.SessionS*1000), s.Entry.ExposedShare, stats.IsPinned)
 }
 
-func newRetryBudget(s settings.Settings) *admission.SharedRetryBudget {
-	return admission.NewSharedRetryBudget(s.Entry.RepeatRatio, s.Entry.RepeatSlack, clock.Millis(s.Entry.RepeatWindowS*1000))
+func newRetryBudget(c clock.Clock, s settings.Settings) *admission.SharedRetryBudget {
+	b := admission.NewSharedRetryBudget(s.Entry.RepeatRatio, s.Entry.RepeatSlack, clock.Millis(s.Entry.RepeatWindowS*1000))
+	b.StartAt(c.Now())
+	return b
 }
 
 func newPeerServer(log hclog.Logger, s settings.Settings) *peer.Server {
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -28,7 +28,7 @@
 	aggregator := peerstats.New(system)
 	balancer := loadbalance.NewBalancer()
 	router := newVersionRouter(system, s, aggregator)
-	sharedRetryBudget := newRetryBudget(s)
+	sharedRetryBudget := newRetryBudget(system, s)
 	tracker := quarantine.NewTracker()
 	entryQuarantineFeed := newQuarantineFeed(log, system, s, manager, aggregator, tracker)
 	exchange := newExchange(log, system, s, manager, aggregator, balancer, router, sharedRetryBudget, client, entryQuarantineFeed)
