--- a/internal/proof/soak/crashing_prompt_test.go
+++ b/internal/proof/soak/crashing_prompt_test.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	crashDelay   = 60 * time.Millisecond // from the response header to the crash
+	crashDelay   = 60 * time.Millisecond // from the response header, or the moment when it is due, to the crash
 	restartDelay = 800 * time.Millisecond
 	// learnTime exceeds the time to crashesToLearn crashes by twice stableTime.
 	learnTime = 9 * time.Second
@@ -28,12 +28,15 @@
 	// minLateShare is the least share of the sound requests that must be served from twice
 	// stableTime after the last crash that counts.
 	minLateShare = 0.5
+	// minLateShareBeforeHeader is the same if engines crash before the response header.
+	minLateShareBeforeHeader = 0.9
 )
 
 // crashingPrompt makes an engine crash soon after it began to answer a request whose prompt
 // has the segment. Safe for concurrent use.
 type crashingPrompt struct {
-	segment string
+	segment      string
+	beforeHeader bool // the engine crashes before the response header
 
 	mu       sync.Mutex
 	crashes  []time.Time
@@ -53,7 +56,9 @@
 
 // answer begins a response and crashes the engine, which starts again later under another ID.
 func (p *crashingPrompt) answer(w http.ResponseWriter, e *engine) {
-	_ = http.NewResponseController(w).Flush()
+	if !p.beforeHeader {
+		_ = http.NewResponseController(w).Flush()
+	}
 	time.Sleep(crashDelay)
 	if !e.crashOnce() {
 		return
@@ -155,8 +160,18 @@
 // time and all together. From a while after the fifth crash the segment must reach no engine, and sound
 // requests that share their other segments must be served.
 func TestPromptThatCrashesEngines(t *testing.T) {
+	testCrashingPrompt(t, &crashingPrompt{segment: "bad"}, minLateShare)
+}
+
+// TestPromptThatCrashesEnginesBeforeAnswers is the same with engines that crash before they
+// have sent a response header.
+func TestPromptThatCrashesEnginesBeforeAnswers(t *testing.T) {
+	testCrashingPrompt(t, &crashingPrompt{segment: "bad", beforeHeader: true}, minLateShareBeforeHeader)
+}
+
+func testCrashingPrompt(t *testing.T, p *crashingPrompt, minShare float64) {
+	t.Helper()
 	c := newCluster(t, daemonBinary, *daemonCount)
-	p := &crashingPrompt{segment: "bad"}
 	c.crashingPrompt.Store(p)
 	c.waitUntilServing()
 	ctx, stop := context.WithCancel(t.Context())
@@ -223,5 +238,5 @@
 	}
 	t.Logf("%d crashes; sound requests served: %d of %d, later %d of %d", len(p.crashes), early.served, early.sent, late.served, late.sent)
 	assert.Assert(t, total <= maxLateArrivals, "%d requests with the segment reached engines late", total)
-	assert.Assert(t, late.sent > 0 && float64(late.served) >= minLateShare*float64(late.sent), "sound requests")
+	assert.Assert(t, late.sent > 0 && float64(late.served) >= minShare*float64(late.sent), "sound requests")
 }
