Suspect waiting requests beside those whose answers had begun

Cause: the requests whose answers had begun took the place of those that waited, in the note of a daemon and again when notes were joined. Sound streams that had just begun hid the request that crashed the server, and what they share was quarantined. A shared segment also collected the crashes of two causes.

Now both are noted, the latest first, and joined. A shared segment yields to at most three more specific ones that together explain nine tenths of its crashes, each of several with four. Ties go to the likelier suspect. Runs are ordered by number, so that the decision is the same each time.

--- a/internal/decision/quarantine/evidence.go
+++ b/internal/decision/quarantine/evidence.go
@@ -16,9 +16,11 @@
 )
 
 const (
-	// maxSuspects bounds the requests of a crash, and maxSegments the segments of a request.
-	maxSuspects = 8
-	maxSegments = 32
+	// maxSuspects bounds the requests of a crash that one daemon notes, and maxJoinedSuspects
+	// those of all daemons. maxSegments bounds the segments of a request.
+	maxSuspects       = 8
+	maxJoinedSuspects = 24
+	maxSegments       = 32
 	// maxCrashes bounds the crashes that are remembered.
 	maxCrashes = 64
 )
@@ -33,34 +35,32 @@
 type Crash struct {
 	Server ServerStart  `json:"v"`
 	Age    clock.Millis `json:"a"`
-	// Begun means that the server had begun to answer the suspects. Otherwise no daemon has
-	// seen the beginning of an answer, and the suspects were waiting for one.
-	Begun    bool       `json:"b"`
-	Suspects [][]uint64 `json:"q"` // hashes of the segments of each suspect's prompt
+	// Begun means that the server had just begun to answer some suspects. The others were
+	// waiting for an answer.
+	Begun bool `json:"b"`
+	// Suspects are the hashes of the segments of each suspect's prompt, the likeliest first.
+	Suspects [][]uint64 `json:"q"`
 }
 
-// Merge adds a daemon's note of a crash to that of another daemon. The requests whose
-// answers had begun take the place of those that were waiting.
+// Merge adds a daemon's note of a crash to that of another daemon.
 func (c Crash) Merge(other Crash) Crash {
-	if c.Begun != other.Begun {
-		if other.Begun {
-			c.Begun, c.Suspects = true, other.Suspects
-		}
-		c.Age = max(c.Age, other.Age)
-		return c
-	}
-	c.Age = max(c.Age, other.Age)
-	suspects := slices.Clone(c.Suspects)
+	c.Age, c.Begun = max(c.Age, other.Age), c.Begun || other.Begun
+	c.Suspects = slices.Clone(c.Suspects)
 	for _, s := range other.Suspects {
-		known := slices.ContainsFunc(suspects, func(k []uint64) bool { return slices.Equal(k, s) })
-		if !known && len(suspects) < maxSuspects {
-			suspects = append(suspects, s)
+		if len(c.Suspects) < maxJoinedSuspects {
+			c.addSuspect(s)
 		}
 	}
-	c.Suspects = suspects
 	return c
 }
 
+// addSuspect adds a request with the segments, unless one with the same segments is known.
+func (c *Crash) addSuspect(segments []uint64) {
+	if !slices.ContainsFunc(c.Suspects, func(known []uint64) bool { return slices.Equal(known, segments) }) {
+		c.Suspects = append(c.Suspects, segments)
+	}
+}
+
 // SoundRuns are the recent answers to requests with a segment that crashed no server.
 type SoundRuns struct {
 	Segment uint64       `json:"g"`
@@ -94,7 +94,9 @@
 func Find(crashes []Crash, sound map[uint64]SoundRuns) []uint64 {
 	var found []uint64
 	remaining := slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return !c.Begun && c.Age < joinTime })
-	slices.SortFunc(remaining, func(a, b Crash) int { return cmp.Compare(b.Age, a.Age) })
+	slices.SortFunc(remaining, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(b.Age, a.Age), cmp.Compare(a.Server.ID, b.Server.ID))
+	})
 	for {
 		segment, ok := likeliest(remaining, sound)
 		if !ok {
@@ -112,46 +114,123 @@
 
 // candidate is what speaks for a segment as the cause of crashes.
 type candidate struct {
+	segment  uint64
 	crashes  int
+	in       []int        // indexes of the crashes
 	begun    bool         // some of the crashes are of answers that had begun
 	lastAge  clock.Millis // of the last crash that counts
 	position int          // in the prompt; a later segment is more specific
+	rank     int          // sum of the positions of the first suspects with it; see Crash.Suspects
 }
 
-// likeliest returns the segment with most crashes less sound runs, if these are enough. Of
-// several, it returns the most specific one. The crashes are sorted, oldest first.
-func likeliest(crashes []Crash, sound map[uint64]SoundRuns) (uint64, bool) {
-	candidates := make(map[uint64]candidate)
-	for _, crash := range crashes {
-		seen := make(map[uint64]int)
-		for _, suspect := range crash.Suspects {
-			for i, segment := range suspect {
-				seen[segment] = max(seen[segment], i)
+// candidates returns the segments of the crashes' suspects, sorted. The crashes are sorted,
+// oldest first.
+func candidates(crashes []Crash) []candidate {
+	bySegment := make(map[uint64]candidate)
+	for i, crash := range crashes {
+		seen, ranks := make(map[uint64]int), make(map[uint64]int)
+		for rank, suspect := range crash.Suspects {
+			for position, segment := range suspect {
+				if _, known := ranks[segment]; !known {
+					ranks[segment] = rank
+				}
+				seen[segment] = max(seen[segment], position)
 			}
 		}
 		for segment, position := range seen {
-			c := candidates[segment]
+			c := bySegment[segment]
+			c.rank += ranks[segment]
+			c.segment = segment
 			if c.crashes == 0 || c.lastAge-crash.Age >= simultaneous {
 				c.crashes++
 				c.lastAge = crash.Age
 			}
+			c.in = append(c.in, i)
 			c.begun = c.begun || crash.Begun
 			c.position = max(c.position, position)
-			candidates[segment] = c
+			bySegment[segment] = c
+		}
+	}
+	return slices.SortedFunc(maps.Values(bySegment), func(a, b candidate) int { return cmp.Compare(a.segment, b.segment) })
+}
+
+// score returns the crashes less the sound runs; 0 if these are not enough.
+func (c candidate) score(sound map[uint64]SoundRuns) int {
+	needed := minCrashes
+	if !c.begun {
+		needed = minWaitingCrashes
+	}
+	if score := c.crashes - sound[c.segment].Count; score >= needed {
+		return score
+	}
+	return 0
+}
+
+// likeliest returns the segment with most crashes less sound runs, if these are enough. Of
+// several, it returns the most specific one, and of these the one of likelier suspects. The
+// crashes are sorted, oldest first.
+func likeliest(crashes []Crash, sound map[uint64]SoundRuns) (uint64, bool) {
+	all := candidates(crashes)
+	best, bestScore := candidate{}, 0
+	for _, c := range all {
+		score := c.score(sound)
+		if score > 0 && cmp.Or(cmp.Compare(score, bestScore), cmp.Compare(c.position, best.position), cmp.Compare(best.rank, c.rank)) > 0 {
+			best, bestScore = c, score
+		}
+	}
+	for {
+		specific, ok := mostSpecific(best, all, sound)
+		if !ok {
+			return best.segment, bestScore > 0
 		}
+		best = specific
+	}
+}
+
+const (
+	// maxAlternatives is the number of more specific segments that may explain the crashes of
+	// a shared one, and explainedShare the share of its crashes that they must explain.
+	maxAlternatives = 3
+	explainedShare  = 0.9
+	// minAlternativeCrashes is the least score of each of several alternatives.
+	minAlternativeCrashes = 4
+)
+
+// mostSpecific returns the first of a few more specific segments that explain the crashes of
+// the given one: a segment that many prompts share is among the suspects of most crashes.
+func mostSpecific(shared candidate, all []candidate, sound map[uint64]SoundRuns) (candidate, bool) {
+	unexplained := make(map[int]bool, len(shared.in))
+	for _, i := range shared.in {
+		unexplained[i] = true
 	}
-	best, bestScore := uint64(0), 0
-	for _, segment := range slices.Sorted(maps.Keys(candidates)) {
-		c := candidates[segment]
-		score := c.crashes - sound[segment].Count
-		needed := minCrashes
-		if !c.begun {
-			needed = minWaitingCrashes
+	var first candidate
+	for alternatives := range maxAlternatives {
+		best, bestCount := candidate{}, 0
+		for _, c := range all {
+			score := c.score(sound)
+			if c.position <= shared.position || score == 0 || (alternatives > 0 && min(score, first.score(sound)) < minAlternativeCrashes) {
+				continue
+			}
+			count := 0
+			for _, i := range c.in {
+				if unexplained[i] {
+					count++
+				}
+			}
+			if count > bestCount {
+				best, bestCount = c, count
+			}
+		}
+		if bestCount == 0 {
+			break
+		}
+		if first.in == nil {
+			first = best
 		}
-		if score < needed || score < bestScore || (score == bestScore && c.position <= candidates[best].position) {
-			continue
+		for _, i := range best.in {
+			delete(unexplained, i)
 		}
-		best, bestScore = segment, score
 	}
-	return best, bestScore > 0
+	explained := len(shared.in) - len(unexplained)
+	return first, first.in != nil && float64(explained) >= explainedShare*float64(len(shared.in))
 }
--- a/internal/decision/quarantine/runs.go
+++ b/internal/decision/quarantine/runs.go
@@ -51,6 +51,7 @@
 type Run struct {
 	tracker  *Tracker
 	server   ServerStart
+	number   uint64 // in the order of the starts
 	segments []uint64
 	cancel   func() // ends the attempt
 	isTrial  bool
@@ -69,6 +70,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.started++
+	r.number = t.started
 	runs, ok := t.runs[server]
 	if !ok {
 		runs = make(map[*Run]bool)
@@ -175,16 +178,16 @@
 			begun = append(begun, r)
 		}
 	}
-	suspects := begun
-	// The last answer that began is the likeliest cause.
-	slices.SortFunc(suspects, func(a, b *Run) int { return cmp.Compare(b.begunAt, a.begunAt) })
-	if crash.Begun = len(begun) > 0; !crash.Begun {
-		// The request that waited longest is answered first.
-		suspects = waiting
-		slices.SortFunc(suspects, func(a, b *Run) int { return cmp.Compare(a.sentAt, b.sentAt) })
-	}
-	for _, r := range suspects[:min(len(suspects), maxSuspects)] {
-		crash.Suspects = append(crash.Suspects, r.segments)
+	crash.Begun = len(begun) > 0
+	// The last answer that began and the last request that was sent are the likeliest causes.
+	slices.SortFunc(begun, func(a, b *Run) int { return cmp.Or(cmp.Compare(b.begunAt, a.begunAt), cmp.Compare(b.number, a.number)) })
+	slices.SortFunc(waiting, func(a, b *Run) int { return cmp.Compare(b.number, a.number) })
+	for i := range max(len(begun), len(waiting)) {
+		for _, runs := range [][]*Run{begun, waiting} {
+			if i < len(runs) && len(crash.Suspects) < maxSuspects {
+				crash.addSuspect(runs[i].segments)
+			}
+		}
 	}
 	if len(crash.Suspects) == 0 {
 		return Crash{}, false
--- a/internal/decision/quarantine/tracker.go
+++ b/internal/decision/quarantine/tracker.go
@@ -56,6 +56,7 @@
 
 	mu        sync.Mutex
 	runs      map[ServerStart]map[*Run]bool
+	started   uint64 // number of runs
 	ended     []*Run // abandoned early; still in runs
 	nextCheck map[ServerStart]clock.Millis
 	sound     soundCounts
