Release a quarantine by its first sound trial, however many crashes it had

A sound answer on trial released a segment only if at most three of its crashes were remembered: with more, the evidence of two minutes still spoke against it, and callers were turned away for up to another minute. The answer to a request that was let through on trial now counts by itself, unless a crash followed the trial. The new case of TestTrial failed before.

--- a/internal/decision/quarantine/evaluate.go
+++ b/internal/decision/quarantine/evaluate.go
@@ -77,6 +77,8 @@
 	s, isSound := sound[segment]
 	_, stored := t.evidence.Stored[segment]
 	switch {
+	case isSound && now-s.Age > q.TrialAt():
+		return ReasonSound // of the trial, which no crash followed
 	case slices.Contains(found, segment):
 	case isSound && now < q.Since+settleTime:
 		return ReasonSound
--- a/internal/decision/quarantine/tracker_test.go
+++ b/internal/decision/quarantine/tracker_test.go
@@ -189,6 +189,27 @@
 		_, released := tracker.Records()
 		assert.DeepEqual(t, released, []uint64{bad})
 	})
+	t.Run("a sound answer releases it after many crashes", func(t *testing.T) {
+		tracker := quarantined()
+		for i := range 3 {
+			crashUnder(tracker, fmt.Sprintf("more%d", i), start+clock.Millis(200*i), shared, bad)
+		}
+		tracker.Update(Evidence{Owns: ownsSecond}, start+700)
+		q, _ := tracker.Blocked([]uint64{bad})
+		answer(tracker, q.TrialAt()+100, bad)
+		tracker.Update(Evidence{Owns: ownsSecond}, q.TrialAt()+200)
+		assert.Assert(t, !isBlocked(tracker, bad))
+		tracker.Update(Evidence{Owns: ownsSecond}, q.TrialAt()+600)
+		assert.Assert(t, !isBlocked(tracker, bad), "it isn't quarantined again")
+	})
+	t.Run("a sound answer from before the trial doesn't release it", func(t *testing.T) {
+		tracker := quarantined()
+		crashUnder(tracker, "more", start, shared, bad)
+		q, _ := tracker.Blocked([]uint64{bad})
+		answer(tracker, q.TrialAt()-1_000, bad)
+		tracker.Update(Evidence{Owns: ownsSecond}, q.TrialAt()+200)
+		assert.Assert(t, isBlocked(tracker, bad))
+	})
 	t.Run("the store's record doesn't bring it back", func(t *testing.T) {
 		tracker, due := setUp()
 		answer(tracker, due+trialTurn, bad)
