--- a/internal/decision/loadbalance/limit_return.go
+++ b/internal/decision/loadbalance/limit_return.go
@@ -16,7 +16,7 @@
 func (b *Balancer) ScheduleReturn(v *fleet.View, pool, self string, remaining, now clock.Millis) clock.Millis {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	perSecond, pause := 0.0, clock.Millis(0)
+	perSecond, pause := 0.0, clock.Millis(0) // of all limits; until the first pause ends
 	entries := v.Pool(pool)
 	for i := range entries {
 		n := b.announcements.of(&entries[i])
@@ -24,8 +24,8 @@
 			continue
 		}
 		if n.isPaused(now) {
-			if remaining := n.pausedUntil - now; pause == 0 || remaining < pause {
-				pause = remaining
+			if left := n.pausedUntil - now; pause == 0 || left < pause {
+				pause = left
 			}
 		} else if l := b.limits.of(&entries[i]); l != nil {
 			perSecond += l.perSecond
--- a/internal/decision/loadbalance/server_limits.go
+++ b/internal/decision/loadbalance/server_limits.go
@@ -65,7 +65,7 @@
 	startedAt int64   // 0 if unknown
 	perSecond float64 // 0 if the server states no limit
 	ownKind   LimitKind
-	// statedAt is the time by which statements are ordered; see serverLimits.apply.
+	// statedAt is the time by which statements are ordered; see apply.
 	statedAt  clock.Millis
 	changedAt clock.Millis // when the value became known
 	inViewAt  clock.Millis // when the view last had the server
@@ -135,6 +135,7 @@
 	return rateLimit{perSecond: l.perSecond * s.members.usableShare() * own / float64(burst), burst: own}
 }
 
+// limitBurst returns the number of tokens of a server's burst, at least two.
 func limitBurst(perSecond float64) int { return int(limitBurstBase + limitBurstSeconds*perSecond) }
 
 // ready reports whether this daemon has a token for the server.
