--- a/internal/decision/loadbalance/server_limits_test.go
+++ b/internal/decision/loadbalance/server_limits_test.go
@@ -418,7 +418,7 @@
 			}
 			balancer.SetLimitPeers(LimitPeers{}, hosts, hosts[0], now)
 			for i := range b.N {
-				c, result := balancer.Choose(v, Request{Pool: textPool(), Hosts: hosts, Self: hosts[0], Prompt: prompt("document", 100), Salt: uint64(i) << 32, Now: now + 1_000})
+				c, result := balancer.Choose(v, Request{Pool: textPool(), Hosts: hosts, Self: hosts[0], Prompt: prompt("document", 200), Salt: uint64(i) << 32, Now: now + 1_000})
 				if result == Chosen {
 					balancer.Done(&c)
 				}
--- a/internal/traffic/relay/announcements_test.go
+++ b/internal/traffic/relay/announcements_test.go
@@ -261,6 +261,21 @@
 	}
 }
 
+// planAhead returns an exchange whose next attempt is planned, and the time.
+func (f *fixture) planAhead() (*exchange, clock.Millis) {
+	f.t.Helper()
+	now := f.relay.Clock.Now()
+	httpReq := httptest.NewRequestWithContext(f.t.Context(), http.MethodPost, "/read/1", nil)
+	ex := &exchange{
+		relay: f.relay, httpReq: httpReq, w: httptest.NewRecorder(), deadline: now + 2_000,
+		req: &Request{ID: "request-1", Method: http.MethodPost, Host: "desk.example", Path: "/read/1", Target: "/read/1", Header: http.Header{}, APIKey: "key-1", ReceivedAt: now},
+	}
+	planned, rejection := ex.planAttempt(ex.isExcluded, false, now)
+	assert.Assert(f.t, rejection == nil)
+	ex.successor = planned
+	return ex, now
+}
+
 // TestPlannedAttemptIsCheckedWhenSent has a server announce that it wants no more requests
 // after an attempt there was planned.
 func TestPlannedAttemptIsCheckedWhenSent(t *testing.T) {
@@ -275,16 +290,8 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, routes(), respond("first"), respond("second"))
-			now := f.relay.Clock.Now()
-			httpReq := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/read/1", nil)
-			ex := &exchange{
-				relay: f.relay, httpReq: httpReq, w: httptest.NewRecorder(), deadline: now + 2_000,
-				req: &Request{ID: "request-1", Method: http.MethodPost, Host: "desk.example", Path: "/read/1", Target: "/read/1", Header: http.Header{}, APIKey: "key-1", ReceivedAt: now},
-			}
-			planned, rejection := ex.planAttempt(ex.isExcluded, false, now)
-			assert.Assert(t, rejection == nil)
-			ex.successor = planned
-			server := planned.choice.Server
+			ex, now := f.planAhead()
+			server := ex.successor.choice.Server
 			f.relay.Balancer.RecordAnnouncement(&server, c.announcement, now-testDrainTime)
 			done, err := ex.attempt()
 			assert.NilError(t, err)
--- a/internal/traffic/relay/server_limits_test.go
+++ b/internal/traffic/relay/server_limits_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -94,16 +93,8 @@
 func TestPlannedAttemptTakesTokenWhenSent(t *testing.T) {
 	f := newFixture(t, routes(), respond("first"), respond("second"))
 	f.shareLimits()
-	now := f.relay.Clock.Now()
-	httpReq := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/read/1", nil)
-	ex := &exchange{
-		relay: f.relay, httpReq: httpReq, w: httptest.NewRecorder(), deadline: now + 2_000,
-		req: &Request{ID: "request-1", Method: http.MethodPost, Host: "desk.example", Path: "/read/1", Target: "/read/1", Header: http.Header{}, APIKey: "key-1", ReceivedAt: now},
-	}
-	planned, rejection := ex.planAttempt(ex.isExcluded, false, now)
-	assert.Assert(t, rejection == nil)
-	ex.successor = planned
-	server := planned.choice.Server
+	ex, now := f.planAhead()
+	server := ex.successor.choice.Server
 	f.relay.Balancer.RecordLimit(&server, loadbalance.Limit{Kind: loadbalance.ValidLimit, PerSecond: 0.5}, now, now)
 	done, err := ex.attempt()
 	assert.NilError(t, err)
