--- a/internal/proof/soak/server_limit_test.go
+++ b/internal/proof/soak/server_limit_test.go
@@ -154,8 +154,12 @@
 	}
 }
 
-// limitCallsPerSecond is the rate of the callers in tests of rate limits.
-const limitCallsPerSecond = 80
+const (
+	// limitCallsPerSecond is the rate of the callers in tests of rate limits.
+	limitCallsPerSecond = 80
+	// limitDaemons is the least number of daemons in them; see the flag -daemons.
+	limitDaemons = 6
+)
 
 // limitTest is a cluster whose callers send requests all the time.
 type limitTest struct {
@@ -230,7 +234,7 @@
 }
 
 func testServerLimit(t *testing.T, perSecond float64) {
-	l := newLimitTest(t, perSecond, 6)
+	l := newLimitTest(t, perSecond, max(limitDaemons, *daemonCount))
 	first := l.engines[:1]
 
 	time.Sleep(time.Second)
