Reproduce a request that crashes the servers that run it

Callers saw 502 and 503: one request with the same path, client account and body crashed each engine that ran it and was sent on, by its own retries and by each daemon at which it came again.

--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -34,7 +34,7 @@
 	store   *standin.Store
 	daemons []*daemon
 
-	crashingPrompt atomic.Pointer[crashingPrompt] // nil unless a test sets it
+	crashCauses atomic.Pointer[[]*crashCause] // nil unless a test sets it
 
 	returnMu sync.Mutex // held while the store is in an older state
 
@@ -81,7 +81,7 @@
 		c.writeNextConfiguration()
 	}
 	for range engineCount {
-		c.addEngine(loopback.FreeAddress(t))
+		c.addEngineAnywhere()
 	}
 	dir := t.TempDir()
 	for i := range daemons {
@@ -136,6 +136,9 @@
 	c.register(e, "ready")
 }
 
+// addEngineAnywhere starts and registers an engine at a free address.
+func (c *cluster) addEngineAnywhere() { c.addEngine(loopback.FreeAddress(c.t)) }
+
 // register writes the engine's registration to the store. c.mu must be held.
 func (c *cluster) register(e *engine, state string) {
 	c.store.Put("servers", e.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc-%d","version":"v1","slots":%d,"state":%q,"born":%d}`,
--- a/internal/proof/soak/crashing_prompt_test.go
+++ b/internal/proof/soak/crashing_prompt_test.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	crashDelay   = 60 * time.Millisecond // from the response header, or the moment when it is due, to the crash
-	restartDelay = 800 * time.Millisecond
 	// learnTime exceeds the time to crashesToLearn crashes by twice stableTime.
 	learnTime = 9 * time.Second
 	// crashesToLearn is the number of crashes after which, and stableTime later, at most
@@ -32,67 +30,11 @@
 	minLateShareBeforeHeader = 0.9
 )
 
-// crashingPrompt makes an engine crash soon after it began to answer a request whose prompt
-// has the segment. Safe for concurrent use.
-type crashingPrompt struct {
-	segment      string
-	beforeHeader bool // the engine crashes before the response header
+// crashingSegment is the ID of the prompt segment that crashes engines.
+const crashingSegment = "bad"
 
-	mu       sync.Mutex
-	crashes  []time.Time
-	arrivals []time.Time // of requests with the segment, at any engine
-}
-
-// matches reports whether the request has the segment, and records its arrival.
-func (p *crashingPrompt) matches(r *http.Request) bool {
-	if p == nil || !strings.Contains(r.Header.Get("Prompt-Prefix"), p.segment+":") {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.arrivals = append(p.arrivals, time.Now())
-	return true
-}
-
-// answer begins a response and crashes the engine, which starts again later under another ID.
-func (p *crashingPrompt) answer(w http.ResponseWriter, e *engine) {
-	if !p.beforeHeader {
-		_ = http.NewResponseController(w).Flush()
-	}
-	time.Sleep(crashDelay)
-	if !e.crashOnce() {
-		return
-	}
-	p.mu.Lock()
-	p.crashes = append(p.crashes, time.Now())
-	p.mu.Unlock()
-	go func() {
-		time.Sleep(restartDelay)
-		e.cluster.store.Put("servers", e.id, "")
-		e.cluster.addEngine(e.address)
-	}()
-}
-
-// learnedAt returns the time from which on the daemons must know the segment.
-func (p *crashingPrompt) learnedAt() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.crashes) == 0 {
-		return time.Time{}
-	}
-	return p.crashes[min(len(p.crashes), crashesToLearn)-1].Add(stableTime)
-}
-
-// arrivalsBetween returns how many requests with the segment reached engines.
-func (p *crashingPrompt) arrivalsBetween(from, to time.Time) (n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, at := range p.arrivals {
-		if at.After(from) && at.Before(to) {
-			n++
-		}
-	}
-	return n
+func hasSegment(r *http.Request) bool {
+	return strings.Contains(r.Header.Get("Prompt-Prefix"), crashingSegment+":")
 }
 
 // sendPrompt sends a resumable stream with the prompt to the daemon and reports whether the
@@ -160,19 +102,19 @@
 // time and all together. From a while after the fifth crash the segment must reach no engine, and sound
 // requests that share their other segments must be served.
 func TestPromptThatCrashesEngines(t *testing.T) {
-	testCrashingPrompt(t, &crashingPrompt{segment: "bad"}, minLateShare)
+	testCrashingPrompt(t, &crashCause{matches: hasSegment}, minLateShare)
 }
 
 // TestPromptThatCrashesEnginesBeforeAnswers is the same with engines that crash before they
 // have sent a response header.
 func TestPromptThatCrashesEnginesBeforeAnswers(t *testing.T) {
-	testCrashingPrompt(t, &crashingPrompt{segment: "bad", beforeHeader: true}, minLateShareBeforeHeader)
+	testCrashingPrompt(t, &crashCause{matches: hasSegment, beforeHeader: true}, minLateShareBeforeHeader)
 }
 
-func testCrashingPrompt(t *testing.T, p *crashingPrompt, minShare float64) {
+func testCrashingPrompt(t *testing.T, p *crashCause, minShare float64) {
 	t.Helper()
 	c := newCluster(t, daemonBinary, *daemonCount)
-	c.crashingPrompt.Store(p)
+	c.crashCauses.Store(&[]*crashCause{p})
 	c.waitUntilServing()
 	ctx, stop := context.WithCancel(t.Context())
 	var early, late soundCount
@@ -180,7 +122,7 @@
 	var mu sync.Mutex
 	var callers sync.WaitGroup
 	callers.Go(func() {
-		c.sendPrompts(ctx, p.segment, func() *soundCount {
+		c.sendPrompts(ctx, crashingSegment, func() *soundCount {
 			mu.Lock()
 			defer mu.Unlock()
 			return current
@@ -198,25 +140,17 @@
 	woken := time.Now()
 	c.daemons[2].signal(syscall.SIGCONT)
 	time.Sleep(stableTime)
-	learnedAt, inTouch := p.learnedAt(), time.Now()
+	learnedAt, inTouch := p.learnedAt(crashesToLearn), time.Now()
 	mu.Lock()
 	current = &late
 	mu.Unlock()
 	time.Sleep(stableTime)
 	calm := time.Now()
-	restart := func(daemons ...*daemon) {
-		for _, d := range daemons {
-			d.signalAndWait(syscall.SIGKILL)
-		}
-		for _, d := range daemons {
-			d.start()
-		}
-		c.waitUntilServing()
-		time.Sleep(stableTime)
-	}
-	restart(c.daemons[0])
+	c.restart(c.daemons[0])
+	time.Sleep(stableTime)
 	afterOne := time.Now()
-	restart(c.daemons...)
+	c.restart(c.daemons...)
+	time.Sleep(stableTime)
 	afterAll := time.Now()
 	stop()
 	callers.Wait()
--- a/internal/proof/soak/engine_test.go
+++ b/internal/proof/soak/engine_test.go
@@ -113,15 +113,14 @@
 	}
 	defer e.update(func(e *engine) { e.running-- })
 	defer e.cluster.oracle.recordExecution(e, r)()
-	prompt := e.cluster.crashingPrompt.Load()
-	crashes := prompt.matches(r)
+	crashCause := e.cluster.crashCauseOf(r)
 	time.Sleep(executionTime)
 	e.awaitSilence(r.Context())
 	w.Header().Set("Engine-Stamp", engineStamp(id, e.id))
 	switch {
-	case crashes:
+	case crashCause != nil:
 		w.Header().Set("Content-Type", "text/event-stream")
-		prompt.answer(w, e)
+		crashCause.answer(w, e)
 		panic(http.ErrAbortHandler)
 	case dropsResponses:
 		panic(http.ErrAbortHandler)
