--- a/internal/control/peerstats/aggregator_test.go
+++ b/internal/control/peerstats/aggregator_test.go
@@ -69,25 +69,33 @@
 	assert.Equal(t, len(remote.PeerLimits().Members), 0, "not heard of lately")
 }
 
+// segments returns the parts of a prompt.
+func segments(ids ...string) (parts []quarantine.Part) {
+	for _, id := range ids {
+		parts = append(parts, quarantine.SegmentPart(id))
+	}
+	return parts
+}
+
 // TestCrashEvidence checks that the evidence of a crash reaches the daemons of both data
 // centres through the leaders with the ages that it has there, and outlives its daemon.
 func TestCrashEvidence(t *testing.T) {
 	c := clock.NewManual(1_000)
 	leader, second, remote := newAggregator(c, 1, 11), newAggregator(c, 2, 12), newAggregator(c, 8, 14)
-	crash := func(age clock.Millis, suspects ...[]uint64) quarantine.Crash {
+	crash := func(age clock.Millis, suspects ...[]quarantine.Part) quarantine.Crash {
 		return quarantine.Crash{Server: quarantine.ServerStart{ID: "e1", StartedAt: 5}, Age: age, Begun: true, Suspects: suspects}
 	}
-	second.SetOwnEvidence([]quarantine.Crash{crash(100, []uint64{1, 9})}, []quarantine.SoundRuns{{Segment: 1, Count: 2, Age: 50}})
+	second.SetOwnEvidence([]quarantine.Crash{crash(100, segments("1", "9"))}, []quarantine.SoundRuns{{Part: quarantine.SegmentPart("1"), Count: 2, Age: 50}})
 	second.SetOwn(nil, nil, nil)
-	leader.SetOwnEvidence([]quarantine.Crash{crash(90, []uint64{2, 9})}, []quarantine.SoundRuns{{Segment: 1, Count: 3, Age: 700}})
+	leader.SetOwnEvidence([]quarantine.Crash{crash(90, segments("2", "9"))}, []quarantine.SoundRuns{{Part: quarantine.SegmentPart("1"), Count: 3, Age: 700}})
 	c.Advance(10)
 	leader.HandleReport(Report{From: "second", Snapshot: second.Own()})
 	c.Advance(300)
 	remote.HandleReport(Report{From: "dc-1", IsDataCentre: true, Snapshot: leader.DataCentreTotal()})
 	c.Advance(20_000)
 	crashes, sound := remote.PeerEvidence()
-	assert.DeepEqual(t, crashes, []quarantine.Crash{crash(20_400, []uint64{2, 9}, []uint64{1, 9})})
-	assert.DeepEqual(t, sound, []quarantine.SoundRuns{{Segment: 1, Count: 5, Age: 20_350}})
+	assert.DeepEqual(t, crashes, []quarantine.Crash{crash(20_400, segments("2", "9"), segments("1", "9"))})
+	assert.DeepEqual(t, sound, []quarantine.SoundRuns{{Part: quarantine.SegmentPart("1"), Count: 5, Age: 20_350}})
 }
 
 // TestCrashesInSnapshotAreBounded checks that the newest crashes are passed on.
--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -30,9 +30,9 @@
 	// Departures are the servers that announced their exit to the daemons.
 	Departures []loadbalance.Departure `json:"x,omitempty"`
 	// Crashes are the recent crashes of servers and what may have caused them. SoundRuns are
-	// the recent answers to requests with suspected segments that crashed no server.
-	Crashes   []quarantine.Crash     `json:"q,omitempty"`
-	SoundRuns []quarantine.SoundRuns `json:"g,omitempty"`
+	// the recent answers to requests with suspected parts that crashed no server.
+	Crashes   []quarantine.Crash     `json:"qc,omitempty"`
+	SoundRuns []quarantine.SoundRuns `json:"qs,omitempty"`
 	// Limits are what servers state about their rate limits, and LimitMembers the daemons that
 	// know of any; see loadbalance.MemberID.
 	Limits       []loadbalance.LimitReport `json:"m,omitempty"`
@@ -62,7 +62,7 @@
 	pinned      map[int64]map[uint64]bool
 	departures  map[loadbalance.Departure]bool
 	crashes     map[quarantine.ServerStart]quarantine.Crash
-	soundRuns   map[uint64]quarantine.SoundRuns
+	soundRuns   map[quarantine.Part]quarantine.SoundRuns
 	limits      map[serverStart]loadbalance.LimitReport
 	members     map[uint32]bool // that share the limits
 }
@@ -80,7 +80,7 @@
 		pinned:      make(map[int64]map[uint64]bool),
 		departures:  make(map[loadbalance.Departure]bool),
 		crashes:     make(map[quarantine.ServerStart]quarantine.Crash),
-		soundRuns:   make(map[uint64]quarantine.SoundRuns),
+		soundRuns:   make(map[quarantine.Part]quarantine.SoundRuns),
 		limits:      make(map[serverStart]loadbalance.LimitReport),
 		members:     make(map[uint32]bool),
 	}
@@ -126,10 +126,10 @@
 	}
 	for _, r := range s.SoundRuns {
 		r.Age += elapsed
-		if other, known := t.soundRuns[r.Segment]; known {
+		if other, known := t.soundRuns[r.Part]; known {
 			r = other.Plus(r)
 		}
-		t.soundRuns[r.Segment] = r
+		t.soundRuns[r.Part] = r
 	}
 }
 
--- a/internal/control/quarantinecontrol/recorder.go
+++ b/internal/control/quarantinecontrol/recorder.go
@@ -1,4 +1,4 @@
-// Package quarantinecontrol records in the store which prompt segments are quarantined, so
+// Package quarantinecontrol records in the store what is quarantined, so
 // that a daemon that starts or that has lost its peers knows them.
 package quarantinecontrol
 
@@ -19,7 +19,7 @@
 	recordPeriod = 200 * clock.Millis(1)
 	// rankDelay is the delay per rank before a daemon writes, so that a daemon of higher rank
 	// only writes if those before it have not. maxRankDelay bounds it: a daemon that has lost
-	// its peers may be the only one to know the segment.
+	// its peers may be the only one to know the part.
 	rankDelay     = 250 * clock.Millis(1)
 	maxRankDelay  = 2_000 * clock.Millis(1)
 	retryDelay    = 3_000 * clock.Millis(1) // before a write that has not become visible is repeated
@@ -39,7 +39,7 @@
 	store   rowstore.Store
 	current func() bool
 
-	dueSince map[uint64]clock.Millis // when a record became due or was last attempted
+	dueSince map[quarantine.Part]clock.Millis // when a record became due or was last attempted
 }
 
 // Config holds the dependencies of a Recorder.
@@ -58,7 +58,7 @@
 func New(c Config) *Recorder {
 	return &Recorder{
 		log: c.Log, clock: c.Clock, host: c.Host, view: c.View, tracker: c.Tracker, store: c.Store, current: c.IsCurrent,
-		dueSince: make(map[uint64]clock.Millis),
+		dueSince: make(map[quarantine.Part]clock.Millis),
 	}
 }
 
@@ -75,22 +75,22 @@
 	}
 	due := r.outdated(view)
 	now := r.clock.Now()
-	for segment := range r.dueSince {
-		if _, ok := due[segment]; !ok {
-			delete(r.dueSince, segment)
+	for part := range r.dueSince {
+		if _, ok := due[part]; !ok {
+			delete(r.dueSince, part)
 		}
 	}
 	var writes []rowstore.Write
-	for segment, write := range due {
-		since, pending := r.dueSince[segment]
+	for part, write := range due {
+		since, pending := r.dueSince[part]
 		if !pending {
 			since = now
-			r.dueSince[segment] = now
+			r.dueSince[part] = now
 		}
-		delay := min(clock.Millis(view.Rank(quarantine.SegmentName(segment), r.host))*rankDelay, maxRankDelay)
+		delay := min(clock.Millis(view.Rank(part.String(), r.host))*rankDelay, maxRankDelay)
 		if now-since >= delay && len(writes) < maxWrites {
 			writes = append(writes, write)
-			r.dueSince[segment] = now + retryDelay
+			r.dueSince[part] = now + retryDelay
 		}
 	}
 	if len(writes) == 0 {
@@ -99,31 +99,31 @@
 	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	if _, err := r.store.Commit(callCtx, writes...); err != nil {
-		r.log.Warn("failed to record quarantined prompt segments", "rows", len(writes), "error", err.Error())
+		r.log.Warn("failed to record quarantines", "rows", len(writes), "error", err.Error())
 		return
 	}
-	r.log.Info("quarantined prompt segments recorded", "rows", len(writes))
+	r.log.Info("quarantines recorded", "rows", len(writes))
 }
 
-// outdated returns the writes that bring the store up to date, by segment.
-func (r *Recorder) outdated(view *fleet.View) map[uint64]rowstore.Write {
-	writes := make(map[uint64]rowstore.Write)
+// outdated returns the writes that bring the store up to date, by part.
+func (r *Recorder) outdated(view *fleet.View) map[quarantine.Part]rowstore.Write {
+	writes := make(map[quarantine.Part]rowstore.Write)
 	active, released := r.tracker.Records()
-	for segment, q := range active {
-		stored, ok := view.Quarantines[segment]
+	for part, q := range active {
+		stored, ok := view.Quarantines[part]
 		if ok && !stored.Lost && stored.Hold >= q.Hold {
 			continue
 		}
-		write, err := registry.QuarantineWrite(segment, fleet.Quarantine{Since: q.Since + view.StoreOffset, Hold: q.Hold})
+		write, err := registry.QuarantineWrite(part, fleet.Quarantine{Since: q.Since + view.StoreOffset, Hold: q.Hold})
 		if err != nil {
-			r.log.Error("failed to encode a quarantine", "segment", quarantine.SegmentName(segment), "error", err.Error())
+			r.log.Error("failed to encode a quarantine", "part", part.String(), "error", err.Error())
 			continue
 		}
-		writes[segment] = write
+		writes[part] = write
 	}
-	for _, segment := range released {
-		if _, stored := view.Quarantines[segment]; stored {
-			writes[segment] = registry.ReleaseWrite(segment)
+	for _, part := range released {
+		if _, stored := view.Quarantines[part]; stored {
+			writes[part] = registry.ReleaseWrite(part)
 		}
 	}
 	return writes
--- a/internal/control/quarantinecontrol/recorder_test.go
+++ b/internal/control/quarantinecontrol/recorder_test.go
@@ -15,12 +15,13 @@
 )
 
 const (
-	bad       = 0xbad
 	startedAt = 1_000_000 * clock.Millis(1)
 	hold      = 60_000 * clock.Millis(1)
 	offset    = 500 * clock.Millis(1) // of the store's clock
 )
 
+var bad = quarantine.SegmentPart("bad")
+
 // commitStore notes the writes that it receives.
 type commitStore struct {
 	rowstore.Store
@@ -35,8 +36,8 @@
 
 // setup is the state in which a recorder decides.
 type setup struct {
-	stored      map[uint64]fleet.Quarantine // in the store
-	quarantined map[uint64]quarantine.Quarantine
+	stored      map[fleet.QuarantineKey]fleet.Quarantine // in the store
+	quarantined map[quarantine.Part]quarantine.Quarantine
 	released    bool // bad was released by a sound answer
 	hosts       []string
 	after       clock.Millis
@@ -59,7 +60,7 @@
 	tracker := quarantine.NewTracker()
 	tracker.Update(quarantine.Evidence{Stored: s.quarantined}, startedAt)
 	if s.released {
-		tracker.Update(quarantine.Evidence{Stored: s.quarantined, Sound: []quarantine.SoundRuns{{Segment: bad, Count: 1}}}, startedAt+1)
+		tracker.Update(quarantine.Evidence{Stored: s.quarantined, Sound: []quarantine.SoundRuns{{Part: bad, Count: 1}}}, startedAt+1)
 	}
 	c := clock.NewManual(startedAt)
 	store := &commitStore{err: s.err}
@@ -77,8 +78,10 @@
 // TestRecords checks when a daemon writes the record of a quarantined segment, and when it
 // removes it.
 func TestRecords(t *testing.T) {
-	active := map[uint64]quarantine.Quarantine{bad: {Since: startedAt, Hold: hold}}
-	stored := func(q fleet.Quarantine) map[uint64]fleet.Quarantine { return map[uint64]fleet.Quarantine{bad: q} }
+	active := map[quarantine.Part]quarantine.Quarantine{bad: {Since: startedAt, Hold: hold}}
+	stored := func(q fleet.Quarantine) map[fleet.QuarantineKey]fleet.Quarantine {
+		return map[fleet.QuarantineKey]fleet.Quarantine{bad: q}
+	}
 	many := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p"}
 	cases := map[string]struct {
 		setup
@@ -101,7 +104,7 @@
 			writes := c.run(t)
 			assert.Equal(t, len(writes), c.writes)
 			for _, w := range writes {
-				assert.Equal(t, w.Key, "quarantine/bad")
+				assert.Equal(t, w.Key, "quarantine/"+bad.String())
 				assert.Equal(t, w.Remove, c.removes)
 				if !c.removes {
 					assert.Equal(t, string(w.Value), `{"since_ms":1000500,"hold_ms":60000}`)
--- a/internal/decision/fleet/view.go
+++ b/internal/decision/fleet/view.go
@@ -21,8 +21,8 @@
 	Rollouts     map[string]Rollout
 	Hosts        map[string]Host // by name
 	LoadedTables map[string]bool // tables of the store that have been read completely
-	// Quarantines are those that the store holds, by the hash of the prompt's segment.
-	Quarantines map[uint64]Quarantine
+	// Quarantines are those that the store holds, by what is quarantined.
+	Quarantines map[QuarantineKey]Quarantine
 	// StoreOffset is the store's clock minus this daemon's clock.
 	StoreOffset clock.Millis
 
@@ -47,7 +47,7 @@
 		Rollouts:     map[string]Rollout{},
 		Hosts:        map[string]Host{},
 		LoadedTables: map[string]bool{},
-		Quarantines:  map[uint64]Quarantine{},
+		Quarantines:  map[QuarantineKey]Quarantine{},
 		servers:      map[string]Entry{},
 		pools:        map[string][]Entry{},
 	}
@@ -60,19 +60,19 @@
 	return &n
 }
 
-// WithQuarantine returns a copy with the quarantine of the segment.
-func (v *View) WithQuarantine(segment uint64, q Quarantine) *View {
+// WithQuarantine returns a copy with the quarantine.
+func (v *View) WithQuarantine(key QuarantineKey, q Quarantine) *View {
 	n := *v
 	n.Quarantines = maps.Clone(v.Quarantines)
-	n.Quarantines[segment] = q
+	n.Quarantines[key] = q
 	return &n
 }
 
-// WithoutQuarantine returns a copy without the quarantine of the segment.
-func (v *View) WithoutQuarantine(segment uint64) *View {
+// WithoutQuarantine returns a copy without the quarantine.
+func (v *View) WithoutQuarantine(key QuarantineKey) *View {
 	n := *v
 	n.Quarantines = maps.Clone(v.Quarantines)
-	delete(n.Quarantines, segment)
+	delete(n.Quarantines, key)
 	return &n
 }
 
--- a/internal/decision/quarantine/evaluate.go
+++ b/internal/decision/quarantine/evaluate.go
@@ -24,7 +24,7 @@
 	sound := t.joinedSound(crashes, now)
 	found := Find(crashes, sound)
 	var changes []Change
-	set := func(segment uint64, q Quarantine, reason string) {
+	set := func(segment Part, q Quarantine, reason string) {
 		t.active[segment] = q
 		changes = append(changes, Change{segment, true, q, crashCount(crashes, segment), reason})
 	}
@@ -46,7 +46,7 @@
 			set(segment, q, ReasonStore)
 		}
 	}
-	for _, segment := range slices.Sorted(maps.Keys(t.active)) {
+	for _, segment := range slices.SortedFunc(maps.Keys(t.active), comparePart) {
 		q := t.active[segment]
 		if trialFailed(crashes, segment, q, now) {
 			set(segment, Quarantine{now, min(2*q.Hold, maxHold)}, ReasonTrialFailed)
@@ -60,7 +60,7 @@
 		t.inStore[segment] = stored
 	}
 	changes = append(changes, t.limit(now)...)
-	maps.DeleteFunc(t.inStore, func(segment uint64, _ bool) bool {
+	maps.DeleteFunc(t.inStore, func(segment Part, _ bool) bool {
 		_, ok := t.active[segment]
 		return !ok
 	})
@@ -73,7 +73,7 @@
 }
 
 // endReason returns why the quarantine of the segment ends; empty if it goes on.
-func (t *Tracker) endReason(segment uint64, q Quarantine, crashes []Crash, sound map[uint64]SoundRuns, found []uint64, now clock.Millis) string {
+func (t *Tracker) endReason(segment Part, q Quarantine, crashes []Crash, sound map[Part]SoundRuns, found []Part, now clock.Millis) string {
 	s, isSound := sound[segment]
 	_, stored := t.evidence.Stored[segment]
 	switch {
@@ -98,13 +98,13 @@
 const settleTime = 5_000 * clock.Millis(1)
 
 // crashedRecently reports whether a crash with the segment is younger than settleTime.
-func crashedRecently(crashes []Crash, segment uint64) bool {
+func crashedRecently(crashes []Crash, segment Part) bool {
 	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.Age < settleTime && c.has(segment) })
 }
 
 // explained reports whether the crashes with the segment have been found to have other
 // causes, all but a few that would not suffice for a quarantine.
-func explained(crashes []Crash, segment uint64, found []uint64) bool {
+func explained(crashes []Crash, segment Part, found []Part) bool {
 	others, own := 0, 0
 	for _, c := range crashes {
 		switch {
@@ -120,7 +120,7 @@
 
 // trialFailed reports whether a server crashed that answered a request with the segment
 // after its trial fell due.
-func trialFailed(crashes []Crash, segment uint64, q Quarantine, now clock.Millis) bool {
+func trialFailed(crashes []Crash, segment Part, q Quarantine, now clock.Millis) bool {
 	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.has(segment) && now-c.Age >= q.TrialAt() })
 }
 
@@ -130,18 +130,18 @@
 	if excess <= 0 {
 		return nil
 	}
-	oldest := slices.SortedFunc(maps.Keys(t.active), func(a, b uint64) int {
-		return cmp.Or(cmp.Compare(t.active[a].Since, t.active[b].Since), cmp.Compare(a, b))
+	oldest := slices.SortedFunc(maps.Keys(t.active), func(a, b Part) int {
+		return cmp.Or(cmp.Compare(t.active[a].Since, t.active[b].Since), comparePart(a, b))
 	})
 	for _, segment := range oldest[:excess] {
-		changes = append(changes, Change{Segment: segment, Quarantine: t.active[segment], Reason: ReasonExpired})
+		changes = append(changes, Change{Part: segment, Quarantine: t.active[segment], Reason: ReasonExpired})
 		t.release(segment, now)
 	}
 	return changes
 }
 
 // release ends a quarantine. t.mu must be held.
-func (t *Tracker) release(segment uint64, now clock.Millis) {
+func (t *Tracker) release(segment Part, now clock.Millis) {
 	delete(t.active, segment)
 	t.released[segment] = now
 }
@@ -151,7 +151,7 @@
 func (t *Tracker) cancelBlocked() {
 	for _, runs := range t.runs {
 		for r := range runs {
-			isBlocked := slices.ContainsFunc(r.segments, func(segment uint64) bool {
+			isBlocked := slices.ContainsFunc(r.segments, func(segment Part) bool {
 				_, ok := t.active[segment]
 				return ok
 			})
@@ -165,10 +165,10 @@
 
 // joinedSound returns the sound runs of all daemons with suspected segments. t.mu must be
 // held.
-func (t *Tracker) joinedSound(crashes []Crash, now clock.Millis) map[uint64]SoundRuns {
-	sound := make(map[uint64]SoundRuns)
+func (t *Tracker) joinedSound(crashes []Crash, now clock.Millis) map[Part]SoundRuns {
+	sound := make(map[Part]SoundRuns)
 	for _, s := range t.evidence.Sound {
-		sound[s.Segment] = s
+		sound[s.Part] = s
 	}
 	for segment := range t.suspected(crashes) {
 		own, ok := t.sound.recent(segment, now)
@@ -184,7 +184,7 @@
 }
 
 // crashCount returns the number of crashes with the segment.
-func crashCount(crashes []Crash, segment uint64) (n int) {
+func crashCount(crashes []Crash, segment Part) (n int) {
 	for _, c := range crashes {
 		if c.has(segment) {
 			n++
@@ -195,8 +195,8 @@
 
 // Records returns the quarantines that the store is to hold, and the released segments that
 // it is to hold no longer.
-func (t *Tracker) Records() (active map[uint64]Quarantine, released []uint64) {
+func (t *Tracker) Records() (active map[Part]Quarantine, released []Part) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return maps.Clone(t.active), slices.Sorted(maps.Keys(t.released))
+	return maps.Clone(t.active), slices.SortedFunc(maps.Keys(t.released), comparePart)
 }
--- a/internal/decision/quarantine/evidence.go
+++ b/internal/decision/quarantine/evidence.go
@@ -38,8 +38,8 @@
 	// Begun means that the server had just begun to answer some suspects. The others were
 	// waiting for an answer.
 	Begun bool `json:"b"`
-	// Suspects are the hashes of the segments of each suspect's prompt, the likeliest first.
-	Suspects [][]uint64 `json:"q"`
+	// Suspects are the parts of each suspect's prompt, the likeliest first.
+	Suspects [][]Part `json:"q"`
 }
 
 // Merge adds a daemon's note of a crash to that of another daemon.
@@ -55,22 +55,22 @@
 }
 
 // addSuspect adds a request with the segments, unless one with the same segments is known.
-func (c *Crash) addSuspect(segments []uint64) {
-	if !slices.ContainsFunc(c.Suspects, func(known []uint64) bool { return slices.Equal(known, segments) }) {
+func (c *Crash) addSuspect(segments []Part) {
+	if !slices.ContainsFunc(c.Suspects, func(known []Part) bool { return slices.Equal(known, segments) }) {
 		c.Suspects = append(c.Suspects, segments)
 	}
 }
 
 // SoundRuns are the recent answers to requests with a segment that crashed no server.
 type SoundRuns struct {
-	Segment uint64       `json:"g"`
-	Count   int          `json:"n"`
-	Age     clock.Millis `json:"a"` // of the last one
+	Part  Part         `json:"g"`
+	Count int          `json:"n"`
+	Age   clock.Millis `json:"a"` // of the last one
 }
 
 // Plus adds the runs of another daemon.
 func (s SoundRuns) Plus(other SoundRuns) SoundRuns {
-	s.Segment, s.Count, s.Age = other.Segment, s.Count+other.Count, min(s.Age, other.Age)
+	s.Part, s.Count, s.Age = other.Part, s.Count+other.Count, min(s.Age, other.Age)
 	return s
 }
 
@@ -91,8 +91,8 @@
 
 // Find returns the segments that explain the crashes. A crash has one cause: the segment
 // that explains most comes first, and the crashes it explains count for no other.
-func Find(crashes []Crash, sound map[uint64]SoundRuns) []uint64 {
-	var found []uint64
+func Find(crashes []Crash, sound map[Part]SoundRuns) []Part {
+	var found []Part
 	remaining := slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return !c.Begun && c.Age < joinTime })
 	slices.SortFunc(remaining, func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(b.Age, a.Age), cmp.Compare(a.Server.ID, b.Server.ID))
@@ -108,13 +108,13 @@
 }
 
 // has reports whether a suspect has the segment.
-func (c Crash) has(segment uint64) bool {
-	return slices.ContainsFunc(c.Suspects, func(s []uint64) bool { return slices.Contains(s, segment) })
+func (c Crash) has(segment Part) bool {
+	return slices.ContainsFunc(c.Suspects, func(s []Part) bool { return slices.Contains(s, segment) })
 }
 
 // candidate is what speaks for a segment as the cause of crashes.
 type candidate struct {
-	segment  uint64
+	segment  Part
 	crashes  int
 	in       []int        // indexes of the crashes
 	begun    bool         // some of the crashes are of answers that had begun
@@ -126,9 +126,9 @@
 // candidates returns the segments of the crashes' suspects, sorted. The crashes are sorted,
 // oldest first.
 func candidates(crashes []Crash) []candidate {
-	bySegment := make(map[uint64]candidate)
+	bySegment := make(map[Part]candidate)
 	for i, crash := range crashes {
-		seen, ranks := make(map[uint64]int), make(map[uint64]int)
+		seen, ranks := make(map[Part]int), make(map[Part]int)
 		for rank, suspect := range crash.Suspects {
 			for position, segment := range suspect {
 				if _, known := ranks[segment]; !known {
@@ -151,11 +151,11 @@
 			bySegment[segment] = c
 		}
 	}
-	return slices.SortedFunc(maps.Values(bySegment), func(a, b candidate) int { return cmp.Compare(a.segment, b.segment) })
+	return slices.SortedFunc(maps.Values(bySegment), func(a, b candidate) int { return comparePart(a.segment, b.segment) })
 }
 
 // score returns the crashes less the sound runs; 0 if these are not enough.
-func (c candidate) score(sound map[uint64]SoundRuns) int {
+func (c candidate) score(sound map[Part]SoundRuns) int {
 	needed := minCrashes
 	if !c.begun {
 		needed = minWaitingCrashes
@@ -169,7 +169,7 @@
 // likeliest returns the segment with most crashes less sound runs, if these are enough. Of
 // several, it returns the most specific one, and of these the one of likelier suspects. The
 // crashes are sorted, oldest first.
-func likeliest(crashes []Crash, sound map[uint64]SoundRuns) (uint64, bool) {
+func likeliest(crashes []Crash, sound map[Part]SoundRuns) (Part, bool) {
 	all := candidates(crashes)
 	best, bestScore := candidate{}, 0
 	for _, c := range all {
@@ -198,7 +198,7 @@
 
 // mostSpecific returns the first of a few more specific segments that explain the crashes of
 // the given one: a segment that many prompts share is among the suspects of most crashes.
-func mostSpecific(shared candidate, all []candidate, sound map[uint64]SoundRuns) (candidate, bool) {
+func mostSpecific(shared candidate, all []candidate, sound map[Part]SoundRuns) (candidate, bool) {
 	unexplained := make(map[int]bool, len(shared.in))
 	for _, i := range shared.in {
 		unexplained[i] = true
--- a/internal/decision/quarantine/evidence_test.go
+++ b/internal/decision/quarantine/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,7 +13,7 @@
 
 // crashes returns crashes of different servers, 200 ms apart, under requests that had begun.
 // Each crash is given by the segments of its suspects.
-func crashes(suspects ...[][]uint64) []Crash {
+func crashes(suspects ...[][]Part) []Crash {
 	list := make([]Crash, 0, len(suspects))
 	for i, s := range suspects {
 		list = append(list, Crash{
@@ -23,12 +24,12 @@
 }
 
 // suspect returns the suspects of a crash with a single one.
-func suspect(segments ...uint64) [][]uint64 { return [][]uint64{segments} }
+func suspect(numbers ...uint64) [][]Part { return [][]Part{segments(numbers...)} }
 
-func soundRuns(counts map[uint64]int) map[uint64]SoundRuns {
-	runs := make(map[uint64]SoundRuns)
-	for segment, n := range counts {
-		runs[segment] = SoundRuns{Segment: segment, Count: n}
+func soundRuns(counts map[uint64]int) map[Part]SoundRuns {
+	runs := make(map[Part]SoundRuns)
+	for number, n := range counts {
+		runs[segment(number)] = SoundRuns{Part: segment(number), Count: n}
 	}
 	return runs
 }
@@ -60,7 +61,7 @@
 		"a shared later segment is sound":   {crashes(suspect(9, 1), suspect(9, 1), suspect(9, 1)), map[uint64]int{1: 1}, []uint64{9}},
 		"nothing is known of either":        {crashes(suspect(1, 9), suspect(1, 9), suspect(1, 9)), nil, []uint64{9}},
 		"a popular segment beside crashes":  {crashes(suspect(1, 2), suspect(1, 3), suspect(1, 4)), map[uint64]int{1: 40}, nil},
-		"sound beside the cause each time":  {crashes([][]uint64{{1, 9}, {2, 5}}, [][]uint64{{2, 5}, {3, 9}}, [][]uint64{{4, 9}, {2, 5}}, suspect(4, 9)), nil, []uint64{9}},
+		"sound beside the cause each time":  {crashes([][]Part{segments(1, 9), segments(2, 5)}, [][]Part{segments(2, 5), segments(3, 9)}, [][]Part{segments(4, 9), segments(2, 5)}, suspect(4, 9)), nil, []uint64{9}},
 		"two causes":                        {crashes(suspect(1, 9), suspect(1, 8), suspect(1, 9), suspect(2, 8), suspect(2, 9), suspect(2, 8)), map[uint64]int{1: 4, 2: 4}, []uint64{8, 9}},
 		"one answer survived":               {crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9), suspect(4, 9)), map[uint64]int{9: 1}, []uint64{9}},
 		"as many answers survived":          {crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9)), map[uint64]int{9: 3}, nil},
@@ -73,30 +74,21 @@
 		t.Run(name, func(t *testing.T) {
 			found := Find(c.crashes, soundRuns(c.sound))
 			assert.Equal(t, len(found), len(c.want), "%v", found)
-			for _, segment := range c.want {
-				assert.Assert(t, has(found, segment), "%d is not in %v", segment, found)
+			for _, number := range c.want {
+				assert.Assert(t, slices.Contains(found, segment(number)), "%d is not in %v", number, found)
 			}
 		})
 	}
 }
 
-func has(list []uint64, segment uint64) bool {
-	for _, s := range list {
-		if s == segment {
-			return true
-		}
-	}
-	return false
-}
-
 func TestMerge(t *testing.T) {
 	begun := Crash{Server: ServerStart{ID: "s"}, Age: 10, Begun: true, Suspects: suspect(1, 2)}
 	waits := Crash{Server: ServerStart{ID: "s"}, Age: 30, Suspects: suspect(3, 4)}
 	cases := map[string]struct{ a, b, want Crash }{
-		"one begun, one waiting": {waits, begun, Crash{begun.Server, 30, true, [][]uint64{{3, 4}, {1, 2}}}},
-		"in the other order":     {begun, waits, Crash{begun.Server, 30, true, [][]uint64{{1, 2}, {3, 4}}}},
+		"one begun, one waiting": {waits, begun, Crash{begun.Server, 30, true, [][]Part{segments(3, 4), segments(1, 2)}}},
+		"in the other order":     {begun, waits, Crash{begun.Server, 30, true, [][]Part{segments(1, 2), segments(3, 4)}}},
 		"the same suspect twice": {begun, begun, begun},
-		"two suspects":           {begun, Crash{begun.Server, 5, true, suspect(5)}, Crash{begun.Server, 10, true, [][]uint64{{1, 2}, {5}}}},
+		"two suspects":           {begun, Crash{begun.Server, 5, true, suspect(5)}, Crash{begun.Server, 10, true, [][]Part{segments(1, 2), segments(5)}}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, c.a.Merge(c.b), c.want) })
@@ -114,27 +106,27 @@
 		private := rapid.Uint64Range(100, 130)
 		causeFirst := rapid.Bool().Draw(t, "cause_first")
 		sound := map[uint64]int{}
-		for segment := uint64(1); segment <= 5; segment++ {
-			sound[segment] = rapid.IntRange(2, 9).Draw(t, "sound")
+		for number := uint64(1); number <= 5; number++ {
+			sound[number] = rapid.IntRange(2, 9).Draw(t, "sound")
 		}
-		var suspects [][][]uint64
+		var suspects [][][]Part
 		for range 5 {
-			request := []uint64{shared.Draw(t, "shared"), cause}
+			request := segments(shared.Draw(t, "shared"), cause)
 			if causeFirst {
-				request = []uint64{cause, private.Draw(t, "private")}
+				request = segments(cause, private.Draw(t, "private"))
 			}
-			suspects = append(suspects, append([][]uint64{request}, rapid.SliceOfN(rapid.Custom(func(t *rapid.T) []uint64 {
-				return []uint64{shared.Draw(t, "shared"), private.Draw(t, "private")}
+			suspects = append(suspects, append([][]Part{request}, rapid.SliceOfN(rapid.Custom(func(t *rapid.T) []Part {
+				return segments(shared.Draw(t, "shared"), private.Draw(t, "private"))
 			}), 0, 2).Draw(t, "beside")...))
 		}
 		list := crashes(suspects...)
-		for segment := uint64(100); segment <= 130; segment++ {
-			if crashCount(list, segment) == len(list) {
+		for number := uint64(100); number <= 130; number++ {
+			if crashCount(list, segment(number)) == len(list) {
 				t.Skip("undecidable")
 			}
 		}
 		found := Find(list, soundRuns(sound))
-		if len(found) != 1 || found[0] != cause {
+		if len(found) != 1 || found[0] != segment(cause) {
 			t.Fatalf("found %v", found)
 		}
 	})
--- a/internal/decision/quarantine/runs.go
+++ b/internal/decision/quarantine/runs.go
@@ -3,13 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 
-	"github.com/pkg/errors"
-
-	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
-	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
 const (
@@ -19,40 +14,12 @@
 	checkPause = 1_000 * clock.Millis(1)
 )
 
-// Segments returns the hashes of the prompt's segments, without the last one, which is
-// private to the request or its session.
-func Segments(p loadbalance.Prompt) []uint64 {
-	n := min(len(p.Segments)-1, maxSegments)
-	if n <= 0 {
-		return nil
-	}
-	hashes := make([]uint64, n)
-	for i, s := range p.Segments[:n] {
-		hashes[i] = container.Hash(s.ID)
-	}
-	return hashes
-}
-
-// SegmentName returns the name of a segment in logs and in the store.
-func SegmentName(segment uint64) string { return strconv.FormatUint(segment, hexBase) }
-
-// ParseSegmentName is the inverse of SegmentName.
-func ParseSegmentName(name string) (uint64, error) {
-	segment, err := strconv.ParseUint(name, hexBase, uint64Bits)
-	return segment, errors.WithStack(err)
-}
-
-const (
-	hexBase    = 16
-	uint64Bits = 64
-)
-
 // Run is one attempt of a request at a server.
 type Run struct {
 	tracker  *Tracker
 	server   ServerStart
 	number   uint64 // in the order of the starts
-	segments []uint64
+	segments []Part
 	cancel   func() // ends the attempt
 	isTrial  bool
 	sentAt   clock.Millis
@@ -63,7 +30,7 @@
 
 // Start notes that a request with the segments is sent to the server. cancel is called if a
 // segment is quarantined while the attempt runs, unless it is a trial.
-func (t *Tracker) Start(server ServerStart, segments []uint64, isTrial bool, cancel func(), now clock.Millis) *Run {
+func (t *Tracker) Start(server ServerStart, segments []Part, isTrial bool, cancel func(), now clock.Millis) *Run {
 	r := &Run{tracker: t, server: server, segments: segments, cancel: cancel, isTrial: isTrial, sentAt: now}
 	if len(segments) == 0 {
 		return r
--- a/internal/decision/quarantine/simulation_test.go
+++ b/internal/decision/quarantine/simulation_test.go
@@ -47,7 +47,7 @@
 	start   ServerStart
 	upAt    clock.Millis
 	crashAt clock.Millis // 0 unless it is about to crash
-	cause   uint64       // the segment under which it is about to crash
+	cause   uint64       // number of the segment under which it is about to crash
 	runs    []*simRun
 }
 
@@ -75,7 +75,7 @@
 	servers  []*simServer
 	now      clock.Millis
 	starts   int64
-	crashes  map[uint64][]clock.Millis // by bad segment
+	crashes  map[uint64][]clock.Millis // by the number of the bad segment
 	arrivals map[uint64][]clock.Millis // of requests with a bad segment
 	sound    []soundOutcome
 }
@@ -129,8 +129,8 @@
 
 // exchange passes the evidence of each daemon to the others, if it isn't lost.
 func (s *simulation) exchange() {
-	owns := func(daemon int) func(uint64, int) bool {
-		return func(segment uint64, turn int) bool { return (int(segment)+turn)%s.daemons == daemon }
+	owns := func(daemon int) func(Part, int) bool {
+		return func(p Part, turn int) bool { return (int(p[accountBytes])+turn)%s.daemons == daemon }
 	}
 	for i, to := range s.trackers {
 		e := Evidence{Owns: owns(i)}
@@ -152,8 +152,8 @@
 	tracker := s.trackers[daemon]
 	up := slices.DeleteFunc(slices.Clone(s.servers), func(server *simServer) bool { return server.upAt > s.now })
 	isTrial := false
-	if _, blocked := tracker.Blocked(q.segments); blocked {
-		isTrial = q.attempts == 0 && tracker.TryTrial(q.segments, s.now)
+	if _, blocked := tracker.Blocked(segments(q.segments...)); blocked {
+		isTrial = q.attempts == 0 && tracker.TryTrial(segments(q.segments...), s.now)
 		if !isTrial {
 			up = nil
 		}
@@ -166,7 +166,7 @@
 	server := up[s.rng.IntN(len(up))]
 	r := &simRun{simRequest: q, daemon: daemon, arrivedAt: s.now}
 	canceled := false
-	r.run = tracker.Start(server.start, q.segments, isTrial, func() { canceled = true }, s.now)
+	r.run = tracker.Start(server.start, segments(q.segments...), isTrial, func() { canceled = true }, s.now)
 	if canceled {
 		return
 	}
@@ -259,16 +259,20 @@
 			ok++
 		}
 	}
-	segments := make(map[uint64]bool)
+	bad := make(map[Part]bool)
+	for i := range uint64(s.badParts) {
+		bad[segment(badBase+i)] = true
+	}
+	wrong := make(map[Part]bool)
 	for _, tracker := range s.trackers {
 		active, _ := tracker.Records()
-		for segment := range active {
-			if segment < badBase {
-				segments[segment] = true
+		for part := range active {
+			if !bad[part] {
+				wrong[part] = true
 			}
 		}
 	}
-	return late, float64(ok) / float64(max(sent, 1)), len(segments)
+	return late, float64(ok) / float64(max(sent, 1)), len(wrong)
 }
 
 // base is the scenario that the others vary: servers crash before any response header.
--- a/internal/decision/quarantine/sound_counts.go
+++ b/internal/decision/quarantine/sound_counts.go
@@ -16,7 +16,7 @@
 
 // soundCounts counts the sound runs of the segments used most recently.
 type soundCounts struct {
-	counts *container.LRU[uint64, soundCount]
+	counts *container.LRU[Part, soundCount]
 }
 
 type soundCount struct {
@@ -26,7 +26,7 @@
 }
 
 func newSoundCounts() soundCounts {
-	return soundCounts{container.NewLRU[uint64, soundCount](maxSoundSegments)}
+	return soundCounts{container.NewLRU[Part, soundCount](maxSoundSegments)}
 }
 
 // at returns the count as of the time.
@@ -41,7 +41,7 @@
 	return c
 }
 
-func (s soundCounts) add(segment uint64, now clock.Millis) {
+func (s soundCounts) add(segment Part, now clock.Millis) {
 	c, _ := s.counts.Get(segment)
 	c = c.at(now)
 	c.current++
@@ -50,7 +50,7 @@
 }
 
 // recent returns the recent sound runs with the segment.
-func (s soundCounts) recent(segment uint64, now clock.Millis) (SoundRuns, bool) {
+func (s soundCounts) recent(segment Part, now clock.Millis) (SoundRuns, bool) {
 	c, ok := s.counts.Get(segment)
 	if !ok {
 		return SoundRuns{}, false
@@ -59,5 +59,5 @@
 	if c.current+c.last == 0 {
 		return SoundRuns{}, false
 	}
-	return SoundRuns{Segment: segment, Count: c.current + c.last, Age: now - c.lastAt}, true
+	return SoundRuns{Part: segment, Count: c.current + c.last, Age: now - c.lastAt}, true
 }
--- a/internal/decision/quarantine/tracker.go
+++ b/internal/decision/quarantine/tracker.go
@@ -42,7 +42,7 @@
 
 // Change is the beginning, the extension or the end of a quarantine.
 type Change struct {
-	Segment     uint64
+	Part        Part
 	Quarantined bool
 	Quarantine  Quarantine
 	Crashes     int // that are known of
@@ -52,7 +52,7 @@
 // Tracker holds the evidence of this daemon and its peers, and the segments quarantined by
 // it. It is safe for concurrent use.
 type Tracker struct {
-	blocked atomic.Pointer[map[uint64]Quarantine] // immutable copy of active
+	blocked atomic.Pointer[map[Part]Quarantine] // immutable copy of active
 
 	mu        sync.Mutex
 	runs      map[ServerStart]map[*Run]bool
@@ -63,10 +63,10 @@
 	own       map[ServerStart]notedCrash
 	evidence  Evidence // of the last Update
 	peers     map[ServerStart]notedCrash
-	active    map[uint64]Quarantine
-	inStore   map[uint64]bool // quarantined segments that the store had
-	released  map[uint64]clock.Millis
-	triedAt   map[uint64]clock.Millis // when this daemon last let a request through
+	active    map[Part]Quarantine
+	inStore   map[Part]bool // quarantined segments that the store had
+	released  map[Part]clock.Millis
+	triedAt   map[Part]clock.Millis // when this daemon last let a request through
 }
 
 // notedCrash is a crash with its time, in place of its age.
@@ -79,10 +79,10 @@
 type Evidence struct {
 	Crashes []Crash
 	Sound   []SoundRuns
-	Stored  map[uint64]Quarantine
+	Stored  map[Part]Quarantine
 	// Owns reports whether this daemon makes the trial of a segment in the given turn, which
 	// are numbered from 0. Each daemon has its turn.
-	Owns func(segment uint64, turn int) bool
+	Owns func(segment Part, turn int) bool
 }
 
 // NewTracker returns a tracker without evidence.
@@ -93,16 +93,16 @@
 		sound:     newSoundCounts(),
 		own:       make(map[ServerStart]notedCrash),
 		peers:     make(map[ServerStart]notedCrash),
-		active:    make(map[uint64]Quarantine),
-		inStore:   make(map[uint64]bool),
-		released:  make(map[uint64]clock.Millis),
-		triedAt:   make(map[uint64]clock.Millis),
+		active:    make(map[Part]Quarantine),
+		inStore:   make(map[Part]bool),
+		released:  make(map[Part]clock.Millis),
+		triedAt:   make(map[Part]clock.Millis),
 	}
 }
 
 // Blocked returns the quarantine among those of the segments that lasts longest. It returns
 // false if there is none.
-func (t *Tracker) Blocked(segments []uint64) (Quarantine, bool) {
+func (t *Tracker) Blocked(segments []Part) (Quarantine, bool) {
 	blocked := t.blocked.Load()
 	if blocked == nil {
 		return Quarantine{}, false
@@ -118,7 +118,7 @@
 
 // TryTrial reports whether a request with the segments, some of which are quarantined, is
 // let through on trial.
-func (t *Tracker) TryTrial(segments []uint64, now clock.Millis) bool {
+func (t *Tracker) TryTrial(segments []Part, now clock.Millis) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, segment := range segments {
@@ -195,8 +195,8 @@
 		}
 	}
 	maps.DeleteFunc(t.nextCheck, func(_ ServerStart, at clock.Millis) bool { return now >= at })
-	maps.DeleteFunc(t.released, func(_ uint64, at clock.Millis) bool { return now-at >= releaseMemory })
-	maps.DeleteFunc(t.triedAt, func(segment uint64, _ clock.Millis) bool {
+	maps.DeleteFunc(t.released, func(_ Part, at clock.Millis) bool { return now-at >= releaseMemory })
+	maps.DeleteFunc(t.triedAt, func(segment Part, _ clock.Millis) bool {
 		_, ok := t.active[segment]
 		return !ok
 	})
@@ -219,12 +219,12 @@
 
 // suspected returns the segments that recur in the noted crashes and those quarantined. t.mu
 // must be held.
-func (t *Tracker) suspected(crashes []Crash) map[uint64]bool {
-	suspected := make(map[uint64]bool)
+func (t *Tracker) suspected(crashes []Crash) map[Part]bool {
+	suspected := make(map[Part]bool)
 	for segment := range t.active {
 		suspected[segment] = true
 	}
-	seenIn := make(map[uint64]ServerStart)
+	seenIn := make(map[Part]ServerStart)
 	for _, c := range crashes {
 		for _, suspect := range c.Suspects {
 			for _, segment := range suspect {
--- a/internal/decision/quarantine/tracker_test.go
+++ b/internal/decision/quarantine/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,18 +11,28 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
-const (
-	bad    = 9
-	shared = 1
-	start  = 1_000_000 * clock.Millis(1)
-)
+const start = 1_000_000 * clock.Millis(1)
+
+var bad, shared = segment(9), segment(1)
+
+// segment returns the part of a prompt segment with the number as its ID.
+func segment(n uint64) Part { return SegmentPart(strconv.FormatUint(n, 10)) }
+
+// segments returns the parts of a prompt.
+func segments(numbers ...uint64) []Part {
+	parts := make([]Part, 0, len(numbers))
+	for _, n := range numbers {
+		parts = append(parts, segment(n))
+	}
+	return parts
+}
 
 // nothing is called when an attempt is to end and need not be.
 func nothing() {}
 
 // crashUnder has the server begin to answer a request with the segments, and crash.
-func crashUnder(t *Tracker, server string, now clock.Millis, segments ...uint64) []Change {
-	r := t.Start(ServerStart{ID: server, StartedAt: 1}, segments, false, nothing, now)
+func crashUnder(t *Tracker, server string, now clock.Millis, parts ...Part) []Change {
+	r := t.Start(ServerStart{ID: server, StartedAt: 1}, parts, false, nothing, now)
 	r.Begin(now + 20)
 	crash, ok := t.Suspect(r.server, now+100)
 	r.End(false, now+100)
@@ -32,14 +43,14 @@
 }
 
 // answer has the server answer a request with the segments.
-func answer(t *Tracker, now clock.Millis, segments ...uint64) {
-	r := t.Start(ServerStart{ID: "sound"}, segments, false, nothing, now)
+func answer(t *Tracker, now clock.Millis, parts ...Part) {
+	r := t.Start(ServerStart{ID: "sound"}, parts, false, nothing, now)
 	r.Begin(now)
 	r.End(true, now+50)
 }
 
-func isBlocked(t *Tracker, segments ...uint64) bool {
-	_, blocked := t.Blocked(segments)
+func isBlocked(t *Tracker, parts ...Part) bool {
+	_, blocked := t.Blocked(parts)
 	return blocked
 }
 
@@ -82,7 +93,7 @@
 	exchange(now+400, trackers...)
 	for _, tracker := range trackers {
 		assert.Assert(t, isBlocked(tracker, shared, bad))
-		assert.Assert(t, !isBlocked(tracker, shared, 5))
+		assert.Assert(t, !isBlocked(tracker, shared, segment(5)))
 	}
 }
 
@@ -94,7 +105,7 @@
 	crashUnder(a, "s2", start+300, shared, bad)
 	exchange(start+500, a, b)
 	b.Update(Evidence{}, start+20_000)
-	crashUnder(b, "s3", start+20_000, 2, bad)
+	crashUnder(b, "s3", start+20_000, segment(2), bad)
 	assert.Assert(t, isBlocked(b, bad))
 }
 
@@ -112,7 +123,7 @@
 // TestStoredQuarantineAppliesAtStart checks a daemon that starts without evidence.
 func TestStoredQuarantineAppliesAtStart(t *testing.T) {
 	tracker := NewTracker()
-	tracker.Update(Evidence{Stored: map[uint64]Quarantine{bad: {start - 10_000, minHold}}}, start)
+	tracker.Update(Evidence{Stored: map[Part]Quarantine{bad: {start - 10_000, minHold}}}, start)
 	assert.Assert(t, isBlocked(tracker, bad))
 	tracker.Update(Evidence{}, start+400)
 	assert.Assert(t, !isBlocked(tracker, bad), "removed from the store")
@@ -134,16 +145,16 @@
 	for i := range 3 {
 		now := start + clock.Millis(300*i)
 		server := ServerStart{ID: fmt.Sprintf("s%d", i)}
-		abandoned := tracker.Start(server, []uint64{bad}, false, nothing, now)
+		abandoned := tracker.Start(server, []Part{bad}, false, nothing, now)
 		abandoned.Begin(now)
 		abandoned.End(false, now+5)
-		tracker.Start(server, []uint64{7}, false, nothing, now)
+		tracker.Start(server, segments(7), false, nothing, now)
 		crash, ok := tracker.Suspect(server, now+80)
 		assert.Assert(t, ok)
 		tracker.Confirm(crash, now+80, now+81)
 	}
 	assert.Assert(t, isBlocked(tracker, bad))
-	assert.Assert(t, !isBlocked(tracker, 7))
+	assert.Assert(t, !isBlocked(tracker, segment(7)))
 }
 
 // TestQuarantineEndsWaitingAttempts checks that requests which still wait at servers are
@@ -151,10 +162,10 @@
 func TestQuarantineEndsWaitingAttempts(t *testing.T) {
 	tracker := NewTracker()
 	ended := map[string]bool{}
-	begin := func(name string, segments ...uint64) *Run {
-		return tracker.Start(ServerStart{ID: "other"}, segments, false, func() { ended[name] = true }, start-5_000)
+	begin := func(name string, parts ...Part) *Run {
+		return tracker.Start(ServerStart{ID: "other"}, parts, false, func() { ended[name] = true }, start-5_000)
 	}
-	waits, other, answered := begin("waiting", bad), begin("other", 3), begin("answered", shared)
+	waits, other, answered := begin("waiting", bad), begin("other", segment(3)), begin("answered", shared)
 	answered.Begin(start - 4_000)
 	answered.Progress(start - 1_000)
 	for i := range 3 {
@@ -167,19 +178,19 @@
 // TestTrial lets the time of a quarantine pass. Then one request is let through in each turn,
 // by the daemon whose turn it is.
 func TestTrial(t *testing.T) {
-	ownsSecond := func(_ uint64, turn int) bool { return turn == 1 }
+	ownsSecond := func(_ Part, turn int) bool { return turn == 1 }
 	setUp := func() (*Tracker, clock.Millis) {
 		tracker := quarantined()
 		tracker.Update(Evidence{Owns: ownsSecond}, start)
-		q, _ := tracker.Blocked([]uint64{bad})
+		q, _ := tracker.Blocked([]Part{bad})
 		return tracker, q.TrialAt()
 	}
 	t.Run("one request in the daemon's turn", func(t *testing.T) {
 		tracker, due := setUp()
-		assert.Assert(t, !tracker.TryTrial([]uint64{bad}, due-1))
-		assert.Assert(t, !tracker.TryTrial([]uint64{bad}, due), "another daemon's turn")
-		assert.Assert(t, tracker.TryTrial([]uint64{bad}, due+trialTurn))
-		assert.Assert(t, !tracker.TryTrial([]uint64{bad}, due+trialTurn+10), "only one")
+		assert.Assert(t, !tracker.TryTrial([]Part{bad}, due-1))
+		assert.Assert(t, !tracker.TryTrial([]Part{bad}, due), "another daemon's turn")
+		assert.Assert(t, tracker.TryTrial([]Part{bad}, due+trialTurn))
+		assert.Assert(t, !tracker.TryTrial([]Part{bad}, due+trialTurn+10), "only one")
 	})
 	t.Run("a sound answer releases it", func(t *testing.T) {
 		tracker, due := setUp()
@@ -187,7 +198,7 @@
 		tracker.Update(Evidence{Owns: ownsSecond}, due+trialTurn+100)
 		assert.Assert(t, !isBlocked(tracker, bad))
 		_, released := tracker.Records()
-		assert.DeepEqual(t, released, []uint64{bad})
+		assert.DeepEqual(t, released, []Part{bad})
 	})
 	t.Run("a sound answer releases it after many crashes", func(t *testing.T) {
 		tracker := quarantined()
@@ -195,7 +206,7 @@
 			crashUnder(tracker, fmt.Sprintf("more%d", i), start+clock.Millis(200*i), shared, bad)
 		}
 		tracker.Update(Evidence{Owns: ownsSecond}, start+700)
-		q, _ := tracker.Blocked([]uint64{bad})
+		q, _ := tracker.Blocked([]Part{bad})
 		answer(tracker, q.TrialAt()+100, bad)
 		tracker.Update(Evidence{Owns: ownsSecond}, q.TrialAt()+200)
 		assert.Assert(t, !isBlocked(tracker, bad))
@@ -205,7 +216,7 @@
 	t.Run("a sound answer from before the trial doesn't release it", func(t *testing.T) {
 		tracker := quarantined()
 		crashUnder(tracker, "more", start, shared, bad)
-		q, _ := tracker.Blocked([]uint64{bad})
+		q, _ := tracker.Blocked([]Part{bad})
 		answer(tracker, q.TrialAt()-1_000, bad)
 		tracker.Update(Evidence{Owns: ownsSecond}, q.TrialAt()+200)
 		assert.Assert(t, isBlocked(tracker, bad))
@@ -213,7 +224,7 @@
 	t.Run("the store's record doesn't bring it back", func(t *testing.T) {
 		tracker, due := setUp()
 		answer(tracker, due+trialTurn, bad)
-		stored := Evidence{Stored: map[uint64]Quarantine{bad: {start, minHold}}}
+		stored := Evidence{Stored: map[Part]Quarantine{bad: {start, minHold}}}
 		tracker.Update(stored, due+trialTurn+100)
 		tracker.Update(stored, due+trialTurn+500)
 		assert.Assert(t, !isBlocked(tracker, bad))
@@ -222,10 +233,10 @@
 		tracker, due := setUp()
 		at := due + trialTurn
 		crashUnder(tracker, "s9", at, shared, bad)
-		q, blocked := tracker.Blocked([]uint64{bad})
+		q, blocked := tracker.Blocked([]Part{bad})
 		assert.Assert(t, blocked)
 		assert.Equal(t, q.Hold, 2*minHold)
-		assert.Assert(t, !tracker.TryTrial([]uint64{bad}, at+trialTurn))
+		assert.Assert(t, !tracker.TryTrial([]Part{bad}, at+trialTurn))
 	})
 }
 
@@ -246,11 +257,11 @@
 		tracker := NewTracker()
 		// The cause has the earlier position, so that the later segment is suspected first.
 		for i := range 3 {
-			crashUnder(tracker, fmt.Sprintf("s%d", i), start+clock.Millis(200*i), bad, 5)
+			crashUnder(tracker, fmt.Sprintf("s%d", i), start+clock.Millis(200*i), bad, segment(5))
 		}
-		assert.Assert(t, isBlocked(tracker, 5) && !isBlocked(tracker, bad))
-		crashUnder(tracker, "s3", start+900, bad, 6)
-		assert.Assert(t, !isBlocked(tracker, 5) && isBlocked(tracker, bad))
+		assert.Assert(t, isBlocked(tracker, segment(5)) && !isBlocked(tracker, bad))
+		crashUnder(tracker, "s3", start+900, bad, segment(6))
+		assert.Assert(t, !isBlocked(tracker, segment(5)) && isBlocked(tracker, bad))
 	})
 }
 
@@ -288,8 +299,8 @@
 	now := start
 	for i := range uint64(2_000) {
 		now += 20
-		crashUnder(tracker, fmt.Sprintf("s%d", i), now, i, i+1, i+2, i+3)
-		answer(tracker, now, 100_000+2*i)
+		crashUnder(tracker, fmt.Sprintf("s%d", i), now, segments(i, i+1, i+2, i+3)...)
+		answer(tracker, now, segment(100_000+2*i))
 		var peers []Crash
 		for j := range 100 {
 			peers = append(peers, Crash{Server: ServerStart{ID: fmt.Sprintf("p%d-%d", i, j)}, Begun: true, Suspects: suspect(i * 100)})
@@ -303,7 +314,7 @@
 	assert.Equal(t, len(tracker.runs), 0)
 	assert.Equal(t, len(tracker.ended), 0)
 	long := make([]loadbalance.Segment, 5_000)
-	assert.Equal(t, len(Segments(loadbalance.Prompt{Segments: long})), maxSegments)
+	assert.Equal(t, len(Parts(loadbalance.Prompt{Segments: long}, Content{})), maxSegments+1)
 }
 
 // TestLastSegmentIsNeverSuspected checks that the private segment of a request is left out.
@@ -311,7 +322,9 @@
 	cases := map[string]struct{ segments, want int }{"none": {0, 0}, "one": {1, 0}, "three": {3, 2}}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, len(Segments(loadbalance.Prompt{Segments: make([]loadbalance.Segment, c.segments)})), c.want)
+			parts := Parts(loadbalance.Prompt{Segments: make([]loadbalance.Segment, c.segments)}, Content{})
+			assert.Equal(t, len(parts), c.want+1)
+			assert.Assert(t, parts[c.want].IsRequest(), "the content of the request")
 		})
 	}
 }
--- a/internal/program/entry/quarantine.go
+++ b/internal/program/entry/quarantine.go
@@ -57,15 +57,15 @@
 func (f *quarantineFeed) refresh() {
 	view, now := f.manager.View(), f.clock.Now()
 	f.stats.SetOwnEvidence(f.tracker.Own(now))
-	stored := make(map[uint64]quarantine.Quarantine, len(view.Quarantines))
-	for segment, q := range view.Quarantines {
-		stored[segment] = quarantine.Quarantine{Since: q.Since - view.StoreOffset, Hold: q.Hold}
+	stored := make(map[quarantine.Part]quarantine.Quarantine, len(view.Quarantines))
+	for part, q := range view.Quarantines {
+		stored[part] = quarantine.Quarantine{Since: q.Since - view.StoreOffset, Hold: q.Hold}
 	}
 	crashes, sound := f.stats.PeerEvidence()
 	relay.LogQuarantines(f.log, f.tracker.Update(quarantine.Evidence{
 		Crashes: crashes, Sound: sound, Stored: stored,
-		Owns: func(segment uint64, turn int) bool {
-			return view.Rank(quarantine.SegmentName(segment), f.host) == turn%max(len(view.Hosts), 1)
+		Owns: func(part quarantine.Part, turn int) bool {
+			return view.Rank(part.String(), f.host) == turn%max(len(view.Hosts), 1)
 		},
 	}, now))
 }
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -49,9 +49,10 @@
 	limited         []fleet.Entry // servers that only their rate limits kept the last plan from
 	answeredAt      clock.Millis  // when the last attempt's response header arrived
 
-	segments []uint64        // of the prompt; see quarantine.Segments
-	run      *quarantine.Run // of the last attempt
-	onTrial  bool            // the next attempt may have a quarantined segment
+	segments []quarantine.Part // of the prompt
+	content  quarantine.Part   // of the request
+	run      *quarantine.Run   // of the last attempt
+	onTrial  bool              // the next attempt may have a quarantined segment
 
 	// successor is the next attempt, if it was planned while the last one still ran.
 	successor *plannedAttempt
@@ -98,6 +99,7 @@
 	}
 	ex.lastEventID = req.LastEventID
 	ex.route, ex.account = route, account
+	ex.setParts()
 	ex.pool.Name = route.PoolAt(ex.poolPoint())
 	ex.modelIndex = ex.firstModel(now)
 	if r.rejecting.Load() {
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -14,6 +14,15 @@
 // minQuarantineRetry is the least retry time stated for a quarantined prompt.
 const minQuarantineRetry = 5_000 * clock.Millis(1)
 
+// setParts sets what the request has in common with others, by its route and account.
+func (ex *exchange) setParts() {
+	req := ex.req
+	parts := quarantine.Parts(req.Prompt, quarantine.Content{
+		Route: ex.route.Name, Account: ex.account.Name, Method: req.Method, Host: req.Host, Target: req.Target, Body: req.Body,
+	})
+	ex.segments, ex.content = parts[:len(parts)-1], parts[len(parts)-1]
+}
+
 // checkQuarantine returns the error of a request that must not reach a server, because a
 // segment of its prompt crashes servers. Only a first attempt can be let through on trial.
 func (ex *exchange) checkQuarantine(now clock.Millis) *result.Error {
@@ -95,7 +104,7 @@
 		if c.Quarantined {
 			message = "prompt segment quarantined"
 		}
-		log.Warn(message, "segment", quarantine.SegmentName(c.Segment), "reason", c.Reason, "crashes", c.Crashes,
+		log.Warn(message, "segment", c.Part.String(), "reason", c.Reason, "crashes", c.Crashes,
 			"hold_ms", int64(c.Quarantine.Hold))
 	}
 }
--- a/internal/traffic/relay/quarantine_test.go
+++ b/internal/traffic/relay/quarantine_test.go
@@ -76,7 +76,7 @@
 		f.send(http.MethodPost, "/draft/1", headerPrompt, "a,unlucky,own", headerID, fmt.Sprintf("request-%d", i))
 		time.Sleep(150 * time.Millisecond)
 	}
-	_, blocked := f.relay.Quarantine.Blocked(quarantine.Segments(promptOf("a,unlucky,own")))
+	_, blocked := f.relay.Quarantine.Blocked([]quarantine.Part{quarantine.SegmentPart("a"), quarantine.SegmentPart("unlucky")})
 	assert.Assert(t, !blocked)
 	assert.Equal(t, f.callCount(), 6*3)
 }
@@ -90,9 +90,9 @@
 		for f.callCount() == 0 {
 			time.Sleep(10 * time.Millisecond)
 		}
-		segment := quarantine.Segments(promptOf("bad,own"))[0]
+		segment := quarantine.SegmentPart("bad")
 		now := f.relay.Clock.Now()
-		f.relay.Quarantine.Update(quarantine.Evidence{Stored: map[uint64]quarantine.Quarantine{segment: {Since: now, Hold: 1_000}}}, now)
+		f.relay.Quarantine.Update(quarantine.Evidence{Stored: map[quarantine.Part]quarantine.Quarantine{segment: {Since: now, Hold: 1_000}}}, now)
 	}()
 	startedAt := time.Now()
 	response := f.send(http.MethodPost, "/draft/1", headerPrompt, "bad,own")
@@ -105,11 +105,11 @@
 // that a sound answer ends the quarantine.
 func TestQuarantinedPromptIsTried(t *testing.T) {
 	f := newFixture(t, streamRoutes(), sendEvents(3, 3))
-	segment := quarantine.Segments(promptOf("bad,own"))[0]
+	segment := quarantine.SegmentPart("bad")
 	now := f.relay.Clock.Now()
 	evidence := quarantine.Evidence{
-		Stored: map[uint64]quarantine.Quarantine{segment: {Since: now, Hold: 300 * clock.Millis(1)}},
-		Owns:   func(uint64, int) bool { return true },
+		Stored: map[quarantine.Part]quarantine.Quarantine{segment: {Since: now, Hold: 300 * clock.Millis(1)}},
+		Owns:   func(quarantine.Part, int) bool { return true },
 	}
 	f.relay.Quarantine.Update(evidence, now)
 	send := func() int { return f.send(http.MethodPost, "/draft/1", headerPrompt, "bad,own").status }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -131,7 +131,7 @@
 	if _, stopping := r.shutdownTime(); stopping {
 		w.Header().Set("Connection", "close")
 	}
-	ex := &exchange{relay: r, req: req, httpReq: httpReq, segments: quarantine.Segments(req.Prompt)}
+	ex := &exchange{relay: r, req: req, httpReq: httpReq}
 	ex.w = &callerWriter{ResponseWriter: w, ex: ex}
 	ended := false
 	defer func() {
