--- a/internal/control/peerstats/aggregator_test.go
+++ b/internal/control/peerstats/aggregator_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
@@ -82,7 +83,11 @@
 func TestCrashEvidence(t *testing.T) {
 	c := clock.NewManual(1_000)
 	leader, second, remote := newAggregator(c, 1, 11), newAggregator(c, 2, 12), newAggregator(c, 8, 14)
-	crash := func(age clock.Millis, suspects ...[]quarantine.Part) quarantine.Crash {
+	crash := func(age clock.Millis, parts ...[]quarantine.Part) quarantine.Crash {
+		var suspects []quarantine.Suspect
+		for _, p := range parts {
+			suspects = append(suspects, quarantine.Suspect{Parts: p})
+		}
 		return quarantine.Crash{Server: quarantine.ServerStart{ID: "e1", StartedAt: 5}, Age: age, Begun: true, Suspects: suspects}
 	}
 	second.SetOwnEvidence([]quarantine.Crash{crash(100, segments("1", "9"))}, []quarantine.SoundRuns{{Part: quarantine.SegmentPart("1"), Count: 2, Age: 50}})
@@ -94,7 +99,7 @@
 	remote.HandleReport(Report{From: "dc-1", IsDataCentre: true, Snapshot: leader.DataCentreTotal()})
 	c.Advance(20_000)
 	crashes, sound := remote.PeerEvidence()
-	assert.DeepEqual(t, crashes, []quarantine.Crash{crash(20_400, segments("2", "9"), segments("1", "9"))})
+	assert.DeepEqual(t, crashes, []quarantine.Crash{crash(20_400, segments("2", "9"), segments("1", "9"))}, cmpopts.IgnoreUnexported(quarantine.Suspect{}))
 	assert.DeepEqual(t, sound, []quarantine.SoundRuns{{Part: quarantine.SegmentPart("1"), Count: 5, Age: 20_350}})
 }
 
--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -145,10 +145,10 @@
 	}
 }
 
-// newestCrashes returns at most maxCrashes crashes.
+// newestCrashes returns at most maxCrashes crashes, with few suspects each if there are many.
 func (t *total) newestCrashes() []quarantine.Crash {
 	newest := slices.SortedFunc(maps.Values(t.crashes), func(a, b quarantine.Crash) int { return cmp.Compare(a.Age, b.Age) })
-	return newest[:min(len(newest), maxCrashes)]
+	return quarantine.LimitSuspects(newest[:min(len(newest), maxCrashes)])
 }
 
 // snapshot returns the total as a snapshot, which shares the map of loads with it.
--- a/internal/decision/quarantine/evaluate.go
+++ b/internal/decision/quarantine/evaluate.go
@@ -10,83 +10,84 @@
 
 // Reasons of a Change.
 const (
-	ReasonCrashes     = "crashes"      // servers crashed that answered requests with the segment
+	ReasonCrashes     = "crashes"      // servers crashed that answered requests with the part
 	ReasonStore       = "store"        // another daemon recorded it, or released it, in the store
 	ReasonTrialFailed = "trial_failed" // the request on trial crashed a server
-	ReasonSound       = "sound"        // a server answered a request with the segment
-	ReasonExplained   = "explained"    // another segment explains the crashes
+	ReasonSound       = "sound"        // a server answered a request with the part
+	ReasonExplained   = "explained"    // another part explains the crashes
 	ReasonExpired     = "expired"      // no request has come for long
 )
 
-// evaluate brings the quarantined segments up to date with the evidence. t.mu must be held.
+// evaluate brings the quarantined parts up to date with the evidence. t.mu must be held.
 func (t *Tracker) evaluate(now clock.Millis) []Change {
 	crashes := t.joined(now)
 	sound := t.joinedSound(crashes, now)
 	found := Find(crashes, sound)
 	var changes []Change
-	set := func(segment Part, q Quarantine, reason string) {
-		t.active[segment] = q
-		changes = append(changes, Change{segment, true, q, crashCount(crashes, segment), reason})
-	}
-	for _, segment := range found {
-		if _, ok := t.active[segment]; !ok && crashedRecently(crashes, segment) {
-			delete(t.released, segment)
-			set(segment, Quarantine{now, minHold}, ReasonCrashes)
+	set := func(part Part, q Quarantine, score float64, reason string) {
+		t.active[part] = q
+		changes = append(changes, Change{part, true, q, crashCount(crashes, part), score, reason})
+	}
+	for _, cause := range found {
+		if _, ok := t.active[cause.Part]; !ok && crashedRecently(crashes, cause.Part) && !t.hasOutlived(cause, crashes, now) {
+			delete(t.released, cause.Part)
+			set(cause.Part, Quarantine{now, minHold}, cause.Score, ReasonCrashes)
 		}
 	}
-	for segment, q := range t.evidence.Stored {
+	for part, q := range t.evidence.Stored {
 		q.Since = min(q.Since, now)
-		releasedAt, released := t.released[segment]
-		old, known := t.active[segment]
+		releasedAt, released := t.released[part]
+		old, known := t.active[part]
 		switch {
 		case now >= q.TrialAt()+expiry, released && q.Since <= releasedAt:
 		case !known:
-			set(segment, q, ReasonStore)
+			set(part, q, 0, ReasonStore)
 		case q.Hold > old.Hold:
-			set(segment, q, ReasonStore)
+			set(part, q, 0, ReasonStore)
 		}
 	}
-	for _, segment := range slices.SortedFunc(maps.Keys(t.active), comparePart) {
-		q := t.active[segment]
-		if trialFailed(crashes, segment, q, now) {
-			set(segment, Quarantine{now, min(2*q.Hold, maxHold)}, ReasonTrialFailed)
+	for _, part := range slices.SortedFunc(maps.Keys(t.active), comparePart) {
+		q := t.active[part]
+		if trialFailed(crashes, part, q, now) {
+			set(part, Quarantine{now, min(2*q.Hold, maxHold)}, 0, ReasonTrialFailed)
 			continue
 		}
-		if reason := t.endReason(segment, q, crashes, sound, found, now); reason != "" {
-			t.release(segment, now)
-			changes = append(changes, Change{segment, false, q, crashCount(crashes, segment), reason})
+		if reason := t.endReason(part, q, crashes, sound, found, now); reason != "" {
+			t.release(part, now)
+			changes = append(changes, Change{part, false, q, crashCount(crashes, part), 0, reason})
 		}
-		_, stored := t.evidence.Stored[segment]
-		t.inStore[segment] = stored
+		_, stored := t.evidence.Stored[part]
+		t.inStore[part] = stored
 	}
 	changes = append(changes, t.limit(now)...)
-	maps.DeleteFunc(t.inStore, func(segment Part, _ bool) bool {
-		_, ok := t.active[segment]
+	maps.DeleteFunc(t.inStore, func(part Part, _ bool) bool {
+		_, ok := t.active[part]
 		return !ok
 	})
 	if len(changes) > 0 {
 		blocked := maps.Clone(t.active)
 		t.blocked.Store(&blocked)
-		t.cancelBlocked()
+		t.cancelBlocked(crashes, now)
 	}
 	return changes
 }
 
-// endReason returns why the quarantine of the segment ends; empty if it goes on.
-func (t *Tracker) endReason(segment Part, q Quarantine, crashes []Crash, sound map[Part]SoundRuns, found []Part, now clock.Millis) string {
-	s, isSound := sound[segment]
-	_, stored := t.evidence.Stored[segment]
+// endReason returns why the quarantine of the part ends; empty if it goes on.
+func (t *Tracker) endReason(part Part, q Quarantine, crashes []Crash, sound map[Part]SoundRuns, found []Cause, now clock.Millis) string {
+	s := sound[part]
+	isSound := s.Count > 0
+	_, stored := t.evidence.Stored[part]
 	switch {
 	case isSound && now-s.Age > q.TrialAt():
 		return ReasonSound // of the trial, which no crash followed
-	case slices.Contains(found, segment):
+	case slices.ContainsFunc(found, func(c Cause) bool { return c.Part == part }):
 	case isSound && now < q.Since+settleTime:
 		return ReasonSound
 	case isSound && now-s.Age > q.Since:
 		return ReasonSound
-	case explained(crashes, segment, found):
+	case explained(crashes, part, found):
 		return ReasonExplained
-	case t.inStore[segment] && !stored:
+	case t.inStore[part] && !stored:
 		return ReasonStore
 	case now >= q.TrialAt()+expiry:
 		return ReasonExpired
@@ -97,19 +98,22 @@
 // settleTime is how long the reports of sound runs from before a quarantine may take.
 const settleTime = 5_000 * clock.Millis(1)
 
-// crashedRecently reports whether a crash with the segment is younger than settleTime.
-func crashedRecently(crashes []Crash, segment Part) bool {
-	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.Age < settleTime && c.has(segment) })
+// crashedRecently reports whether a crash with the part is younger than settleTime.
+func crashedRecently(crashes []Crash, part Part) bool {
+	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.Age < settleTime && c.has(part) })
 }
 
-// explained reports whether the crashes with the segment have been found to have other
-// causes, all but a few that would not suffice for a quarantine.
-func explained(crashes []Crash, segment Part, found []Part) bool {
+// explained reports whether the crashes with the part have been found to have other causes,
+// all but a few that would not suffice for a quarantine. A segment of a request's own prompt
+// doesn't exonerate the request.
+func explained(crashes []Crash, part Part, found []Cause) bool {
 	others, own := 0, 0
 	for _, c := range crashes {
 		switch {
-		case !c.has(segment):
-		case slices.ContainsFunc(found, c.has):
+		case !c.has(part):
+		case slices.ContainsFunc(found, func(cause Cause) bool {
+			return c.has(cause.Part) && (!part.IsRequest() || !c.haveBoth(part, cause.Part))
+		}):
 			others++
 		default:
 			own++
@@ -118,42 +122,69 @@
 	return others >= minCrashes && own < minCrashes
 }
 
-// trialFailed reports whether a server crashed that answered a request with the segment
+// trialFailed reports whether a server crashed that answered a request with the part
 // after its trial fell due.
-func trialFailed(crashes []Crash, segment Part, q Quarantine, now clock.Millis) bool {
-	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.has(segment) && now-c.Age >= q.TrialAt() })
+func trialFailed(crashes []Crash, part Part, q Quarantine, now clock.Millis) bool {
+	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.has(part) && now-c.Age >= q.TrialAt() })
 }
 
-// limit releases the oldest quarantines beyond maxQuarantined. t.mu must be held.
+// limit releases the oldest requests of an account beyond maxOfAccount, and beyond
+// maxQuarantined the oldest quarantines of the account that has most. t.mu must be held.
 func (t *Tracker) limit(now clock.Millis) (changes []Change) {
-	excess := len(t.active) - maxQuarantined
-	if excess <= 0 {
-		return nil
+	byAccount := make(map[accountTag][]Part)
+	for part := range t.active {
+		byAccount[part.account()] = append(byAccount[part.account()], part)
 	}
-	oldest := slices.SortedFunc(maps.Keys(t.active), func(a, b Part) int {
-		return cmp.Or(cmp.Compare(t.active[a].Since, t.active[b].Since), comparePart(a, b))
-	})
-	for _, segment := range oldest[:excess] {
-		changes = append(changes, Change{Part: segment, Quarantine: t.active[segment], Reason: ReasonExpired})
-		t.release(segment, now)
+	releaseOldest := func(account accountTag) {
+		oldest := slices.MinFunc(byAccount[account], func(a, b Part) int {
+			return cmp.Or(cmp.Compare(t.active[a].Since, t.active[b].Since), comparePart(a, b))
+		})
+		byAccount[account] = slices.DeleteFunc(byAccount[account], func(part Part) bool { return part == oldest })
+		changes = append(changes, Change{Part: oldest, Quarantine: t.active[oldest], Reason: ReasonExpired})
+		t.release(oldest, now)
+	}
+	for account := range byAccount {
+		for account != (accountTag{}) && len(byAccount[account]) > maxOfAccount {
+			releaseOldest(account)
+		}
+	}
+	for len(t.active) > maxQuarantined {
+		releaseOldest(slices.MaxFunc(slices.Collect(maps.Keys(byAccount)), func(a, b accountTag) int {
+			return cmp.Or(cmp.Compare(len(byAccount[a]), len(byAccount[b])), cmp.Compare(string(a[:]), string(b[:])))
+		}))
 	}
 	return changes
 }
 
 // release ends a quarantine. t.mu must be held.
-func (t *Tracker) release(segment Part, now clock.Millis) {
-	delete(t.active, segment)
-	t.released[segment] = now
+func (t *Tracker) release(part Part, now clock.Millis) {
+	delete(t.active, part)
+	t.released[part] = now
 }
 
-// cancelBlocked ends the attempts with quarantined segments: they would crash the servers at
-// which they wait. t.mu must be held.
-func (t *Tracker) cancelBlocked() {
+// cancelBlocked ends the attempts with quarantined parts: they would crash the servers at
+// which they wait. One that has lasted for longer than it took such requests to crash a server
+// may end the quarantine by its answer. t.mu must be held.
+func (t *Tracker) cancelBlocked(crashes []Crash, now clock.Millis) {
+	longest := make(map[Part]clock.Millis)
+	for part := range t.active {
+		if waits := waitsOf(crashes, part); len(waits) > 0 {
+			longest[part] = slices.Max(waits)
+		}
+	}
+	lasts := func(r *Run, part Part) bool {
+		wait, known := longest[part]
+		since := r.begunAt
+		if part.IsRequest() {
+			since = r.sentAt
+		}
+		return known && since > 0 && now-since > wait
+	}
 	for _, runs := range t.runs {
 		for r := range runs {
-			isBlocked := slices.ContainsFunc(r.segments, func(segment Part) bool {
-				_, ok := t.active[segment]
-				return ok
+			isBlocked := slices.ContainsFunc(r.parts, func(part Part) bool {
+				_, ok := t.active[part]
+				return ok && !lasts(r, part)
 			})
 			if isBlocked && !r.isTrial && !r.canceled && !r.sound {
 				r.canceled = true
@@ -163,37 +194,67 @@
 	}
 }
 
-// joinedSound returns the sound runs of all daemons with suspected segments. t.mu must be
+// waitsOf returns how long the suspects with the part had waited in each crash.
+func waitsOf(crashes []Crash, part Part) (waits []clock.Millis) {
+	for _, c := range crashes {
+		if c.has(part) {
+			waits = append(waits, c.waitOf(part))
+		}
+	}
+	return waits
+}
+
+// hasOutlived reports whether a request that is to be quarantined runs at so many servers
+// for longer than it mostly took it to crash one that it is unlikely to be the cause. t.mu
+// must be held.
+func (t *Tracker) hasOutlived(cause Cause, crashes []Crash, now clock.Millis) bool {
+	if !cause.Part.IsRequest() {
+		return false
+	}
+	waits := waitsOf(crashes, cause.Part)
+	slices.Sort(waits)
+	usual, outlived := waits[len(waits)/2], 0
+	for server, runs := range t.runs {
+		if _, crashed := t.own[server]; crashed {
+			continue
+		}
+		for r := range runs {
+			if !r.ended && now-r.sentAt > usual && slices.Contains(r.parts, cause.Part) {
+				outlived++
+				break
+			}
+		}
+	}
+	return len(waits)-outlived < minCrashes
+}
+
+// joinedSound returns the sound runs of all daemons with suspected parts. t.mu must be
 // held.
 func (t *Tracker) joinedSound(crashes []Crash, now clock.Millis) map[Part]SoundRuns {
 	sound := make(map[Part]SoundRuns)
 	for _, s := range t.evidence.Sound {
 		sound[s.Part] = s
 	}
-	for segment := range t.suspected(crashes) {
-		own, ok := t.sound.recent(segment, now)
-		if !ok {
-			continue
-		}
-		if peers, known := sound[segment]; known {
+	for _, own := range t.ownSound(t.suspected(crashes), now) {
+		if peers, known := sound[own.Part]; known {
 			own = own.Plus(peers)
 		}
-		sound[segment] = own
+		sound[own.Part] = own
 	}
 	return sound
 }
 
-// crashCount returns the number of crashes with the segment.
-func crashCount(crashes []Crash, segment Part) (n int) {
+// crashCount returns the number of crashes with the part.
+func crashCount(crashes []Crash, part Part) (n int) {
 	for _, c := range crashes {
-		if c.has(segment) {
+		if c.has(part) {
 			n++
 		}
 	}
 	return n
 }
 
-// Records returns the quarantines that the store is to hold, and the released segments that
+// Records returns the quarantines that the store is to hold, and the released parts that
 // it is to hold no longer.
 func (t *Tracker) Records() (active map[Part]Quarantine, released []Part) {
 	t.mu.Lock()
--- a/internal/decision/quarantine/evidence_test.go
+++ b/internal/decision/quarantine/evidence_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -13,7 +14,7 @@
 
 // crashes returns crashes of different servers, 200 ms apart, under requests that had begun.
 // Each crash is given by the segments of its suspects.
-func crashes(suspects ...[][]Part) []Crash {
+func crashes(suspects ...[]Suspect) []Crash {
 	list := make([]Crash, 0, len(suspects))
 	for i, s := range suspects {
 		list = append(list, Crash{
@@ -24,7 +25,15 @@
 }
 
 // suspect returns the suspects of a crash with a single one.
-func suspect(numbers ...uint64) [][]Part { return [][]Part{segments(numbers...)} }
+func suspect(numbers ...uint64) []Suspect { return suspects(segments(numbers...)) }
+
+// suspects returns suspects with the parts.
+func suspects(parts ...[]Part) (list []Suspect) {
+	for _, p := range parts {
+		list = append(list, Suspect{Parts: p})
+	}
+	return list
+}
 
 func soundRuns(counts map[uint64]int) map[Part]SoundRuns {
 	runs := make(map[Part]SoundRuns)
@@ -61,7 +70,7 @@
 		"a shared later segment is sound":   {crashes(suspect(9, 1), suspect(9, 1), suspect(9, 1)), map[uint64]int{1: 1}, []uint64{9}},
 		"nothing is known of either":        {crashes(suspect(1, 9), suspect(1, 9), suspect(1, 9)), nil, []uint64{9}},
 		"a popular segment beside crashes":  {crashes(suspect(1, 2), suspect(1, 3), suspect(1, 4)), map[uint64]int{1: 40}, nil},
-		"sound beside the cause each time":  {crashes([][]Part{segments(1, 9), segments(2, 5)}, [][]Part{segments(2, 5), segments(3, 9)}, [][]Part{segments(4, 9), segments(2, 5)}, suspect(4, 9)), nil, []uint64{9}},
+		"sound beside the cause each time":  {crashes(suspects(segments(1, 9), segments(2, 5)), suspects(segments(2, 5), segments(3, 9)), suspects(segments(4, 9), segments(2, 5)), suspect(4, 9)), nil, []uint64{9}},
 		"two causes":                        {crashes(suspect(1, 9), suspect(1, 8), suspect(1, 9), suspect(2, 8), suspect(2, 9), suspect(2, 8)), map[uint64]int{1: 4, 2: 4}, []uint64{8, 9}},
 		"one answer survived":               {crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9), suspect(4, 9)), map[uint64]int{9: 1}, []uint64{9}},
 		"as many answers survived":          {crashes(suspect(1, 9), suspect(2, 9), suspect(3, 9)), map[uint64]int{9: 3}, nil},
@@ -72,7 +81,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			found := Find(c.crashes, soundRuns(c.sound))
+			found := partsOf(Find(c.crashes, soundRuns(c.sound)))
 			assert.Equal(t, len(found), len(c.want), "%v", found)
 			for _, number := range c.want {
 				assert.Assert(t, slices.Contains(found, segment(number)), "%d is not in %v", number, found)
@@ -81,17 +90,25 @@
 	}
 }
 
+// partsOf returns the parts of the causes.
+func partsOf(causes []Cause) (parts []Part) {
+	for _, c := range causes {
+		parts = append(parts, c.Part)
+	}
+	return parts
+}
+
 func TestMerge(t *testing.T) {
 	begun := Crash{Server: ServerStart{ID: "s"}, Age: 10, Begun: true, Suspects: suspect(1, 2)}
 	waits := Crash{Server: ServerStart{ID: "s"}, Age: 30, Suspects: suspect(3, 4)}
 	cases := map[string]struct{ a, b, want Crash }{
-		"one begun, one waiting": {waits, begun, Crash{begun.Server, 30, true, [][]Part{segments(3, 4), segments(1, 2)}}},
-		"in the other order":     {begun, waits, Crash{begun.Server, 30, true, [][]Part{segments(1, 2), segments(3, 4)}}},
+		"one begun, one waiting": {waits, begun, Crash{Server: begun.Server, Age: 30, Begun: true, Suspects: suspects(segments(3, 4), segments(1, 2))}},
+		"in the other order":     {begun, waits, Crash{Server: begun.Server, Age: 30, Begun: true, Suspects: suspects(segments(1, 2), segments(3, 4))}},
 		"the same suspect twice": {begun, begun, begun},
-		"two suspects":           {begun, Crash{begun.Server, 5, true, suspect(5)}, Crash{begun.Server, 10, true, [][]Part{segments(1, 2), segments(5)}}},
+		"two suspects":           {begun, Crash{Server: begun.Server, Age: 5, Begun: true, Suspects: suspect(5)}, Crash{Server: begun.Server, Age: 10, Begun: true, Suspects: suspects(segments(1, 2), segments(5))}},
 	}
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, c.a.Merge(c.b), c.want) })
+		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, c.a.Merge(c.b), c.want, cmpopts.IgnoreUnexported(Suspect{})) })
 	}
 }
 
@@ -109,23 +126,23 @@
 		for number := uint64(1); number <= 5; number++ {
 			sound[number] = rapid.IntRange(2, 9).Draw(t, "sound")
 		}
-		var suspects [][][]Part
+		var all [][]Suspect
 		for range 5 {
 			request := segments(shared.Draw(t, "shared"), cause)
 			if causeFirst {
 				request = segments(cause, private.Draw(t, "private"))
 			}
-			suspects = append(suspects, append([][]Part{request}, rapid.SliceOfN(rapid.Custom(func(t *rapid.T) []Part {
+			all = append(all, suspects(append([][]Part{request}, rapid.SliceOfN(rapid.Custom(func(t *rapid.T) []Part {
 				return segments(shared.Draw(t, "shared"), private.Draw(t, "private"))
-			}), 0, 2).Draw(t, "beside")...))
+			}), 0, 2).Draw(t, "beside")...)...))
 		}
-		list := crashes(suspects...)
+		list := crashes(all...)
 		for number := uint64(100); number <= 130; number++ {
 			if crashCount(list, segment(number)) == len(list) {
 				t.Skip("undecidable")
 			}
 		}
-		found := Find(list, soundRuns(sound))
+		found := partsOf(Find(list, soundRuns(sound)))
 		if len(found) != 1 || found[0] != segment(cause) {
 			t.Fatalf("found %v", found)
 		}
--- a/internal/decision/quarantine/part.go
+++ b/internal/decision/quarantine/part.go
@@ -11,8 +11,8 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 )
 
-// Part identifies what requests may have in common: a segment of their prompts, or all of
-// their content. The first accountBytes are the tag of the client account, 0 for a segment,
+// Part identifies what requests may have in common: a segment of their prompts, or their
+// whole content. The first accountBytes are the tag of the client account, 0 for a segment,
 // and the others a cryptographic hash, so that no caller can make a request that is taken for
 // another account's.
 type Part [16]byte
@@ -20,15 +20,21 @@
 // accountBytes is the length of the account's tag in a Part.
 const accountBytes = 4
 
-// Content is what distinguishes requests from each other. Their IDs don't.
+// Content is what distinguishes requests from each other, apart from their prompts. Their
+// IDs don't.
 type Content struct {
 	Route, Account, Method, Host, Target string
 	Body                                 []byte
 }
 
-// RequestPart returns the part that all requests with the content share.
-func RequestPart(c Content) Part {
-	p := hashPart("request", []byte(c.Route), []byte(c.Account), []byte(c.Method), []byte(c.Host), []byte(c.Target), c.Body)
+// RequestPart returns the part that all requests with the content, and with the prompt if
+// there is one, share.
+func RequestPart(c Content, prompt loadbalance.Prompt) Part {
+	fields := [][]byte{[]byte(c.Route), []byte(c.Account), []byte(c.Method), []byte(c.Host), []byte(c.Target), c.Body}
+	for _, s := range prompt.Segments {
+		fields = append(fields, []byte(s.ID))
+	}
+	p := hashPart("request", fields...)
 	tag := sha256.Sum256([]byte(c.Account))
 	copy(p[:accountBytes], tag[:])
 	p[0] |= 1 // differs from the tag of a segment
@@ -38,15 +44,18 @@
 // SegmentPart returns the part that all prompts with the segment share.
 func SegmentPart(id string) Part { return hashPart("segment", []byte(id)) }
 
-// Parts returns the parts of a request: the segments of its prompt but for the last one,
-// which is private to the request or its session, and its content.
+// Parts returns the parts of a request, the most specific one last: its content, the segments
+// of its prompt but for the last one, which is private to the request or its session, and its
+// content with the prompt.
 func Parts(prompt loadbalance.Prompt, c Content) []Part {
-	segments := prompt.Segments[:min(max(len(prompt.Segments)-1, 0), maxSegments)]
-	parts := make([]Part, 0, len(segments)+1)
-	for _, s := range segments {
+	parts := []Part{RequestPart(c, loadbalance.Prompt{})}
+	if len(prompt.Segments) == 0 {
+		return parts
+	}
+	for _, s := range prompt.Segments[:min(len(prompt.Segments)-1, maxSegments)] {
 		parts = append(parts, SegmentPart(s.ID))
 	}
-	return append(parts, RequestPart(c))
+	return append(parts, RequestPart(c, prompt))
 }
 
 // hashPart returns a part with the hash of the fields and without an account. Each field is
@@ -70,7 +79,7 @@
 // comparePart orders parts.
 func comparePart(a, b Part) int { return bytes.Compare(a[:], b[:]) }
 
-// IsRequest reports whether the part is the whole content of a request.
+// IsRequest reports whether the part is the content of requests of one client account.
 func (p Part) IsRequest() bool { return p.account() != accountTag{} }
 
 // accountTag identifies the client account of a request; zero for a segment.
--- a/internal/decision/quarantine/part_test.go
+++ b/internal/decision/quarantine/part_test.go
@@ -6,6 +6,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 )
 
 // TestRequestParts checks which requests count as the same. None of another client account
@@ -31,7 +33,9 @@
 		"bytes moved between": {vary(func(c *Content) { c.Target, c.Body = "/read/2fbo", []byte("dy") }), false},
 	}
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) { assert.Equal(t, RequestPart(c.content) == RequestPart(base), c.same) })
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, RequestPart(c.content, loadbalance.Prompt{}) == RequestPart(base, loadbalance.Prompt{}), c.same)
+		})
 	}
 }
 
@@ -48,9 +52,9 @@
 		}
 		a, b := draw(), draw()
 		same := a.Route == b.Route && a.Account == b.Account && a.Method == b.Method && a.Host == b.Host && a.Target == b.Target && string(a.Body) == string(b.Body)
-		part := RequestPart(a)
-		assert.Equal(t, part == RequestPart(b), same)
-		assert.Equal(t, part.account() == RequestPart(b).account(), a.Account == b.Account)
+		part, other := RequestPart(a, loadbalance.Prompt{}), RequestPart(b, loadbalance.Prompt{})
+		assert.Equal(t, part == other, same)
+		assert.Equal(t, part.account() == other.account(), a.Account == b.Account)
 		segment := SegmentPart(a.Route)
 		assert.Assert(t, part.IsRequest() && !segment.IsRequest() && part != segment)
 		parsed, err := ParsePart(part.String())
@@ -64,3 +68,27 @@
 		assert.Equal(t, decoded, part)
 	})
 }
+
+// TestPartsOfRequest checks which parts a request has, and that the private segment of its
+// prompt is none.
+func TestPartsOfRequest(t *testing.T) {
+	c := Content{Account: "smiths", Target: "/draft/1"}
+	prompt := func(ids ...string) (p loadbalance.Prompt) {
+		for _, id := range ids {
+			p.Segments = append(p.Segments, loadbalance.Segment{ID: id})
+		}
+		return p
+	}
+	content := RequestPart(c, loadbalance.Prompt{})
+	cases := map[string]struct {
+		prompt loadbalance.Prompt
+		want   []Part
+	}{
+		"a call":                 {prompt(), []Part{content}},
+		"a private segment only": {prompt("own"), []Part{content, RequestPart(c, prompt("own"))}},
+		"three segments":         {prompt("a", "b", "own"), []Part{content, SegmentPart("a"), SegmentPart("b"), RequestPart(c, prompt("a", "b", "own"))}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, Parts(test.prompt, c), test.want) })
+	}
+}
--- a/internal/decision/quarantine/runs.go
+++ b/internal/decision/quarantine/runs.go
@@ -19,22 +19,20 @@
 	tracker  *Tracker
 	server   ServerStart
 	number   uint64 // in the order of the starts
-	segments []Part
+	parts    []Part // see Parts
 	cancel   func() // ends the attempt
 	isTrial  bool
 	sentAt   clock.Millis
 	begunAt  clock.Millis // 0 until the response header has arrived
 	sound    bool         // its answer crashed no server
+	ended    bool         // it is kept as a suspect only
 	canceled bool
 }
 
-// Start notes that a request with the segments is sent to the server. cancel is called if a
-// segment is quarantined while the attempt runs, unless it is a trial.
-func (t *Tracker) Start(server ServerStart, segments []Part, isTrial bool, cancel func(), now clock.Millis) *Run {
-	r := &Run{tracker: t, server: server, segments: segments, cancel: cancel, isTrial: isTrial, sentAt: now}
-	if len(segments) == 0 {
-		return r
-	}
+// Start notes that a request with the parts is sent to the server. cancel is called if a
+// part is quarantined while the attempt runs, unless it is a trial.
+func (t *Tracker) Start(server ServerStart, parts []Part, isTrial bool, cancel func(), now clock.Millis) *Run {
+	r := &Run{tracker: t, server: server, parts: parts, cancel: cancel, isTrial: isTrial, sentAt: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.started++
@@ -50,9 +48,6 @@
 
 // Begin notes that the server has begun to answer.
 func (r *Run) Begin(now clock.Millis) {
-	if len(r.segments) == 0 {
-		return
-	}
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
 	r.begunAt = now
@@ -60,7 +55,7 @@
 
 // Progress notes that more of the answer has arrived.
 func (r *Run) Progress(now clock.Millis) {
-	if len(r.segments) == 0 || r.sound || now-r.begunAt < suspectTime {
+	if r.sound || now-r.begunAt < suspectTime {
 		return
 	}
 	r.tracker.mu.Lock()
@@ -74,22 +69,20 @@
 		return
 	}
 	r.sound = true
-	for _, segment := range r.segments {
-		r.tracker.sound.add(segment, now)
+	for _, part := range r.parts {
+		r.tracker.sound.add(part, now)
 	}
 }
 
 // End notes that the attempt is over. An answer that was abandoned soon after its beginning
 // may still crash the server.
 func (r *Run) End(complete bool, now clock.Millis) {
-	if len(r.segments) == 0 {
-		return
-	}
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
 	if complete && r.begunAt != 0 {
 		r.markSound(now)
 	}
+	r.ended = true
 	if r.sound || r.begunAt == 0 || now-r.begunAt >= suspectTime {
 		r.tracker.forget(r)
 		return
@@ -97,7 +90,7 @@
 	r.tracker.ended = append(r.tracker.ended, r)
 }
 
-// Canceled reports whether the attempt was ended because a segment was quarantined.
+// Canceled reports whether the attempt was ended because a part was quarantined.
 func (r *Run) Canceled() bool {
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
@@ -146,21 +139,60 @@
 		}
 	}
 	crash.Begun = len(begun) > 0
-	// The last answer that began and the last request that was sent are the likeliest causes.
+	for _, r := range inLikelihood(begun, waiting) {
+		crash.addSuspect(Suspect{Parts: r.parts, Wait: now - r.sentAt})
+	}
+	crash.Suspects = t.limitByAccount(crash.Suspects, now)
+	if len(crash.Suspects) == 0 {
+		return Crash{}, false
+	}
+	t.nextCheck[server] = now + checkPause
+	return crash, true
+}
+
+// inLikelihood returns the runs, the likeliest causes of a crash first: the last answer that
+// began and the last request that was sent.
+func inLikelihood(begun, waiting []*Run) []*Run {
 	slices.SortFunc(begun, func(a, b *Run) int { return cmp.Or(cmp.Compare(b.begunAt, a.begunAt), cmp.Compare(b.number, a.number)) })
 	slices.SortFunc(waiting, func(a, b *Run) int { return cmp.Compare(b.number, a.number) })
+	runs := make([]*Run, 0, len(begun)+len(waiting))
 	for i := range max(len(begun), len(waiting)) {
-		for _, runs := range [][]*Run{begun, waiting} {
-			if i < len(runs) && len(crash.Suspects) < maxSuspects {
-				crash.addSuspect(runs[i].segments)
+		for _, list := range [][]*Run{begun, waiting} {
+			if i < len(list) {
+				runs = append(runs, list[i])
 			}
 		}
 	}
-	if len(crash.Suspects) == 0 {
-		return Crash{}, false
+	return runs
+}
+
+// limitByAccount returns at most maxSuspects of the suspects. Requests that servers have
+// answered before yield first. No client account crowds out the requests of others. t.mu must
+// be held.
+func (t *Tracker) limitByAccount(suspects []Suspect, now clock.Millis) []Suspect {
+	if len(suspects) <= maxSuspects {
+		return suspects
 	}
-	t.nextCheck[server] = now + checkPause
-	return crash, true
+	type turn struct {
+		Suspect
+		number int
+	}
+	turns, ofAccount := make([]turn, 0, len(suspects)), make(map[accountTag]int)
+	for _, s := range suspects {
+		account := s.content().account()
+		number := ofAccount[account]
+		if _, answered := t.sound.recent(s.content(), now); answered {
+			number += len(suspects)
+		}
+		turns = append(turns, turn{s, number})
+		ofAccount[account]++
+	}
+	slices.SortStableFunc(turns, func(a, b turn) int { return cmp.Compare(a.number, b.number) })
+	limited := make([]Suspect, 0, maxSuspects)
+	for _, s := range turns[:maxSuspects] {
+		limited = append(limited, s.Suspect)
+	}
+	return limited
 }
 
 // Confirm notes the crash, which Suspect returned at the given time. It returns what changed.
--- a/internal/decision/quarantine/sound_counts.go
+++ b/internal/decision/quarantine/sound_counts.go
@@ -10,13 +10,18 @@
 	// and the last period add up. It must not be below crashMemory, or crashes would outlive
 	// what speaks against them.
 	soundPeriod = crashMemory
-	// maxSoundSegments bounds the memory for counts.
+	// maxSoundSegments bounds the segments that are counted, maxSoundRequests the requests of
+	// each client account, and maxSoundAccounts the accounts.
 	maxSoundSegments = 8_192
+	maxSoundRequests = 256
+	maxSoundAccounts = 64
 )
 
-// soundCounts counts the sound runs of the segments used most recently.
+// soundCounts counts the sound runs of the parts used most recently. No client account can
+// make those of another's requests be forgotten.
 type soundCounts struct {
-	counts *container.LRU[Part, soundCount]
+	segments *container.LRU[Part, soundCount]
+	requests *container.LRU[accountTag, *container.LRU[Part, soundCount]]
 }
 
 type soundCount struct {
@@ -26,7 +31,23 @@
 }
 
 func newSoundCounts() soundCounts {
-	return soundCounts{container.NewLRU[Part, soundCount](maxSoundSegments)}
+	return soundCounts{
+		segments: container.NewLRU[Part, soundCount](maxSoundSegments),
+		requests: container.NewLRU[accountTag, *container.LRU[Part, soundCount]](maxSoundAccounts),
+	}
+}
+
+// countsOf returns the counts among which the part is.
+func (s soundCounts) countsOf(part Part) *container.LRU[Part, soundCount] {
+	if !part.IsRequest() {
+		return s.segments
+	}
+	counts, ok := s.requests.Get(part.account())
+	if !ok {
+		counts = container.NewLRU[Part, soundCount](maxSoundRequests)
+		s.requests.Put(part.account(), counts)
+	}
+	return counts
 }
 
 // at returns the count as of the time.
@@ -41,17 +62,18 @@
 	return c
 }
 
-func (s soundCounts) add(segment Part, now clock.Millis) {
-	c, _ := s.counts.Get(segment)
+func (s soundCounts) add(part Part, now clock.Millis) {
+	counts := s.countsOf(part)
+	c, _ := counts.Get(part)
 	c = c.at(now)
 	c.current++
 	c.lastAt = now
-	s.counts.Put(segment, c)
+	counts.Put(part, c)
 }
 
-// recent returns the recent sound runs with the segment.
-func (s soundCounts) recent(segment Part, now clock.Millis) (SoundRuns, bool) {
-	c, ok := s.counts.Get(segment)
+// recent returns the recent sound runs with the part.
+func (s soundCounts) recent(part Part, now clock.Millis) (SoundRuns, bool) {
+	c, ok := s.countsOf(part).Get(part)
 	if !ok {
 		return SoundRuns{}, false
 	}
@@ -59,5 +81,5 @@
 	if c.current+c.last == 0 {
 		return SoundRuns{}, false
 	}
-	return SoundRuns{Part: segment, Count: c.current + c.last, Age: now - c.lastAt}, true
+	return SoundRuns{Part: part, Count: c.current + c.last, Age: now - c.lastAt}, true
 }
--- a/internal/decision/quarantine/tracker.go
+++ b/internal/decision/quarantine/tracker.go
@@ -13,7 +13,7 @@
 const (
 	// crashMemory is how long a crash is remembered.
 	crashMemory = 120_000 * clock.Millis(1)
-	// minHold is how long a segment is quarantined before a single request with it is let
+	// minHold is how long a part is quarantined before a single request with it is let
 	// through on trial. It doubles with each trial that crashes a server, up to maxHold.
 	minHold = 60_000 * clock.Millis(1)
 	maxHold = 1_800_000 * clock.Millis(1)
@@ -23,21 +23,25 @@
 	// trialTurn is the time in which one daemon may let one request through. Then it is the
 	// turn of the next daemon.
 	trialTurn = 30_000 * clock.Millis(1)
-	// releaseMemory is how long the record of a released segment in the store is ignored.
+	// releaseMemory is how long the record of a released part in the store is ignored.
 	releaseMemory = 60_000 * clock.Millis(1)
 	// reportTime is how long this daemon reports a crash: the others remember it.
 	reportTime = 15_000 * clock.Millis(1)
-	// maxQuarantined bounds the segments that are quarantined.
+	// maxQuarantined bounds the parts that are quarantined, and maxOfAccount the requests of
+	// one client account among them.
 	maxQuarantined = 256
+	maxOfAccount   = 64
+	// maxReportedSound bounds the parts whose sound runs are reported.
+	maxReportedSound = 64
 )
 
-// Quarantine states since when a segment is quarantined, and for how long until its trial.
+// Quarantine states since when a part is quarantined, and for how long until its trial.
 type Quarantine struct {
 	Since clock.Millis
 	Hold  clock.Millis
 }
 
-// TrialAt returns when a request with the segment is let through.
+// TrialAt returns when a request with the part is let through.
 func (q Quarantine) TrialAt() clock.Millis { return q.Since + q.Hold }
 
 // Change is the beginning, the extension or the end of a quarantine.
@@ -45,11 +49,12 @@
 	Part        Part
 	Quarantined bool
 	Quarantine  Quarantine
-	Crashes     int // that are known of
+	Crashes     int     // that are known of
+	Score       float64 // see Cause; 0 if the evidence is not this daemon's
 	Reason      string
 }
 
-// Tracker holds the evidence of this daemon and its peers, and the segments quarantined by
+// Tracker holds the evidence of this daemon and its peers, and the parts quarantined by
 // it. It is safe for concurrent use.
 type Tracker struct {
 	blocked atomic.Pointer[map[Part]Quarantine] // immutable copy of active
@@ -64,7 +69,7 @@
 	evidence  Evidence // of the last Update
 	peers     map[ServerStart]notedCrash
 	active    map[Part]Quarantine
-	inStore   map[Part]bool // quarantined segments that the store had
+	inStore   map[Part]bool // quarantined parts that the store had
 	released  map[Part]clock.Millis
 	triedAt   map[Part]clock.Millis // when this daemon last let a request through
 }
@@ -80,9 +85,9 @@
 	Crashes []Crash
 	Sound   []SoundRuns
 	Stored  map[Part]Quarantine
-	// Owns reports whether this daemon makes the trial of a segment in the given turn, which
+	// Owns reports whether this daemon makes the trial of a part in the given turn, which
 	// are numbered from 0. Each daemon has its turn.
-	Owns func(segment Part, turn int) bool
+	Owns func(part Part, turn int) bool
 }
 
 // NewTracker returns a tracker without evidence.
@@ -100,29 +105,28 @@
 	}
 }
 
-// Blocked returns the quarantine among those of the segments that lasts longest. It returns
-// false if there is none.
-func (t *Tracker) Blocked(segments []Part) (Quarantine, bool) {
+// Blocked returns the part that is quarantined longest. It returns false if there is none.
+func (t *Tracker) Blocked(parts []Part) (Part, Quarantine, bool) {
 	blocked := t.blocked.Load()
 	if blocked == nil {
-		return Quarantine{}, false
+		return Part{}, Quarantine{}, false
 	}
-	longest, found := Quarantine{}, false
-	for _, segment := range segments {
-		if q, ok := (*blocked)[segment]; ok && (!found || q.TrialAt() > longest.TrialAt()) {
-			longest, found = q, true
+	longest, q, found := Part{}, Quarantine{}, false
+	for _, part := range parts {
+		if other, ok := (*blocked)[part]; ok && (!found || other.TrialAt() > q.TrialAt()) {
+			longest, q, found = part, other, true
 		}
 	}
-	return longest, found
+	return longest, q, found
 }
 
-// TryTrial reports whether a request with the segments, some of which are quarantined, is
+// TryTrial reports whether a request with the parts, some of which are quarantined, is
 // let through on trial.
-func (t *Tracker) TryTrial(segments []Part, now clock.Millis) bool {
+func (t *Tracker) TryTrial(parts []Part, now clock.Millis) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, segment := range segments {
-		q, ok := t.active[segment]
+	for _, part := range parts {
+		q, ok := t.active[part]
 		if !ok {
 			continue
 		}
@@ -130,37 +134,90 @@
 			return false
 		}
 		turn := (now - q.TrialAt()) / trialTurn
-		if t.triedAt[segment] >= q.TrialAt()+turn*trialTurn || !t.evidence.Owns(segment, int(turn)) {
+		if t.triedAt[part] >= q.TrialAt()+turn*trialTurn || !t.evidence.Owns(part, int(turn)) {
 			return false
 		}
 	}
-	for _, segment := range segments {
-		if _, ok := t.active[segment]; ok {
-			t.triedAt[segment] = now
+	for _, part := range parts {
+		if _, ok := t.active[part]; ok {
+			t.triedAt[part] = now
 		}
 	}
 	return true
 }
 
-// Own returns the evidence of this daemon: its crashes, and its sound runs with the segments
+// Own returns the evidence of this daemon: its crashes, and its sound runs with the parts
 // that are suspected by any daemon.
 func (t *Tracker) Own(now clock.Millis) ([]Crash, []SoundRuns) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
+	joined := t.joined(now)
+	suspected := t.suspected(joined)
 	var crashes []Crash
 	for _, c := range t.own {
 		if c.Age = now - c.at; c.Age < reportTime {
-			crashes = append(crashes, c.Crash)
+			crashes = append(crashes, t.markRecurring(c.Crash, suspected, now))
 		}
 	}
+	sound := t.ownSound(suspected, now)
+	return LimitSuspects(crashes), sound[:min(len(sound), maxReportedSound)]
+}
+
+// markRecurring returns the crash with its suspects marked that recur. t.mu must be held.
+func (t *Tracker) markRecurring(c Crash, suspected map[Part]recurrence, now clock.Millis) Crash {
+	c.Suspects = slices.Clone(c.Suspects)
+	for i, s := range c.Suspects {
+		c.Suspects[i].Recurs = slices.ContainsFunc(s.Parts, func(part Part) bool {
+			_, answered := t.sound.recent(part, now)
+			return suspected[part].crashes > 1 && !answered
+		})
+	}
+	return c
+}
+
+// ownSound returns this daemon's sound runs with the suspected parts, those of most crashes
+// first. t.mu must be held.
+func (t *Tracker) ownSound(suspected map[Part]recurrence, now clock.Millis) []SoundRuns {
+	lasting := t.lasting(suspected, now)
 	var sound []SoundRuns
-	for segment := range t.suspected(t.joined(now)) {
-		if s, ok := t.sound.recent(segment, now); ok {
+	for part := range suspected {
+		s, ok := t.sound.recent(part, now)
+		s.Part, s.Lasting = part, lasting[part]
+		if ok || s.Lasting > 0 {
 			sound = append(sound, s)
 		}
 	}
-	return crashes, sound
+	slices.SortFunc(sound, func(a, b SoundRuns) int { return cmp.Compare(suspected[b.Part].crashes, suspected[a.Part].crashes) })
+	return sound
+}
+
+// lasting returns how many servers are still answering requests with each suspected part; see
+// SoundRuns. t.mu must be held.
+func (t *Tracker) lasting(suspected map[Part]recurrence, now clock.Millis) map[Part]int {
+	usual := make(map[Part]clock.Millis, len(suspected))
+	for part, r := range suspected {
+		if r.crashes > 0 {
+			usual[part] = r.usualWait()
+		}
+	}
+	counts := make(map[Part]int)
+	for server, runs := range t.runs {
+		if _, crashed := t.own[server]; crashed {
+			continue
+		}
+		seen := make(map[Part]bool)
+		for r := range runs {
+			for _, part := range r.parts {
+				wait, isSuspected := usual[part]
+				if isSuspected && !r.ended && r.begunAt > 0 && now-r.begunAt > wait && !seen[part] {
+					seen[part] = true
+					counts[part]++
+				}
+			}
+		}
+	}
+	return counts
 }
 
 // Update replaces what the other daemons and the store know, and returns what changed.
@@ -196,8 +253,8 @@
 	}
 	maps.DeleteFunc(t.nextCheck, func(_ ServerStart, at clock.Millis) bool { return now >= at })
 	maps.DeleteFunc(t.released, func(_ Part, at clock.Millis) bool { return now-at >= releaseMemory })
-	maps.DeleteFunc(t.triedAt, func(segment Part, _ clock.Millis) bool {
-		_, ok := t.active[segment]
+	maps.DeleteFunc(t.triedAt, func(part Part, _ clock.Millis) bool {
+		_, ok := t.active[part]
 		return !ok
 	})
 }
@@ -217,22 +274,13 @@
 	return slices.Collect(maps.Values(all))
 }
 
-// suspected returns the segments that recur in the noted crashes and those quarantined. t.mu
+// suspected returns the parts that recur in the noted crashes, and those quarantined. t.mu
 // must be held.
-func (t *Tracker) suspected(crashes []Crash) map[Part]bool {
-	suspected := make(map[Part]bool)
-	for segment := range t.active {
-		suspected[segment] = true
-	}
-	seenIn := make(map[Part]ServerStart)
-	for _, c := range crashes {
-		for _, suspect := range c.Suspects {
-			for _, segment := range suspect {
-				if other, seen := seenIn[segment]; seen && other != c.Server {
-					suspected[segment] = true
-				}
-				seenIn[segment] = c.Server
-			}
+func (t *Tracker) suspected(crashes []Crash) map[Part]recurrence {
+	suspected := recurring(crashes, 2)
+	for part := range t.active {
+		if _, recurs := suspected[part]; !recurs {
+			suspected[part] = recurrence{}
 		}
 	}
 	return suspected
--- a/internal/decision/quarantine/tracker_test.go
+++ b/internal/decision/quarantine/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -50,7 +51,7 @@
 }
 
 func isBlocked(t *Tracker, parts ...Part) bool {
-	_, blocked := t.Blocked(parts)
+	_, _, blocked := t.Blocked(parts)
 	return blocked
 }
 
@@ -182,7 +183,7 @@
 	setUp := func() (*Tracker, clock.Millis) {
 		tracker := quarantined()
 		tracker.Update(Evidence{Owns: ownsSecond}, start)
-		q, _ := tracker.Blocked([]Part{bad})
+		_, q, _ := tracker.Blocked([]Part{bad})
 		return tracker, q.TrialAt()
 	}
 	t.Run("one request in the daemon's turn", func(t *testing.T) {
@@ -206,7 +207,7 @@
 			crashUnder(tracker, fmt.Sprintf("more%d", i), start+clock.Millis(200*i), shared, bad)
 		}
 		tracker.Update(Evidence{Owns: ownsSecond}, start+700)
-		q, _ := tracker.Blocked([]Part{bad})
+		_, q, _ := tracker.Blocked([]Part{bad})
 		answer(tracker, q.TrialAt()+100, bad)
 		tracker.Update(Evidence{Owns: ownsSecond}, q.TrialAt()+200)
 		assert.Assert(t, !isBlocked(tracker, bad))
@@ -216,7 +217,7 @@
 	t.Run("a sound answer from before the trial doesn't release it", func(t *testing.T) {
 		tracker := quarantined()
 		crashUnder(tracker, "more", start, shared, bad)
-		q, _ := tracker.Blocked([]Part{bad})
+		_, q, _ := tracker.Blocked([]Part{bad})
 		answer(tracker, q.TrialAt()-1_000, bad)
 		tracker.Update(Evidence{Owns: ownsSecond}, q.TrialAt()+200)
 		assert.Assert(t, isBlocked(tracker, bad))
@@ -233,7 +234,7 @@
 		tracker, due := setUp()
 		at := due + trialTurn
 		crashUnder(tracker, "s9", at, shared, bad)
-		q, blocked := tracker.Blocked([]Part{bad})
+		_, q, blocked := tracker.Blocked([]Part{bad})
 		assert.Assert(t, blocked)
 		assert.Equal(t, q.Hold, 2*minHold)
 		assert.Assert(t, !tracker.TryTrial([]Part{bad}, at+trialTurn))
@@ -245,12 +246,12 @@
 	t.Run("a peer had answers with it", func(t *testing.T) {
 		tracker := quarantined()
 		assert.Assert(t, isBlocked(tracker, bad))
-		tracker.Update(Evidence{Sound: []SoundRuns{{bad, 4, 100}}}, start+300)
+		tracker.Update(Evidence{Sound: []SoundRuns{{Part: bad, Count: 4, Age: 100}}}, start+300)
 		assert.Assert(t, !isBlocked(tracker, bad))
 	})
 	t.Run("a peer's older answers with it are reported late", func(t *testing.T) {
 		tracker := quarantined()
-		tracker.Update(Evidence{Sound: []SoundRuns{{bad, 4, 20_000}, {shared, 4, 20_000}}}, start+2_000)
+		tracker.Update(Evidence{Sound: []SoundRuns{{Part: bad, Count: 4, Age: 20_000}, {Part: shared, Count: 4, Age: 20_000}}}, start+2_000)
 		assert.Assert(t, !isBlocked(tracker, bad))
 	})
 	t.Run("another segment explains the crashes", func(t *testing.T) {
@@ -314,7 +315,7 @@
 	assert.Equal(t, len(tracker.runs), 0)
 	assert.Equal(t, len(tracker.ended), 0)
 	long := make([]loadbalance.Segment, 5_000)
-	assert.Equal(t, len(Parts(loadbalance.Prompt{Segments: long}, Content{})), maxSegments+1)
+	assert.Equal(t, len(Parts(loadbalance.Prompt{Segments: long}, Content{})), maxSegments+2)
 }
 
 // TestLastSegmentIsNeverSuspected checks that the private segment of a request is left out.
@@ -323,8 +324,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			parts := Parts(loadbalance.Prompt{Segments: make([]loadbalance.Segment, c.segments)}, Content{})
-			assert.Equal(t, len(parts), c.want+1)
-			assert.Assert(t, parts[c.want].IsRequest(), "the content of the request")
+			assert.Equal(t, len(slices.DeleteFunc(parts, Part.IsRequest)), c.want)
 		})
 	}
 }
--- a/internal/program/entry/metrics.go
+++ b/internal/program/entry/metrics.go
@@ -50,10 +50,20 @@
 		return float64(paused)
 	})
 	gauge("gypsumpitch_servers_limited", func(v *fleet.View) float64 { return float64(d.Balancer.LimitedServers(v)) })
-	gauge("gypsumpitch_prompt_segments_quarantined", func(*fleet.View) float64 {
-		active, _ := d.Quarantine.Records()
-		return float64(len(active))
-	})
+	quarantined := func(isRequest bool) func(*fleet.View) float64 {
+		return func(*fleet.View) float64 {
+			n := 0
+			active, _ := d.Quarantine.Records()
+			for part := range active {
+				if part.IsRequest() == isRequest {
+					n++
+				}
+			}
+			return float64(n)
+		}
+	}
+	gauge("gypsumpitch_prompt_segments_quarantined", quarantined(false))
+	gauge("gypsumpitch_requests_quarantined", quarantined(true))
 	gauge("gypsumpitch_server_calls_own", func(*fleet.View) float64 {
 		n := 0
 		for _, load := range d.Balancer.OwnLoads() {
--- a/internal/proof/soak/crashing_request_test.go
+++ b/internal/proof/soak/crashing_request_test.go
@@ -187,7 +187,10 @@
 		assert.Check(t, len(cause.crashes) > 0, "request %d crashed no engine", i)
 		assert.Check(t, n <= maxLateArrivals, "request %d reached engines late", i)
 	}
-	assert.Assert(t, late.sent > 0 && float64(late.served) >= minLateShareBeforeHeader*float64(late.sent), "sound requests")
+	assert.Check(t, late.sent > 0 && float64(late.served) >= minLateShareBeforeHeader*float64(late.sent), "sound requests")
+	if t.Failed() {
+		c.keepLogs("crashing-requests")
+	}
 }
 
 // TestPopularRequestBesideCrashes has engines end every 0.7 s for a cause that is no request,
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -53,14 +53,19 @@
 		t.Errorf("seed %d: %s", seed, v)
 	}
 	if len(violations) > 0 {
-		logDir, err := os.MkdirTemp("", fmt.Sprintf("soak-seed-%d-", seed))
-		if err == nil {
-			err = os.CopyFS(logDir, os.DirFS(filepath.Dir(c.daemons[0].settingsPath)))
-		}
-		t.Logf("logs of seed %d: %s %v", seed, logDir, err)
+		c.keepLogs(fmt.Sprintf("seed-%d", seed))
 	}
 }
 
+// keepLogs copies the daemons' logs to a directory that outlasts the test.
+func (c *cluster) keepLogs(name string) {
+	logDir, err := os.MkdirTemp("", "soak-"+name+"-")
+	if err == nil {
+		err = os.CopyFS(logDir, os.DirFS(filepath.Dir(c.daemons[0].settingsPath)))
+	}
+	c.t.Logf("logs of %s: %s %v", name, logDir, err)
+}
+
 // TestSoak runs the seeds given by the flags -first and -seeds. While faults of daemons, the
 // store and engines overlap, it guards against requests that run twice, requests that run
 // although they were rejected, wrong or interrupted responses, and new requests to an
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -157,12 +157,12 @@
 }
 
 // releaseOutdated releases an attempt that was planned before its server announced that it
-// wants no more requests, or before the prompt was quarantined. It returns nil then.
+// wants no more requests, or before the request was quarantined. It returns nil then.
 func (ex *exchange) releaseOutdated(p *plannedAttempt, now clock.Millis) *plannedAttempt {
 	if p == nil {
 		return nil
 	}
-	if _, blocked := ex.relay.Quarantine.Blocked(ex.segments); !blocked && ex.relay.Balancer.StillAccepts(&p.choice, now) {
+	if _, _, blocked := ex.relay.Quarantine.Blocked(ex.parts); !blocked && ex.relay.Balancer.StillAccepts(&p.choice, now) {
 		return p
 	}
 	ex.log("planned attempt dropped", &p.choice.Server)
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -49,10 +49,9 @@
 	limited         []fleet.Entry // servers that only their rate limits kept the last plan from
 	answeredAt      clock.Millis  // when the last attempt's response header arrived
 
-	segments []quarantine.Part // of the prompt
-	content  quarantine.Part   // of the request
-	run      *quarantine.Run   // of the last attempt
-	onTrial  bool              // the next attempt may have a quarantined segment
+	parts   []quarantine.Part // see quarantine.Parts
+	run     *quarantine.Run   // of the last attempt
+	onTrial bool              // the next attempt may have a quarantined segment
 
 	// successor is the next attempt, if it was planned while the last one still ran.
 	successor *plannedAttempt
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -88,7 +88,7 @@
 	cause := ex.interruptionCause(now)
 	ex.relay.Metrics.countAttempt(ex.pool.Name, cause)
 	ex.log("response interrupted", server, "cause", cause, "error", err.Error(), "last_event", ex.lastEventID, "answer_ms", int64(now-ex.answeredAt),
-		"remaining_ms", int64(ex.deadline-now), "prompt_segments", ex.promptSegments(), "content", ex.content.String())
+		"remaining_ms", int64(ex.deadline-now), "prompt_segments", ex.promptSegments(), "request_parts", ex.requestParts())
 	if cause == causeServer {
 		ex.checkCrash(server, now)
 	}
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -34,7 +34,7 @@
 	ex.lastError = callErr.Error()
 	r.Metrics.countAttempt(ex.pool.Name, "no_answer")
 	ex.log("attempt failed", server, "sent", callErr.Sent, "reused", callErr.Reused, "error", callErr.Error(),
-		"replaced", ex.successor != nil, "remaining_ms", int64(ex.deadline-now), "prompt_segments", ex.promptSegments(), "content", ex.content.String())
+		"replaced", ex.successor != nil, "remaining_ms", int64(ex.deadline-now), "prompt_segments", ex.promptSegments(), "request_parts", ex.requestParts())
 	if callErr.Sent && callErr.TimedOut {
 		// The elapsed time is a lower bound of the response time.
 		r.Balancer.RecordFirstByte(choice, ex.model, now-startedAt, now)
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -11,39 +11,51 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
-// minQuarantineRetry is the least retry time stated for a quarantined prompt.
+// minQuarantineRetry is the least retry time stated for a quarantined request.
 const minQuarantineRetry = 5_000 * clock.Millis(1)
 
 // setParts sets what the request has in common with others, by its route and account.
 func (ex *exchange) setParts() {
 	req := ex.req
-	parts := quarantine.Parts(req.Prompt, quarantine.Content{
+	ex.parts = quarantine.Parts(req.Prompt, quarantine.Content{
 		Route: ex.route.Name, Account: ex.account.Name, Method: req.Method, Host: req.Host, Target: req.Target, Body: req.Body,
 	})
-	ex.segments, ex.content = parts[:len(parts)-1], parts[len(parts)-1]
 }
 
-// checkQuarantine returns the error of a request that must not reach a server, because a
-// segment of its prompt crashes servers. Only a first attempt can be let through on trial.
+// requestParts returns the names of the parts that are the request's content.
+func (ex *exchange) requestParts() (names []string) {
+	for _, part := range ex.parts {
+		if part.IsRequest() {
+			names = append(names, part.String())
+		}
+	}
+	return names
+}
+
+// checkQuarantine returns the error of a request that must not reach a server, because it or
+// a segment of its prompt crashes servers. Only a first attempt can be let through on trial.
 func (ex *exchange) checkQuarantine(now clock.Millis) *result.Error {
-	q, blocked := ex.relay.Quarantine.Blocked(ex.segments)
+	part, q, blocked := ex.relay.Quarantine.Blocked(ex.parts)
 	if !blocked || ex.onTrial {
 		return nil
 	}
-	if ex.attempts == 0 && ex.relay.Quarantine.TryTrial(ex.segments, now) {
+	if ex.attempts == 0 && ex.relay.Quarantine.TryTrial(ex.parts, now) {
 		ex.onTrial = true
-		ex.log("quarantined prompt tried", nil, "prompt_segments", ex.promptSegments())
+		ex.log("quarantined request tried", nil, "prompt_segments", ex.promptSegments(), "request_parts", ex.requestParts())
 		return nil
 	}
 	rejection := result.New(result.PromptQuarantined, "a segment of the prompt is quarantined; %s", ex.lastError)
+	if part.IsRequest() {
+		rejection = result.New(result.RequestQuarantined, "the request is quarantined; %s", ex.lastError)
+	}
 	return rejection.WithRetryAfter(retryAfterAtLeast(max(q.TrialAt()-now, minQuarantineRetry)))
 }
 
 // startRun notes that the request is sent to the server. The context that it returns also
-// ends when a segment of the prompt is quarantined.
+// ends when the request or a segment of its prompt is quarantined.
 func (ex *exchange) startRun(server *fleet.Entry, now clock.Millis) (ctx context.Context, end func(complete bool)) {
 	ctx, cancel := context.WithCancel(ex.httpReq.Context())
-	run := ex.relay.Quarantine.Start(serverStart(server), ex.segments, ex.onTrial, cancel, now)
+	run := ex.relay.Quarantine.Start(serverStart(server), ex.parts, ex.onTrial, cancel, now)
 	ex.run, ex.onTrial = run, false
 	return ctx, func(complete bool) {
 		run.End(complete, ex.relay.Clock.Now())
@@ -54,7 +66,7 @@
 // quarantineError ends a request whose attempt was ended by a quarantine.
 func (ex *exchange) quarantineError(server *fleet.Entry, mayHaveRun bool, now clock.Millis) error {
 	ex.relay.Metrics.countAttempt(ex.pool.Name, "quarantined")
-	ex.log("attempt ended by a quarantine", server, "prompt_segments", ex.promptSegments())
+	ex.log("attempt ended by a quarantine", server, "prompt_segments", ex.promptSegments(), "request_parts", ex.requestParts())
 	if mayHaveRun {
 		ex.recordExecution(server)
 	}
@@ -87,6 +99,7 @@
 	if !suspicious {
 		return
 	}
+	crash.Pool, crash.Servers = server.Pool, len(r.View().Pool(server.Pool))
 	go func() {
 		if !r.Client.Refuses(context.Background(), server.Address) {
 			return
@@ -97,14 +110,17 @@
 	}()
 }
 
-// LogQuarantines logs changes of the quarantined prompt segments.
+// LogQuarantines logs what was quarantined and what was released.
 func LogQuarantines(log hclog.Logger, changes []quarantine.Change) {
 	for _, c := range changes {
-		message := "prompt segment released"
+		kind, change := "prompt segment", "released"
+		if c.Part.IsRequest() {
+			kind = "request"
+		}
 		if c.Quarantined {
-			message = "prompt segment quarantined"
+			change = "quarantined"
 		}
-		log.Warn(message, "segment", c.Part.String(), "reason", c.Reason, "crashes", c.Crashes,
+		log.Warn(kind+" "+change, "part", c.Part.String(), "reason", c.Reason, "crashes", c.Crashes, "score", c.Score,
 			"hold_ms", int64(c.Quarantine.Hold))
 	}
 }
--- a/internal/traffic/relay/quarantine_test.go
+++ b/internal/traffic/relay/quarantine_test.go
@@ -76,7 +76,7 @@
 		f.send(http.MethodPost, "/draft/1", headerPrompt, "a,unlucky,own", headerID, fmt.Sprintf("request-%d", i))
 		time.Sleep(150 * time.Millisecond)
 	}
-	_, blocked := f.relay.Quarantine.Blocked([]quarantine.Part{quarantine.SegmentPart("a"), quarantine.SegmentPart("unlucky")})
+	_, _, blocked := f.relay.Quarantine.Blocked([]quarantine.Part{quarantine.SegmentPart("a"), quarantine.SegmentPart("unlucky")})
 	assert.Assert(t, !blocked)
 	assert.Equal(t, f.callCount(), 6*3)
 }
