Order requests of the same crashes by their scores alone

The expected coincidences, by the time that a request waited, are in the score already: the mutation of the separate comparison passed its test.

--- a/internal/decision/quarantine/cause.go
+++ b/internal/decision/quarantine/cause.go
@@ -177,6 +177,7 @@
 }
 
 // requestScore returns the score of a request's content; 0 if it is too low for a quarantine.
+// Of two requests in the same crashes, the one that waited for less time has the higher score.
 func (c candidate) requestScore(crashes []Crash, sound map[Part]SoundRuns) float64 {
 	n := c.crashes - sound[c.part].Count
 	if n < minCrashes {
@@ -236,8 +237,7 @@
 }
 
 // likeliest returns the candidate with the highest score. Of several, it returns the most
-// specific one, and of requests the one that had waited for the shortest time: the less time,
-// the less likely is it that it only happened to be there.
+// specific one, and of these the one of likelier suspects.
 func likeliest(all []candidate) (best candidate, ok bool) {
 	for _, c := range all {
 		if c.score > 0 && compareLikelihood(c, best) > 0 {
@@ -255,11 +255,7 @@
 
 // compareLikelihood orders candidates, the likeliest one last.
 func compareLikelihood(a, b candidate) int {
-	order := cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.position, b.position))
-	if order == 0 && a.part.IsRequest() && b.part.IsRequest() {
-		order = cmp.Compare(b.waits, a.waits)
-	}
-	return cmp.Or(order, cmp.Compare(b.rank, a.rank))
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.position, b.position), cmp.Compare(b.rank, a.rank))
 }
 
 const (
