Hash a request's body once and join the twins among the crash notes

A request with a prompt hashed its body twice; the part with the prompt now follows from that of the content. How often a part recurs is the number of its waits and needn't be kept beside them, the usual wait and the attempts at servers that are up are each found in one place.

--- a/internal/decision/quarantine/cause.go
+++ b/internal/decision/quarantine/cause.go
@@ -74,36 +74,28 @@
 	score    float64      // see Cause; 0 if it is too low
 }
 
-// recurrence is how often a part is suspected.
-type recurrence struct {
-	crashes int
-	waits   []clock.Millis // of the last suspect with it in each crash
-}
-
-// usualWait returns how long it mostly took requests with the part to crash a server, if they
-// are the cause.
-func (r recurrence) usualWait() clock.Millis {
-	waits := slices.Sorted(slices.Values(r.waits))
-	return waits[len(waits)/2]
-}
-
-// recurring returns the parts that are suspected in at least so many crashes.
-func recurring(crashes []Crash, least int) map[Part]recurrence {
-	parts, lastIn := make(map[Part]recurrence), make(map[Part]int)
+// recurring returns the parts that are suspected in at least so many crashes, with the wait
+// of the likeliest suspect with the part in each crash.
+func recurring(crashes []Crash, least int) map[Part][]clock.Millis {
+	waits, lastIn := make(map[Part][]clock.Millis), make(map[Part]int)
 	for i, crash := range crashes {
 		for _, suspect := range crash.Suspects {
 			for _, part := range suspect.Parts {
-				if lastIn[part] == i+1 {
-					continue
+				if lastIn[part] != i+1 {
+					lastIn[part] = i + 1
+					waits[part] = append(waits[part], suspect.Wait)
 				}
-				lastIn[part] = i + 1
-				r := parts[part]
-				parts[part] = recurrence{r.crashes + 1, append(r.waits, suspect.Wait)}
 			}
 		}
 	}
-	maps.DeleteFunc(parts, func(_ Part, r recurrence) bool { return r.crashes < least })
-	return parts
+	maps.DeleteFunc(waits, func(_ Part, w []clock.Millis) bool { return len(w) < least })
+	return waits
+}
+
+// usualWait returns how long it mostly took requests to crash a server, if they are the cause
+// and these are their waits.
+func usualWait(waits []clock.Millis) clock.Millis {
+	return slices.Sorted(slices.Values(waits))[len(waits)/2]
 }
 
 // candidates returns the parts that may have caused the crashes, sorted. The crashes are
@@ -122,11 +114,11 @@
 }
 
 // sightings returns what the suspects of one crash tell of each eligible part.
-func (c Crash) sightings(eligible map[Part]recurrence) map[Part]candidate {
+func (c Crash) sightings(eligible map[Part][]clock.Millis) map[Part]candidate {
 	seen := make(map[Part]candidate)
 	for rank, suspect := range c.Suspects {
 		for position, part := range suspect.Parts {
-			if eligible[part].crashes == 0 || (!part.IsRequest() && !c.Begun && c.Age < joinTime) {
+			if len(eligible[part]) == 0 || (!part.IsRequest() && !c.Begun && c.Age < joinTime) {
 				continue
 			}
 			if position == len(suspect.Parts)-1 && part.IsRequest() {
--- a/internal/decision/quarantine/evaluate.go
+++ b/internal/decision/quarantine/evaluate.go
@@ -212,20 +212,14 @@
 		return false
 	}
 	waits := waitsOf(crashes, cause.Part)
-	slices.Sort(waits)
-	usual, outlived := waits[len(waits)/2], 0
-	for server, runs := range t.runs {
-		if _, crashed := t.own[server]; crashed {
-			continue
-		}
-		for r := range runs {
-			if !r.ended && now-r.sentAt > usual && slices.Contains(r.parts, cause.Part) {
-				outlived++
-				break
-			}
+	usual := usualWait(waits)
+	outlived := make(map[ServerStart]bool)
+	for r := range t.liveRuns() {
+		if now-r.sentAt > usual && slices.Contains(r.parts, cause.Part) {
+			outlived[r.server] = true
 		}
 	}
-	return len(waits)-outlived < minCrashes
+	return len(waits)-len(outlived) < minCrashes
 }
 
 // joinedSound returns the sound runs of all daemons with suspected parts. t.mu must be
--- a/internal/decision/quarantine/part.go
+++ b/internal/decision/quarantine/part.go
@@ -27,20 +27,27 @@
 	Body                                 []byte
 }
 
-// RequestPart returns the part that all requests with the content, and with the prompt if
-// there is one, share.
-func RequestPart(c Content, prompt loadbalance.Prompt) Part {
-	fields := [][]byte{[]byte(c.Route), []byte(c.Account), []byte(c.Method), []byte(c.Host), []byte(c.Target), c.Body}
-	for _, s := range prompt.Segments {
-		fields = append(fields, []byte(s.ID))
-	}
-	p := hashPart("request", fields...)
+// RequestPart returns the part that all requests with the content share.
+func RequestPart(c Content) Part {
+	p := hashPart("request", []byte(c.Route), []byte(c.Account), []byte(c.Method), []byte(c.Host), []byte(c.Target), c.Body)
 	tag := sha256.Sum256([]byte(c.Account))
 	copy(p[:accountBytes], tag[:])
 	p[0] |= 1 // differs from the tag of a segment
 	return p
 }
 
+// withPrompt returns the part that all requests with the content and the prompt share.
+func (p Part) withPrompt(prompt loadbalance.Prompt) Part {
+	fields := make([][]byte, 0, len(prompt.Segments)+1)
+	fields = append(fields, p[:])
+	for _, s := range prompt.Segments {
+		fields = append(fields, []byte(s.ID))
+	}
+	n := hashPart("prompt", fields...)
+	copy(n[:accountBytes], p[:])
+	return n
+}
+
 // SegmentPart returns the part that all prompts with the segment share.
 func SegmentPart(id string) Part { return hashPart("segment", []byte(id)) }
 
@@ -48,14 +55,15 @@
 // of its prompt but for the last one, which is private to the request or its session, and its
 // content with the prompt.
 func Parts(prompt loadbalance.Prompt, c Content) []Part {
-	parts := []Part{RequestPart(c, loadbalance.Prompt{})}
+	content := RequestPart(c)
 	if len(prompt.Segments) == 0 {
-		return parts
+		return []Part{content}
 	}
+	parts := []Part{content}
 	for _, s := range prompt.Segments[:min(len(prompt.Segments)-1, maxSegments)] {
 		parts = append(parts, SegmentPart(s.ID))
 	}
-	return append(parts, RequestPart(c, prompt))
+	return append(parts, content.withPrompt(prompt))
 }
 
 // hashPart returns a part with the hash of the fields and without an account. Each field is
--- a/internal/decision/quarantine/part_test.go
+++ b/internal/decision/quarantine/part_test.go
@@ -34,7 +34,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, RequestPart(c.content, loadbalance.Prompt{}) == RequestPart(base, loadbalance.Prompt{}), c.same)
+			assert.Equal(t, RequestPart(c.content) == RequestPart(base), c.same)
 		})
 	}
 }
@@ -52,7 +52,7 @@
 		}
 		a, b := draw(), draw()
 		same := a.Route == b.Route && a.Account == b.Account && a.Method == b.Method && a.Host == b.Host && a.Target == b.Target && string(a.Body) == string(b.Body)
-		part, other := RequestPart(a, loadbalance.Prompt{}), RequestPart(b, loadbalance.Prompt{})
+		part, other := RequestPart(a), RequestPart(b)
 		assert.Equal(t, part == other, same)
 		assert.Equal(t, part.account() == other.account(), a.Account == b.Account)
 		segment := SegmentPart(a.Route)
@@ -79,14 +79,14 @@
 		}
 		return p
 	}
-	content := RequestPart(c, loadbalance.Prompt{})
+	content := RequestPart(c)
 	cases := map[string]struct {
 		prompt loadbalance.Prompt
 		want   []Part
 	}{
 		"a call":                 {prompt(), []Part{content}},
-		"a private segment only": {prompt("own"), []Part{content, RequestPart(c, prompt("own"))}},
-		"three segments":         {prompt("a", "b", "own"), []Part{content, SegmentPart("a"), SegmentPart("b"), RequestPart(c, prompt("a", "b", "own"))}},
+		"a private segment only": {prompt("own"), []Part{content, content.withPrompt(prompt("own"))}},
+		"three segments":         {prompt("a", "b", "own"), []Part{content, SegmentPart("a"), SegmentPart("b"), content.withPrompt(prompt("a", "b", "own"))}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, Parts(test.prompt, c), test.want) })
--- a/internal/decision/quarantine/runs.go
+++ b/internal/decision/quarantine/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -97,6 +98,23 @@
 	return r.canceled
 }
 
+// liveRuns returns the attempts that go on at servers that have not crashed under this
+// daemon's requests. t.mu must be held.
+func (t *Tracker) liveRuns() iter.Seq[*Run] {
+	return func(yield func(*Run) bool) {
+		for server, runs := range t.runs {
+			if _, crashed := t.own[server]; crashed {
+				continue
+			}
+			for r := range runs {
+				if !r.ended && !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // forget removes the run. t.mu must be held.
 func (t *Tracker) forget(r *Run) {
 	runs := t.runs[r.server]
--- a/internal/decision/quarantine/tracker.go
+++ b/internal/decision/quarantine/tracker.go
@@ -165,12 +165,12 @@
 }
 
 // markRecurring returns the crash with its suspects marked that recur. t.mu must be held.
-func (t *Tracker) markRecurring(c Crash, suspected map[Part]recurrence, now clock.Millis) Crash {
+func (t *Tracker) markRecurring(c Crash, suspected map[Part][]clock.Millis, now clock.Millis) Crash {
 	c.Suspects = slices.Clone(c.Suspects)
 	for i, s := range c.Suspects {
 		c.Suspects[i].Recurs = slices.ContainsFunc(s.Parts, func(part Part) bool {
 			_, answered := t.sound.recent(part, now)
-			return suspected[part].crashes > 1 && !answered
+			return len(suspected[part]) > 1 && !answered
 		})
 	}
 	return c
@@ -178,7 +178,7 @@
 
 // ownSound returns this daemon's sound runs with the suspected parts, those of most crashes
 // first. t.mu must be held.
-func (t *Tracker) ownSound(suspected map[Part]recurrence, now clock.Millis) []SoundRuns {
+func (t *Tracker) ownSound(suspected map[Part][]clock.Millis, now clock.Millis) []SoundRuns {
 	lasting := t.lasting(suspected, now)
 	var sound []SoundRuns
 	for part := range suspected {
@@ -188,32 +188,31 @@
 			sound = append(sound, s)
 		}
 	}
-	slices.SortFunc(sound, func(a, b SoundRuns) int { return cmp.Compare(suspected[b.Part].crashes, suspected[a.Part].crashes) })
+	slices.SortFunc(sound, func(a, b SoundRuns) int { return cmp.Compare(len(suspected[b.Part]), len(suspected[a.Part])) })
 	return sound
 }
 
 // lasting returns how many servers are still answering requests with each suspected part; see
 // SoundRuns. t.mu must be held.
-func (t *Tracker) lasting(suspected map[Part]recurrence, now clock.Millis) map[Part]int {
+func (t *Tracker) lasting(suspected map[Part][]clock.Millis, now clock.Millis) map[Part]int {
 	usual := make(map[Part]clock.Millis, len(suspected))
-	for part, r := range suspected {
-		if r.crashes > 0 {
-			usual[part] = r.usualWait()
+	for part, waits := range suspected {
+		if len(waits) > 0 {
+			usual[part] = usualWait(waits)
 		}
 	}
-	counts := make(map[Part]int)
-	for server, runs := range t.runs {
-		if _, crashed := t.own[server]; crashed {
-			continue
-		}
-		seen := make(map[Part]bool)
-		for r := range runs {
-			for _, part := range r.parts {
-				wait, isSuspected := usual[part]
-				if isSuspected && !r.ended && r.begunAt > 0 && now-r.begunAt > wait && !seen[part] {
-					seen[part] = true
-					counts[part]++
-				}
+	type answer struct {
+		server ServerStart
+		part   Part
+	}
+	seen, counts := make(map[answer]bool), make(map[Part]int)
+	for r := range t.liveRuns() {
+		for _, part := range r.parts {
+			wait, isSuspected := usual[part]
+			lasts := isSuspected && r.begunAt > 0 && now-r.begunAt > wait
+			if a := (answer{r.server, part}); lasts && !seen[a] {
+				seen[a] = true
+				counts[part]++
 			}
 		}
 	}
@@ -274,13 +273,13 @@
 	return slices.Collect(maps.Values(all))
 }
 
-// suspected returns the parts that recur in the noted crashes, and those quarantined. t.mu
-// must be held.
-func (t *Tracker) suspected(crashes []Crash) map[Part]recurrence {
+// suspected returns the parts that recur in the noted crashes, with their waits, and those
+// quarantined. t.mu must be held.
+func (t *Tracker) suspected(crashes []Crash) map[Part][]clock.Millis {
 	suspected := recurring(crashes, 2)
 	for part := range t.active {
 		if _, recurs := suspected[part]; !recurs {
-			suspected[part] = recurrence{}
+			suspected[part] = nil
 		}
 	}
 	return suspected
--- a/internal/decision/quarantine/tracker_request_test.go
+++ b/internal/decision/quarantine/tracker_request_test.go
@@ -15,7 +15,7 @@
 
 // request returns the part of a call of the account.
 func request(account string, number int) Part {
-	return RequestPart(Content{Account: account, Target: strconv.Itoa(number)}, loadbalance.Prompt{})
+	return RequestPart(Content{Account: account, Target: strconv.Itoa(number)})
 }
 
 // crashWhileWaiting has the server crash while the calls wait there for the times.
