Share the script and the sender of the tests of crashing engines, and seed their draws

The tests of crashing prompts and of crashing requests had the same script of faults, the same request but for path and prompt, and two ways to count sound requests; each stands in one place now, with the assertions as they were. Their draws come from a seed that is printed (-draw-seed).

--- a/internal/decision/quarantine/simulation_test.go
+++ b/internal/decision/quarantine/simulation_test.go
@@ -422,6 +422,8 @@
 		"seldom":                    vary(func(s *scenario) { s.requestRate = 0.3 }),
 		"three servers":             vary(func(s *scenario) { s.servers = 3 }),
 		"after the header":          vary(func(s *scenario) { s.crashAfter, s.answerTime = 75, 300 }),
+		"at the header":             vary(func(s *scenario) { s.crashAfter, s.answerTime = s.headerTime, 300 }),
+		"three at once":             vary(func(s *scenario) { s.requests, s.requestRate = 3, 6 }),
 		"after 10 ms":               vary(func(s *scenario) { s.crashAfter = 10 }),
 		"one daemon":                vary(func(s *scenario) { s.daemons = 1 }),
 		"reports lost":              vary(func(s *scenario) { s.lostReport = 0.3 }),
--- a/internal/proof/soak/caller_test.go
+++ b/internal/proof/soak/caller_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -77,6 +78,32 @@
 	return err == nil
 }
 
+// post sends a request with the ID, path and body, and with the prompt unless it is empty, to
+// the daemon. It returns the body of the response, and whether that is complete with status 200.
+func post(ctx context.Context, d *daemon, id, path, body, prompt string) (string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callerAddress+path, strings.NewReader(body))
+	if err != nil {
+		return "", false
+	}
+	r.Host = "desk.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Authorization", "Bearer "+accountKey)
+	r.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
+	if prompt != "" {
+		r.Header.Set("Token-Counts", "900,60")
+		r.Header.Set("Prompt-Prefix", prompt)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "", false
+	}
+	defer func() { _ = response.Body.Close() }()
+	received, err := io.ReadAll(response.Body)
+	return string(received), err == nil && response.StatusCode == http.StatusOK
+}
+
 // isTimeout reports whether the caller gave up, by the deadline of the request or the
 // timeout of the client.
 func isTimeout(err error) bool {
--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -174,7 +174,7 @@
 	deadline := time.Now().Add(recoveryTimeout)
 	for _, d := range c.daemons {
 		for {
-			id := fmt.Sprintf("%016x", rand.Uint64())
+			id := fmt.Sprintf("%016x", draws.Uint64())
 			before := c.oracle.servedCount()
 			c.sendRequest(client, d, kindSafe, id, accountKey)
 			if c.oracle.servedCount() > before {
--- a/internal/proof/soak/crash_cause_test.go
+++ b/internal/proof/soak/crash_cause_test.go
@@ -98,3 +98,16 @@
 	}
 	c.waitUntilServing()
 }
+
+// disturbLearning has one daemon learn without the store and one frozen while the others learn
+// what crashes engines. It returns when the frozen one woke, once all daemons are in touch.
+func (c *cluster) disturbLearning() (woken time.Time) {
+	c.daemons[1].storeProxy.setMode(modeDrop)
+	c.daemons[2].signal(syscall.SIGSTOP)
+	time.Sleep(learnTime - stableTime)
+	c.daemons[1].storeProxy.setMode(modeForward)
+	woken = time.Now()
+	c.daemons[2].signal(syscall.SIGCONT)
+	time.Sleep(stableTime)
+	return woken
+}
--- a/internal/proof/soak/crashing_prompt_test.go
+++ b/internal/proof/soak/crashing_prompt_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -40,32 +37,9 @@
 // sendPrompt sends a resumable stream with the prompt to the daemon and reports whether the
 // caller got it completely.
 func sendPrompt(ctx context.Context, d *daemon, prompt string) bool {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	id := fmt.Sprintf("%016x", rand.Uint64())
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callerAddress+"/draft/"+id, nil)
-	if err != nil {
-		return false
-	}
-	r.Host = "desk.example"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Authorization", "Bearer "+accountKey)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
-	r.Header.Set("Token-Counts", "900,60")
-	r.Header.Set("Prompt-Prefix", prompt)
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && strings.Contains(string(body), streamEvent(id, streamEventCount))
-}
-
-// soundCount counts the sound requests of a period.
-type soundCount struct {
-	mu           sync.Mutex
-	sent, served int
+	id := fmt.Sprintf("%016x", draws.Uint64())
+	body, ok := post(ctx, d, id, "/draft/"+id, "", prompt)
+	return ok && strings.Contains(body, streamEvent(id, streamEventCount))
 }
 
 // sendPrompts sends, until ctx ends, requests with the segment and sound ones that share
@@ -76,20 +50,14 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		first := fmt.Sprintf("a%d", i%3)
 		crashing := fmt.Sprintf("%s:400,%s:400,c%d:100", first, segment, i)
-		callers.Go(func() { sendPrompt(ctx, c.daemons[rand.IntN(len(c.daemons))], crashing) })
+		callers.Go(func() { sendPrompt(ctx, c.daemons[draws.IntN(len(c.daemons))], crashing) })
 		for j := range 2 {
-			prompt := fmt.Sprintf("%s:400,b%d:400,d%d-%d:100", first, rand.IntN(20), i, j)
+			prompt := fmt.Sprintf("%s:400,b%d:400,d%d-%d:100", first, draws.IntN(20), i, j)
 			callers.Go(func() {
 				count := sound()
-				ok := sendPrompt(ctx, c.daemons[rand.IntN(len(c.daemons))], prompt)
-				if ctx.Err() != nil {
-					return
-				}
-				count.mu.Lock()
-				defer count.mu.Unlock()
-				count.sent++
-				if ok {
-					count.served++
+				ok := sendPrompt(ctx, c.daemons[draws.IntN(len(c.daemons))], prompt)
+				if ctx.Err() == nil {
+					count.add(ok)
 				}
 			})
 		}
@@ -117,33 +85,16 @@
 	c.crashCauses.Store(&[]*crashCause{p})
 	c.waitUntilServing()
 	ctx, stop := context.WithCancel(t.Context())
-	var early, late soundCount
-	current := &early
-	var mu sync.Mutex
+	var sound soundPeriods
 	var callers sync.WaitGroup
-	callers.Go(func() {
-		c.sendPrompts(ctx, crashingSegment, func() *soundCount {
-			mu.Lock()
-			defer mu.Unlock()
-			return current
-		})
-	})
+	callers.Go(func() { c.sendPrompts(ctx, crashingSegment, sound.current) })
 	defer func() {
 		stop()
 		callers.Wait()
 	}()
-	// One daemon learns without the store, and one is frozen while the others learn.
-	c.daemons[1].storeProxy.setMode(modeDrop)
-	c.daemons[2].signal(syscall.SIGSTOP)
-	time.Sleep(learnTime - stableTime)
-	c.daemons[1].storeProxy.setMode(modeForward)
-	woken := time.Now()
-	c.daemons[2].signal(syscall.SIGCONT)
-	time.Sleep(stableTime)
+	woken := c.disturbLearning()
 	learnedAt, inTouch := p.learnedAt(crashesToLearn), time.Now()
-	mu.Lock()
-	current = &late
-	mu.Unlock()
+	sound.beginLate()
 	time.Sleep(stableTime)
 	calm := time.Now()
 	c.restart(c.daemons[0])
@@ -170,7 +121,7 @@
 		t.Logf("%s: %d requests with the segment reached engines", period.name, n)
 		total += n
 	}
-	t.Logf("%d crashes; sound requests served: %d of %d, later %d of %d", len(p.crashes), early.served, early.sent, late.served, late.sent)
+	t.Logf("%d crashes; sound requests served: %d of %d, later %d of %d", len(p.crashes), sound.early.served, sound.early.sent, sound.late.served, sound.late.sent)
 	assert.Assert(t, total <= maxLateArrivals, "%d requests with the segment reached engines late", total)
-	assert.Assert(t, late.sent > 0 && float64(late.served) >= minShare*float64(late.sent), "sound requests")
+	assert.Assert(t, sound.late.reaches(minShare), "sound requests")
 }
--- a/internal/proof/soak/crashing_request_test.go
+++ b/internal/proof/soak/crashing_request_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -31,31 +28,14 @@
 // sendWhole sends a request with the path to the daemon and reports whether the caller got
 // the complete response.
 func sendWhole(ctx context.Context, d *daemon, path string) bool {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	id := fmt.Sprintf("%016x", rand.Uint64())
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callerAddress+path, strings.NewReader("body"))
-	if err != nil {
-		return false
-	}
-	r.Host = "desk.example"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Authorization", "Bearer "+accountKey)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
-	kind := requestKind(strings.Split(path, "/")[1])
-	end := responseBody(id)
-	if kind.streaming() {
-		r.Header.Set("Token-Counts", "900,60")
-		r.Header.Set("Prompt-Prefix", fmt.Sprintf("a%d:400,b%d:400,own-%s:100", rand.IntN(3), rand.IntN(20), id))
+	id := fmt.Sprintf("%016x", draws.Uint64())
+	prompt, end := "", responseBody(id)
+	if requestKind(strings.Split(path, "/")[1]).streaming() {
+		prompt = fmt.Sprintf("a%d:400,b%d:400,own-%s:100", draws.IntN(3), draws.IntN(20), id)
 		end = streamEvent(id, streamEventCount)
 	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && strings.HasSuffix(string(body), end)
+	body, ok := post(ctx, d, id, path, "body", prompt)
+	return ok && strings.HasSuffix(body, end)
 }
 
 // sendRepeatedly sends requests to random daemons until ctx ends, with the pause between
@@ -66,7 +46,7 @@
 	for ctx.Err() == nil {
 		counted := count()
 		callers.Go(func() {
-			ok := sendWhole(ctx, c.daemons[rand.IntN(len(c.daemons))], path())
+			ok := sendWhole(ctx, c.daemons[draws.IntN(len(c.daemons))], path())
 			if ctx.Err() == nil {
 				counted.add(ok)
 			}
@@ -75,26 +55,17 @@
 	}
 }
 
-func (s *soundCount) add(ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sent++
-	if ok {
-		s.served++
-	}
-}
-
 // soundPath returns the path of a request that no other has, or that of the popular one.
 func soundPath() string {
-	switch rand.IntN(4) {
+	switch draws.IntN(4) {
 	case 0:
 		return popularPath
 	case 1:
-		return fmt.Sprintf("/draft/%x", rand.Uint64())
+		return fmt.Sprintf("/draft/%x", draws.Uint64())
 	case 2:
-		return fmt.Sprintf("/pay/%x", rand.Uint64())
+		return fmt.Sprintf("/pay/%x", draws.Uint64())
 	}
-	return fmt.Sprintf("/read/%x", rand.Uint64())
+	return fmt.Sprintf("/read/%x", draws.Uint64())
 }
 
 // TestRequestThatCrashesEngines sends the same request again and again, which crashes every
@@ -142,34 +113,17 @@
 	c.crashCauses.Store(&causes)
 	c.waitUntilServing()
 	ctx, stop := context.WithCancel(t.Context())
-	var early, late soundCount
-	current := &early
-	var mu sync.Mutex
+	var sound soundPeriods
 	var callers sync.WaitGroup
 	callers.Go(func() { send(ctx) })
-	callers.Go(func() {
-		c.sendRepeatedly(ctx, soundPause, soundPath, func() *soundCount {
-			mu.Lock()
-			defer mu.Unlock()
-			return current
-		})
-	})
+	callers.Go(func() { c.sendRepeatedly(ctx, soundPause, soundPath, sound.current) })
 	defer func() {
 		stop()
 		callers.Wait()
 	}()
-	// One daemon learns without the store, and one is frozen while the others learn.
-	c.daemons[1].storeProxy.setMode(modeDrop)
-	c.daemons[2].signal(syscall.SIGSTOP)
-	time.Sleep(learnTime - stableTime)
-	c.daemons[1].storeProxy.setMode(modeForward)
-	woken := time.Now()
-	c.daemons[2].signal(syscall.SIGCONT)
-	time.Sleep(stableTime)
+	woken := c.disturbLearning()
 	inTouch := time.Now()
-	mu.Lock()
-	current = &late
-	mu.Unlock()
+	sound.beginLate()
 	time.Sleep(stableTime)
 	c.restart(c.daemons[0])
 	time.Sleep(stableTime)
@@ -179,7 +133,7 @@
 	stop()
 	callers.Wait()
 
-	t.Logf("sound requests served: %d of %d, later %d of %d", early.served, early.sent, late.served, late.sent)
+	t.Logf("sound requests served: %d of %d, later %d of %d", sound.early.served, sound.early.sent, sound.late.served, sound.late.sent)
 	for i, cause := range causes {
 		// A daemon that wakes passes on requests that arrived while it was frozen.
 		n := cause.arrivalsBetween(cause.learnedAt(requestCrashesToLearn), woken) + cause.arrivalsBetween(inTouch, end)
@@ -187,7 +141,7 @@
 		assert.Check(t, len(cause.crashes) > 0, "request %d crashed no engine", i)
 		assert.Check(t, n <= maxLateArrivals, "request %d reached engines late", i)
 	}
-	assert.Check(t, late.sent > 0 && float64(late.served) >= minLateShareBeforeHeader*float64(late.sent), "sound requests")
+	assert.Check(t, sound.late.reaches(minLateShareBeforeHeader), "sound requests")
 	if t.Failed() {
 		c.keepLogs("crashing-requests")
 	}
@@ -222,5 +176,5 @@
 	}
 	callers.Wait()
 	t.Logf("served: %d of %d, other requests %d of %d", popular.served, popular.sent, other.served, other.sent)
-	assert.Assert(t, popular.sent > 0 && float64(popular.served) >= minPopularShare*float64(popular.sent))
+	assert.Assert(t, popular.reaches(minPopularShare))
 }
--- a/internal/proof/soak/revocation_test.go
+++ b/internal/proof/soak/revocation_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"os/exec"
 	"time"
@@ -48,7 +47,7 @@
 func (c *cluster) statusForKey(d *daemon, key string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	id := fmt.Sprintf("%016x", rand.Uint64())
+	id := fmt.Sprintf("%016x", draws.Uint64())
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callerAddress+"/read/"+id, nil)
 	if err != nil {
 		return 0
--- a/internal/proof/soak/server_limit_test.go
+++ b/internal/proof/soak/server_limit_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -98,14 +97,14 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		d, kind := c.daemons[rand.IntN(len(c.daemons))], kinds[rand.IntN(len(kinds))]
+		d, kind := c.daemons[draws.IntN(len(c.daemons))], kinds[draws.IntN(len(kinds))]
 		callers.Go(func() { c.sendCall(ctx, client, d, kind, results()) })
 		time.Sleep(time.Second / time.Duration(perSecond))
 	}
 }
 
 func (c *cluster) sendCall(ctx context.Context, client *http.Client, d *daemon, kind requestKind, results *rejections) {
-	id := fmt.Sprintf("%016x", rand.Uint64())
+	id := fmt.Sprintf("%016x", draws.Uint64())
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callerAddress+"/"+string(kind)+"/"+id, nil)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -21,6 +21,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	initDraws()
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		fmt.Println(err)
