Name the switches of the features for competing callers and uneven servers

Cause: the parts for callers that compete for places and for servers of different speed must not change earlier deployments. Nothing acts on the switches yet.

--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -9,6 +9,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
@@ -35,6 +36,9 @@
 	announcements announcements
 	limits        serverLimits
 	returns       map[string]clock.Millis // when the last rejected caller returns, by pool; see ScheduleReturn
+
+	features     loadfeatures.Features
+	paceStatedAt map[string]clock.Millis // when a server last stated its pace, by pool
 }
 
 // serverState is the state of one incarnation of a server.
@@ -65,6 +69,7 @@
 		announcements: announcements{servers: make(map[string]*announcement)},
 		limits:        serverLimits{servers: make(map[string]*serverLimit), members: newLimitMembers()},
 		returns:       make(map[string]clock.Millis),
+		paceStatedAt:  make(map[string]clock.Millis),
 	}
 }
 
--- a/internal/foundation/settings/check.go
+++ b/internal/foundation/settings/check.go
@@ -102,6 +102,14 @@
 			report(a.path, "%q is not an IP address with a port", a.address)
 		}
 	}
+	for _, f := range []struct{ path, value string }{
+		{"entry.shared_capacity", s.Entry.SharedCapacity},
+		{"entry.uneven_servers", s.Entry.UnevenServers},
+	} {
+		if !slices.Contains([]string{"auto", "on", "off"}, f.value) {
+			report(f.path, "is %q, must be auto, on or off", f.value)
+		}
+	}
 	ranges := []struct {
 		path           string
 		value, highest float64
--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -39,6 +39,10 @@
 	CalmMs        int64   `json:"calm_ms" doc:"time after a disturbance of the store from which on changes must be in force in time again" unit:"ms" min:"100" max:"600000"`
 	ApplyMs       int64   `json:"apply_ms" doc:"time in which a change of the configuration must be in force" unit:"ms" min:"0" max:"600000"`
 	DrainMs       int64   `json:"drain_ms" doc:"time in which a server that leaves must get no more work" unit:"ms" min:"0" max:"600000"`
+
+	Capabilities   []string `json:"capabilities" doc:"names of the platform's rule sets in force; unknown names are ignored"`
+	SharedCapacity string   `json:"shared_capacity" doc:"auto, on or off: waiting, fair shares and early rejection where callers compete; auto follows capabilities"`
+	UnevenServers  string   `json:"uneven_servers" doc:"auto, on or off: placement by server speed; auto follows what the servers of a pool state"`
 }
 
 // Listen holds the addresses to listen on.
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -284,5 +284,8 @@
 	}
 	d.RetryBudget.SetLimits(s.Entry.RepeatRatio, s.Entry.RepeatSlack)
 	d.Balancer.SetDrainTime(clock.Millis(s.Entry.DrainMs))
+	features := platform.LoadFeatures(s.Entry)
+	d.Balancer.SetFeatures(features)
+	d.Log.Info("load features", "shared_capacity", features.SharedCapacity, "uneven_servers", s.Entry.UnevenServers)
 	d.Log.SetLevel(hclog.LevelFromString(s.Log.Level))
 }
