Escalate only while the pool has room

Cause: 38% of the arrivals at engines are second executions at any load; in a full pool they come late and take the room of others. Change: the confidence threshold falls to 0 with the pool's utilisation, sooner for requests with little slack, and a small answer is discarded only if the largest model's is complete in time, its wait counted, on a server with a free slot. Utilisation is measured from the loads that the Balancer knows, averaged over a second. A request starts with the largest model only with ample room, where that costs less. Off by default.

--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -39,6 +39,8 @@
 
 	features     loadfeatures.Features
 	paceStatedAt map[string]clock.Millis // when a server last stated its pace, by pool
+
+	utilisations map[string]poolUtilisation // by pool
 }
 
 // serverState is the state of one incarnation of a server.
@@ -70,6 +72,7 @@
 		limits:        serverLimits{servers: make(map[string]*serverLimit), members: newLimitMembers()},
 		returns:       make(map[string]clock.Millis),
 		paceStatedAt:  make(map[string]clock.Millis),
+		utilisations:  make(map[string]poolUtilisation),
 	}
 }
 
--- a/internal/decision/loadbalance/features.go
+++ b/internal/decision/loadbalance/features.go
@@ -29,3 +29,11 @@
 	at, stated := b.paceStatedAt[pool]
 	return stated && now-at < paceMemory
 }
+
+// AdaptsToLoad reports whether escalations, retries and re-placements in the pool depend on
+// its load.
+func (b *Balancer) AdaptsToLoad(pool string, now clock.Millis) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.features.SharedCapacity || b.isUneven(pool, now)
+}
--- /dev/null
+++ b/internal/decision/loadbalance/utilisation.go
@@ -0,0 +1,127 @@
+package loadbalance
+
+import (
+	"math"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+const (
+	// utilisationLifetime is how long a pool's utilisation is used before it is computed
+	// again: the reports behind it arrive every 400 ms.
+	utilisationLifetime = 50 * clock.Millis(1)
+	// utilisationPeriodMs is the time over which it is averaged, so that decisions don't
+	// alternate from one report to the next.
+	utilisationPeriodMs = 1_000.0
+)
+
+// Utilisation is how much of a pool's capacity the requests of all daemons use.
+type Utilisation struct {
+	Load    float64      // running and queued requests / slots, averaged; over 1 while requests queue
+	Prefill float64      // ms of prefill that is pending at a server, averaged
+	Calls   int          // running and queued requests now
+	Slots   int          // of the servers that accept requests
+	Known   int          // servers with a load that hasn't expired; the others count as free
+	Servers int          // that accept requests
+	Age     clock.Millis // of the oldest load that is used
+}
+
+// Against returns the utilisation for requests with the latency target: the load, or the
+// pending prefill as a share of the target if that is more.
+func (u Utilisation) Against(target clock.Millis) float64 {
+	return max(u.Load, u.Prefill/float64(max(target, 1)))
+}
+
+// Wait returns the expected time until one more request starts, where requests take the
+// given time.
+func (u Utilisation) Wait(request clock.Millis) clock.Millis {
+	return clock.Millis(u.Prefill + max(u.Load-1, 0)*float64(request))
+}
+
+// poolUtilisation is the last utilisation of a pool, and when it was computed.
+type poolUtilisation struct {
+	Utilisation
+	at clock.Millis
+}
+
+// Utilisation returns the utilisation of the pool's servers.
+func (b *Balancer) Utilisation(v *fleet.View, pool string, now clock.Millis) Utilisation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	last, known := b.utilisations[pool]
+	if known && now-last.at < utilisationLifetime {
+		return last.Utilisation
+	}
+	u := b.measureUtilisation(v, pool, now)
+	if known {
+		keep := math.Exp(-float64(now-last.at) / utilisationPeriodMs)
+		u.Load += (last.Load - u.Load) * keep
+		u.Prefill += (last.Prefill - u.Prefill) * keep
+	}
+	b.utilisations[pool] = poolUtilisation{u, now}
+	return u
+}
+
+// measureUtilisation returns the utilisation now. The caller must hold mu.
+func (b *Balancer) measureUtilisation(v *fleet.View, pool string, now clock.Millis) (u Utilisation) {
+	entries := v.Pool(pool)
+	prefill := clock.Millis(0)
+	for i := range entries {
+		e := &entries[i]
+		n := b.announcements.of(e)
+		if !v.InService(e) || b.announcements.hasDeparted(n, now) || n.isPaused(now) {
+			continue
+		}
+		s := b.state(e)
+		if now < s.ejectedUntil {
+			continue
+		}
+		load := s.load(now)
+		u.Servers++
+		u.Slots += s.slotsOf(e)
+		u.Calls += max(load.Calls, 0)
+		prefill += max(load.Prefill, 0)
+		if age, known := s.loadAge(now); known {
+			u.Known++
+			u.Age = max(u.Age, age)
+		}
+	}
+	if u.Servers > 0 {
+		u.Load = float64(u.Calls) / float64(u.Slots)
+		u.Prefill = float64(prefill) / float64(u.Servers)
+	}
+	return u
+}
+
+// loadAge returns the age of the newest report of the server's load from any source; false
+// if all have expired.
+func (s *serverState) loadAge(now clock.Millis) (age clock.Millis, known bool) {
+	at := max(s.reportedAt, s.peerLoadAt)
+	return now - at, at != 0 && now-at < reportLifetime
+}
+
+// Backlog is what a request finds at a server.
+type Backlog struct {
+	Calls   int          // running and queued there, from all daemons
+	Slots   int          // requests that run at once
+	Prefill clock.Millis // pending
+	Age     clock.Millis // of the load of the other daemons
+	Known   bool         // whether that load is known
+}
+
+// Backlog returns what is known of the server's load.
+func (b *Balancer) Backlog(e *fleet.Entry, now clock.Millis) Backlog {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e)
+	load := s.load(now)
+	age, known := s.loadAge(now)
+	return Backlog{Calls: load.Calls, Slots: s.slotsOf(e), Prefill: max(load.Prefill, 0), Age: age, Known: known}
+}
+
+// Queue returns the expected time until a slot is free for a request that is counted in
+// Calls, where requests take the given time.
+func (l Backlog) Queue(request clock.Millis) clock.Millis {
+	return clock.Millis(float64(max(l.Calls-l.Slots, 0)) * float64(request) / float64(max(l.Slots, 1)))
+}
--- /dev/null
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+)
+
+// ampleRoom is the utilisation below which requests may start with the largest model.
+const ampleRoom = 0.4
+
+// promptTokenCost is the cost of a prompt token in output tokens; see catalog.Model.
+const promptTokenCost = 0.25
+
+// firstModelUnderLoad is firstModel in a pool whose load counts. The largest model comes
+// first only with ample room: where it costs less than both models in turn, or where the
+// retry budget, which escalations use, is exhausted.
+func (ex *exchange) firstModelUnderLoad(pool string, now clock.Millis) int {
+	r, view := ex.relay, ex.relay.View()
+	u := r.Balancer.Utilisation(view, pool, now)
+	if u.Against(ex.route.LatencyTarget) >= ampleRoom {
+		return 0
+	}
+	largest := ex.largestModel()
+	latency := r.Balancer.LatencyModel(pool, ex.route.Models[largest])
+	if u.Wait(0)+latency.FirstByte(ex.req.Prompt.Tokens) >= ex.route.LatencyTarget/2 {
+		return 0
+	}
+	if !r.RetryBudget.AllowsOptional(pool, now) {
+		return largest
+	}
+	row, _ := view.Catalog.Pool(pool)
+	share := r.escalationRates.Share(ex.route.Name, ex.req.Prompt.Tokens, now)
+	if cascade.LargestIsCheaper(ex.modelCost(row, ex.route.Models[0]), ex.modelCost(row, ex.route.Models[largest]), share) {
+		return largest
+	}
+	return 0
+}
+
+// modelCost returns the cost of the request on the model; 0 if the pool states none.
+func (ex *exchange) modelCost(pool catalog.Pool, model string) cascade.ModelCost {
+	for _, m := range pool.Models {
+		if m.Name == model {
+			return cascade.ModelCost{
+				Prefill: m.CostPer1000Tokens * promptTokenCost * float64(ex.req.Prompt.Tokens),
+				Output:  m.CostPer1000Tokens * float64(ex.expectedTokens()),
+			}
+		}
+	}
+	return cascade.ModelCost{}
+}
+
+// escalatesUnderLoad reports whether the small model's answer of the confidence is discarded
+// in a pool whose load counts. firstByte and complete are the largest model's expected
+// times from the start of its run.
+func (ex *exchange) escalatesUnderLoad(confidence int, firstByte, complete, now clock.Millis) bool {
+	r := ex.relay
+	threshold := r.ConfidenceThreshold
+	r.escalationRates.Record(ex.route.Name, ex.req.Prompt.Tokens, confidence < threshold.Normal, now)
+	u := r.Balancer.Utilisation(ex.view, ex.pool.Name, now)
+	e := cascade.Escalation{
+		Confidence:  confidence,
+		Elapsed:     now - ex.req.ReceivedAt,
+		FirstByte:   firstByte,
+		Complete:    complete,
+		Wait:        u.Wait(complete),
+		Target:      ex.route.LatencyTarget,
+		Deadline:    ex.deadline - ex.req.ReceivedAt,
+		Utilisation: u.Against(ex.route.LatencyTarget),
+	}
+	escalates := threshold.Escalates(e) && r.RetryBudget.AllowsOptional(ex.pool.Name, now)
+	if escalates {
+		return true
+	}
+	if confidence >= threshold.Normal {
+		// Kept at any load: not a decision worth a line.
+		return false
+	}
+	r.Metrics.countEscalation(ex.pool.Name, escalationKept)
+	ex.log("small answer kept", nil, "threshold", threshold.Threshold(e), "utilisation", e.Utilisation, "utilisation_age_ms", int64(u.Age),
+		"known_servers", u.Known, "servers", u.Servers, "wait_ms", int64(e.Wait), "first_byte_ms", int64(firstByte), "complete_ms", int64(complete),
+		"remaining_ms", int64(ex.deadline-now))
+	return false
+}
+
+// checkRoom returns why the planned escalation has no room at its server: other requests
+// queue there, or the response would not be complete in time. It releases the attempt then.
+func (ex *exchange) checkRoom(p *plannedAttempt, now clock.Millis) *result.Error {
+	r := ex.relay
+	backlog := r.Balancer.Backlog(&p.choice.Server, now)
+	latency := r.Balancer.LatencyModel(p.pool.Name, p.model)
+	complete := p.choice.ExpectedFirstByte + ex.expectedStreamTime(p.pool, latency)
+	if backlog.Calls <= backlog.Slots && now+complete < ex.deadline {
+		ex.log("room for escalation", &p.choice.Server, "calls", backlog.Calls, "slots", backlog.Slots, "load_age_ms", int64(backlog.Age),
+			"load_known", backlog.Known, "complete_ms", int64(complete), "remaining_ms", int64(ex.deadline-now))
+		r.Metrics.countEscalation(p.pool.Name, escalationDiscarded)
+		return nil
+	}
+	r.Metrics.countEscalation(p.pool.Name, escalationNoRoom)
+	r.Balancer.Cancel(&p.choice)
+	return result.New(result.Overloaded, "%d requests in %d slots, complete in %d ms of %d ms", backlog.Calls, backlog.Slots, complete, ex.deadline-now)
+}
--- /dev/null
+++ b/internal/traffic/relay/cascade_under_load_test.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
+)
+
+// underLoad switches the rules for pools whose load counts on, and has all servers of the
+// fixture report that many requests of other daemons in their 8 slots.
+func (f *fixture) underLoad(requests int) {
+	f.relay.Balancer.SetFeatures(loadfeatures.Features{SharedCapacity: true})
+	view, now := f.currentView(), f.relay.Clock.Now()
+	f.relay.Balancer.Utilisation(view, "text", now-10_000) // registers the servers
+	loads := make(map[string]loadbalance.Load)
+	for id := range f.servers {
+		loads[id] = loadbalance.Load{Calls: requests}
+	}
+	f.relay.Balancer.SetPeerLoads(loads, now)
+}
+
+// TestCascadeFollowsRoom guards against spending the room of a full pool on escalations, and
+// against keeping poor answers of a small model while there is room, or without the feature.
+func TestCascadeFollowsRoom(t *testing.T) {
+	const small, large = "id: 1\ndata: small\n\n", "id: 1\ndata: large\n\n"
+	cases := map[string]struct {
+		setup func(*fixture)
+		want  string
+	}{
+		"room":            {func(f *fixture) { f.underLoad(0) }, large},
+		"full":            {func(f *fixture) { f.underLoad(8) }, small},
+		"nearly full":     {func(f *fixture) { f.underLoad(7) }, small},
+		"nothing known":   {func(f *fixture) { f.relay.Balancer.SetFeatures(loadfeatures.Features{SharedCapacity: true}) }, large},
+		"without feature": {func(f *fixture) { f.underLoad(8); f.relay.Balancer.SetFeatures(loadfeatures.Features{}) }, large},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := byModel(map[string]behaviour{"small": withConfidence("20", respond(small)), "large": withConfidence("90", respond(large))})
+			f := newFixture(t, streamRoutes(), server, server, server)
+			c.setup(f)
+			got := f.send(http.MethodPost, "/draft/1", headerModel, "*")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, c.want)
+		})
+	}
+}
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -165,12 +165,17 @@
 
 // expectedStreamTime returns the expected time from the first to the last event.
 func (ex *exchange) expectedStreamTime(pool catalog.Pool, latency loadbalance.LatencyModel) clock.Millis {
-	tokens := ex.req.Prompt.MaxOutputTokens
+	events := float64(ex.expectedTokens()) / float64(max(pool.TokensPerEvent, 1))
+	return clock.Millis(events * latency.InterEventMs())
+}
+
+// expectedTokens returns the expected tokens of the response; their maximum if the caller
+// states no estimate.
+func (ex *exchange) expectedTokens() int {
 	if ex.req.LengthHint > 0 {
-		tokens = ex.req.LengthHint
+		return ex.req.LengthHint
 	}
-	events := float64(tokens) / float64(max(pool.TokensPerEvent, 1))
-	return clock.Millis(events * latency.InterEventMs())
+	return ex.req.Prompt.MaxOutputTokens
 }
 
 // poolPoint returns the point, from 0 to 1, that selects the request's pool among the
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -24,6 +24,9 @@
 		return ex.largestModel()
 	}
 	pool := ex.route.PoolAt(ex.poolPoint())
+	if len(ex.route.Models) >= 2 && r.Balancer.AdaptsToLoad(pool, now) {
+		return ex.firstModelUnderLoad(pool, now)
+	}
 	if len(ex.route.Models) < 2 || r.RetryBudget.AllowsOptional(pool, now) {
 		return 0
 	}
@@ -60,6 +63,9 @@
 	latency := ex.relay.Balancer.LatencyModel(ex.pool.Name, ex.route.Models[ex.largestModel()])
 	firstByte := latency.FirstByte(ex.req.Prompt.Tokens)
 	complete := firstByte + ex.expectedStreamTime(ex.pool, latency)
+	if ex.relay.Balancer.AdaptsToLoad(ex.pool.Name, now) {
+		return ex.escalatesUnderLoad(info.Confidence, firstByte, complete, now)
+	}
 	if now+complete >= ex.deadline {
 		return false
 	}
@@ -93,6 +99,9 @@
 		ex.relay.Balancer.Cancel(&next.choice)
 		rejection = result.New(result.NoServer, "only ejected servers are left")
 	}
+	if rejection == nil && ex.relay.Balancer.AdaptsToLoad(ex.pool.Name, now) {
+		rejection = ex.checkRoom(next, now)
+	}
 	if rejection == nil {
 		rejection = ex.acquireRetry(next, server, now)
 	}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -89,12 +89,13 @@
 // Relay forwards requests to backend servers. It is safe for concurrent use.
 type Relay struct {
 	Dependencies
-	startedAt      clock.Millis
-	crashChecks    crashChecks
-	inFlight       atomic.Int64
-	shutdownAt     atomic.Int64 // when the daemon exits, in clock ms; 0 until shutdown begins
-	noStreamsAfter atomic.Int64 // during shutdown, when new streams are no longer accepted, in clock ms
-	rejecting      atomic.Bool  // all requests are rejected
+	startedAt       clock.Millis
+	crashChecks     crashChecks
+	escalationRates cascade.EscalationRates
+	inFlight        atomic.Int64
+	shutdownAt      atomic.Int64 // when the daemon exits, in clock ms; 0 until shutdown begins
+	noStreamsAfter  atomic.Int64 // during shutdown, when new streams are no longer accepted, in clock ms
+	rejecting       atomic.Bool  // all requests are rejected
 }
 
 // New returns a relay that accepts requests.
