Keep a small model's short answer until the largest model responds

Cause: with a 4 s deadline, requests waited for the largest model until 504, though a small model had answered within 30 ms. Change: in pools whose load counts, a short small answer is read to its end before it is discarded. Result: TestKeptAnswer passes; without the change its cases silent, broken off, failed and refused get 502 or 504.

--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -66,6 +66,8 @@
 	// escalation tells whether a small model's answer was discarded for the largest model's.
 	escalation escalation
 	smallModel int // index of the model whose answer was discarded
+	kept       *keptAnswer
+	keeping    bool // a small model's answer is being read to its end
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
@@ -110,7 +112,11 @@
 	r.RetryBudget.RecordRequest(route.PoolAt(ex.poolPoint()), now)
 	defer ex.releaseSuccessor()
 	for {
+		fallback := ex.kept != nil
 		done, err := ex.attempt()
+		if !done && fallback && ex.serveKept(err) {
+			return nil
+		}
 		if done || err != nil {
 			return err
 		}
@@ -241,10 +247,6 @@
 	}
 	ex.attempts++
 	deadline := time.Now().Add((ex.deadline - r.Clock.Now()).Duration())
-	headerDeadline := deadline
-	if timeout := ex.headerTimeout(choice.ExpectedFirstByte); timeout > 0 {
-		headerDeadline = time.Now().Add(timeout)
-	}
 	resp, err := r.Client.Do(ctx, &h1.Call{
 		Address:        server.Address,
 		Method:         req.Method,
@@ -254,15 +256,15 @@
 		Body:           req.Body,
 		ID:             req.ID,
 		FreshConn:      ex.route.RetryPolicy == catalog.AtMostOnce,
-		HeaderDeadline: headerDeadline,
+		HeaderDeadline: ex.headerDeadline(ex.headerTimeout(choice.ExpectedFirstByte), deadline),
 		Deadline:       deadline,
-		OnSilence: func() time.Duration {
-			if ex.planSuccessor(server) {
-				return 0
-			}
-			return successorPeriod.Duration()
-		},
+		OnSilence:      func() time.Duration { return ex.extendWait(server) },
 	})
+	if err != nil && ex.keptIsDue() {
+		ex.recordExecution(server)
+		ex.lastError = "the largest model was silent"
+		return false, nil
+	}
 	if err != nil {
 		return false, ex.handleCallError(choice, startedAt, err)
 	}
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -125,6 +125,7 @@
 		ex.log("escalated", server)
 		r.Metrics.countAttempt(ex.pool.Name, "escalated")
 		ex.lastError = "the small model's confidence was too low"
+		ex.keepAnswer(server, resp, now)
 		ex.recordExecution(server)
 		return false, nil
 	case ex.route.Stream && resp.Status == http.StatusOK:
