Let requests wait in the daemon for free capacity

Cause: a full pool rejects or queues requests at servers, where urgent ones can't overtake others and none can be rejected as not run. Change: with shared capacity, a server gets its slots and a small margin, and the other requests wait in the daemon by rank; they leave when their deadline, caller, configuration or daemon goes. Rejected callers get turns to return.

--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -96,14 +96,10 @@
 	}
 }
 
-func (q *Queue) before(a, b *Waiter) bool {
-	if a.priority != b.priority {
-		return a.priority < b.priority
-	}
-	if q.served[a.account] != q.served[b.account] {
-		return q.served[a.account] < q.served[b.account]
-	}
-	return a.arrival < b.arrival
+func (q *Queue) before(a, b *Waiter) bool { return Order(q.rank(a), q.rank(b)) < 0 }
+
+func (q *Queue) rank(w *Waiter) Rank {
+	return Rank{Urgency: w.priority, Usage: q.served[w.account], Arrival: w.arrival}
 }
 
 // Len returns the number of waiters.
--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -39,6 +39,8 @@
 
 	features     loadfeatures.Features
 	paceStatedAt map[string]clock.Millis // when a server last stated its pace, by pool
+	runTimes     map[modelKey]runTime    // with an empty model: of all models of the pool
+	peersHeardAt clock.Millis            // see SetPeersHeard
 }
 
 // serverState is the state of one incarnation of a server.
@@ -70,6 +72,7 @@
 		limits:        serverLimits{servers: make(map[string]*serverLimit), members: newLimitMembers()},
 		returns:       make(map[string]clock.Millis),
 		paceStatedAt:  make(map[string]clock.Millis),
+		runTimes:      make(map[modelKey]runTime),
 	}
 }
 
@@ -266,6 +269,12 @@
 func (b *Balancer) SetPeerLoads(loads map[string]Load, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(loads) > 0 {
+		b.peersHeardAt = now
+	}
+	if b.features.SharedCapacity && now-b.peersHeardAt >= reportLifetime {
+		now = 0 // without peer reports, those of the servers count until they expire
+	}
 	for id, s := range b.servers {
 		s.peerLoad, s.peerLoadAt = loads[id], now
 	}
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -137,6 +137,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entries := v.Pool(r.Pool.Name)
+	if b.exceedsOwnPart(v, &r, entries) {
+		return Choice{}, AtCapacity
+	}
 	b.prefixBuf = r.Prompt.Prefixes(r.Model, b.prefixBuf[:0])
 	latency := b.models[modelKey{r.Pool.Name, r.Model}]
 	preferred := b.preferred(v, &r, entries)
@@ -283,7 +286,7 @@
 			continue
 		}
 		s := b.state(e)
-		excess := max(float64(s.load(now).Calls)-s.maxCalls(e, &pool)+1, 1)
+		excess := max(float64(s.load(now).Calls)-b.maxCalls(s, e, &pool)+1, 1)
 		wait = min(wait, clock.Millis(requestMs*excess/float64(s.slotsOf(e))))
 	}
 	return max(wait, minRetryAfter)
@@ -325,7 +328,7 @@
 
 // hasCapacity reports whether the server can accept one more request.
 func (b *Balancer) hasCapacity(s *serverState, e *fleet.Entry, n *announcement, r *Request) bool {
-	limit := s.maxCalls(e, &r.Pool)
+	limit := b.maxCalls(s, e, &r.Pool)
 	if float64(s.load(r.Now).Calls) >= limit || float64(s.own.Calls) >= n.returnLimit(r, e.ID, s.slotsOf(e), limit) {
 		return false
 	}
--- a/internal/foundation/result/code.go
+++ b/internal/foundation/result/code.go
@@ -29,18 +29,20 @@
 	UpgradeRefused    = Code{1009, "upgrade_refused", http.StatusNotImplemented, RunNo, 0, "Protocol upgrades and CONNECT are not served."}
 	HeaderTooLarge    = Code{1010, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, RunNo, 0, "The request header is over the limit of the configuration."}
 
-	NotConfirmed       = Code{2001, "not_confirmed", http.StatusServiceUnavailable, RunNo, 1000, "This daemon can't confirm that its configuration is current."}
-	Stopping           = Code{2002, "stopping", http.StatusServiceUnavailable, RunNo, 50, "This daemon is shutting down."}
-	AccountOverShare   = Code{2003, "account_over_share", http.StatusTooManyRequests, RunNo, 1000, "The client account uses its fair share, and the daemon is full."}
-	Overloaded         = Code{2004, "overloaded", http.StatusServiceUnavailable, RunNo, 1000, "The pool is full, and the request can't start within its deadline."}
-	DeadlineTooShort   = Code{2005, "deadline_too_short", http.StatusServiceUnavailable, RunNo, 1000, "The expected wait is longer than the time that the request has left."}
-	BillsFull          = Code{2006, "bills_full", http.StatusServiceUnavailable, RunNo, 5000, "Unwritten bill records are at their bound; the table service has been away for long."}
-	PinUnavailable     = Code{2007, "pin_unavailable", http.StatusServiceUnavailable, RunNo, 2000, "The version of this session id can't be looked up; send the session token instead."}
-	OutOfService       = Code{2008, "out_of_service", http.StatusServiceUnavailable, RunNo, 1000, "This daemon's host or data centre was taken out of service."}
-	NotConfigured      = Code{2009, "not_configured", http.StatusServiceUnavailable, RunNo, 200, "This daemon has no configuration yet."}
-	PromptQuarantined  = Code{2010, "prompt_quarantined", http.StatusServiceUnavailable, RunNo, 60_000, "A segment of the prompt has crashed several backend servers; one request with it is tried at the stated time."}
-	RateLimited        = Code{2011, "rate_limited", http.StatusServiceUnavailable, RunNo, 1000, "The pool's backend servers have stated rate limits for all daemons together, which are used up; the stated time fits the rate."}
-	RequestQuarantined = Code{2012, "request_quarantined", http.StatusServiceUnavailable, RunNo, 60_000, "The same request of this client account has crashed several backend servers; it is tried once more at the stated time."}
+	NotConfirmed        = Code{2001, "not_confirmed", http.StatusServiceUnavailable, RunNo, 1000, "This daemon can't confirm that its configuration is current."}
+	Stopping            = Code{2002, "stopping", http.StatusServiceUnavailable, RunNo, 50, "This daemon is shutting down."}
+	AccountOverShare    = Code{2003, "account_over_share", http.StatusTooManyRequests, RunNo, 1000, "The client account uses its fair share, and the daemon is full."}
+	Overloaded          = Code{2004, "overloaded", http.StatusServiceUnavailable, RunNo, 1000, "The pool is full, and the request can't start within its deadline."}
+	DeadlineTooShort    = Code{2005, "deadline_too_short", http.StatusServiceUnavailable, RunNo, 1000, "The expected wait is longer than the time that the request has left."}
+	BillsFull           = Code{2006, "bills_full", http.StatusServiceUnavailable, RunNo, 5000, "Unwritten bill records are at their bound; the table service has been away for long."}
+	PinUnavailable      = Code{2007, "pin_unavailable", http.StatusServiceUnavailable, RunNo, 2000, "The version of this session id can't be looked up; send the session token instead."}
+	OutOfService        = Code{2008, "out_of_service", http.StatusServiceUnavailable, RunNo, 1000, "This daemon's host or data centre was taken out of service."}
+	NotConfigured       = Code{2009, "not_configured", http.StatusServiceUnavailable, RunNo, 200, "This daemon has no configuration yet."}
+	PromptQuarantined   = Code{2010, "prompt_quarantined", http.StatusServiceUnavailable, RunNo, 60_000, "A segment of the prompt has crashed several backend servers; one request with it is tried at the stated time."}
+	RateLimited         = Code{2011, "rate_limited", http.StatusServiceUnavailable, RunNo, 1000, "The pool's backend servers have stated rate limits for all daemons together, which are used up; the stated time fits the rate."}
+	RequestQuarantined  = Code{2012, "request_quarantined", http.StatusServiceUnavailable, RunNo, 60_000, "The same request of this client account has crashed several backend servers; it is tried once more at the stated time."}
+	RejectedForAccount  = Code{2013, "rejected_for_account", http.StatusServiceUnavailable, RunNo, 1000, "The pool is full, and the client account uses more than its fair share of it while others compete; the stated time is when a place is expected."}
+	RejectedForDeadline = Code{2014, "rejected_for_deadline", http.StatusServiceUnavailable, RunNo, 1000, "The pool is full, and the response can't be complete before the request's deadline; the stated time is when a place is expected."}
 
 	NoServer         = Code{3001, "no_server", http.StatusServiceUnavailable, RunNo, 1000, "No backend server in service holds an allowed model and version."}
 	BackendRefused   = Code{3002, "backend_refused", http.StatusServiceUnavailable, RunNo, 1000, "The backend servers refused the request before running it."}
@@ -69,7 +71,7 @@
 	return []Code{
 		OK,
 		MalformedRequest, BodyTooLarge, UnknownCredential, NoRoute, NotAllowed, BadSessionToken, SessionEnded, SlowRequest, UpgradeRefused, HeaderTooLarge,
-		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured, PromptQuarantined, RateLimited, RequestQuarantined,
+		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured, PromptQuarantined, RateLimited, RequestQuarantined, RejectedForAccount, RejectedForDeadline,
 		NoServer, BackendRefused, BackendFailed, BackendTimeout, AnswerMismatch, StreamCut, VersionWithdrawn, CallerLeft,
 		KeyRequired, KeyReused, InProgress, OutcomeUnknown, ClaimUnavailable,
 		EditConflict, EditInvalid, EditPending, StoreUnavailable, EditUnknown,
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -37,7 +37,7 @@
 // made. failed reports whether an earlier attempt gave no usable response.
 func (ex *exchange) planAttempt(excluded func(id string) bool, failed bool, now clock.Millis) (*plannedAttempt, *result.Error) {
 	r, req := ex.relay, ex.req
-	ex.limited = nil
+	ex.limited, ex.atCapacity = nil, false
 	view := r.Balancer.WithoutDeparted(r.View(), now)
 	route, account, err := ex.match(view)
 	if err != nil {
@@ -64,7 +64,7 @@
 		Tried:          excluded,
 		Now:            now,
 	})
-	ex.limited = p.choice.Limited
+	ex.limited, ex.atCapacity = p.choice.Limited, outcome == loadbalance.AtCapacity
 	switch outcome {
 	case loadbalance.NoServer:
 		return nil, result.New(result.NoServer, "pool %s has no server in service; %s", pool.Name, ex.lastError)
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -48,6 +48,8 @@
 	server          fleet.Entry   // of the last attempt
 	limited         []fleet.Entry // servers that only their rate limits kept the last plan from
 	answeredAt      clock.Millis  // when the last attempt's response header arrived
+	atCapacity      bool          // the last plan found all servers full
+	exactReturn     bool          // the caller is told the retry time as it is
 
 	parts   []quarantine.Part // see quarantine.Parts
 	run     *quarantine.Run   // of the last attempt
@@ -199,14 +201,15 @@
 	ex.successor = nil
 	if planned == nil {
 		var rejection *result.Error
-		if planned, rejection = ex.planFirstOrNext(now); rejection == nil && !inBudget {
+		planned, now, rejection = ex.planOrWait(now)
+		if rejection == nil && !inBudget {
 			rejection = ex.acquireRetry(planned, nil, now)
 		}
 		if rejection != nil {
 			return false, ex.reject(rejection)
 		}
 	}
-	defer r.Balancer.Done(&planned.choice)
+	defer ex.endAttempt(&planned.choice, now)
 	ex.view, ex.route, ex.account = planned.view, planned.route, planned.account
 	ex.pool, ex.model, ex.server = planned.pool, planned.model, planned.choice.Server
 	r.VersionRouter.RecordPlacement(ex.req, &ex.server)
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -90,6 +90,15 @@
 	return int64(math.Ceil(float64(wait) / (1 - retryAfterSpread)))
 }
 
+// retryAfter returns the value of the Retry-After header. A time that the schedule of
+// returning callers has set is stated as it is.
+func (ex *exchange) retryAfter(e *result.Error) string {
+	if ex.exactReturn {
+		return strconv.FormatFloat(float64(e.RetryAfterMs())/millisPerSecond, 'f', -1, 64)
+	}
+	return retryAfterSeconds(e, ex.req.ID)
+}
+
 // retryAfterSeconds returns the value of the Retry-After header, a decimal fraction
 // of seconds. It varies by a quarter up or down, so that callers rejected at the same
 // time do not retry at the same time.
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -262,6 +262,9 @@
 
 // reject ends the request with the rejection. It returns nil if the request may be retried.
 func (ex *exchange) reject(rejection *result.Error) error {
+	if rejection.Code == result.CallerLeft {
+		return errCallerDisconnected
+	}
 	if ex.fallBackToSmallModel(rejection) || ex.awaitServer(rejection) {
 		return nil
 	}
@@ -299,7 +302,7 @@
 	}
 	e := result.From(err)
 	if e.RetryAfterMs() > 0 {
-		ex.w.Header().Set("Retry-After", retryAfterSeconds(e, ex.req.ID))
+		ex.w.Header().Set("Retry-After", ex.retryAfter(e))
 	}
 	result.Write(ex.w, e, ex.req.ID)
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -95,6 +95,7 @@
 	shutdownAt     atomic.Int64 // when the daemon exits, in clock ms; 0 until shutdown begins
 	noStreamsAfter atomic.Int64 // during shutdown, when new streams are no longer accepted, in clock ms
 	rejecting      atomic.Bool  // all requests are rejected
+	waits          waitPools    // requests that wait for free capacity
 }
 
 // New returns a relay that accepts requests.
--- /dev/null
+++ b/internal/traffic/relay/wait.go
@@ -0,0 +1,255 @@
+package relay
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+)
+
+// lastAnswer is how long before its caller gives up a request is rejected at the latest, so
+// that the caller learns that it has not run.
+const lastAnswer = 20 * clock.Millis(1)
+
+// planOrWait plans an attempt for a request that runs nowhere. With shared capacity it waits
+// while the servers are full or other requests are to be served before it. A request whose
+// response has begun doesn't wait here: see awaitServer. startAt is the time at which the
+// attempt begins.
+func (ex *exchange) planOrWait(now clock.Millis) (p *plannedAttempt, startAt clock.Millis, rejection *result.Error) {
+	r := ex.relay
+	if ex.headerSent || !r.Balancer.SharesCapacity() {
+		planned, rejection := ex.planFirstOrNext(now)
+		return planned, now, rejection
+	}
+	for {
+		pool := r.waits.pool(r, ex.route.PoolAt(ex.poolPoint()))
+		now = r.Clock.Now()
+		if pool.queue.Len() == 0 || pool.queue.Ahead(ex.wish(pool.name), pool.conditions(now)) == 0 {
+			planned, rejection := ex.planFirstOrNext(now)
+			if rejection == nil {
+				pool.queue.RecordStart(now)
+			}
+			if rejection == nil || !ex.atCapacity {
+				return planned, now, rejection
+			}
+		}
+		if planned, rejection, done := ex.wait(pool); done {
+			return planned, r.Clock.Now(), rejection
+		}
+	}
+}
+
+// wish returns what the request asks of the pool.
+func (ex *exchange) wish(pool string) admission.Wish {
+	latency := ex.relay.Balancer.LatencyModel(pool, ex.attemptModel(ex.route))
+	return admission.Wish{
+		Account: ex.account.Name, Urgency: ex.priority(), Deadline: ex.deadline, Prefill: latency.PrefillTime(ex.req.Prompt.Tokens),
+	}
+}
+
+// forecast returns the expected course of the request after the given wait.
+func (ex *exchange) forecast(pool string, wait clock.Millis) admission.Forecast {
+	r := ex.relay
+	model := ex.attemptModel(ex.route)
+	f := admission.Forecast{Now: r.Clock.Now(), Wait: wait, Deadline: ex.deadline - minAttemptTime}
+	if ex.route.Stream && ex.route.RetryPolicy == catalog.Idempotent {
+		f.AnswerBy = ex.req.ReceivedAt + admission.AnswerTime(ex.route.LatencyTarget, ex.route.InterEventTarget) - lastAnswer
+	}
+	latency, runTime := r.Balancer.LatencyModel(pool, model), r.Balancer.RunTime(pool, model)
+	if latency.IsMeasured() {
+		f.FirstByte = latency.FirstByte(ex.req.Prompt.Tokens)
+	}
+	if ex.route.Stream {
+		f.Rest = max(runTime-f.FirstByte, 0)
+		if p, ok := r.View().Catalog.Pool(pool); ok && latency.IsMeasured() && ex.req.LengthHint > 0 {
+			f.Rest = ex.expectedStreamTime(p, latency)
+		}
+	}
+	return f
+}
+
+// wait waits in the pool's queue until the request has a place or must leave the queue. It
+// returns false if the request is to be planned anew.
+func (ex *exchange) wait(pool *waitPool) (*plannedAttempt, *result.Error, bool) {
+	r := ex.relay
+	now := r.Clock.Now()
+	wish, conditions := ex.wish(pool.name), pool.conditions(now)
+	ahead := pool.queue.Ahead(wish, conditions)
+	forecast := ex.forecast(pool.name, pool.expectedWait(ahead, now))
+	if forecast.IsTooLate() {
+		return nil, ex.rejectWaiting(pool, wish, reasonLateOnArrival), true
+	}
+	w := &waiter{signals: make(chan signal, 1), latestStart: forecast.LatestStart()}
+	// It is called by the goroutine that checks the queue, so it uses nothing of the exchange.
+	w.forecast = func(wait clock.Millis) admission.Forecast {
+		f := forecast
+		f.Now, f.Wait = r.Clock.Now(), wait
+		return f
+	}
+	w.constrained = r.VersionRouter.AllowedVersions(r.View(), pool.name, ex.req, ex.backendFailed) != nil
+	entry, evicted := pool.queue.Add(w, wish, conditions)
+	if evicted != nil && !evicted.Value.notify(evictSignal) {
+		// Its pending signal makes it check whether it still is in the queue.
+		ex.relay.Log.Debug("waiting request evicted", "pool", pool.name, "account", evicted.Wish.Account)
+	}
+	ex.logWaiting(pool, wish, ahead, forecast)
+	r.Metrics.addWaiting(pool.name, wish.Urgency, 1)
+	defer func() {
+		pool.queue.Leave(entry)
+		pool.finishTurn(entry, true)
+		r.Metrics.addWaiting(pool.name, wish.Urgency, -1)
+		r.Metrics.recordWait(wish.Urgency, wish.Account, r.Clock.Now()-now)
+	}()
+	pool.startTicking()
+	pool.wake()
+	for {
+		select {
+		case <-ex.httpReq.Context().Done():
+			ex.logWaited(pool, entry, "caller disconnected")
+			return nil, result.New(result.CallerLeft, "the caller disconnected while the request waited"), true
+		case s := <-w.signals:
+			planned, rejection, done := ex.handleSignal(pool, entry, s)
+			if done {
+				return planned, rejection, planned != nil || rejection != nil
+			}
+		}
+	}
+}
+
+// handleSignal follows a signal to the waiting request. It reports whether the wait is over;
+// the request is planned anew if it then has neither an attempt nor a rejection.
+func (ex *exchange) handleSignal(pool *waitPool, entry *waiting, s signal) (*plannedAttempt, *result.Error, bool) {
+	if rejection, done := ex.checkWaiting(pool, entry, s); done {
+		return nil, rejection, true
+	}
+	if s != trySignal {
+		return nil, nil, false
+	}
+	now := ex.relay.Clock.Now()
+	planned, rejection := ex.planAttempt(ex.isExcluded, ex.backendFailed, now)
+	switch {
+	case rejection == nil:
+		pool.queue.RecordStart(now)
+		pool.queue.Admit(entry, pool.conditions(now))
+		ex.logWaited(pool, entry, "admitted")
+		return planned, nil, true
+	case ex.atCapacity:
+		pool.finishTurn(entry, false)
+		return nil, nil, false
+	}
+	// The servers are not full but lost, paused or limited, which is handled as without a queue.
+	ex.logWaited(pool, entry, rejection.Error())
+	planned, rejection = ex.planFirstOrNext(now)
+	if rejection != nil && ex.atCapacity {
+		return nil, nil, true
+	}
+	return planned, rejection, true
+}
+
+// checkWaiting reports whether the waiting request must leave the queue, and the rejection if
+// it isn't to be planned anew.
+func (ex *exchange) checkWaiting(pool *waitPool, entry *waiting, s signal) (*result.Error, bool) {
+	r := ex.relay
+	now := r.Clock.Now()
+	if ex.httpReq.Context().Err() != nil {
+		ex.logWaited(pool, entry, "caller disconnected")
+		return result.New(result.CallerLeft, "the caller disconnected while the request waited"), true
+	}
+	if r.rejecting.Load() {
+		ex.logWaited(pool, entry, "shutdown")
+		return result.New(result.Stopping, "this daemon is shutting down"), true
+	}
+	if exitAt, stopping := r.shutdownTime(); stopping && !ex.finishesBefore(exitAt, now) {
+		ex.logWaited(pool, entry, "shutdown")
+		return result.New(result.Stopping, "this daemon exits in %d ms", exitAt-now), true
+	}
+	route, account, err := ex.match(r.View())
+	if err != nil {
+		ex.logWaited(pool, entry, err.Error())
+		return result.From(err), true
+	}
+	reason := reasonLate
+	switch {
+	case s == evictSignal:
+		reason = reasonQueueFull
+	case s == lateSignal || now >= entry.Value.latestStart:
+	case route.PoolAt(ex.poolPoint()) != pool.name || account.Name != entry.Wish.Account:
+		ex.route, ex.account = route, account
+		ex.logWaited(pool, entry, "the configuration has changed")
+		return nil, true
+	default:
+		return nil, false
+	}
+	ex.logWaited(pool, entry, reason)
+	return ex.rejectWaiting(pool, entry.Wish, reason), true
+}
+
+// Reasons of rejections, in logs and metrics.
+const (
+	reasonLateOnArrival = "late_on_arrival" // its response can't be in time after the requests that wait
+	reasonLate          = "late"            // its response can't be in time any more
+	reasonQueueFull     = "queue_full"
+)
+
+// rejectWaiting returns the rejection of a request for which there is no place in time.
+func (ex *exchange) rejectWaiting(pool *waitPool, wish admission.Wish, reason string) *result.Error {
+	r := ex.relay
+	now := r.Clock.Now()
+	conditions := pool.conditions(now)
+	usage := conditions.Usage(wish.Account)
+	forecast := ex.forecast(pool.name, 0)
+	wait := pool.returns.Schedule(admission.Return{
+		Rank:  admission.Rank{Excess: usage.Excess, Urgency: wish.Urgency},
+		Ahead: pool.queue.Ahead(wish, conditions), StartsPerSecond: pool.startsPerSecond(now), Forecast: forecast,
+	})
+	ex.exactReturn = true
+	code := result.RejectedForDeadline
+	if usage.Excess {
+		code = result.RejectedForAccount
+	}
+	ex.logRejected(pool, wish, reason, code, wait)
+	r.Metrics.countRejection(pool.name, reason, code)
+	return result.New(code, "no place in pool %s in time; %s", pool.name, ex.lastError).WithRetryAfter(int64(wait))
+}
+
+// endAttempt ends an attempt that was sent at the given time: its place is free.
+func (ex *exchange) endAttempt(choice *loadbalance.Choice, startedAt clock.Millis) {
+	r := ex.relay
+	r.Balancer.Done(choice)
+	if !r.Balancer.SharesCapacity() {
+		return
+	}
+	if ex.answeredAt >= startedAt {
+		r.Balancer.RecordRunTime(choice.Server.Pool, ex.model, r.Clock.Now()-startedAt)
+	}
+	r.waits.pool(r, choice.Server.Pool).wake()
+}
+
+// accountUsage returns what the account uses of a pool with that room, from all daemons.
+func (r *Relay) accountUsage(pool, account string, room loadbalance.Room, now clock.Millis) admission.Usage {
+	return admission.Usage{}
+}
+
+// logWaiting logs that the request begins to wait.
+func (ex *exchange) logWaiting(pool *waitPool, wish admission.Wish, ahead int, f admission.Forecast) {
+	room := pool.roomFor(f.Now)
+	usage := ex.relay.accountUsage(pool.name, wish.Account, room, f.Now)
+	ex.log("request waits", nil, "wait_pool", pool.name, "account", wish.Account, "urgency", wish.Urgency, "excess", usage.Excess, "usage", usage.Ratio,
+		"ahead", ahead, "queue", pool.queue.Len(), "expected_wait_ms", int64(f.Wait), "remaining_ms", int64(ex.deadline-f.Now),
+		"slots", room.Slots, "busy", room.Busy, "queued", room.Queued, "starts_per_second", int(room.StartsPerSecond),
+		"room_age_ms", int64(room.Age), "servers", room.Servers, "known", room.Known)
+}
+
+// logWaited logs why the request no longer waits.
+func (ex *exchange) logWaited(pool *waitPool, entry *waiting, why string) {
+	now := ex.relay.Clock.Now()
+	ex.log("request no longer waits", nil, "wait_pool", pool.name, "account", entry.Wish.Account, "urgency", entry.Wish.Urgency,
+		"wait_ms", int64(now-entry.Since), "why", why, "queue", pool.queue.Len(), "remaining_ms", int64(ex.deadline-now))
+}
+
+// logRejected logs that the request is rejected.
+func (ex *exchange) logRejected(pool *waitPool, wish admission.Wish, reason string, code result.Code, returnAfter clock.Millis) {
+	ex.log("request rejected", nil, "wait_pool", pool.name, "account", wish.Account, "urgency", wish.Urgency, "reason", reason,
+		"code", code.Number, "return_after_ms", int64(returnAfter), "queue", pool.queue.Len())
+}
