Record each request's arrival, start and end in the demand ledger

Cause: no daemon knows the running and waiting requests of all daemons by client account and urgency, so an account that floods can't be told apart. Change: relay.Dependencies.Demand holds a ledger; serve records the arrival once route, account and pool are known, attempt each start, and the ledger is told of the end on every path. A nil ledger records nothing. Wire provides one ledger for the relay and the exchange; Balancer.Features is readable.

--- a/internal/decision/demand/ledger.go
+++ b/internal/decision/demand/ledger.go
@@ -32,7 +32,7 @@
 // Request is a request in the ledger. Its methods may be called on nil.
 type Request struct{}
 
-// Arrive records a waiting request; work is its expected server time.
+// Arrive records a waiting request; work is its expected server time. It may be called on nil.
 func (l *Ledger) Arrive(c Class, work, now clock.Millis) *Request { return &Request{} }
 
 // Start records that the request runs. It may be called again after a retry.
--- a/internal/decision/loadbalance/features.go
+++ b/internal/decision/loadbalance/features.go
@@ -12,6 +12,13 @@
 	b.features = f
 }
 
+// Features returns the optional features that apply.
+func (b *Balancer) Features() loadfeatures.Features {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.features
+}
+
 // paceMemory is how long after a server's last statement of its pace the servers of its
 // pool count as uneven.
 const paceMemory = 60_000 * clock.Millis(1)
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -11,6 +11,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/viewstate"
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
+	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
@@ -73,7 +74,7 @@
 func newExchange(
 	log hclog.Logger, c clock.Clock, s settings.Settings, manager *viewstate.Manager, stats *peerstats.Aggregator,
 	balancer *loadbalance.Balancer, router *versionrouting.Router, retryBudget *admission.SharedRetryBudget, peers *peer.Client,
-	feed *quarantineFeed,
+	feed *quarantineFeed, ledger *demand.Ledger,
 ) *peerstats.Exchange {
 	return peerstats.NewExchange(peerstats.Config{
 		Log:        log,
@@ -84,7 +85,7 @@
 		Peers:      peers,
 		Hosts:      func() map[string]fleet.Host { return manager.View().Hosts },
 		Refresh: func() {
-			refreshPeerStats(c, s.Host, manager, stats, balancer, router, retryBudget)
+			refreshPeerStats(c, s.Host, manager, stats, balancer, router, retryBudget, ledger)
 			feed.refresh()
 		},
 	})
@@ -111,7 +112,7 @@
 func newRelay(
 	log hclog.Logger, c clock.Clock, s settings.Settings, manager *viewstate.Manager, client *h1.Client,
 	balancer *loadbalance.Balancer, retryBudget *admission.SharedRetryBudget, router *versionrouting.Router, metrics *relay.Metrics,
-	tracker *quarantine.Tracker, feed *quarantineFeed, broker *peerlimits.Broker,
+	tracker *quarantine.Tracker, feed *quarantineFeed, broker *peerlimits.Broker, ledger *demand.Ledger,
 ) *relay.Relay {
 	return relay.New(relay.Dependencies{
 		Log:                 log,
@@ -128,6 +129,7 @@
 		VersionRouter:       router,
 		Quarantine:          tracker,
 		TokenLender:         broker,
+		Demand:              ledger,
 		Metrics:             metrics,
 		ConfidenceThreshold: cascade.ConfidenceThreshold{Normal: int(s.Entry.AcceptCalm), Overloaded: int(s.Entry.AcceptBusy)},
 		OnServerReplaced: func(id string, now clock.Millis) {
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
+	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -31,13 +32,14 @@
 	sharedRetryBudget := newRetryBudget(system, s)
 	tracker := quarantine.NewTracker()
 	entryQuarantineFeed := newQuarantineFeed(log, system, s, manager, aggregator, tracker)
-	exchange := newExchange(log, system, s, manager, aggregator, balancer, router, sharedRetryBudget, client, entryQuarantineFeed)
+	ledger := demand.NewLedger()
+	exchange := newExchange(log, system, s, manager, aggregator, balancer, router, sharedRetryBudget, client, entryQuarantineFeed, ledger)
 	peerfeedStore := newPeerFeed(log, system, s, store, client, exchange)
 	h1Client := newServerClient()
 	set := metrics.NewSet()
 	relayMetrics := relay.NewMetrics(set)
 	broker := newLimitBroker(system, s, manager, balancer, client)
-	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics, tracker, entryQuarantineFeed, broker)
+	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics, tracker, entryQuarantineFeed, broker, ledger)
 	entryViewFunc := newViewFunc(manager)
 	callerHandler := newCallerHandler(system, s, relayRelay, entryViewFunc)
 	server := newPeerServer(log, s)
@@ -62,6 +64,7 @@
 		Quarantine:    tracker,
 		Quarantines:   recorder,
 		LimitBroker:   broker,
+		Demand:        ledger,
 		Metrics:       set,
 	}
 	return daemon, nil
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -9,6 +9,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
@@ -53,6 +54,8 @@
 	run     *quarantine.Run   // of the last attempt
 	onTrial bool              // the next attempt may have a quarantined segment
 
+	demand *demand.Request // in the ledger; nil before the route is known
+
 	// successor is the next attempt, if it was planned while the last one still ran.
 	successor *plannedAttempt
 	// keptOn is the silent server that the request was last kept on.
@@ -107,7 +110,9 @@
 	if exitAt, stopping := r.shutdownTime(); stopping && !ex.finishesBefore(exitAt, now) {
 		return result.New(result.Stopping, "this daemon exits in %d ms", exitAt-now)
 	}
-	r.RetryBudget.RecordRequest(route.PoolAt(ex.poolPoint()), now)
+	r.RetryBudget.RecordRequest(ex.pool.Name, now)
+	ex.demand = r.Demand.Arrive(ex.demandClass(), ex.expectedWork(), now)
+	defer func() { ex.demand.End(r.Clock.Now()) }()
 	defer ex.releaseSuccessor()
 	for {
 		done, err := ex.attempt()
@@ -210,6 +215,7 @@
 	ex.view, ex.route, ex.account = planned.view, planned.route, planned.account
 	ex.pool, ex.model, ex.server = planned.pool, planned.model, planned.choice.Server
 	r.VersionRouter.RecordPlacement(ex.req, &ex.server)
+	ex.demand.Start(now)
 	return ex.sendTo(&planned.choice, now)
 }
 
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -13,6 +13,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
@@ -41,6 +42,7 @@
 	VersionRouter   VersionRouter
 	Quarantine      *quarantine.Tracker
 	TokenLender     TokenLender
+	Demand          *demand.Ledger // nil records nothing
 	Metrics         *Metrics
 	// ConfidenceThreshold is the confidence below which a small model's answer is
 	// escalated to the largest model.
