Order waiting requests by the accounts' shares of the pool

Cause: the queue knew nothing of what all daemons run for an account, nor whether a daemon hears its peers. Result: builds; the ledger is still a stub, so all accounts rank alike.

--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -209,6 +209,7 @@
 	view := manager.View()
 	stats.SetOwn(balancer.OwnLoads(), router.AnswerStats(), router.PinnedSessions(view))
 	stats.SetOwnDepartures(balancer.OwnDepartures(view))
+	balancer.SetPeersHeard(stats.PeersHeardAt())
 	balancer.SetPeerLoads(stats.PeerLoads(), c.Now())
 	balancer.SetPeerDepartures(stats.PeerDepartures(), c.Now())
 	refreshLimits(host, view, stats, balancer, c.Now())
--- a/internal/traffic/relay/wait.go
+++ b/internal/traffic/relay/wait.go
@@ -3,6 +3,7 @@
 import (
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
@@ -228,9 +229,20 @@
 
 // accountUsage returns what the account uses of a pool with that room, from all daemons.
 func (r *Relay) accountUsage(pool, account string, room loadbalance.Room, now clock.Millis) admission.Usage {
-	return admission.Usage{}
+	if r.Demand == nil || account == "" {
+		return admission.Usage{}
+	}
+	share := r.Demand.Share(demand.Class{Pool: pool, Account: account}, float64(max(room.Slots, 1)), now)
+	if !share.Competing {
+		return admission.Usage{}
+	}
+	return admission.Usage{Ratio: share.Used / max(share.Fair, minFairShare), Excess: share.Excess()}
 }
 
+// minFairShare is the least fair share of an account that its use is divided by, in ms of
+// server time per ms.
+const minFairShare = 0.001
+
 // logWaiting logs that the request begins to wait.
 func (ex *exchange) logWaiting(pool *waitPool, wish admission.Wish, ahead int, f admission.Forecast) {
 	room := pool.roomFor(f.Now)
