--- a/internal/decision/admission/return_schedule.go
+++ b/internal/decision/admission/return_schedule.go
@@ -15,6 +15,8 @@
 	// a pool may recover in the meantime.
 	minReturn = 100 * clock.Millis(1)
 	maxReturn = 30_000 * clock.Millis(1)
+	// unknownInterval is the time between two turns while the rate of starts is unknown.
+	unknownInterval = 200 * clock.Millis(1)
 	// maxReturns bounds the remembered returns of a pool.
 	maxReturns = 1024
 )
@@ -39,7 +41,7 @@
 type Return struct {
 	Rank            Rank // only Excess and Urgency count
 	Ahead           int  // waiting requests that are served before it
-	StartsPerSecond float64
+	StartsPerSecond float64 // of this daemon; 0 if unknown
 	Forecast        Forecast
 }
 
@@ -52,7 +54,10 @@
 	defer s.mu.Unlock()
 	now := r.Forecast.Now
 	s.returns = slices.DeleteFunc(s.returns, func(o scheduledReturn) bool { return o.at <= now })
-	interval := clock.Millis(1000 / max(r.StartsPerSecond, 1000/float64(maxReturn)))
+	interval := unknownInterval
+	if r.StartsPerSecond > 0 {
+		interval = clock.Millis(min(1000/r.StartsPerSecond, float64(maxReturn)))
+	}
 	wait := interval * clock.Millis(r.Ahead+1)
 	for _, other := range s.returns {
 		if compareReturns(other.rank, r.Rank) <= 0 && other.at-now < wait+interval {
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -50,7 +50,6 @@
 	limited         []fleet.Entry // servers that only their rate limits kept the last plan from
 	answeredAt      clock.Millis  // when the last attempt's response header arrived
 	atCapacity      bool          // the last plan found all servers full
-	exactReturn     bool          // the caller is told the retry time as it is
 
 	parts   []quarantine.Part // see quarantine.Parts
 	run     *quarantine.Run   // of the last attempt
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -93,7 +93,7 @@
 // retryAfter returns the value of the Retry-After header. A time that the schedule of
 // returning callers has set is stated as it is.
 func (ex *exchange) retryAfter(e *result.Error) string {
-	if ex.exactReturn {
+	if e.Code == result.RejectedForAccount || e.Code == result.RejectedForDeadline {
 		return strconv.FormatFloat(float64(e.RetryAfterMs())/millisPerSecond, 'f', -1, 64)
 	}
 	return retryAfterSeconds(e, ex.req.ID)
--- a/internal/traffic/relay/wait.go
+++ b/internal/traffic/relay/wait.go
@@ -90,9 +90,9 @@
 	}
 	w.constrained = r.VersionRouter.AllowedVersions(r.View(), pool.name, ex.req, ex.backendFailed) != nil
 	entry, evicted := pool.queue.Add(w, wish, conditions)
-	if evicted != nil && !evicted.Value.notify(evictSignal) {
-		// Its pending signal makes it check whether it still is in the queue.
-		ex.relay.Log.Debug("waiting request evicted", "pool", pool.name, "account", evicted.Wish.Account)
+	if evicted != nil {
+		evicted.Value.evicted.Store(true)
+		evicted.Value.notify(checkSignal)
 	}
 	ex.logWaiting(pool, wish, ahead, forecast)
 	r.Metrics.addWaiting(pool.name, wish.Urgency, 1)
@@ -172,7 +172,7 @@
 	}
 	reason := reasonLate
 	switch {
-	case s == evictSignal:
+	case entry.Value.evicted.Load():
 		reason = reasonQueueFull
 	case s == lateSignal || now >= entry.Value.latestStart:
 	case route.PoolAt(ex.poolPoint()) != pool.name || account.Name != entry.Wish.Account:
@@ -204,7 +204,6 @@
 		Rank:  admission.Rank{Excess: usage.Excess, Urgency: wish.Urgency},
 		Ahead: pool.queue.Ahead(wish, conditions), StartsPerSecond: pool.startsPerSecond(now), Forecast: forecast,
 	})
-	ex.exactReturn = true
 	code := result.RejectedForDeadline
 	if usage.Excess {
 		code = result.RejectedForAccount
--- a/internal/traffic/relay/wait_pool.go
+++ b/internal/traffic/relay/wait_pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
@@ -33,7 +34,6 @@
 	trySignal   signal = iota // to get a place; ends with waitPool.finishTurn
 	checkSignal               // whether it may wait any longer
 	lateSignal                // it is expected to be too late
-	evictSignal               // the queue is full
 )
 
 // waiter is the value of a waiting request.
@@ -43,6 +43,7 @@
 	forecast    func(wait clock.Millis) admission.Forecast
 	failedIn    uint64 // the last round in which it found no place
 	constrained bool   // only some of the pool's servers may serve it
+	evicted     atomic.Bool
 }
 
 type waiting = admission.Waiting[*waiter]
