--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -41,6 +41,8 @@
 	paceStatedAt map[string]clock.Millis // when a server last stated its pace, by pool
 
 	utilisations map[string]poolUtilisation // by pool
+	runTimes     map[modelKey]runTime       // with an empty model: of all models of the pool
+	peersHeardAt clock.Millis               // see SetPeersHeard
 }
 
 // serverState is the state of one incarnation of a server.
@@ -73,6 +75,7 @@
 		returns:       make(map[string]clock.Millis),
 		paceStatedAt:  make(map[string]clock.Millis),
 		utilisations:  make(map[string]poolUtilisation),
+		runTimes:      make(map[modelKey]runTime),
 	}
 }
 
@@ -269,6 +272,12 @@
 func (b *Balancer) SetPeerLoads(loads map[string]Load, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(loads) > 0 {
+		b.peersHeardAt = now
+	}
+	if b.features.SharedCapacity && now-b.peersHeardAt >= reportLifetime {
+		now = 0 // without peer reports, those of the servers count until they expire
+	}
 	for id, s := range b.servers {
 		s.peerLoad, s.peerLoadAt = loads[id], now
 	}
--- a/internal/decision/loadbalance/utilisation.go
+++ b/internal/decision/loadbalance/utilisation.go
@@ -94,13 +94,6 @@
 	return u
 }
 
-// loadAge returns the age of the newest report of the server's load from any source; false
-// if all have expired.
-func (s *serverState) loadAge(now clock.Millis) (age clock.Millis, known bool) {
-	at := max(s.reportedAt, s.peerLoadAt)
-	return now - at, at != 0 && now-at < reportLifetime
-}
-
 // Backlog is what a request finds at a server.
 type Backlog struct {
 	Calls   int          // running and queued there, from all daemons
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -9,6 +9,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
@@ -48,11 +49,14 @@
 	server          fleet.Entry   // of the last attempt
 	limited         []fleet.Entry // servers that only their rate limits kept the last plan from
 	answeredAt      clock.Millis  // when the last attempt's response header arrived
+	atCapacity      bool          // the last plan found all servers full
 
 	parts   []quarantine.Part // see quarantine.Parts
 	run     *quarantine.Run   // of the last attempt
 	onTrial bool              // the next attempt may have a quarantined segment
 
+	demand *demand.Request // in the ledger; nil before the route is known
+
 	// successor is the next attempt, if it was planned while the last one still ran.
 	successor *plannedAttempt
 	// keptOn is the silent server that the request was last kept on.
@@ -109,7 +113,9 @@
 	if exitAt, stopping := r.shutdownTime(); stopping && !ex.finishesBefore(exitAt, now) {
 		return result.New(result.Stopping, "this daemon exits in %d ms", exitAt-now)
 	}
-	r.RetryBudget.RecordRequest(route.PoolAt(ex.poolPoint()), now)
+	r.RetryBudget.RecordRequest(ex.pool.Name, now)
+	ex.demand = r.Demand.Arrive(ex.demandClass(), ex.expectedWork(), now)
+	defer func() { ex.demand.End(r.Clock.Now()) }()
 	defer ex.releaseSuccessor()
 	for {
 		fallback := ex.kept != nil
@@ -210,17 +216,19 @@
 	ex.successor = nil
 	if planned == nil {
 		var rejection *result.Error
-		if planned, rejection = ex.planFirstOrNext(now); rejection == nil && !inBudget {
+		planned, now, rejection = ex.planOrWait(now)
+		if rejection == nil && !inBudget {
 			rejection = ex.acquireRetry(planned, nil, now)
 		}
 		if rejection != nil {
 			return false, ex.reject(rejection)
 		}
 	}
-	defer r.Balancer.Done(&planned.choice)
+	defer ex.endAttempt(&planned.choice, now)
 	ex.view, ex.route, ex.account = planned.view, planned.route, planned.account
 	ex.pool, ex.model, ex.server = planned.pool, planned.model, planned.choice.Server
 	r.VersionRouter.RecordPlacement(ex.req, &ex.server)
+	ex.demand.Start(now)
 	return ex.sendTo(&planned.choice, now)
 }
 
