Split the choice of a server into files by concern

choose.go held the cost, the capacity of servers, the time to retry after and the preferred server as well, and several parts of the coming work change it.

--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -4,54 +4,11 @@
 	"math"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
-	"gypsumpitch.example/gypsumpitch/internal/decision/coldstart"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
-// The cost of a server is the estimated time in ms that the request, and the requests
-// that run beside it, would lose if it were placed there.
-const (
-	// costEngineCall is the cost per in-flight request at a model engine: each slows
-	// every token of the others by a few per cent.
-	costEngineCall = 40.0
-	// costPlainCall is the same at a plain server, which runs a few requests at once.
-	costPlainCall = 4.0
-	// costPrefill is the cost per 1,000 tokens of prefill, for any model. Prefill that a
-	// cache could have avoided takes power and delays other requests.
-	costPrefill = 300.0
-	// costRemote is the cost of a server in another data centre, mostly for the traffic
-	// between the data centres.
-	costRemote = 8.0
-	// costErrors is the cost of a server all of whose recent calls failed: about the
-	// time that a retry takes.
-	costErrors = 3_000.0
-	// costTried ranks servers that this request was already sent to, and costEjected
-	// ejected servers, behind all others.
-	costTried   = 100_000.0
-	costEjected = 50_000.0
-	// costUnsampled ranks servers outside the request's sample behind those in it, but
-	// ahead of ejected and tried ones.
-	costUnsampled = 20_000.0
-	// costLeaving ranks servers that announced their exit behind those outside the sample,
-	// but ahead of ejected and tried ones.
-	costLeaving = 30_000.0
-	// costNoise is the range of a pseudo-random cost that keeps daemons with the same
-	// information from choosing the same server.
-	costNoise = 12.0
-	// costUnusedToken is the cost of leaving a limited server's token unused for now.
-	costUnusedToken = costNoise
-	// cachedShare is the share of a prompt's shared prefix that the preferred server is
-	// assumed to have cached.
-	cachedShare = 0.85
-	// engineQueue and plainQueue are the queue lengths that a server is allowed, as a
-	// multiple of its slots. Plain servers finish a request in a fraction of its latency
-	// target, so a short queue costs little there.
-	engineQueue = 0.5
-	plainQueue  = 2.0
-)
-
 // Request describes a request that needs a server.
 type Request struct {
 	Pool           catalog.Pool
@@ -193,21 +150,6 @@
 	return choice, Chosen
 }
 
-// admit returns Chosen if the server can get the request, and otherwise why it can't.
-func (b *Balancer) admit(s *serverState, e *fleet.Entry, n *announcement, limit *serverLimit, r *Request) Result {
-	switch {
-	case b.announcements.hasDeparted(n, r.Now):
-		return NoServer
-	case n.isPaused(r.Now):
-		return Paused
-	case !b.hasCapacity(s, e, n, r):
-		return AtCapacity
-	case limit != nil && !b.limits.ready(e.ID, limit, r.Now):
-		return RateLimited
-	}
-	return Chosen
-}
-
 // maxLimitedServers bounds Choice.Limited.
 const maxLimitedServers = 2
 
@@ -241,150 +183,7 @@
 	s.own.Prefill += c.PrefillTime
 }
 
-const (
-	// minRetryAfter and maxRetryAfter bound RetryAfter: free capacity is never certain,
-	// and callers wait for seconds only.
-	minRetryAfter = 100 * clock.Millis(1)
-	maxRetryAfter = 3_000 * clock.Millis(1)
-	// typicalEvents is the assumed number of events in an answer.
-	typicalEvents = 30
-)
-
-// RetryAfter returns the time until a full pool is expected to have free capacity:
-// when its least loaded server has finished the requests beyond its limit, at the
-// typical latency of the pool.
-//
-// Load pattern: servers of a pool are lost or killed and their callers retry together.
-// A retry that comes too early is only rejected again.
-func (b *Balancer) RetryAfter(v *fleet.View, pool catalog.Pool, model string, now clock.Millis) clock.Millis {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	latency := b.models[modelKey{pool.Name, model}]
-	requestMs := float64(latency.FirstByte(0))
-	if pool.HasEngines() {
-		requestMs += typicalEvents * latency.InterEventMs()
-	}
-	entries := v.Pool(pool.Name)
-	wait := maxRetryAfter
-	for i := range entries {
-		e := &entries[i]
-		if !v.InService(e) {
-			continue
-		}
-		n := b.announcements.of(e)
-		if b.announcements.hasDeparted(n, now) {
-			continue
-		}
-		if n.isPaused(now) {
-			wait = min(wait, n.pausedUntil-now)
-			continue
-		}
-		if b.limits.blocks(e, now) {
-			continue
-		}
-		s := b.state(e)
-		excess := max(float64(s.load(now).Calls)-s.maxCalls(e, &pool)+1, 1)
-		wait = min(wait, clock.Millis(requestMs*excess/float64(s.slotsOf(e))))
-	}
-	return max(wait, minRetryAfter)
-}
-
 // allows reports whether the request may be sent to the server.
 func (r *Request) allows(v *fleet.View, e *fleet.Entry) bool {
 	return v.InService(e) && (r.VersionAllowed == nil || r.VersionAllowed(e.Version))
 }
-
-// coldLimit returns this daemon's share of the request rate of a cold server. The burst
-// of all daemons together is bounded too, so where there are many daemons, only a few of
-// them send to one cold server.
-func (r *Request) coldLimit(server string) rateLimit {
-	burst := max(int(r.Pool.ColdRate*coldBurst+coldBurstExtra), 1)
-	own := float64(coldstart.Slots(server, burst, r.Hosts, r.Self))
-	return rateLimit{perSecond: r.Pool.ColdRate * own / float64(burst), burst: own}
-}
-
-const (
-	// The burst that all daemons together may send to a cold server beyond its rate is
-	// coldBurst x the rate plus coldBurstExtra. A cold server fails when it gets more
-	// than 1.5 times its rate plus five requests in a second.
-	coldBurst      = 0.35
-	coldBurstExtra = 3.0
-)
-
-// slotsOf returns the number of requests that the server runs at once.
-func (s *serverState) slotsOf(e *fleet.Entry) int { return max(s.slots, e.Slots, 1) }
-
-// maxCalls returns the maximum number of requests at the server, from all daemons.
-func (s *serverState) maxCalls(e *fleet.Entry, pool *catalog.Pool) float64 {
-	queue := plainQueue
-	if pool.HasEngines() {
-		queue = engineQueue
-	}
-	return float64(s.slotsOf(e)) * (1 + queue)
-}
-
-// hasCapacity reports whether the server can accept one more request.
-func (b *Balancer) hasCapacity(s *serverState, e *fleet.Entry, n *announcement, r *Request) bool {
-	limit := s.maxCalls(e, &r.Pool)
-	if float64(s.load(r.Now).Calls) >= limit || float64(s.own.Calls) >= n.returnLimit(r, e.ID, s.slotsOf(e), limit) {
-		return false
-	}
-	return !s.isCold(e, &r.Pool, r.Now) || s.coldBucket.ready(r.coldLimit(e.ID), r.Now)
-}
-
-// cost returns the cost of the request at the server, without costUnsampled.
-func (b *Balancer) cost(s *serverState, e *fleet.Entry, r *Request, prefillTokens int, firstByte clock.Millis) float64 {
-	load := s.load(r.Now)
-	slots := s.slotsOf(e)
-	call := costPlainCall
-	if r.Pool.HasEngines() {
-		call = costEngineCall
-	}
-	cost := call*float64(load.Calls) + costPrefill*float64(prefillTokens)/1000
-	cost += s.slowness(r.Now) * float64(load.Prefill+firstByte)
-	if load.Calls >= slots {
-		// A queued request waits a share of the time that an answer takes.
-		cost += float64(firstByte) * float64(load.Calls-slots+1) / float64(slots)
-	}
-	cost += costErrors * s.currentErrorRate(r.Now)
-	if e.DataCentre != r.DataCentre {
-		cost += costRemote
-	}
-	if r.Now < s.ejectedUntil {
-		cost += costEjected
-	}
-	if r.Tried != nil && r.Tried(e.ID) {
-		cost += costTried
-	}
-	const noiseSteps = 1024
-	return cost + costNoise*float64(container.CombineHash(r.Salt, e.ID)%noiseSteps)/noiseSteps
-}
-
-// preferred returns the index of the server that all daemons prefer for the prompt's
-// longest shared prefix, by rendezvous hash; -1 if the prompt shares no prefix.
-func (b *Balancer) preferred(v *fleet.View, r *Request, entries []fleet.Entry) int {
-	if len(b.prefixBuf) == 0 {
-		return -1
-	}
-	prefix := b.prefixBuf[len(b.prefixBuf)-1].Hash
-	best, highest := -1, uint64(0)
-	for i := range entries {
-		e := &entries[i]
-		if !r.allows(v, e) || b.announcements.of(e).isLeaving() {
-			continue
-		}
-		if weight := container.CombineHash(prefix, e.ID); (best < 0 || weight > highest) && !b.limits.blocks(e, r.Now) {
-			best, highest = i, weight
-		}
-	}
-	return best
-}
-
-// uncachedTokens returns the prefill tokens that remain at the preferred server.
-func (b *Balancer) uncachedTokens(p Prompt) int {
-	if len(b.prefixBuf) == 0 {
-		return p.Tokens
-	}
-	shared := float64(b.prefixBuf[len(b.prefixBuf)-1].Tokens)
-	return max(p.Tokens-int(shared*cachedShare), 0)
-}
