Place requests by the speed of servers in uneven pools

Servers differ in speed for long and for moments, and each daemon knew one smoothed slowness from its own few calls. The fourth figure of the load header is read (10 to 2,000 percent, others count as absent, by kind in a metric), the lasting speed of a server is learned from all daemons' calls, and cost and capacity use both in pools that isUneven names. Other pools are served as before.

--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -37,6 +37,8 @@
 	// know of any; see loadbalance.MemberID.
 	Limits       []loadbalance.LimitReport `json:"m,omitempty"`
 	LimitMembers []uint32                  `json:"n,omitempty"`
+	// Speeds are the speeds of servers in pools where they are uneven.
+	Speeds []loadbalance.SpeedReport `json:"v,omitempty"`
 }
 
 // maxCrashes bounds the crashes in a snapshot. The newest ones are kept.
@@ -65,6 +67,7 @@
 	soundRuns   map[quarantine.Part]quarantine.SoundRuns
 	limits      map[serverStart]loadbalance.LimitReport
 	members     map[uint32]bool // that share the limits
+	speeds      speedTotals
 }
 
 // serverStart is one start of a server.
@@ -83,6 +86,7 @@
 		soundRuns:   make(map[quarantine.Part]quarantine.SoundRuns),
 		limits:      make(map[serverStart]loadbalance.LimitReport),
 		members:     make(map[uint32]bool),
+		speeds:      make(speedTotals),
 	}
 }
 
@@ -91,6 +95,7 @@
 func (t *total) add(s Snapshot, fresh bool, elapsed clock.Millis) {
 	t.addEvidence(s, elapsed)
 	t.addLimits(s.Limits, elapsed)
+	t.speeds.add(s.Speeds, elapsed)
 	if fresh {
 		for _, member := range s.LimitMembers {
 			t.members[member] = true
@@ -157,6 +162,7 @@
 		Loads: t.loads, Departures: slices.Collect(maps.Keys(t.departures)),
 		Crashes: t.newestCrashes(), SoundRuns: slices.Collect(maps.Values(t.soundRuns)),
 		Limits: loadbalance.LatestLimits(slices.Collect(maps.Values(t.limits))), LimitMembers: slices.Collect(maps.Keys(t.members)),
+		Speeds: t.speeds.reports(),
 	}
 	for key, stats := range t.answerStats {
 		s.AnswerStats = append(s.AnswerStats, AnswerStatsEntry{key, stats})
--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -39,6 +39,8 @@
 
 	features     loadfeatures.Features
 	paceStatedAt map[string]clock.Millis // when a server last stated its pace, by pool
+	speeds       speeds
+	decode       map[modelKey]eventTimes // of pools with uneven servers
 }
 
 // serverState is the state of one incarnation of a server.
@@ -60,6 +62,8 @@
 	ejectedUntil        clock.Millis
 	coldUntil           clock.Millis // from the server's own reports
 	coldBucket          tokenBucket
+	speed               *serverSpeed
+	lasting             float64 // see lastingSlowness; 0 for 1
 }
 
 // NewBalancer returns a balancer without any measurements.
@@ -70,6 +74,8 @@
 		limits:        serverLimits{servers: make(map[string]*serverLimit), members: newLimitMembers()},
 		returns:       make(map[string]clock.Millis),
 		paceStatedAt:  make(map[string]clock.Millis),
+		speeds:        newSpeeds(),
+		decode:        make(map[modelKey]eventTimes),
 	}
 }
 
@@ -84,7 +90,7 @@
 	if ok {
 		own = s.own
 	}
-	s = &serverState{startedAt: e.StartedAt, own: own, slots: e.Slots}
+	s = &serverState{startedAt: e.StartedAt, own: own, slots: e.Slots, speed: b.speeds.of(e)}
 	b.servers[e.ID] = s
 	return s
 }
@@ -100,8 +106,11 @@
 	for id, s := range b.servers {
 		if s.own.Calls == 0 && !keep(id) {
 			delete(b.servers, id)
+			continue
 		}
+		s.speed.usedAt = now
 	}
+	b.speeds.prune(now)
 }
 
 // load returns the estimated load of the server from all daemons. The pending
@@ -123,6 +132,7 @@
 	Requests      int  // running and queued there
 	Slots         int
 	ColdRemaining clock.Millis
+	Pace          int // see RecordPace; 0 if the server states none
 }
 
 // RecordReport records the report of a server that answered and ends its ejection.
@@ -138,6 +148,9 @@
 	if report.ColdRemaining > 0 {
 		s.coldUntil = now + report.ColdRemaining
 	}
+	if report.Pace > 0 {
+		b.recordPace(e, report.Pace, now)
+	}
 }
 
 const (
--- a/internal/decision/loadbalance/capacity.go
+++ b/internal/decision/loadbalance/capacity.go
@@ -55,7 +55,21 @@
 	if pool.HasEngines() {
 		queue = engineQueue
 	}
-	return float64(s.slotsOf(e)) * (1 + queue)
+	return float64(s.slotsOf(e)) * (1 + queue) * s.capacityFactor()
+}
+
+const (
+	// minCapacityFactor and maxCapacityFactor bound the capacity of a server by its speed. A
+	// fast server runs no more requests at once than a slow one: what it holds beyond its
+	// slots waits there.
+	minCapacityFactor = 0.4
+	maxCapacityFactor = 1.7
+)
+
+// capacityFactor returns the server's capacity relative to a typical one of its pool, which
+// is its speed; 1 if the servers aren't uneven.
+func (s *serverState) capacityFactor() float64 {
+	return min(max(1/s.lastingSlowness(), minCapacityFactor), maxCapacityFactor)
 }
 
 // hasCapacity reports whether the server can accept one more request.
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -79,6 +79,14 @@
 	// Limited are some servers that only their rate limits exclude, if no server was chosen.
 	Limited []fleet.Entry
 
+	// Speed is what was known of the server's speed; nil unless the pool's servers are uneven.
+	Speed *KnownSpeed
+
+	unloadedFirstByte clock.Millis // expected at a typical server without pending prefill
+	pendingPrefill    clock.Millis // at a typical server
+	queueWait         clock.Millis // expected wait for a slot
+	queued            bool         // the server had as many requests as slots
+
 	usesColdToken  bool // the choice took a token of a cold server's bucket
 	usesLimitToken bool // the choice took a token of a limited server
 }
@@ -94,14 +102,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entries := v.Pool(r.Pool.Name)
-	b.prefixBuf = r.Prompt.Prefixes(r.Model, b.prefixBuf[:0])
-	latency := b.models[modelKey{r.Pool.Name, r.Model}]
-	preferred := b.preferred(v, &r, entries)
+	p := b.newPlacement(v, &r, entries)
 	best, lowest, result := -1, math.Inf(1), NoServer
-	// By index: 0 for other servers, 1 for the preferred one.
-	prefillTokens := [...]int{r.Prompt.Tokens, b.uncachedTokens(r.Prompt)}
-	firstByte := [...]clock.Millis{latency.FirstByte(prefillTokens[0]), latency.FirstByte(prefillTokens[1])}
-	bound := r.sampleBound(len(entries))
 	pausedUntil := clock.Millis(math.MaxInt64)
 	for i := range entries {
 		e := &entries[i]
@@ -116,17 +118,13 @@
 			}
 			continue
 		}
-		which := 0
-		if i == preferred {
-			which = 1
-		}
-		cost := b.cost(s, e, &r, prefillTokens[which], firstByte[which])
+		cost := p.cost(i, s, e)
 		switch {
 		case n.isLeaving():
 			cost += costLeaving
 		case limit != nil:
 			cost -= costUnusedToken
-		case i != preferred && bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > bound:
+		case !p.isPreferred(i) && p.bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > p.bound:
 			cost += costUnsampled
 		}
 		if cost < lowest {
@@ -136,16 +134,8 @@
 	if best < 0 {
 		return Choice{PausedUntil: pausedUntil, Limited: b.limitedServers(v, entries, &r)}, result
 	}
-	choice := Choice{PrefillTokens: prefillTokens[0], LastResort: lowest >= costEjected}
-	if best == preferred {
-		choice.PrefillTokens = prefillTokens[1]
-	}
-	choice.PrefillTime = latency.PrefillTime(choice.PrefillTokens)
-	choice.Server = entries[best]
-	s := b.state(&choice.Server)
-	choice.TypicalFirstByte = latency.FirstByte(choice.PrefillTokens) + s.load(r.Now).Prefill
-	choice.HasEstimate = latency.weight >= minWeight
-	choice.ExpectedFirstByte = clock.Millis(s.slowness(r.Now) * float64(choice.TypicalFirstByte))
+	choice := p.choice(best, b.state(&entries[best]), &entries[best])
+	choice.LastResort = lowest >= costEjected
 	b.start(&choice, &r)
 	return choice, Chosen
 }
--- a/internal/decision/loadbalance/cost.go
+++ b/internal/decision/loadbalance/cost.go
@@ -43,8 +43,8 @@
 	cachedShare = 0.85
 )
 
-// cost returns the cost of the request at the server, without costUnsampled.
-func (b *Balancer) cost(s *serverState, e *fleet.Entry, r *Request, prefillTokens int, firstByte clock.Millis) float64 {
+// loadCost returns the cost of the request at a server by its load.
+func loadCost(s *serverState, e *fleet.Entry, r *Request, prefillTokens int, firstByte clock.Millis) float64 {
 	load := s.load(r.Now)
 	slots := s.slotsOf(e)
 	call := costPlainCall
@@ -57,7 +57,13 @@
 		// A queued request waits a share of the time that an answer takes.
 		cost += float64(firstByte) * float64(load.Calls-slots+1) / float64(slots)
 	}
-	cost += costErrors * s.currentErrorRate(r.Now)
+	const noiseSteps = 1024
+	return cost + costNoise*float64(container.CombineHash(r.Salt, e.ID)%noiseSteps)/noiseSteps
+}
+
+// faultCost returns the cost of what speaks against the server besides its load.
+func faultCost(s *serverState, e *fleet.Entry, r *Request) float64 {
+	cost := costErrors * s.currentErrorRate(r.Now)
 	if e.DataCentre != r.DataCentre {
 		cost += costRemote
 	}
@@ -67,6 +73,5 @@
 	if r.Tried != nil && r.Tried(e.ID) {
 		cost += costTried
 	}
-	const noiseSteps = 1024
-	return cost + costNoise*float64(container.CombineHash(r.Salt, e.ID)%noiseSteps)/noiseSteps
+	return cost
 }
--- /dev/null
+++ b/internal/decision/loadbalance/finish.go
@@ -0,0 +1,79 @@
+package loadbalance
+
+import (
+	"math"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+)
+
+const (
+	// lastEventWeight is the weight of the time from the first event to the last in the cost
+	// of an uneven server. Callers have a target for the first event, and for the last only
+	// a deadline that is several times later.
+	lastEventWeight = 0.1
+	// unevenNoise is the range of the random cost at a server whose free capacity equals its
+	// slots. It is larger, the less is free.
+	unevenNoise = costNoise
+	// minRoom is the least free capacity that is assumed, as a share of the slots.
+	minRoom = 0.05
+)
+
+// finish is when a request is expected to be answered at an uneven server, in ms from now.
+type finish struct {
+	wait       float64 // for a slot
+	firstEvent float64
+	lastEvent  float64
+}
+
+// finish returns the expected times of the request at the server.
+func (p *placement) finish(s *serverState, e *fleet.Entry, which int) finish {
+	load, slots := s.load(p.request.Now), s.slotsOf(e)
+	var f finish
+	lasting := s.lastingSlowness()
+	if waiting := load.Calls - slots + 1; waiting > 0 {
+		// One slot becomes free each time that one of the running requests ends.
+		f.wait = lasting * (float64(p.firstByte[which]) + p.streamMs(slots)) * float64(waiting) / float64(slots)
+	}
+	f.firstEvent = f.wait + s.currentSlowness(p.request.Now)*s.slowness(p.request.Now)*float64(load.Prefill+p.firstByte[which])
+	// The pace of this moment is over before most of the stream.
+	f.lastEvent = f.firstEvent + lasting*p.streamMs(min(load.Calls+1, slots))
+	return f
+}
+
+// streamMs returns the expected time from the first to the last event of the request at a
+// typical server with that many requests; 0 if it doesn't generate a stream.
+func (p *placement) streamMs(calls int) float64 {
+	if !p.request.Pool.HasEngines() {
+		return 0
+	}
+	events := float64(p.request.Prompt.MaxOutputTokens) / float64(max(p.request.Pool.TokensPerEvent, 1))
+	if p.events.weight < minWeight {
+		return events * p.latency.InterEventMs()
+	}
+	return events * p.events.At(calls)
+}
+
+// finishCost returns the cost of an uneven server: the expected times of this request
+// there, and what the requests beside it lose.
+//
+// Load pattern: servers of several speeds, some of them slow for a moment. All daemons have
+// the same outdated reports, so the choice among servers with similar costs is random, in
+// proportion to their free capacity.
+func (p *placement) finishCost(s *serverState, e *fleet.Entry, which int) float64 {
+	r := p.request
+	f := p.finish(s, e, which)
+	load, lasting := s.load(r.Now), s.lastingSlowness()
+	call := costPlainCall
+	if r.Pool.HasEngines() {
+		call = costEngineCall
+	}
+	cost := f.firstEvent + lastEventWeight*(f.lastEvent-f.firstEvent)
+	cost += lasting * (call*float64(load.Calls) + costPrefill*float64(p.prefillTokens[which])/1000)
+	room := (s.maxCalls(e, &r.Pool) - float64(load.Calls)) / float64(s.slotsOf(e))
+	// The least of exponential variates belongs to each with a probability in proportion to
+	// its rate.
+	const steps = 1 << 20
+	unit := (float64(container.CombineHash(r.Salt, e.ID)%steps) + 1) / steps
+	return cost - unevenNoise*math.Log(unit)/max(room, minRoom)
+}
--- a/internal/decision/loadbalance/latency_records.go
+++ b/internal/decision/loadbalance/latency_records.go
@@ -1,6 +1,9 @@
 package loadbalance
 
-import "gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
 
 // modelKey identifies a latency model.
 type modelKey struct {
@@ -13,6 +16,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := modelKey{c.Server.Pool, model}
+	if b.isUneven(c.Server.Pool, now) {
+		b.recordUnevenFirstByte(c, key, firstByte, now)
+		return
+	}
 	latency := b.models[key]
 	if latency.weight >= minWeight {
 		// With fewer answers, the first servers to answer would seem faster than all others.
@@ -21,11 +28,14 @@
 	b.models[key] = latency.WithFirstByte(c.PrefillTokens, firstByte)
 }
 
-// RecordInterEvent records the mean time between the events of a stream.
-func (b *Balancer) RecordInterEvent(pool, model string, ms float64) {
+// RecordInterEvent records the mean time in ms between events of a stream of the server.
+func (b *Balancer) RecordInterEvent(e *fleet.Entry, model string, ms float64, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := modelKey{pool, model}
+	key := modelKey{e.Pool, model}
+	if b.isUneven(e.Pool, now) {
+		b.recordUnevenEventTime(e, key, ms, now)
+	}
 	b.models[key] = b.models[key].WithInterEvent(ms)
 }
 
--- /dev/null
+++ b/internal/decision/loadbalance/speed_records.go
@@ -0,0 +1,85 @@
+package loadbalance
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+// recordUnevenFirstByte records the time to the first byte of an answer in a pool with
+// uneven servers. The latency model gets the time at a typical server without pending
+// prefill, so that it doesn't depend on the servers that were chosen.
+func (b *Balancer) recordUnevenFirstByte(c *Choice, key modelKey, firstByte, now clock.Millis) {
+	s, latency := b.state(&c.Server), b.models[key]
+	hasEstimate := latency.weight >= minWeight
+	slowness := s.currentSlowness(now)
+	if hasEstimate && c.HasEstimate {
+		expected := max(float64(c.unloadedFirstByte+c.pendingPrefill), 1)
+		s.recordSlowness(firstByte, clock.Millis(slowness*expected+float64(c.queueWait)), now)
+		if !c.queued {
+			s.speed.learn(float64(max(firstByte, 1))/expected, firstByteWeight, now)
+		}
+	}
+	if c.queued && hasEstimate {
+		return // the time in the server's queue says nothing about its speed
+	}
+	typical := clock.Millis(float64(firstByte)/slowness) - c.pendingPrefill
+	b.models[key] = latency.WithFirstByte(c.PrefillTokens, max(typical, 1))
+}
+
+// recordUnevenEventTime records a mean time between events in a pool with uneven servers.
+func (b *Balancer) recordUnevenEventTime(e *fleet.Entry, key modelKey, ms float64, now clock.Millis) {
+	s, times := b.state(e), b.decode[key]
+	calls := s.load(now).Calls
+	if times.weight >= minWeight {
+		s.speed.learn(ms/times.At(calls), eventTimeWeight, now)
+	}
+	b.decode[key] = times.With(calls, ms/s.currentSlowness(now))
+}
+
+// eventTimes predicts the time between the events of a stream at a typical server as a
+// linear function of the requests there, which share its steps. It is fitted with
+// exponentially decaying weights and immutable.
+type eventTimes struct {
+	weight      float64 // decayed number of measurements
+	meanCalls   float64
+	meanMs      float64
+	meanCallsSq float64
+	meanProduct float64 // of calls x ms
+}
+
+// eventTimeAnswers is the number of measurements after which the weight of an earlier one
+// has fallen to about a third.
+const eventTimeAnswers = 200
+
+// With returns the times updated with a measurement.
+func (t eventTimes) With(calls int, ms float64) eventTimes {
+	const keep = 1 - 1.0/eventTimeAnswers
+	x, y := float64(calls), min(ms, maxInterEventMs)
+	total := t.weight*keep + 1
+	old, share := t.weight*keep/total, 1/total
+	return eventTimes{
+		weight:      total,
+		meanCalls:   t.meanCalls*old + x*share,
+		meanMs:      t.meanMs*old + y*share,
+		meanCallsSq: t.meanCallsSq*old + x*x*share,
+		meanProduct: t.meanProduct*old + x*y*share,
+	}
+}
+
+// perCall returns the time in ms that each request at the server adds.
+func (t eventTimes) perCall() float64 {
+	variance := t.meanCallsSq - t.meanCalls*t.meanCalls
+	if t.weight < minWeight || variance < 1 {
+		return 0
+	}
+	return max((t.meanProduct-t.meanCalls*t.meanMs)/variance, 0)
+}
+
+// At returns the expected time in ms at a server with that many requests.
+func (t eventTimes) At(calls int) float64 {
+	if t.weight < minWeight {
+		return defaultInterEventMs
+	}
+	// A slope that is too high must not make the time of an idle server negative.
+	return max(t.meanMs+t.perCall()*(float64(calls)-t.meanCalls), t.meanMs/4)
+}
--- a/internal/program/entry/metrics.go
+++ b/internal/program/entry/metrics.go
@@ -50,6 +50,7 @@
 		return float64(paused)
 	})
 	gauge("gypsumpitch_servers_limited", func(v *fleet.View) float64 { return float64(d.Balancer.LimitedServers(v)) })
+	d.registerSpeedGauges()
 	quarantined := func(isRequest bool) func(*fleet.View) float64 {
 		return func(*fleet.View) float64 {
 			n := 0
--- a/internal/traffic/relay/dialect.go
+++ b/internal/traffic/relay/dialect.go
@@ -37,6 +37,8 @@
 	Pause         clock.Millis // for which it wants no requests from this daemon
 	PauseKind     PauseKind
 	Limit         loadbalance.Limit // of the requests from all daemons
+	Pace          int               // time that work takes at the server now, in percent of the usual; 0 if unknown
+	PaceKind      loadbalance.PaceKind
 }
 
 // PauseKind is how the time for which a server wants no requests was understood.
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -32,22 +32,23 @@
 	model    string       // of the last attempt
 	deadline clock.Millis // for the complete response
 
-	modelIndex      int           // in the route's models, smallest first
-	backendFailed   bool          // some attempt may have run and gave no usable response
-	attempts        int           // calls made to servers
-	reachedServer   bool          // some call reached a server, or may have
-	executions      int           // runs that gave no usable response, or whose answer was discarded
-	executedOn      []string      // servers on which the request ran or may have run
-	notExecutedOn   []string      // servers that did not run it: they refused it or could not be reached
-	mayHaveExecuted bool          // it may have run on some server
-	headerSent      bool          // the response to the caller has begun
-	status          int           // HTTP status sent to the caller
-	lastEventID     string        // last event that the caller received
-	confidence      int           // stated in the last response, 0 to 100; -1 if none was
-	lastError       string        // why the last attempt failed
-	server          fleet.Entry   // of the last attempt
-	limited         []fleet.Entry // servers that only their rate limits kept the last plan from
-	answeredAt      clock.Millis  // when the last attempt's response header arrived
+	modelIndex      int                     // in the route's models, smallest first
+	backendFailed   bool                    // some attempt may have run and gave no usable response
+	attempts        int                     // calls made to servers
+	reachedServer   bool                    // some call reached a server, or may have
+	executions      int                     // runs that gave no usable response, or whose answer was discarded
+	executedOn      []string                // servers on which the request ran or may have run
+	notExecutedOn   []string                // servers that did not run it: they refused it or could not be reached
+	mayHaveExecuted bool                    // it may have run on some server
+	headerSent      bool                    // the response to the caller has begun
+	status          int                     // HTTP status sent to the caller
+	lastEventID     string                  // last event that the caller received
+	confidence      int                     // stated in the last response, 0 to 100; -1 if none was
+	lastError       string                  // why the last attempt failed
+	server          fleet.Entry             // of the last attempt
+	speed           *loadbalance.KnownSpeed // of that server; see loadbalance.Choice
+	limited         []fleet.Entry           // servers that only their rate limits kept the last plan from
+	answeredAt      clock.Millis            // when the last attempt's response header arrived
 
 	parts   []quarantine.Part // see quarantine.Parts
 	run     *quarantine.Run   // of the last attempt
@@ -209,6 +210,7 @@
 	defer r.Balancer.Done(&planned.choice)
 	ex.view, ex.route, ex.account = planned.view, planned.route, planned.account
 	ex.pool, ex.model, ex.server = planned.pool, planned.model, planned.choice.Server
+	ex.speed = planned.choice.Speed
 	r.VersionRouter.RecordPlacement(ex.req, &ex.server)
 	return ex.sendTo(&planned.choice, now)
 }
@@ -266,9 +268,7 @@
 	r.Balancer.PrefillDone(choice)
 	r.Metrics.recordFirstByte(ex.account.Name, r.Clock.Now()-req.ReceivedAt)
 	if resp.Status < http.StatusMultipleChoices {
-		now := r.Clock.Now()
-		r.Balancer.RecordFirstByte(choice, ex.model, now-startedAt, now)
-		ex.run.Begin(now)
+		ex.run.Begin(r.Clock.Now())
 	}
 	return ex.handleResponse(choice, resp, startedAt)
 }
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -142,8 +142,9 @@
 // given time, the first of them at that time.
 func (ex *exchange) recordEventTime(events int, since clock.Millis) {
 	if events > 1 {
-		mean := float64(ex.relay.Clock.Now()-since) / float64(events-1)
-		ex.relay.Balancer.RecordInterEvent(ex.pool.Name, ex.model, mean)
+		now := ex.relay.Clock.Now()
+		mean := float64(now-since) / float64(events-1)
+		ex.relay.Balancer.RecordInterEvent(&ex.server, ex.model, mean, now)
 	}
 }
 
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -67,7 +67,19 @@
 		return
 	}
 	ex.countOutcome(result.OK)
-	ex.log("served", &ex.server, "status", ex.status)
+	ex.log("served", &ex.server, append([]any{"status", ex.status}, ex.speedFields()...)...)
+}
+
+// speedFields returns what was known of the speed of the last attempt's server when it was
+// chosen, which tells why it was preferred to a free one; none unless servers are uneven.
+func (ex *exchange) speedFields() []any {
+	if ex.speed == nil {
+		return nil
+	}
+	return []any{
+		"server_speed", math.Round(ex.speed.Speed*100) / 100, "server_pace", ex.speed.Pace,
+		"server_pace_age_ms", int64(ex.speed.PaceAge), "server_pace_own", ex.speed.FromOwn,
+	}
 }
 
 // resultCode returns the code under which a failed request is counted.
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -91,6 +91,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_limits_total{kind=%q}`, string(kind))).Inc()
 }
 
+// countPace counts a server's statement of its pace by how it was understood.
+func (m *Metrics) countPace(kind loadbalance.PaceKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_paces_total{kind=%q}`, string(kind))).Inc()
+}
+
 // countCrash counts a server that crashed while this daemon's requests ran there.
 func (m *Metrics) countCrash(pool string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_server_crashes_total{pool=%q}`, pool)).Inc()
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -105,7 +105,15 @@
 	info := r.Dialect.Decode(server.ID, resp.Status, resp.Header)
 	r.Balancer.RecordReport(server, loadbalance.ServerReport{
 		HasLoad: info.HasLoad, Requests: info.Running + info.Waiting, Slots: info.Slots, ColdRemaining: info.ColdRemaining,
+		Pace: info.Pace,
 	}, now)
+	if info.PaceKind != loadbalance.NoPace {
+		r.Metrics.countPace(info.PaceKind)
+	}
+	if resp.Status < http.StatusMultipleChoices {
+		// After the report, whose pace explains a part of the time.
+		r.Balancer.RecordFirstByte(choice, ex.model, now-startedAt, now)
+	}
 	ex.recordAnnouncement(server, info, startedAt, now)
 	ex.confidence = info.Confidence
 	if info.WrongServer || info.NotExecuted || info.Unverified {
