--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -43,6 +43,8 @@
 	utilisations map[string]poolUtilisation // by pool
 	runTimes     map[modelKey]runTime       // with an empty model: of all models of the pool
 	peersHeardAt clock.Millis               // see SetPeersHeard
+	speeds       speeds
+	decode       map[modelKey]eventTimes // of pools with uneven servers
 }
 
 // serverState is the state of one incarnation of a server.
@@ -64,6 +66,8 @@
 	ejectedUntil        clock.Millis
 	coldUntil           clock.Millis // from the server's own reports
 	coldBucket          tokenBucket
+	speed               *serverSpeed
+	lasting             float64 // see lastingSlowness; 0 for 1
 }
 
 // NewBalancer returns a balancer without any measurements.
@@ -76,6 +80,8 @@
 		paceStatedAt:  make(map[string]clock.Millis),
 		utilisations:  make(map[string]poolUtilisation),
 		runTimes:      make(map[modelKey]runTime),
+		speeds:        newSpeeds(),
+		decode:        make(map[modelKey]eventTimes),
 	}
 }
 
@@ -90,7 +96,7 @@
 	if ok {
 		own = s.own
 	}
-	s = &serverState{startedAt: e.StartedAt, own: own, slots: e.Slots}
+	s = &serverState{startedAt: e.StartedAt, own: own, slots: e.Slots, speed: b.speeds.of(e)}
 	b.servers[e.ID] = s
 	return s
 }
@@ -106,8 +112,11 @@
 	for id, s := range b.servers {
 		if s.own.Calls == 0 && !keep(id) {
 			delete(b.servers, id)
+			continue
 		}
+		s.speed.usedAt = now
 	}
+	b.speeds.prune(now)
 }
 
 // load returns the estimated load of the server from all daemons. The pending
@@ -129,6 +138,7 @@
 	Requests      int  // running and queued there
 	Slots         int
 	ColdRemaining clock.Millis
+	Pace          int // see RecordPace; 0 if the server states none
 }
 
 // RecordReport records the report of a server that answered and ends its ejection.
@@ -144,6 +154,9 @@
 	if report.ColdRemaining > 0 {
 		s.coldUntil = now + report.ColdRemaining
 	}
+	if report.Pace > 0 {
+		b.recordPace(e, report.Pace, now)
+	}
 }
 
 const (
--- a/internal/decision/loadbalance/room.go
+++ b/internal/decision/loadbalance/room.go
@@ -112,13 +112,13 @@
 	}
 	slots := float64(s.slotsOf(e))
 	if !pool.HasEngines() {
-		return slots * (1 + sharedPlainQueue)
+		return slots * (1 + sharedPlainQueue) * s.capacityFactor()
 	}
 	margin := engineQueue * slots
 	if runMs := b.runTimes[modelKey{pool: pool.Name}].meanMs; runMs > 0 {
 		margin = min(margin, slots*float64(reportPeriod)/runMs)
 	}
-	return slots + max(margin, 1)
+	return (slots + max(margin, 1)) * s.capacityFactor()
 }
 
 // runTime is the moving average of the time that requests run.
