--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"slices"
+
 	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -84,20 +86,50 @@
 	return false
 }
 
+// maxRoomChecks is the number of servers whose room is checked for an escalation. The server
+// that has a prompt's beginning cached is the first choice, however many requests share it.
+const maxRoomChecks = 3
+
+// planLargest plans an attempt on the largest model in place of the small one's. The error
+// states why none is likely to succeed.
+func (ex *exchange) planLargest(now clock.Millis) (*plannedAttempt, *result.Error) {
+	var full []string
+	excluded := func(id string) bool { return ex.isExcluded(id) || slices.Contains(full, id) }
+	for {
+		next, rejection := ex.planAttempt(excluded, ex.backendFailed, now)
+		if rejection != nil {
+			return nil, rejection
+		}
+		if next.choice.LastResort {
+			ex.relay.Balancer.Cancel(&next.choice)
+			return nil, result.New(result.NoServer, "only ejected servers are left")
+		}
+		if !ex.relay.Balancer.AdaptsToLoad(next.pool.Name, now) {
+			return next, nil
+		}
+		if rejection = ex.checkRoom(next, now); rejection == nil {
+			return next, nil
+		}
+		ex.relay.Balancer.Cancel(&next.choice)
+		if full = append(full, next.choice.Server.ID); len(full) == maxRoomChecks {
+			ex.relay.Metrics.countEscalation(next.pool.Name, escalationNoRoom)
+			return nil, rejection
+		}
+	}
+}
+
 // checkRoom returns why the planned escalation has no room at its server: other requests
-// queue there, or the response would not be complete in time. It releases the attempt then.
+// queue there, or the response would not be complete in time.
 func (ex *exchange) checkRoom(p *plannedAttempt, now clock.Millis) *result.Error {
 	r := ex.relay
 	backlog := r.Balancer.Backlog(&p.choice.Server, now)
 	latency := r.Balancer.LatencyModel(p.pool.Name, p.model)
 	complete := p.choice.ExpectedFirstByte + ex.expectedStreamTime(p.pool, latency)
-	if backlog.Calls <= backlog.Slots && now+complete < ex.deadline {
-		ex.log("room for escalation", &p.choice.Server, "calls", backlog.Calls, "slots", backlog.Slots, "load_age_ms", int64(backlog.Age),
-			"load_known", backlog.Known, "complete_ms", int64(complete), "remaining_ms", int64(ex.deadline-now))
-		r.Metrics.countEscalation(p.pool.Name, escalationDiscarded)
-		return nil
+	if backlog.Calls > backlog.Slots || now+complete >= ex.deadline {
+		return result.New(result.Overloaded, "%d requests in %d slots, complete in %d ms of %d ms", backlog.Calls, backlog.Slots, complete, ex.deadline-now)
 	}
-	r.Metrics.countEscalation(p.pool.Name, escalationNoRoom)
-	r.Balancer.Cancel(&p.choice)
-	return result.New(result.Overloaded, "%d requests in %d slots, complete in %d ms of %d ms", backlog.Calls, backlog.Slots, complete, ex.deadline-now)
+	ex.log("room for escalation", &p.choice.Server, "calls", backlog.Calls, "slots", backlog.Slots, "load_age_ms", int64(backlog.Age),
+		"load_known", backlog.Known, "complete_ms", int64(complete), "remaining_ms", int64(ex.deadline-now))
+	r.Metrics.countEscalation(p.pool.Name, escalationDiscarded)
+	return nil
 }
