Replay the cascade with 59 daemons

Cause: with 6 daemons the check of a server's slots alone sufficed; daemons that share reports 0.4 s old choose the same free slots. Change: the replay has the deployment's 59 daemons; the threshold falls between 0.75 and 0.97 (no slack) or 0.87 and 1.00 of the pool in use.

--- a/internal/decision/cascade/escalation.go
+++ b/internal/decision/cascade/escalation.go
@@ -22,8 +22,8 @@
 // its small answer sooner: the queueing time varies by seconds in a pool that is nearly
 // full, whatever the length of the deadline.
 const (
-	noSlackCalm, noSlackFull       = 0.70, 0.92
-	ampleSlackCalm, ampleSlackFull = 0.85, 1.00
+	noSlackCalm, noSlackFull       = 0.75, 0.97
+	ampleSlackCalm, ampleSlackFull = 0.87, 1.00
 	// ampleSlack is the time to spare from which a request has ample slack: the longest
 	// waits in full servers' queues were 3.4 s.
 	ampleSlack = 4_000 * clock.Millis(1)
--- a/internal/decision/cascade/replay_engine_test.go
+++ b/internal/decision/cascade/replay_engine_test.go
@@ -16,7 +16,7 @@
 	tick            = 10 * clock.Millis(1)
 	reportExchange  = 400 * clock.Millis(1)
 	tokensPerEvent  = 10
-	replayedDaemons = 6
+	replayedDaemons = 59
 )
 
 // engineRun is a request that an engine runs or queues.
--- a/internal/decision/cascade/replay_test.go
+++ b/internal/decision/cascade/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -236,18 +237,16 @@
 
 // exchangeReports tells each daemon the load of the others.
 func (p *replay) exchangeReports() {
-	own := make([]map[string]loadbalance.Load, len(p.daemons))
-	for i, b := range p.daemons {
-		own[i] = b.OwnLoads()
+	total := make(map[string]loadbalance.Load)
+	for _, b := range p.daemons {
+		for id, load := range b.OwnLoads() {
+			total[id] = total[id].Plus(load)
+		}
 	}
-	for i, b := range p.daemons {
-		others := make(map[string]loadbalance.Load)
-		for j, loads := range own {
-			for id, load := range loads {
-				if i != j {
-					others[id] = others[id].Plus(load)
-				}
-			}
+	for _, b := range p.daemons {
+		others := maps.Clone(total)
+		for id, own := range b.OwnLoads() {
+			others[id] = others[id].Plus(loadbalance.Load{Calls: -own.Calls, Prefill: -own.Prefill})
 		}
 		b.SetPeerLoads(others, p.now)
 	}
