Test the cascade of a nearly full pool at two confidences

Cause: the test of a nearly full pool had one confidence, which the threshold at that utilisation no longer separates. Change: a doubtful answer is kept and a poor one discarded there.

--- a/internal/traffic/relay/cascade_under_load_test.go
+++ b/internal/traffic/relay/cascade_under_load_test.go
@@ -28,19 +28,21 @@
 func TestCascadeFollowsRoom(t *testing.T) {
 	const small, large = "id: 1\ndata: small\n\n", "id: 1\ndata: large\n\n"
 	cases := map[string]struct {
-		setup func(*fixture)
-		want  string
+		setup      func(*fixture)
+		confidence string // of the small model's answer; the threshold of a calm pool is 58
+		want       string
 	}{
-		"room":            {func(f *fixture) { f.underLoad(0) }, large},
-		"full":            {func(f *fixture) { f.underLoad(8) }, small},
-		"nearly full":     {func(f *fixture) { f.underLoad(7) }, small},
-		"nothing known":   {func(f *fixture) { f.relay.Balancer.SetFeatures(loadfeatures.Features{SharedCapacity: true}) }, large},
-		"without feature": {func(f *fixture) { f.underLoad(8); f.relay.Balancer.SetFeatures(loadfeatures.Features{}) }, large},
+		"room":                         {func(f *fixture) { f.underLoad(0) }, "20", large},
+		"full":                         {func(f *fixture) { f.underLoad(8) }, "20", small},
+		"nearly full, doubtful answer": {func(f *fixture) { f.underLoad(7) }, "40", small},
+		"nearly full, poor answer":     {func(f *fixture) { f.underLoad(7) }, "5", large},
+		"nothing known":                {func(f *fixture) { f.relay.Balancer.SetFeatures(loadfeatures.Features{SharedCapacity: true}) }, "20", large},
+		"without feature":              {func(f *fixture) { f.underLoad(8); f.relay.Balancer.SetFeatures(loadfeatures.Features{}) }, "20", large},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server := byModel(map[string]behaviour{"small": withConfidence("20", respond(small)), "large": withConfidence("90", respond(large))})
+			server := byModel(map[string]behaviour{"small": withConfidence(c.confidence, respond(small)), "large": withConfidence("90", respond(large))})
 			f := newFixture(t, streamRoutes(), server, server, server)
 			c.setup(f)
 			got := f.send(http.MethodPost, "/draft/1", headerModel, "*")
