Measure a pool's utilisation by the version of its servers

Cause: during a roll-out the nearly idle servers of the new version, half of the pool, counted as room: a pool whose old servers queued showed a utilisation of 0.74 and went on escalating. Change: utilisation is kept by version and summed over the versions that the request may use; pending prefill counts against the shortest target of the pool.

--- a/internal/decision/cascade/replay_test.go
+++ b/internal/decision/cascade/replay_test.go
@@ -171,7 +171,7 @@
 	latency := c.daemon.LatencyModel("text", "large")
 	stream := clock.Millis(float64(c.kind.output) / tokensPerEvent * latency.InterEventMs())
 	firstByte := latency.FirstByte(c.kind.prompt)
-	u := c.daemon.Utilisation(p.view, "text", p.now)
+	u := c.daemon.Utilisation(p.view, "text", nil, p.now)
 	threshold := cascade.ConfidenceThreshold{Normal: 58, Overloaded: 44}
 	if !threshold.Escalates(cascade.Escalation{
 		Confidence: c.confidence, Elapsed: p.now - c.arrivedAt, FirstByte: firstByte, Complete: firstByte + stream, Wait: u.Wait(firstByte + stream),
@@ -210,7 +210,7 @@
 	}
 	if !failed && c.run.firstByteAt > 0 {
 		events := float64(c.kind.output) / tokensPerEvent
-		c.daemon.RecordInterEvent("text", c.model, float64(p.now-c.run.firstByteAt)/max(events-1, 1))
+		c.daemon.RecordInterEvent(&c.choice.Server, c.model, float64(p.now-c.run.firstByteAt)/max(events-1, 1), p.now)
 	}
 	c.daemon.Done(c.choice)
 	p.engines[c.server].remove(c.run)
--- a/internal/decision/loadbalance/utilisation.go
+++ b/internal/decision/loadbalance/utilisation.go
@@ -28,7 +28,8 @@
 }
 
 // Against returns the utilisation for requests with the latency target: the load, or the
-// pending prefill as a share of the target if that is more.
+// pending prefill as a share of the target if that is more. Prefill delays all requests at a
+// server, so the shortest target of the pool counts.
 func (u Utilisation) Against(target clock.Millis) float64 {
 	return max(u.Load, u.Prefill/float64(max(target, 1)))
 }
@@ -39,34 +40,62 @@
 	return clock.Millis(u.Prefill + max(u.Load-1, 0)*float64(request))
 }
 
-// poolUtilisation is the last utilisation of a pool, and when it was computed.
+// Plus returns the utilisation of the servers of both.
+func (u Utilisation) Plus(o Utilisation) Utilisation {
+	sum := Utilisation{
+		Calls: u.Calls + o.Calls, Slots: u.Slots + o.Slots, Known: u.Known + o.Known, Servers: u.Servers + o.Servers, Age: max(u.Age, o.Age),
+	}
+	sum.Load = (u.Load*float64(u.Slots) + o.Load*float64(o.Slots)) / float64(max(sum.Slots, 1))
+	sum.Prefill = (u.Prefill*float64(u.Servers) + o.Prefill*float64(o.Servers)) / float64(max(sum.Servers, 1))
+	return sum
+}
+
+// poolUtilisation is the last utilisation of a pool by the version of its servers, and when
+// it was computed.
 type poolUtilisation struct {
-	Utilisation
-	at clock.Millis
+	versions map[string]Utilisation
+	at       clock.Millis
 }
 
-// Utilisation returns the utilisation of the pool's servers.
-func (b *Balancer) Utilisation(v *fleet.View, pool string, now clock.Millis) Utilisation {
+// Utilisation returns the utilisation of the pool's servers whose versions are allowed; nil
+// allows all. During a roll-out, the servers of the new version get few requests, so their
+// free slots are no capacity for the others.
+func (b *Balancer) Utilisation(v *fleet.View, pool string, allowed func(version string) bool, now clock.Millis) (u Utilisation) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	last, known := b.utilisations[pool]
-	if known && now-last.at < utilisationLifetime {
-		return last.Utilisation
+	if !known || now-last.at >= utilisationLifetime {
+		last = b.updateUtilisation(v, pool, last, now)
 	}
-	u := b.measureUtilisation(v, pool, now)
-	if known {
-		keep := math.Exp(-float64(now-last.at) / utilisationPeriodMs)
-		u.Load += (last.Load - u.Load) * keep
-		u.Prefill += (last.Prefill - u.Prefill) * keep
+	for version, other := range last.versions {
+		if allowed == nil || allowed(version) {
+			u = u.Plus(other)
+		}
 	}
-	b.utilisations[pool] = poolUtilisation{u, now}
 	return u
 }
 
-// measureUtilisation returns the utilisation now. The caller must hold mu.
-func (b *Balancer) measureUtilisation(v *fleet.View, pool string, now clock.Millis) (u Utilisation) {
+// updateUtilisation returns the utilisation of the pool now, averaged with the last one. The
+// caller must hold mu.
+func (b *Balancer) updateUtilisation(v *fleet.View, pool string, last poolUtilisation, now clock.Millis) poolUtilisation {
+	next := poolUtilisation{b.measureUtilisation(v, pool, now), now}
+	keep := math.Exp(-float64(now-last.at) / utilisationPeriodMs)
+	for version, u := range next.versions {
+		if before, known := last.versions[version]; known {
+			u.Load += (before.Load - u.Load) * keep
+			u.Prefill += (before.Prefill - u.Prefill) * keep
+			next.versions[version] = u
+		}
+	}
+	b.utilisations[pool] = next
+	return next
+}
+
+// measureUtilisation returns the utilisation now by the version of the servers. The caller
+// must hold mu.
+func (b *Balancer) measureUtilisation(v *fleet.View, pool string, now clock.Millis) map[string]Utilisation {
+	versions := make(map[string]Utilisation)
 	entries := v.Pool(pool)
-	prefill := clock.Millis(0)
 	for i := range entries {
 		e := &entries[i]
 		n := b.announcements.of(e)
@@ -77,21 +106,17 @@
 		if now < s.ejectedUntil {
 			continue
 		}
-		load := s.load(now)
-		u.Servers++
-		u.Slots += s.slotsOf(e)
-		u.Calls += max(load.Calls, 0)
-		prefill += max(load.Prefill, 0)
+		load, slots := s.load(now), s.slotsOf(e)
+		calls := max(load.Calls, 0)
+		u := Utilisation{
+			Load: float64(calls) / float64(slots), Prefill: float64(max(load.Prefill, 0)), Calls: calls, Slots: slots, Servers: 1,
+		}
 		if age, known := s.loadAge(now); known {
-			u.Known++
-			u.Age = max(u.Age, age)
+			u.Known, u.Age = 1, age
 		}
+		versions[e.Version] = versions[e.Version].Plus(u)
 	}
-	if u.Servers > 0 {
-		u.Load = float64(u.Calls) / float64(u.Slots)
-		u.Prefill = float64(prefill) / float64(u.Servers)
-	}
-	return u
+	return versions
 }
 
 // Backlog is what a request finds at a server.
--- a/internal/decision/loadbalance/utilisation_test.go
+++ b/internal/decision/loadbalance/utilisation_test.go
@@ -17,7 +17,7 @@
 	v := engines(4)
 	peers := func(calls int, prefill clock.Millis) setup {
 		return func(b *Balancer) {
-			b.Utilisation(v, "text", now-10_000) // registers the servers
+			b.Utilisation(v, "text", nil, now-10_000) // registers the servers
 			loads := make(map[string]Load)
 			for _, id := range v.ServerIDs() {
 				loads[id] = Load{Calls: calls, Prefill: prefill}
@@ -48,7 +48,7 @@
 				s(b)
 			}
 			delete(b.utilisations, "text") // so that the value isn't averaged
-			assert.DeepEqual(t, b.Utilisation(v, "text", c.at), c.want)
+			assert.DeepEqual(t, b.Utilisation(v, "text", nil, c.at), c.want)
 		})
 	}
 }
@@ -57,11 +57,11 @@
 func TestUtilisationIsSmooth(t *testing.T) {
 	b, v, now := NewBalancer(), engines(2), clock.Millis(100_000)
 	loads := map[string]Load{"engine-00": {Calls: 64}, "engine-01": {Calls: 64}}
-	b.Utilisation(v, "text", now)
+	b.Utilisation(v, "text", nil, now)
 	b.SetPeerLoads(loads, now)
 	at := func(after clock.Millis) float64 {
 		b.SetPeerLoads(loads, now+after)
-		return b.Utilisation(v, "text", now+after).Load
+		return b.Utilisation(v, "text", nil, now+after).Load
 	}
 	assert.Equal(t, at(40), 0.0, "cached")
 	soon := at(100)
--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -20,8 +20,8 @@
 // retry budget, which escalations use, is exhausted.
 func (ex *exchange) firstModelUnderLoad(pool string, now clock.Millis) int {
 	r, view := ex.relay, ex.relay.View()
-	u := r.Balancer.Utilisation(view, pool, now)
-	if u.Against(ex.route.LatencyTarget) >= ampleRoom {
+	u := r.Balancer.Utilisation(view, pool, r.VersionRouter.AllowedVersions(view, pool, ex.req, false), now)
+	if u.Against(view.Catalog.ShortestTarget(pool)) >= ampleRoom {
 		return 0
 	}
 	largest := ex.largestModel()
@@ -60,7 +60,7 @@
 	r := ex.relay
 	threshold := r.ConfidenceThreshold
 	r.escalationRates.Record(ex.route.Name, ex.req.Prompt.Tokens, confidence < threshold.Normal, now)
-	u := r.Balancer.Utilisation(ex.view, ex.pool.Name, now)
+	u := r.Balancer.Utilisation(ex.view, ex.pool.Name, r.VersionRouter.AllowedVersions(ex.view, ex.pool.Name, ex.req, false), now)
 	e := cascade.Escalation{
 		Confidence:  confidence,
 		Elapsed:     now - ex.req.ReceivedAt,
@@ -69,7 +69,7 @@
 		Wait:        u.Wait(complete),
 		Target:      ex.route.LatencyTarget,
 		Deadline:    ex.deadline - ex.req.ReceivedAt,
-		Utilisation: u.Against(ex.route.LatencyTarget),
+		Utilisation: u.Against(ex.view.Catalog.ShortestTarget(ex.pool.Name)),
 	}
 	escalates := threshold.Escalates(e) && r.RetryBudget.AllowsOptional(ex.pool.Name, now)
 	if escalates {
--- a/internal/traffic/relay/cascade_under_load_test.go
+++ b/internal/traffic/relay/cascade_under_load_test.go
@@ -15,7 +15,7 @@
 func (f *fixture) underLoad(requests int) {
 	f.relay.Balancer.SetFeatures(loadfeatures.Features{SharedCapacity: true})
 	view, now := f.currentView(), f.relay.Clock.Now()
-	f.relay.Balancer.Utilisation(view, "text", now-10_000) // registers the servers
+	f.relay.Balancer.Utilisation(view, "text", nil, now-10_000) // registers the servers
 	loads := make(map[string]loadbalance.Load)
 	for id := range f.servers {
 		loads[id] = loadbalance.Load{Calls: requests}
