Divide scarce free places among the daemons between two reports

Change: with shared capacity, a daemon starts requests in a scarce pool only in place of its own that ended and of its part of the places last reported free; samples are smaller, and servers with all slots in use rank behind others.

--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -41,6 +41,8 @@
 	paceStatedAt map[string]clock.Millis // when a server last stated its pace, by pool
 	runTimes     map[modelKey]runTime    // with an empty model: of all models of the pool
 	peersHeardAt clock.Millis            // see SetPeersHeard
+	peerReportAt clock.Millis            // of the last SetPeerLoads
+	credits      map[string]*startCredit // by pool
 }
 
 // serverState is the state of one incarnation of a server.
@@ -73,6 +75,7 @@
 		returns:       make(map[string]clock.Millis),
 		paceStatedAt:  make(map[string]clock.Millis),
 		runTimes:      make(map[modelKey]runTime),
+		credits:       make(map[string]*startCredit),
 	}
 }
 
@@ -260,6 +263,7 @@
 	s := b.state(&c.Server)
 	s.own.Prefill -= c.PrefillTime
 	s.own.Calls--
+	b.returnCredit(s, &c.Server)
 	c.PrefillTime = 0
 	return s
 }
@@ -269,6 +273,7 @@
 func (b *Balancer) SetPeerLoads(loads map[string]Load, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.peerReportAt = now
 	if len(loads) > 0 {
 		b.peersHeardAt = now
 	}
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -137,7 +137,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entries := v.Pool(r.Pool.Name)
-	if b.exceedsOwnPart(v, &r, entries) {
+	if b.exceedsOwnPart(v, &r, entries) || !b.hasCredit(v, &r, entries) {
 		return Choice{}, AtCapacity
 	}
 	b.prefixBuf = r.Prompt.Prefixes(r.Model, b.prefixBuf[:0])
@@ -147,7 +147,7 @@
 	// By index: 0 for other servers, 1 for the preferred one.
 	prefillTokens := [...]int{r.Prompt.Tokens, b.uncachedTokens(r.Prompt)}
 	firstByte := [...]clock.Millis{latency.FirstByte(prefillTokens[0]), latency.FirstByte(prefillTokens[1])}
-	bound := r.sampleBound(len(entries))
+	bound := b.sampleBound(&r, len(entries))
 	pausedUntil := clock.Millis(math.MaxInt64)
 	for i := range entries {
 		e := &entries[i]
@@ -170,10 +170,12 @@
 		switch {
 		case n.isLeaving():
 			cost += costLeaving
+		case b.isBeyondSlots(s, e, r.Now):
+			cost += costBeyondSlots
 		case limit != nil:
 			cost -= costUnusedToken
 		case i != preferred && bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > bound:
-			cost += costUnsampled
+			cost += b.unsampledCost(container.CombineHash(r.Salt, e.ID))
 		}
 		if cost < lowest {
 			best, lowest = i, cost
@@ -241,6 +243,7 @@
 		c.usesLimitToken = b.limits.take(c.Server.ID, l, r.Now)
 	}
 	s.own.Calls++
+	b.takeCredit(r.Pool.Name)
 	s.own.Prefill += c.PrefillTime
 }
 
