--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -45,6 +45,8 @@
 	peersHeardAt clock.Millis               // see SetPeersHeard
 	speeds       speeds
 	decode       map[modelKey]eventTimes // of pools with uneven servers
+	peerReportAt clock.Millis            // of the last SetPeerLoads
+	credits      map[string]*startCredit // by pool
 }
 
 // serverState is the state of one incarnation of a server.
@@ -82,6 +84,7 @@
 		runTimes:      make(map[modelKey]runTime),
 		speeds:        newSpeeds(),
 		decode:        make(map[modelKey]eventTimes),
+		credits:       make(map[string]*startCredit),
 	}
 }
 
@@ -276,6 +279,7 @@
 	s := b.state(&c.Server)
 	s.own.Prefill -= c.PrefillTime
 	s.own.Calls--
+	b.returnCredit(s, &c.Server)
 	c.PrefillTime = 0
 	return s
 }
@@ -285,6 +289,7 @@
 func (b *Balancer) SetPeerLoads(loads map[string]Load, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.peerReportAt = now
 	if len(loads) > 0 {
 		b.peersHeardAt = now
 	}
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -102,7 +102,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entries := v.Pool(r.Pool.Name)
-	if b.exceedsOwnPart(v, &r, entries) {
+	if b.exceedsOwnPart(v, &r, entries) || !b.hasCredit(v, &r, entries) {
 		return Choice{}, AtCapacity
 	}
 	p := b.newPlacement(v, &r, entries)
@@ -125,6 +125,8 @@
 		switch {
 		case n.isLeaving():
 			cost += costLeaving
+		case b.isBeyondSlots(s, e, r.Now):
+			cost += costBeyondSlots
 		case limit != nil:
 			cost -= costUnusedToken
 		case !p.isPreferred(i) && p.bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > p.bound:
@@ -173,6 +175,7 @@
 		c.usesLimitToken = b.limits.take(c.Server.ID, l, r.Now)
 	}
 	s.own.Calls++
+	b.takeCredit(r.Pool.Name)
 	s.own.Prefill += c.PrefillTime
 }
 
--- a/internal/decision/loadbalance/placement.go
+++ b/internal/decision/loadbalance/placement.go
@@ -29,7 +29,7 @@
 		balancer: b,
 		request:  r, latency: b.models[key], events: b.decode[key],
 		preferred:     b.preferred(v, r, entries),
-		bound:         r.sampleBound(len(entries)),
+		bound:         b.sampleBound(r, len(entries)),
 		uneven:        b.refreshSpeeds(r.Pool.Name, entries, r.Now),
 		prefillTokens: [...]int{r.Prompt.Tokens, b.uncachedTokens(r.Prompt)},
 	}
