Divide a pool's capacity among the client accounts of all daemons

Cause: an account that sends many times its usual traffic takes the capacity of the others, since no daemon knows the demand of all. Change: the demand ledger counts requests by pool, account and urgency, with rates of work started and arrived; computes weighted max-min shares of 0.96 of the capacity; and paces what each daemon starts for an account that sends more than its share. Reports carry the demand while shared capacity is on; without other daemons' reports a daemon divides only its part of the capacity. Tests of peerstats, entry and loadbalance pass.

--- a/internal/control/peerstats/aggregator.go
+++ b/internal/control/peerstats/aggregator.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
@@ -60,6 +61,7 @@
 	defer a.mu.Unlock()
 	s.Departures, s.Crashes, s.SoundRuns = a.own.Departures, a.own.Crashes, a.own.SoundRuns
 	s.Limits, s.LimitMembers = a.own.Limits, a.own.LimitMembers
+	s.Demand, s.DemandDaemons = a.own.Demand, a.own.DemandDaemons
 	a.own, a.ownAt, a.cached = s, a.clock.Now(), nil
 }
 
@@ -89,6 +91,29 @@
 	}
 }
 
+// SetOwnDemand replaces the demand of this daemon, which its reports hold from then on.
+func (a *Aggregator) SetOwnDemand(usage []demand.PoolUsage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.own.Demand, a.own.DemandDaemons, a.ownAt = usage, 1, a.clock.Now()
+}
+
+// RemoveOwnDemand makes the reports of this daemon hold no demand.
+func (a *Aggregator) RemoveOwnDemand() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.own.Demand, a.own.DemandDaemons = nil, 0
+}
+
+// PeerDemand returns the demand of the other daemons, from reports that haven't expired.
+func (a *Aggregator) PeerDemand() demand.PeerTotal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cached = nil // its demand may have expired
+	others := a.others()
+	return demand.PeerTotal{Usage: demand.Total(others.demand...), Reporting: others.demandDaemons, Age: others.demandAge}
+}
+
 // SetOwnEvidence replaces this daemon's evidence of crashed servers.
 func (a *Aggregator) SetOwnEvidence(crashes []quarantine.Crash, sound []quarantine.SoundRuns) {
 	a.mu.Lock()
--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -12,6 +12,7 @@
 	"maps"
 	"slices"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
@@ -37,6 +38,10 @@
 	// know of any; see loadbalance.MemberID.
 	Limits       []loadbalance.LimitReport `json:"m,omitempty"`
 	LimitMembers []uint32                  `json:"n,omitempty"`
+	// Demand is the demand for the pools, and DemandDaemons the number of daemons whose
+	// demand it holds. Both are absent while the daemons don't share capacity.
+	Demand        []demand.PoolUsage `json:"u,omitempty"`
+	DemandDaemons int                `json:"v,omitempty"`
 }
 
 // maxCrashes bounds the crashes in a snapshot. The newest ones are kept.
@@ -65,6 +70,10 @@
 	soundRuns   map[quarantine.Part]quarantine.SoundRuns
 	limits      map[serverStart]loadbalance.LimitReport
 	members     map[uint32]bool // that share the limits
+
+	demand        [][]demand.PoolUsage // of demandDaemons daemons; see demand.Total
+	demandDaemons int
+	demandAge     clock.Millis // of the newest one
 }
 
 // serverStart is one start of a server.
@@ -86,12 +95,13 @@
 	}
 }
 
-// add adds a snapshot that was received that long ago, without its loads and members unless
-// they are fresh.
+// add adds a snapshot that was received that long ago, without its loads, members and demand
+// unless they are fresh.
 func (t *total) add(s Snapshot, fresh bool, elapsed clock.Millis) {
 	t.addEvidence(s, elapsed)
 	t.addLimits(s.Limits, elapsed)
 	if fresh {
+		t.addDemand(s, elapsed)
 		for _, member := range s.LimitMembers {
 			t.members[member] = true
 		}
@@ -115,6 +125,18 @@
 	}
 }
 
+// addDemand adds the demand of the snapshot if its daemons share capacity.
+func (t *total) addDemand(s Snapshot, elapsed clock.Millis) {
+	if s.DemandDaemons <= 0 {
+		return
+	}
+	if t.demandDaemons == 0 || elapsed < t.demandAge {
+		t.demandAge = elapsed
+	}
+	t.demand = append(t.demand, s.Demand)
+	t.demandDaemons += s.DemandDaemons
+}
+
 // addEvidence adds the crashes and the sound runs of a snapshot.
 func (t *total) addEvidence(s Snapshot, elapsed clock.Millis) {
 	for _, c := range s.Crashes {
@@ -158,6 +180,9 @@
 		Crashes: t.newestCrashes(), SoundRuns: slices.Collect(maps.Values(t.soundRuns)),
 		Limits: loadbalance.LatestLimits(slices.Collect(maps.Values(t.limits))), LimitMembers: slices.Collect(maps.Keys(t.members)),
 	}
+	if t.demandDaemons > 0 {
+		s.Demand, s.DemandDaemons = demand.Total(t.demand...), t.demandDaemons
+	}
 	for key, stats := range t.answerStats {
 		s.AnswerStats = append(s.AnswerStats, AnswerStatsEntry{key, stats})
 	}
--- a/internal/decision/demand/ledger.go
+++ b/internal/decision/demand/ledger.go
@@ -1,8 +1,15 @@
 // Package demand tracks what the daemons have running and waiting for each pool, by
 // client account and urgency, and derives the accounts' fair shares from it.
+//
+// Load pattern: one client account sends many times its usual traffic, spread over all
+// daemons or concentrated on two, and what a daemon knows of the others is up to 0.8 s old.
 package demand
 
-import "gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+import (
+	"sync"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
 
 // Class identifies requests that are treated alike.
 type Class struct {
@@ -11,47 +18,163 @@
 	Urgency int // 0 is the most urgent
 }
 
-// Share compares what a client account uses of a pool with its fair share, both in ms of
-// server time per ms.
-type Share struct {
-	Used, Fair float64
-	Competing  bool         // whether other accounts want what it uses beyond its share
-	Age        clock.Millis // of the newest report of the other daemons
+// Ledger holds the demand of this daemon and the totals of its peers. It is safe for
+// concurrent use.
+type Ledger struct {
+	mu      sync.Mutex
+	pools   map[string]*pool
+	peers   peers
+	weights map[string]float64 // by account; 1 if absent
+	salt    string
 }
 
-// Excess reports whether the account uses more than its share while others compete.
-func (s Share) Excess() bool { return s.Competing && s.Used > s.Fair }
+// pool is the state of one pool.
+type pool struct {
+	accounts map[string]*account
+	shares   shares
+}
 
-// Ledger holds the demand of this daemon and the totals of its peers. It is safe for
-// concurrent use.
-type Ledger struct{}
+// account is the demand of this daemon for one pool and client account.
+type account struct {
+	classes map[int]*ClassUsage // by urgency
+	started rate                // of requests shorter than window
+	arrived rate                // the same, from their arrival
+	recent  rate                // the same, over recentWindow
+	// Requests of window and longer are judged by their number, which changes slowly.
+	longRunning, longWaiting int
+	lastWork                 clock.Millis // of the last arrival
+	pace                     pace
+	status                   status
+}
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{} }
-
-// Request is a request in the ledger. Its methods may be called on nil.
-type Request struct{}
+func NewLedger() *Ledger { return &Ledger{pools: make(map[string]*pool)} }
 
-// Arrive records a waiting request; work is its expected server time. It may be called on nil.
-func (l *Ledger) Arrive(c Class, work, now clock.Millis) *Request { return &Request{} }
+// SetHost sets the name of this daemon's host, by which the starts of different daemons
+// are spread over time.
+func (l *Ledger) SetHost(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.salt = name
+}
 
-// Start records that the request runs. It may be called again after a retry.
-func (r *Request) Start(now clock.Millis) {}
+// SetWeights sets the weights of the accounts' shares. Accounts without one have weight 1.
+func (l *Ledger) SetWeights(weights map[string]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.weights = weights
+}
 
-// End removes the request. Further calls have no effect.
-func (r *Request) End(now clock.Millis) {}
+// SetPeers replaces the totals of all other daemons. A nil total means that there is none,
+// and keeps the last one until it expires.
+func (l *Ledger) SetPeers(total []PoolUsage, daemons int, now clock.Millis) {
+	reporting := 0
+	if total != nil {
+		reporting = daemons - 1
+	}
+	l.SetPeerTotal(PeerTotal{Usage: total, Reporting: reporting}, daemons, now)
+}
 
-// PoolUsage is the demand for one pool.
-type PoolUsage struct {
-	Pool string
+// SetPeerTotal replaces the totals of the other daemons. A total without a reporting daemon
+// keeps the last one until it expires. daemons is the number of all daemons, including this
+// one; 0 if it is unknown.
+func (l *Ledger) SetPeerTotal(total PeerTotal, daemons int, now clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers.daemons = daemons
+	if total.Reporting > 0 && total.Age < totalLifetime {
+		l.peers.replace(total, now)
+	}
+	for _, p := range l.pools {
+		p.shares.expire()
+		p.prune(now)
+	}
 }
 
 // Usage returns the demand of this daemon, for a report to its peers.
-func (l *Ledger) Usage(now clock.Millis) []PoolUsage { return nil }
+func (l *Ledger) Usage(now clock.Millis) []PoolUsage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	usage := []PoolUsage{}
+	for name, p := range l.pools {
+		u := PoolUsage{Pool: name}
+		for account, a := range p.accounts {
+			if reported := a.usage(account, now); !reported.isEmpty() {
+				u.Accounts = append(u.Accounts, reported)
+			}
+		}
+		if len(u.Accounts) > 0 {
+			usage = append(usage, u.bounded())
+		}
+	}
+	return sortPools(usage)
+}
+
+// pool returns the state of the pool. l.mu must be held.
+func (l *Ledger) pool(name string) *pool {
+	p, ok := l.pools[name]
+	if !ok {
+		p = &pool{accounts: make(map[string]*account)}
+		l.pools[name] = p
+	}
+	return p
+}
 
-// SetPeers replaces the totals of the other daemons.
-func (l *Ledger) SetPeers(total []PoolUsage, daemons int, now clock.Millis) {}
+// account returns the state of the class's account. l.mu must be held.
+func (l *Ledger) account(c Class) *account {
+	p := l.pool(c.Pool)
+	a, ok := p.accounts[c.Account]
+	if !ok {
+		a = &account{
+			classes: make(map[int]*ClassUsage),
+			started: rate{window: window}, arrived: rate{window: window}, recent: rate{window: recentWindow},
+		}
+		p.accounts[c.Account] = a
+	}
+	return a
+}
+
+// class returns the counts of the urgency.
+func (a *account) class(urgency int) *ClassUsage {
+	c, ok := a.classes[urgency]
+	if !ok {
+		c = &ClassUsage{Urgency: urgency}
+		a.classes[urgency] = c
+	}
+	return c
+}
 
-// Share returns what the class's account uses of a pool that has the capacity, in ms of
-// server time per ms.
-func (l *Ledger) Share(c Class, capacity float64, now clock.Millis) Share { return Share{} }
+// used returns the server time that the account's requests take, in ms per ms.
+func (a *account) used(now clock.Millis) float64 {
+	return a.started.perMs(now) + float64(a.longRunning)
+}
+
+// usage returns the account's part of a report.
+func (a *account) usage(name string, now clock.Millis) AccountUsage {
+	long := float64(a.longRunning + a.longWaiting)
+	u := AccountUsage{
+		Name: name, Accounts: 1, Used: toThousandths(a.used(now)),
+		Arrived: toThousandths(a.arrived.perMs(now) + long), Recent: toThousandths(a.recent.perMs(now) + long),
+	}
+	for _, c := range a.classes {
+		if c.Running > 0 || c.Waiting > 0 {
+			u.Classes = append(u.Classes, *c)
+		}
+	}
+	sortClasses(u.Classes)
+	return u
+}
+
+// prune removes accounts without requests and recent work.
+func (p *pool) prune(now clock.Millis) {
+	for name, a := range p.accounts {
+		for urgency, c := range a.classes {
+			if c.Running == 0 && c.Waiting == 0 {
+				delete(a.classes, urgency)
+			}
+		}
+		if a.usage(name, now).isEmpty() && !a.status.over {
+			delete(p.accounts, name)
+		}
+	}
+}
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -223,9 +223,12 @@
 // refreshDemand passes the demand of this daemon and its peers between the ledger and the
 // aggregator while the daemons share the capacity of pools.
 func refreshDemand(view *fleet.View, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, ledger *demand.Ledger, now clock.Millis) {
-	if balancer.Features().SharedCapacity {
-		ledger.SetPeers(nil, len(view.Hosts), now)
+	if !balancer.Features().SharedCapacity {
+		stats.RemoveOwnDemand()
+		return
 	}
+	stats.SetOwnDemand(ledger.Usage(now))
+	ledger.SetPeerTotal(stats.PeerDemand(), len(view.Hosts), now)
 }
 
 // refreshLimits passes what this daemon and its peers know of servers' rate limits between
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -36,6 +36,12 @@
 
 func newViewFunc(manager *viewstate.Manager) viewFunc { return manager.View }
 
+func newDemandLedger(s settings.Settings) *demand.Ledger {
+	l := demand.NewLedger()
+	l.SetHost(s.Host)
+	return l
+}
+
 func newStore(log hclog.Logger, s settings.Settings) *platform.Store {
 	return platform.NewStore(log, s.Entry.Store)
 }
--- a/internal/program/entry/wire.go
+++ b/internal/program/entry/wire.go
@@ -8,7 +8,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
-	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -25,7 +24,7 @@
 		peerstats.New,
 		loadbalance.NewBalancer,
 		quarantine.NewTracker,
-		demand.NewLedger,
+		newDemandLedger,
 		newViewFunc,
 		newStore,
 		newServerClient,
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -10,7 +10,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"gypsumpitch.example/gypsumpitch/internal/control/peerstats"
-	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -32,7 +31,7 @@
 	sharedRetryBudget := newRetryBudget(system, s)
 	tracker := quarantine.NewTracker()
 	entryQuarantineFeed := newQuarantineFeed(log, system, s, manager, aggregator, tracker)
-	ledger := demand.NewLedger()
+	ledger := newDemandLedger(s)
 	exchange := newExchange(log, system, s, manager, aggregator, balancer, router, sharedRetryBudget, client, entryQuarantineFeed, ledger)
 	peerfeedStore := newPeerFeed(log, system, s, store, client, exchange)
 	h1Client := newServerClient()
