Bound the memory of responses and of tokens at servers

Cause: a caller that reads slowly held its server's response until the server cut it off, what is held for callers was not bounded, and the tokens of all daemons at a server were not counted. Tokens in flight travel in the peer reports and count against the memory of each engine; a request beyond any engine's memory is rejected with 2016.

--- a/internal/control/peerstats/aggregator.go
+++ b/internal/control/peerstats/aggregator.go
@@ -27,7 +27,8 @@
 
 	mu          sync.Mutex
 	own         Snapshot
-	ownAt       clock.Millis        // when own was set; each refresh sets all of it
+	ownAt       clock.Millis // when own was set; each refresh sets all of it
+	ownTokens   map[string]loadbalance.TokenLoad
 	hosts       map[string]received // from the daemons that report to this one
 	dataCentres map[string]received // totals of other data centres
 	peerTotal   *received           // of all other daemons, from this daemon's leader
@@ -115,7 +116,14 @@
 func (a *Aggregator) Own() Snapshot {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.own
+	return a.ownSnapshot()
+}
+
+// ownSnapshot returns the snapshot of this daemon with its tokens. a.mu must be held.
+func (a *Aggregator) ownSnapshot() Snapshot {
+	s := a.own
+	s.Tokens = newTokenReport(s.Loads, a.ownTokens)
+	return s
 }
 
 // DataCentreTotal returns the total of this daemon and those that report to it.
@@ -129,7 +137,7 @@
 // given host. allDataCentres includes the other data centres. a.mu must be held.
 func (a *Aggregator) total(exceptHost string, allDataCentres bool) *total {
 	t := newTotal()
-	t.add(a.own, true, a.clock.Now()-a.ownAt)
+	t.add(a.ownSnapshot(), true, a.clock.Now()-a.ownAt)
 	a.addReports(t, exceptHost, allDataCentres)
 	return t
 }
--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -37,6 +37,8 @@
 	// know of any; see loadbalance.MemberID.
 	Limits       []loadbalance.LimitReport `json:"m,omitempty"`
 	LimitMembers []uint32                  `json:"n,omitempty"`
+	// Tokens are the tokens of the requests in Loads; nil unless the daemons count them.
+	Tokens *TokenReport `json:"o,omitempty"`
 }
 
 // maxCrashes bounds the crashes in a snapshot. The newest ones are kept.
@@ -65,6 +67,7 @@
 	soundRuns   map[quarantine.Part]quarantine.SoundRuns
 	limits      map[serverStart]loadbalance.LimitReport
 	members     map[uint32]bool // that share the limits
+	tokens      map[string]loadbalance.TokenLoad
 }
 
 // serverStart is one start of a server.
@@ -83,6 +86,7 @@
 		soundRuns:   make(map[quarantine.Part]quarantine.SoundRuns),
 		limits:      make(map[serverStart]loadbalance.LimitReport),
 		members:     make(map[uint32]bool),
+		tokens:      make(map[string]loadbalance.TokenLoad),
 	}
 }
 
@@ -98,6 +102,9 @@
 		for id, load := range s.Loads {
 			t.loads[id] = t.loads[id].Plus(load)
 		}
+		for id, load := range s.Tokens.loads(s.Loads) {
+			t.tokens[id] = t.tokens[id].Plus(load)
+		}
 	}
 	for _, e := range s.AnswerStats {
 		t.answerStats[e.Key] = t.answerStats[e.Key].Plus(e.Stats)
@@ -157,6 +164,7 @@
 		Loads: t.loads, Departures: slices.Collect(maps.Keys(t.departures)),
 		Crashes: t.newestCrashes(), SoundRuns: slices.Collect(maps.Values(t.soundRuns)),
 		Limits: loadbalance.LatestLimits(slices.Collect(maps.Values(t.limits))), LimitMembers: slices.Collect(maps.Keys(t.members)),
+		Tokens: newTokenReport(t.loads, t.tokens),
 	}
 	for key, stats := range t.answerStats {
 		s.AnswerStats = append(s.AnswerStats, AnswerStatsEntry{key, stats})
--- /dev/null
+++ b/internal/decision/admission/memory_budget.go
@@ -0,0 +1,50 @@
+package admission
+
+import "sync"
+
+// MemoryBudget bounds the bytes that a daemon holds for its callers. The zero value has no
+// limit. It is safe for concurrent use.
+type MemoryBudget struct {
+	mu          sync.Mutex
+	limit, used int64
+}
+
+// SetLimit replaces the limit in bytes; 0 means none. Bytes that are held already stay held.
+func (b *MemoryBudget) SetLimit(bytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = bytes
+}
+
+// TryAcquire takes the bytes and reports true, or reports false if they don't fit.
+func (b *MemoryBudget) TryAcquire(bytes int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit > 0 && b.used+bytes > b.limit {
+		return false
+	}
+	b.used += bytes
+	return true
+}
+
+// Acquire takes the bytes even if they exceed the limit. It is for bytes that are held
+// already, and makes TryAcquire fail until enough is released.
+func (b *MemoryBudget) Acquire(bytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used += bytes
+}
+
+// Release gives back bytes that were acquired.
+func (b *MemoryBudget) Release(bytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= bytes
+}
+
+// Used returns the bytes in use.
+func (b *MemoryBudget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -37,6 +37,7 @@
 	limits        serverLimits
 	returns       map[string]clock.Millis // when the last rejected caller returns, by pool; see ScheduleReturn
 
+	tokens       tokenMemory
 	features     loadfeatures.Features
 	paceStatedAt map[string]clock.Millis // when a server last stated its pace, by pool
 }
@@ -70,6 +71,7 @@
 		limits:        serverLimits{servers: make(map[string]*serverLimit), members: newLimitMembers()},
 		returns:       make(map[string]clock.Millis),
 		paceStatedAt:  make(map[string]clock.Millis),
+		tokens:        newTokenMemory(),
 	}
 }
 
@@ -257,6 +259,7 @@
 	s := b.state(&c.Server)
 	s.own.Prefill -= c.PrefillTime
 	s.own.Calls--
+	b.tokens.done(c.Server.ID, c.tokens)
 	c.PrefillTime = 0
 	return s
 }
--- a/internal/decision/loadbalance/capacity.go
+++ b/internal/decision/loadbalance/capacity.go
@@ -21,7 +21,7 @@
 		return NoServer
 	case n.isPaused(r.Now):
 		return Paused
-	case !b.hasCapacity(s, e, n, r):
+	case !b.hasCapacity(s, e, n, r), !b.tokens.fits(e.ID, r):
 		return AtCapacity
 	case limit != nil && !b.limits.ready(e.ID, limit, r.Now):
 		return RateLimited
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -21,6 +21,8 @@
 	VersionAllowed func(version string) bool // nil allows all versions
 	Tried          func(id string) bool      // reports servers to use as a last resort only
 	Now            clock.Millis
+
+	tokens tokenNeed // set by Choose
 }
 
 const (
@@ -56,6 +58,7 @@
 	Paused             // the allowed servers in service asked for a pause; see Choice.PausedUntil
 	RateLimited        // the others of them have used up their rate limits; see Choice.Limited
 	AtCapacity         // the allowed servers in service have no free capacity
+	TooLarge           // the request exceeds the token memory of any server
 )
 
 // Choice is the server chosen for a request. It holds a slot there until Done.
@@ -81,6 +84,7 @@
 
 	usesColdToken  bool // the choice took a token of a cold server's bucket
 	usesLimitToken bool // the choice took a token of a limited server
+	tokens         tokenNeed
 }
 
 // Choose returns the server with the lowest cost for the request and counts the
@@ -97,6 +101,9 @@
 	b.prefixBuf = r.Prompt.Prefixes(r.Model, b.prefixBuf[:0])
 	latency := b.models[modelKey{r.Pool.Name, r.Model}]
 	preferred := b.preferred(v, &r, entries)
+	if r.tokens = b.tokenNeed(&r, entries, preferred); r.tokens.exceeds(&r.Pool) {
+		return Choice{}, TooLarge
+	}
 	best, lowest, result := -1, math.Inf(1), NoServer
 	// By index: 0 for other servers, 1 for the preferred one.
 	prefillTokens := [...]int{r.Prompt.Tokens, b.uncachedTokens(r.Prompt)}
@@ -179,6 +186,7 @@
 	if l := b.limits.of(&c.Server); l != nil {
 		c.usesLimitToken = b.limits.take(c.Server.ID, l, r.Now)
 	}
+	c.tokens = b.tokens.start(c.Server.ID, r.tokens, r.Now)
 	s.own.Calls++
 	s.own.Prefill += c.PrefillTime
 }
--- /dev/null
+++ b/internal/decision/loadbalance/token_memory.go
@@ -0,0 +1,314 @@
+package loadbalance
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+)
+
+// A model engine keeps the tokens of the requests that it holds in its memory, and crashes if
+// they don't fit. Cached prefixes that no request uses are evicted and don't count.
+//
+// Load pattern: many long prompts at one server, from many daemons that learn of each other's
+// requests by reports.
+
+const (
+	// tokenReportLag is the time after which a request that was started is in the reports of
+	// all daemons: a period of 400 ms each for its daemon, its data centre and the other one.
+	tokenReportLag = 1_200 * clock.Millis(1)
+	// uncontendedShare of a server's memory may be used by any daemon. Requests run for about
+	// four times tokenReportLag, so what the others start there meanwhile is about a quarter
+	// of what is known: three times as much still fits into the other half.
+	uncontendedShare = 0.5
+)
+
+// TokenLoad is the tokens of the requests in flight at one server, prompts and expected output.
+type TokenLoad struct {
+	Private int
+	Shared  map[uint32]int // tokens of shared prefixes by TokenPrefix, each counted once
+}
+
+// Total returns all tokens.
+func (l TokenLoad) Total() int {
+	total := l.Private
+	for _, tokens := range l.Shared {
+		total += tokens
+	}
+	return total
+}
+
+// Plus returns the load of the requests of both. A prefix in both is counted once.
+func (l TokenLoad) Plus(o TokenLoad) TokenLoad {
+	sum := TokenLoad{Private: l.Private + o.Private}
+	if len(l.Shared)+len(o.Shared) > 0 {
+		sum.Shared = make(map[uint32]int, len(l.Shared)+len(o.Shared))
+	}
+	for _, shared := range []map[uint32]int{l.Shared, o.Shared} {
+		for prefix, tokens := range shared {
+			sum.Shared[prefix] = max(sum.Shared[prefix], tokens)
+		}
+	}
+	return sum
+}
+
+// TokenPrefix returns the short hash that identifies the prefix among those in use at a server.
+func (p Prefix) TokenPrefix() uint32 { return uint32(p.Hash >> 32) }
+
+// tokenNeed is what a request needs of a server's token memory. The zero value needs nothing.
+type tokenNeed struct {
+	private  int
+	prefix   uint32
+	shared   int    // tokens of the prefix
+	cachedAt string // ID of the server at which the prefix is shared
+}
+
+func (n tokenNeed) total() int { return n.private + n.shared }
+
+// at returns the need at the server: the prefix is private at servers that don't share it.
+func (n tokenNeed) at(server string) tokenNeed {
+	if n.shared > 0 && n.cachedAt != server {
+		return tokenNeed{private: n.total()}
+	}
+	return n
+}
+
+// tokenMemory holds the tokens in flight at the servers, from this daemon and the others.
+type tokenMemory struct {
+	own     map[string]*ownTokens // by server ID
+	peers   map[string]TokenLoad  // by server ID
+	peersAt clock.Millis          // of the peers' last report
+	known   bool                  // there was one
+}
+
+// ownTokens are the tokens of this daemon's requests at a server.
+type ownTokens struct {
+	private int
+	shared  map[uint32]sharedPrefix
+	started []startedTokens // within tokenReportLag
+
+	alone bool // base is set: the peers' reports are missing
+	base  int  // tokens when they began to be missing, without those that ended since
+}
+
+type sharedPrefix struct{ requests, tokens int }
+
+type startedTokens struct {
+	at     clock.Millis
+	tokens int
+}
+
+func newTokenMemory() tokenMemory { return tokenMemory{own: make(map[string]*ownTokens)} }
+
+// tokenNeed returns what the request needs; nothing if token memory isn't counted.
+func (b *Balancer) tokenNeed(r *Request, entries []fleet.Entry, preferred int) tokenNeed {
+	if !b.features.SharedCapacity || !r.Pool.HasEngines() {
+		return tokenNeed{}
+	}
+	need := tokenNeed{private: r.Prompt.Tokens + r.Prompt.MaxOutputTokens}
+	if preferred >= 0 {
+		longest := b.prefixBuf[len(b.prefixBuf)-1]
+		need.prefix, need.shared = longest.TokenPrefix(), min(longest.Tokens, r.Prompt.Tokens)
+		need.private -= need.shared
+		need.cachedAt = entries[preferred].ID
+	}
+	return need
+}
+
+// exceeds reports whether no server of the pool can hold the request.
+func (n tokenNeed) exceeds(pool *catalog.Pool) bool { return n.total() > pool.TokenMemory }
+
+// load returns the tokens as they are reported.
+func (o *ownTokens) load() TokenLoad {
+	l := TokenLoad{Private: o.private}
+	if len(o.shared) > 0 {
+		l.Shared = make(map[uint32]int, len(o.shared))
+		for prefix, s := range o.shared {
+			l.Shared[prefix] = s.tokens
+		}
+	}
+	return l
+}
+
+func (o *ownTokens) total() int {
+	total := o.private
+	for _, s := range o.shared {
+		total += s.tokens
+	}
+	return total
+}
+
+// startedSince returns the tokens that were started after the time and forgets older ones.
+func (o *ownTokens) startedSince(since clock.Millis) int {
+	n := 0
+	for n < len(o.started) && o.started[n].at <= since {
+		n++
+	}
+	o.started = o.started[n:]
+	sum := 0
+	for _, s := range o.started {
+		sum += s.tokens
+	}
+	return sum
+}
+
+// start counts the need at the server until done, and returns it as counted.
+func (t *tokenMemory) start(server string, need tokenNeed, now clock.Millis) tokenNeed {
+	need = need.at(server)
+	if need.total() == 0 {
+		return need
+	}
+	o := t.own[server]
+	if o == nil {
+		// Until fits finds that the peers' tokens are known, nothing was in use before.
+		o = &ownTokens{shared: make(map[uint32]sharedPrefix), alone: true}
+		t.own[server] = o
+	}
+	before := o.total()
+	o.private += need.private
+	if need.shared > 0 {
+		s := o.shared[need.prefix]
+		o.shared[need.prefix] = sharedPrefix{s.requests + 1, max(s.tokens, need.shared)}
+	}
+	o.startedSince(now - tokenReportLag)
+	o.started = append(o.started, startedTokens{now, o.total() - before})
+	return need
+}
+
+// done ends what start has counted.
+func (t *tokenMemory) done(server string, need tokenNeed) {
+	o := t.own[server]
+	if need.total() == 0 || o == nil {
+		return
+	}
+	o.private -= need.private
+	if need.shared > 0 {
+		s := o.shared[need.prefix]
+		if s.requests--; s.requests > 0 {
+			o.shared[need.prefix] = s
+		} else {
+			delete(o.shared, need.prefix)
+		}
+	}
+	total := o.total()
+	o.base = min(o.base, total)
+	if total == 0 {
+		delete(t.own, server)
+	}
+}
+
+// fits reports whether the server has memory for the request. What is known never exceeds
+// the memory; see rankFits for what isn't known yet.
+func (t *tokenMemory) fits(server string, r *Request) bool {
+	need := r.tokens.at(server)
+	if need.total() == 0 {
+		return true
+	}
+	o, memory := t.own[server], r.Pool.TokenMemory
+	if o == nil {
+		o = &ownTokens{}
+	}
+	if len(r.Hosts) > 1 && (!t.known || r.Now-t.peersAt >= reportLifetime) {
+		return o.fitsAlone(server, r, need.total(), memory)
+	}
+	o.alone = false
+	load := o.load().Plus(t.peers[server])
+	used := load.Total()
+	added := need.total()
+	if load.Shared[need.prefix] > 0 {
+		added = need.private
+	}
+	if float64(used+added) <= uncontendedShare*float64(memory) {
+		return true
+	}
+	recent := min(o.startedSince(r.Now-tokenReportLag), o.total())
+	return r.rankFits(server, recent+added, memory-used+recent)
+}
+
+// rankFits reports whether this daemon may have started the tokens at the server within
+// tokenReportLag, if that many remain there without them. The daemons are ranked for each
+// server by rendezvous hash. The first one may use all that remains, the nth 1/n of it: daemons
+// that start requests of equal size at the same time, without knowing of each other, don't use
+// more than what remains; with sizes mixed at worst, the sum is that times 1 + 1/2 + ... + 1/n.
+func (r *Request) rankFits(server string, tokens, remaining int) bool {
+	if tokens > remaining {
+		return false
+	}
+	hosts := max(len(r.Hosts), 1)
+	if tokens*hosts <= remaining {
+		return true
+	}
+	return tokens*(r.rank(server, remaining/tokens)+1) <= remaining
+}
+
+// rank returns how many daemons come before this one for the server, or limit if they are more.
+func (r *Request) rank(server string, limit int) int {
+	seed := container.Hash(server)
+	own, rank := container.CombineHash(seed, r.Self), 0
+	for _, host := range r.Hosts {
+		if container.CombineHash(seed, host) > own {
+			if rank++; rank >= limit {
+				break
+			}
+		}
+	}
+	return rank
+}
+
+// fitsAlone is fits without the peers' reports: the daemons divide what remains above their
+// own usage. Shares that are smaller than the request go to as many of the daemons as the
+// request fits for, others for each server.
+func (o *ownTokens) fitsAlone(server string, r *Request, need, memory int) bool {
+	if !o.alone {
+		o.alone, o.base = true, o.total()
+	}
+	remaining := memory - o.base
+	shares := min(len(r.Hosts), remaining/need)
+	if shares < 1 || r.rank(server, shares) >= shares {
+		return false
+	}
+	return (o.total()-o.base+need)*shares <= remaining
+}
+
+// OwnTokens returns the tokens of this daemon's requests in flight by server ID; nil unless
+// they are counted.
+func (b *Balancer) OwnTokens() map[string]TokenLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.features.SharedCapacity {
+		return nil
+	}
+	loads := make(map[string]TokenLoad, len(b.tokens.own))
+	for id, o := range b.tokens.own {
+		loads[id] = o.load()
+	}
+	return loads
+}
+
+// SetPeerTokens replaces the tokens of the other daemons' requests by server ID, of which the
+// last report arrived at the time. They expire like loads.
+func (b *Balancer) SetPeerTokens(loads map[string]TokenLoad, at clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens.peers, b.tokens.peersAt, b.tokens.known = loads, at, true
+}
+
+// TokenMemoryUse returns the tokens in flight at the pool's servers as shares of the memory of
+// one: at the fullest, and on average. ok is false if they aren't counted.
+func (b *Balancer) TokenMemoryUse(v *fleet.View, pool catalog.Pool) (highest, mean float64, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entries := v.Pool(pool.Name)
+	if !b.features.SharedCapacity || !pool.HasEngines() || len(entries) == 0 {
+		return 0, 0, false
+	}
+	for i := range entries {
+		load := b.tokens.peers[entries[i].ID]
+		if o := b.tokens.own[entries[i].ID]; o != nil {
+			load = load.Plus(o.load())
+		}
+		share := float64(load.Total()) / float64(pool.TokenMemory)
+		highest, mean = max(highest, share), mean+share/float64(len(entries))
+	}
+	return highest, mean, true
+}
--- a/internal/foundation/result/code.go
+++ b/internal/foundation/result/code.go
@@ -41,6 +41,8 @@
 	PromptQuarantined  = Code{2010, "prompt_quarantined", http.StatusServiceUnavailable, RunNo, 60_000, "A segment of the prompt has crashed several backend servers; one request with it is tried at the stated time."}
 	RateLimited        = Code{2011, "rate_limited", http.StatusServiceUnavailable, RunNo, 1000, "The pool's backend servers have stated rate limits for all daemons together, which are used up; the stated time fits the rate."}
 	RequestQuarantined = Code{2012, "request_quarantined", http.StatusServiceUnavailable, RunNo, 60_000, "The same request of this client account has crashed several backend servers; it is tried once more at the stated time."}
+	ResponseMemoryFull = Code{2015, "response_memory_full", http.StatusServiceUnavailable, RunNo, 1000, "The daemon's memory for responses that callers haven't read is used up."}
+	PromptTooLarge     = Code{2016, "prompt_too_large", http.StatusServiceUnavailable, RunNo, 0, "The prompt and its answer exceed the memory of every backend server of the pool; a retry doesn't help."}
 
 	NoServer         = Code{3001, "no_server", http.StatusServiceUnavailable, RunNo, 1000, "No backend server in service holds an allowed model and version."}
 	BackendRefused   = Code{3002, "backend_refused", http.StatusServiceUnavailable, RunNo, 1000, "The backend servers refused the request before running it."}
@@ -69,7 +71,7 @@
 	return []Code{
 		OK,
 		MalformedRequest, BodyTooLarge, UnknownCredential, NoRoute, NotAllowed, BadSessionToken, SessionEnded, SlowRequest, UpgradeRefused, HeaderTooLarge,
-		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured, PromptQuarantined, RateLimited, RequestQuarantined,
+		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured, PromptQuarantined, RateLimited, RequestQuarantined, ResponseMemoryFull, PromptTooLarge,
 		NoServer, BackendRefused, BackendFailed, BackendTimeout, AnswerMismatch, StreamCut, VersionWithdrawn, CallerLeft,
 		KeyRequired, KeyReused, InProgress, OutcomeUnknown, ClaimUnavailable,
 		EditConflict, EditInvalid, EditPending, StoreUnavailable, EditUnknown,
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -81,7 +81,11 @@
 	// memoryLimitShare is the soft memory limit of the Go runtime, as a share of the
 	// memory above which the host ends the daemon.
 	memoryLimitShare = 0.6
-	logFlushTimeout  = time.Second
+	// responseMemoryDivisor gives the memory for responses that callers haven't read as a
+	// fraction of the memory above which the host ends the daemon. With the sixth for request
+	// bodies, about half of the soft limit is left for everything else: 44 MB of 144 MB.
+	responseMemoryDivisor = 8
+	logFlushTimeout       = time.Second
 )
 
 // Main loads the settings file at the path and runs the daemon until ctx is done.
@@ -207,6 +211,10 @@
 	view := manager.View()
 	stats.SetOwn(balancer.OwnLoads(), router.AnswerStats(), router.PinnedSessions(view))
 	stats.SetOwnDepartures(balancer.OwnDepartures(view))
+	stats.SetOwnTokens(balancer.OwnTokens())
+	if tokens, at, ok := stats.PeerTokens(); ok {
+		balancer.SetPeerTokens(tokens, at)
+	}
 	balancer.SetPeerLoads(stats.PeerLoads(), c.Now())
 	balancer.SetPeerDepartures(stats.PeerDepartures(), c.Now())
 	refreshLimits(host, view, stats, balancer, c.Now())
@@ -286,6 +294,8 @@
 	d.Balancer.SetDrainTime(clock.Millis(s.Entry.DrainMs))
 	features := platform.LoadFeatures(s.Entry)
 	d.Balancer.SetFeatures(features)
+	d.Relay.SetFeatures(features)
+	d.Relay.SetMemoryLimit(s.Entry.MemoryMB << 20 / responseMemoryDivisor)
 	d.Log.Info("load features", "shared_capacity", features.SharedCapacity, "uneven_servers", s.Entry.UnevenServers)
 	d.Log.SetLevel(hclog.LevelFromString(s.Log.Level))
 }
--- a/internal/program/entry/metrics.go
+++ b/internal/program/entry/metrics.go
@@ -89,6 +89,19 @@
 	}
 }
 
+// updateTokenMemory updates the gauges of the token memory of each pool.
+func (d *Daemon) updateTokenMemory() {
+	v := d.ViewState.View()
+	if v.Catalog == nil {
+		return
+	}
+	for _, pool := range v.Catalog.Pools() {
+		if highest, mean, ok := d.Balancer.TokenMemoryUse(v, pool); ok {
+			d.Relay.Metrics.SetTokenMemory(pool.Name, highest, mean)
+		}
+	}
+}
+
 // metricsServer returns a server of the metrics in the Prometheus text format.
 func (d *Daemon) metricsServer() *http.Server {
 	return &http.Server{
@@ -99,6 +112,7 @@
 				w.WriteHeader(http.StatusNotFound)
 				return
 			}
+			d.updateTokenMemory()
 			d.Metrics.WritePrometheus(w)
 			metrics.WriteProcessMetrics(w)
 		}),
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -75,6 +75,9 @@
 	case loadbalance.AtCapacity:
 		rejection := result.New(result.Overloaded, "all servers of pool %s are full; %s", pool.Name, ex.lastError)
 		return nil, rejection.WithRetryAfter(int64(r.Balancer.RetryAfter(view, pool, p.model, now)))
+	case loadbalance.TooLarge:
+		return nil, result.New(result.PromptTooLarge, "%d prompt tokens and up to %d of output, for servers of pool %s with %d",
+			req.Prompt.Tokens, req.Prompt.MaxOutputTokens, pool.Name, pool.TokenMemory)
 	case loadbalance.Chosen:
 	}
 	return p, nil
--- /dev/null
+++ b/internal/traffic/relay/caller_memory.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+)
+
+// callerMemory is the memory that this daemon holds for its callers' responses.
+type callerMemory struct {
+	budget   admission.MemoryBudget
+	behind   atomic.Int64 // streams whose callers are behind
+	pauses   atomic.Int64 // reads from servers that were paused
+	rejected atomic.Int64 // requests rejected since the budget was used up
+
+	behindLog, fullLog logLimit
+}
+
+// SetMemoryLimit sets how many bytes the relay may hold for its callers' responses; 0 means no
+// limit. It applies to requests with shared capacity.
+func (r *Relay) SetMemoryLimit(bytes int64) { r.memory.budget.SetLimit(bytes) }
+
+// logPeriod is the least time between two log lines of a kind about memory.
+const logPeriod = 1_000 * clock.Millis(1)
+
+// logLimit bounds the number of log lines of one kind.
+type logLimit struct {
+	lastAt     atomic.Int64 // in clock ms
+	suppressed atomic.Int64
+}
+
+// allows reports whether a line may be logged at the time, and how many were not since the
+// last one.
+func (l *logLimit) allows(now clock.Millis) (ok bool, suppressed int64) {
+	last := l.lastAt.Load()
+	if (last != 0 && int64(now)-last < int64(logPeriod)) || !l.lastAt.CompareAndSwap(last, int64(now)) {
+		l.suppressed.Add(1)
+		return false, 0
+	}
+	return true, l.suppressed.Swap(0)
+}
+
+// errCallerTooSlow means that the caller had not read the response by the deadline.
+var errCallerTooSlow = errors.New("the caller had not read the response by its deadline")
+
+// heldMemory counts memory of one request beyond requestBytes. It isn't safe for concurrent
+// use. A nil heldMemory counts nothing.
+type heldMemory struct {
+	budget *admission.MemoryBudget
+	bytes  int
+}
+
+// set counts the bytes in place of those before, even if they exceed the budget.
+func (h *heldMemory) set(bytes int) {
+	if h == nil {
+		return
+	}
+	bytes = max(bytes, 0)
+	switch {
+	case bytes > h.bytes:
+		h.budget.Acquire(int64(bytes - h.bytes))
+	case bytes < h.bytes:
+		h.budget.Release(int64(h.bytes - bytes))
+	}
+	h.bytes = bytes
+}
+
+// trySet counts the bytes in place of those before unless they exceed the budget.
+func (h *heldMemory) trySet(bytes int) bool {
+	if h == nil {
+		return true
+	}
+	if bytes > h.bytes && !h.budget.TryAcquire(int64(bytes-h.bytes)) {
+		return false
+	}
+	h.budget.Release(int64(max(h.bytes-bytes, 0)))
+	h.bytes = bytes
+	return true
+}
+
+// acquireMemory takes the memory that the request needs in any case. The error states that
+// there is none; nothing was sent to a server then.
+func (ex *exchange) acquireMemory() *result.Error {
+	r := ex.relay
+	if !r.features.Load().SharedCapacity {
+		return nil
+	}
+	if !r.memory.budget.TryAcquire(requestBytes) {
+		r.memory.rejected.Add(1)
+		if ok, suppressed := r.memory.fullLog.allows(r.Clock.Now()); ok {
+			ex.log("memory for responses used up", nil, "bytes", r.memory.budget.Used(), "behind", r.memory.behind.Load(), "suppressed", suppressed)
+		}
+		return result.New(result.ResponseMemoryFull, "%d bytes are held for callers", r.memory.budget.Used())
+	}
+	ex.held = &heldMemory{budget: &r.memory.budget}
+	return nil
+}
+
+// releaseMemory gives back what the request has acquired.
+func (ex *exchange) releaseMemory() {
+	if ex.held != nil {
+		ex.held.set(0)
+		ex.held.budget.Release(requestBytes)
+		ex.held = nil
+	}
+}
+
+// deadlineTime returns the request's deadline as a time.
+func (ex *exchange) deadlineTime() time.Time {
+	return time.Now().Add((ex.deadline - ex.relay.Clock.Now()).Duration())
+}
+
+// writeBody passes a part of the response, whose header was written, to the caller. It reports
+// whether it had to wait for the caller. Without shared capacity it waits in the write.
+func (ex *exchange) writeBody(p []byte) (paused bool, err error) {
+	if ex.held == nil {
+		if _, err := ex.w.Write(p); err != nil {
+			return false, errCallerDisconnected
+		}
+		if err := http.NewResponseController(ex.w).Flush(); err != nil {
+			return false, errCallerDisconnected
+		}
+		return false, nil
+	}
+	if ex.out == nil {
+		w := httpFlushWriter{ex.w, http.NewResponseController(ex.w)}
+		ex.out = newStreamBuffer(w, ex.held.budget, ex.recordBehind)
+	}
+	paused, err = ex.out.accept(ex.httpReq.Context(), p, ex.deadlineTime())
+	if paused {
+		ex.unread = true
+		ex.relay.memory.pauses.Add(1)
+	}
+	return paused, acceptError(err)
+}
+
+// acceptError returns the error of a request for which the streamBuffer returned err.
+func acceptError(err error) error {
+	switch {
+	case errors.Is(err, errCallerTooSlow):
+		return errors.Wrap(errResponseInterrupted, err.Error())
+	case err != nil:
+		return errCallerDisconnected
+	}
+	return nil
+}
+
+// awaitRoom waits until the caller has read half of what is held for it, so that the next
+// server isn't paused at once.
+func (ex *exchange) awaitRoom() error {
+	return acceptError(ex.out.awaitRoom(ex.httpReq.Context(), ex.deadlineTime()))
+}
+
+// recordBehind records that the caller has fallen behind, or caught up. The latter comes from
+// the goroutine that writes, which must not use the exchange.
+func (ex *exchange) recordBehind(behind bool) {
+	memory := &ex.relay.memory
+	if !behind {
+		memory.behind.Add(-1)
+		return
+	}
+	memory.behind.Add(1)
+	if ok, suppressed := memory.behindLog.allows(ex.relay.Clock.Now()); ok {
+		ex.log("caller reads slowly", nil, "last_event", ex.lastEventID, "held_bytes", memory.budget.Used(), "remaining_ms", int64(ex.deadline-ex.relay.Clock.Now()), "suppressed", suppressed)
+	}
+}
+
+// finishBody waits until the caller has got what was accepted for it, also before a response
+// is aborted. A caller that has gone ends the wait. It returns err, or else the error of
+// writing.
+func (ex *exchange) finishBody(err error) error {
+	if ex.out == nil {
+		return err
+	}
+	controller := http.NewResponseController(ex.w)
+	stop := context.AfterFunc(ex.httpReq.Context(), func() {
+		// An error means that the connection is closed, which ends the write too.
+		_ = controller.SetWriteDeadline(time.Now())
+	})
+	defer stop()
+	if writeErr := ex.out.finish(); err == nil && writeErr != nil {
+		return errCallerDisconnected
+	}
+	return err
+}
--- a/internal/traffic/relay/event_reader.go
+++ b/internal/traffic/relay/event_reader.go
@@ -21,10 +21,14 @@
 // an incomplete event at its end is dropped.
 type eventReader struct {
 	source io.Reader
+	held   *heldMemory // counts the buffer beyond eventReadBytes; nil counts nothing
 	buffer []byte
 	start  int // of the bytes not yet returned
 }
 
+// release gives back the memory that was counted.
+func (e *eventReader) release() { e.held.set(0) }
+
 // Next returns the complete events that have arrived, at least one, and the last
 // event ID among them. The bytes are valid until the next call. io.EOF means that
 // the stream ended after a complete event.
@@ -43,6 +47,7 @@
 		}
 		used := len(e.buffer)
 		e.buffer = append(e.buffer, make([]byte, eventReadBytes)...)
+		e.held.set(cap(e.buffer) - 2*eventReadBytes)
 		n, err := e.source.Read(e.buffer[used:])
 		e.buffer = e.buffer[:used+n]
 		if n > 0 {
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -42,7 +42,7 @@
 	mayHaveExecuted bool          // it may have run on some server
 	headerSent      bool          // the response to the caller has begun
 	status          int           // HTTP status sent to the caller
-	lastEventID     string        // last event that the caller received
+	lastEventID     string        // last event that was accepted for the caller
 	confidence      int           // stated in the last response, 0 to 100; -1 if none was
 	lastError       string        // why the last attempt failed
 	server          fleet.Entry   // of the last attempt
@@ -66,6 +66,10 @@
 	// escalation tells whether a small model's answer was discarded for the largest model's.
 	escalation escalation
 	smallModel int // index of the model whose answer was discarded
+
+	held   *heldMemory   // nil without shared capacity
+	out    *streamBuffer // of the response; nil without shared capacity and before its first byte
+	unread bool          // reading the last attempt's response was paused for the caller
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
@@ -107,6 +111,9 @@
 	if exitAt, stopping := r.shutdownTime(); stopping && !ex.finishesBefore(exitAt, now) {
 		return result.New(result.Stopping, "this daemon exits in %d ms", exitAt-now)
 	}
+	if rejection := ex.acquireMemory(); rejection != nil {
+		return rejection
+	}
 	r.RetryBudget.RecordRequest(route.PoolAt(ex.poolPoint()), now)
 	defer ex.releaseSuccessor()
 	for {
@@ -235,7 +242,8 @@
 		attempt.Model = ex.model
 	}
 	ex.attempts++
-	deadline := time.Now().Add((ex.deadline - r.Clock.Now()).Duration())
+	ex.unread = false
+	deadline := ex.deadlineTime()
 	headerDeadline := deadline
 	if timeout := ex.headerTimeout(choice.ExpectedFirstByte); timeout > 0 {
 		headerDeadline = time.Now().Add(timeout)
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -22,24 +22,30 @@
 // forwardBuffered reads the complete response before it forwards it, so that the
 // request can be retried if the response is interrupted.
 func (ex *exchange) forwardBuffered(server *fleet.Entry, resp *h1.Response) (bool, error) {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
-	if err == nil && len(body) < maxBufferedBytes && ex.isCutByCrash(server, resp) {
+	body, isLong, release, err := ex.readBuffered(resp)
+	defer release()
+	if err == nil && !isLong && ex.isCutByCrash(server, resp) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
 		return false, ex.handleInterruption(server, err)
 	}
-	isLong := len(body) == maxBufferedBytes
 	ex.startResponse(resp)
 	if length := responseLength(ex.req.Method, resp, body); !isLong && length != "" {
 		ex.w.Header().Set("Content-Length", length)
 	}
 	ex.w.WriteHeader(resp.Status)
-	if _, err := ex.w.Write(body); err != nil {
+	if ex.held != nil {
+		// The server has done its work: its slot isn't held while the caller reads.
+		if _, err := ex.writeBody(body); err != nil {
+			return false, err
+		}
+	} else if _, err := ex.w.Write(body); err != nil {
 		return false, errCallerDisconnected
 	}
 	if isLong {
-		if _, err := io.Copy(ex.w, resp); err != nil {
+		release()
+		if err := ex.copyRest(resp); err != nil {
 			return false, errors.Wrap(errResponseInterrupted, err.Error())
 		}
 	}
@@ -84,15 +90,22 @@
 		return ex.quarantineError(server, true, now)
 	}
 	ex.lastError = "response interrupted: " + err.Error()
-	ex.relay.Balancer.RecordServerError(server, now)
 	cause := ex.interruptionCause(now)
+	if cause != causeUnread {
+		ex.relay.Balancer.RecordServerError(server, now)
+	}
 	ex.relay.Metrics.countAttempt(ex.pool.Name, cause)
 	ex.log("response interrupted", server, "cause", cause, "error", err.Error(), "last_event", ex.lastEventID, "answer_ms", int64(now-ex.answeredAt),
 		"remaining_ms", int64(ex.deadline-now), "prompt_segments", ex.promptSegments(), "request_parts", ex.requestParts())
-	if cause == causeServer {
+	if cause == causeServer || cause == causeUnread {
 		ex.checkCrash(server, now)
 	}
-	if now >= ex.deadline {
+	if cause == causeUnread {
+		if err := ex.awaitRoom(); err != nil {
+			return err
+		}
+	}
+	if ex.relay.Clock.Now() >= ex.deadline {
 		return ex.executionError(result.New(result.BackendTimeout, "%s", ex.lastError))
 	}
 	return ex.recordFailedExecution(server)
@@ -103,6 +116,7 @@
 	causeDeadline = "deadline"  // the request's deadline passed
 	causeReplaced = "replaced"  // the server was silent and another attempt is planned
 	causeServer   = "broke_off" // the server, or the connection to it
+	causeUnread   = "unread"    // as causeServer, after reading was paused for the caller
 )
 
 // interruptionCause returns who ended the response that was interrupted at the time.
@@ -112,6 +126,8 @@
 		return causeDeadline
 	case ex.successor != nil:
 		return causeReplaced
+	case ex.unread:
+		return causeUnread
 	}
 	return causeServer
 }
@@ -152,8 +168,8 @@
 func (ex *exchange) forwardStream(server *fleet.Entry, resp *h1.Response, info ResponseInfo) (bool, error) {
 	idle := idleLimit{timeout: ex.idleTimeout(server), resp: resp, clock: ex.relay.Clock}
 	idle.restart()
-	source := eventReader{source: resp}
-	controller := http.NewResponseController(ex.w)
+	source := eventReader{source: resp, held: ex.held}
+	defer source.release()
 	count, since := 0, ex.relay.Clock.Now()
 	defer func() { ex.recordEventTime(count, since) }()
 	meter := paceMeter{report: func(pace clock.Millis) { ex.recordPace(server, info, pace) }}
@@ -185,14 +201,18 @@
 			ex.recordEventTime(count, since)
 			count, since = 1, ex.relay.Clock.Now()
 		}
+		paused, err := ex.writeBody(complete)
+		if err != nil {
+			return false, err
+		}
 		if id != "" {
 			ex.lastEventID = id
 		}
-		if _, err := ex.w.Write(complete); err != nil {
-			return false, errCallerDisconnected
-		}
-		if err := controller.Flush(); err != nil {
-			return false, errCallerDisconnected
+		if paused {
+			// The pause says nothing about the server.
+			idle.restart()
+			meter.end()
+			count, since = 0, ex.relay.Clock.Now()
 		}
 	}
 	if !ex.headerSent {
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -80,6 +80,24 @@
 	return h
 }
 
+// observeMemory registers the gauges of the memory held for callers.
+func (m *Metrics) observeMemory(memory *callerMemory) {
+	gauge := func(name string, value func() int64) {
+		m.set.GetOrCreateGauge("gypsumpitch_relay_"+name, func() float64 { return float64(value()) })
+	}
+	gauge("buffered_bytes", memory.budget.Used)
+	gauge("streams_behind", memory.behind.Load)
+	gauge("paused_reads_total", memory.pauses.Load)
+	gauge("memory_rejections_total", memory.rejected.Load)
+}
+
+// SetTokenMemory records the tokens in use at the servers of the pool that have the most, and
+// on average, as shares of one server's memory.
+func (m *Metrics) SetTokenMemory(pool string, highest, mean float64) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`gypsumpitch_token_memory_used{pool=%q,of="fullest"}`, pool), nil).Set(highest)
+	m.set.GetOrCreateGauge(fmt.Sprintf(`gypsumpitch_token_memory_used{pool=%q,of="mean"}`, pool), nil).Set(mean)
+}
+
 // countPause counts a server's request for a pause by how it was understood.
 func (m *Metrics) countPause(kind PauseKind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_pauses_total{kind=%q}`, string(kind))).Inc()
--- a/internal/traffic/relay/pace_meter.go
+++ b/internal/traffic/relay/pace_meter.go
@@ -45,6 +45,12 @@
 	m.report(sorted[(len(sorted)-1)/4])
 }
 
+// end is finish for a stream of which nothing more is to be measured.
+func (m *paceMeter) end() {
+	m.finish()
+	m.reported = true
+}
+
 // recordPace reports the pace of a stream as evidence about the server's version. A cold
 // server is slow whatever its version.
 func (ex *exchange) recordPace(server *fleet.Entry, info ResponseInfo, pace clock.Millis) {
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -15,6 +15,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
@@ -95,10 +96,20 @@
 	shutdownAt     atomic.Int64 // when the daemon exits, in clock ms; 0 until shutdown begins
 	noStreamsAfter atomic.Int64 // during shutdown, when new streams are no longer accepted, in clock ms
 	rejecting      atomic.Bool  // all requests are rejected
+	features       atomic.Pointer[loadfeatures.Features]
+	memory         callerMemory
 }
 
 // New returns a relay that accepts requests.
-func New(d Dependencies) *Relay { return &Relay{Dependencies: d, startedAt: d.Clock.Now()} }
+func New(d Dependencies) *Relay {
+	r := &Relay{Dependencies: d, startedAt: d.Clock.Now()}
+	r.SetFeatures(loadfeatures.Features{})
+	r.Metrics.observeMemory(&r.memory)
+	return r
+}
+
+// SetFeatures replaces the optional features that apply to requests that arrive from now on.
+func (r *Relay) SetFeatures(f loadfeatures.Features) { r.features.Store(&f) }
 
 // InFlight returns the number of requests being served.
 func (r *Relay) InFlight() int64 { return r.inFlight.Load() }
@@ -140,7 +151,8 @@
 			ex.resetConn(w)
 		}
 	}()
-	if err := ex.serve(); err != nil {
+	defer ex.releaseMemory()
+	if err := ex.finishBody(ex.serve()); err != nil {
 		ex.finishWithError(err)
 	} else {
 		ex.finishWithResponse()
