--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -44,6 +44,8 @@
 	// demand it holds. Both are absent while the daemons don't share capacity.
 	Demand        []demand.PoolUsage `json:"u,omitempty"`
 	DemandDaemons int                `json:"v,omitempty"`
+	// Tokens are the tokens of the requests in Loads; nil unless the daemons count them.
+	Tokens *TokenReport `json:"o,omitempty"`
 }
 
 // maxCrashes bounds the crashes in a snapshot. The newest ones are kept.
@@ -77,6 +79,7 @@
 	demand        [][]demand.PoolUsage // of demandDaemons daemons; see demand.Total
 	demandDaemons int
 	demandAge     clock.Millis // of the newest one
+	tokens        map[string]loadbalance.TokenLoad
 }
 
 // serverStart is one start of a server.
@@ -96,6 +99,7 @@
 		limits:      make(map[serverStart]loadbalance.LimitReport),
 		members:     make(map[uint32]bool),
 		speeds:      make(speedTotals),
+		tokens:      make(map[string]loadbalance.TokenLoad),
 	}
 }
 
@@ -113,6 +117,9 @@
 		for id, load := range s.Loads {
 			t.loads[id] = t.loads[id].Plus(load)
 		}
+		for id, load := range s.Tokens.loads(s.Loads) {
+			t.tokens[id] = t.tokens[id].Plus(load)
+		}
 	}
 	for _, e := range s.AnswerStats {
 		t.answerStats[e.Key] = t.answerStats[e.Key].Plus(e.Stats)
@@ -185,6 +192,7 @@
 		Crashes: t.newestCrashes(), SoundRuns: slices.Collect(maps.Values(t.soundRuns)),
 		Limits: loadbalance.LatestLimits(slices.Collect(maps.Values(t.limits))), LimitMembers: slices.Collect(maps.Keys(t.members)),
 		Speeds: t.speeds.reports(),
+		Tokens: newTokenReport(t.loads, t.tokens),
 	}
 	if t.demandDaemons > 0 {
 		s.Demand, s.DemandDaemons = demand.Total(t.demand...), t.demandDaemons
--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -37,6 +37,7 @@
 	limits        serverLimits
 	returns       map[string]clock.Millis // when the last rejected caller returns, by pool; see ScheduleReturn
 
+	tokens       tokenMemory
 	features     loadfeatures.Features
 	paceStatedAt map[string]clock.Millis // when a server last stated its pace, by pool
 
@@ -85,6 +86,7 @@
 		speeds:        newSpeeds(),
 		decode:        make(map[modelKey]eventTimes),
 		credits:       make(map[string]*startCredit),
+		tokens:        newTokenMemory(),
 	}
 }
 
@@ -280,6 +282,7 @@
 	s.own.Prefill -= c.PrefillTime
 	s.own.Calls--
 	b.returnCredit(s, &c.Server)
+	b.tokens.done(c.Server.ID, c.tokens)
 	c.PrefillTime = 0
 	return s
 }
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -43,7 +43,7 @@
 	mayHaveExecuted bool                    // it may have run on some server
 	headerSent      bool                    // the response to the caller has begun
 	status          int                     // HTTP status sent to the caller
-	lastEventID     string                  // last event that the caller received
+	lastEventID     string                  // last event that was accepted for the caller
 	confidence      int                     // stated in the last response, 0 to 100; -1 if none was
 	lastError       string                  // why the last attempt failed
 	server          fleet.Entry             // of the last attempt
@@ -73,6 +73,10 @@
 	smallModel int // index of the model whose answer was discarded
 	kept       *keptAnswer
 	keeping    bool // a small model's answer is being read to its end
+
+	held   *heldMemory   // nil without shared capacity
+	out    *streamBuffer // of the response; nil without shared capacity and before its first byte
+	unread bool          // reading the last attempt's response was paused for the caller
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
@@ -114,6 +118,9 @@
 	if exitAt, stopping := r.shutdownTime(); stopping && !ex.finishesBefore(exitAt, now) {
 		return result.New(result.Stopping, "this daemon exits in %d ms", exitAt-now)
 	}
+	if rejection := ex.acquireMemory(); rejection != nil {
+		return rejection
+	}
 	r.RetryBudget.RecordRequest(ex.pool.Name, now)
 	ex.demand = r.Demand.Arrive(ex.demandClass(), ex.expectedWork(), now)
 	defer func() { ex.demand.End(r.Clock.Now()) }()
@@ -256,7 +263,8 @@
 		attempt.Model = ex.model
 	}
 	ex.attempts++
-	deadline := time.Now().Add((ex.deadline - r.Clock.Now()).Duration())
+	ex.unread = false
+	deadline := ex.deadlineTime()
 	resp, err := r.Client.Do(ctx, &h1.Call{
 		Address:        server.Address,
 		Method:         req.Method,
--- a/internal/traffic/relay/kept_answer.go
+++ b/internal/traffic/relay/kept_answer.go
@@ -113,8 +113,6 @@
 	maps.Copy(ex.w.Header(), r.Dialect.ResponseHeader(kept.header))
 	ex.headerSent, ex.status = true, kept.status
 	ex.w.WriteHeader(kept.status)
-	if _, err := ex.w.Write(kept.body); err != nil {
-		return false
-	}
-	return http.NewResponseController(ex.w).Flush() == nil
+	_, err = ex.writeBody(kept.body)
+	return err == nil
 }
