--- a/internal/decision/cascade/escalation.go
+++ b/internal/decision/cascade/escalation.go
@@ -18,13 +18,12 @@
 	Utilisation float64
 }
 
-// Utilisations between which the threshold falls to 0. Half of the slots stay free for a
-// burst of twice the traffic, which fills the pool before reports tell of it. A request with
-// little slack keeps its small answer sooner: the queueing time varies by seconds in a pool
-// that is nearly full, whatever the length of the deadline.
+// Utilisations between which the threshold falls to 0. A request with little slack keeps
+// its small answer sooner: the queueing time varies by seconds in a pool that is nearly
+// full, whatever the length of the deadline.
 const (
-	noSlackCalm, noSlackFull       = 0.40, 0.80
-	ampleSlackCalm, ampleSlackFull = 0.50, 0.85
+	noSlackCalm, noSlackFull       = 0.75, 0.97
+	ampleSlackCalm, ampleSlackFull = 0.87, 1.00
 	// ampleSlack is the time to spare from which a request has ample slack: the longest
 	// waits in full servers' queues were 3.4 s.
 	ampleSlack = 4_000 * clock.Millis(1)
