Make second attempts only where they begin sooner

Cause: a silent server was given up because of the time alone, also in a full pool; a stream went on at a slow server until its deadline cut it off; an escalated request waited for the largest model until 504 although the small one answers at once. Change: a second attempt compares what is left at the present server with the first byte elsewhere, queues counted; a request at a server that slowed down and a stream that would miss its deadline are placed anew once, from the budget without its reserve; the last attempt of an escalated request is kept for the small model, while its answer is in time.

--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -62,6 +62,7 @@
 	ejectedUntil        clock.Millis
 	coldUntil           clock.Millis // from the server's own reports
 	coldBucket          tokenBucket
+	rejection           rejection // in pools whose load counts
 }
 
 // NewBalancer returns a balancer without any measurements.
@@ -117,6 +118,7 @@
 	if s.reportedAt != 0 && (now-s.reportedAt < freshReport || (s.peerLoadAt == 0 && now-s.reportedAt < reportLifetime)) {
 		others.Calls = max(s.otherCalls, 0)
 	}
+	others.Calls = max(others.Calls, s.rejection.callsAt(now))
 	return s.own.Plus(others)
 }
 
@@ -137,6 +139,7 @@
 	s.recordResult(false, now)
 	if report.HasLoad {
 		s.otherCalls, s.reportedAt, s.slots = report.Requests-s.own.Calls, now, report.Slots
+		s.rejection = rejection{}
 	}
 	if report.ColdRemaining > 0 {
 		s.coldUntil = now + report.ColdRemaining
@@ -217,11 +220,15 @@
 
 // RecordAtCapacity records that a server rejected a call because it has no free
 // capacity. While that is recent, its load counts as at least one and a half times its
-// slots.
+// slots; where the pool's load counts, that declines by and by.
 func (b *Balancer) RecordAtCapacity(e *fleet.Entry, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(e)
+	if b.adaptsToLoad(e.Pool, now) {
+		s.reject(s.slotsOf(e), now)
+		return
+	}
 	s.otherCalls, s.reportedAt = max(s.otherCalls, s.slots+s.slots/2-s.own.Calls), now
 }
 
--- a/internal/decision/loadbalance/features.go
+++ b/internal/decision/loadbalance/features.go
@@ -35,5 +35,10 @@
 func (b *Balancer) AdaptsToLoad(pool string, now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.adaptsToLoad(pool, now)
+}
+
+// adaptsToLoad is AdaptsToLoad. The caller must hold mu.
+func (b *Balancer) adaptsToLoad(pool string, now clock.Millis) bool {
 	return b.features.SharedCapacity || b.isUneven(pool, now)
 }
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -209,6 +209,8 @@
 		rejection = result.New(result.NoServer, "the route now leads to pool %s", next.pool.Name)
 	case next.choice.LastResort || now+next.choice.ExpectedFirstByte >= ex.deadline:
 		rejection = result.New(result.NoServer, "no server is likelier to respond in time")
+	default:
+		rejection = ex.checkSecondAttempt(server, next, now)
 	}
 	if rejection != nil && next != nil {
 		ex.relay.Balancer.Cancel(&next.choice)
--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -71,7 +71,9 @@
 		Deadline:    ex.deadline - ex.req.ReceivedAt,
 		Utilisation: u.Against(ex.route.LatencyTarget),
 	}
-	escalates := threshold.Escalates(e) && r.RetryBudget.AllowsOptional(ex.pool.Name, now)
+	// The largest model is awaited until the small one's answer would no longer be in time.
+	inTime := now+e.Wait+firstByte+ex.smallAnswerTime(ex.model, now) < ex.deadline
+	escalates := inTime && threshold.Escalates(e) && r.RetryBudget.AllowsOptional(ex.pool.Name, now)
 	if escalates {
 		return true
 	}
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -66,6 +66,10 @@
 	// escalation tells whether a small model's answer was discarded for the largest model's.
 	escalation escalation
 	smallModel int // index of the model whose answer was discarded
+
+	watch      attemptWatch // of the attempt that runs
+	placedAnew bool         // another server was expected to be sooner; happens once
+	events     int          // that the caller received
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
@@ -242,7 +246,7 @@
 	ex.attempts++
 	deadline := time.Now().Add((ex.deadline - r.Clock.Now()).Duration())
 	headerDeadline := deadline
-	if timeout := ex.headerTimeout(choice.ExpectedFirstByte); timeout > 0 {
+	if timeout := ex.watchAttempt(choice, ex.headerTimeout(choice.ExpectedFirstByte), startedAt); timeout > 0 {
 		headerDeadline = time.Now().Add(timeout)
 	}
 	resp, err := r.Client.Do(ctx, &h1.Call{
@@ -256,12 +260,7 @@
 		FreshConn:      ex.route.RetryPolicy == catalog.AtMostOnce,
 		HeaderDeadline: headerDeadline,
 		Deadline:       deadline,
-		OnSilence: func() time.Duration {
-			if ex.planSuccessor(server) {
-				return 0
-			}
-			return successorPeriod.Duration()
-		},
+		OnSilence:      func() time.Duration { return ex.onSilence(server) },
 	})
 	if err != nil {
 		return false, ex.handleCallError(choice, startedAt, err)
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -84,7 +84,9 @@
 		return ex.quarantineError(server, true, now)
 	}
 	ex.lastError = "response interrupted: " + err.Error()
-	ex.relay.Balancer.RecordServerError(server, now)
+	if !ex.watch.yielded {
+		ex.relay.Balancer.RecordServerError(server, now)
+	}
 	cause := ex.interruptionCause(now)
 	ex.relay.Metrics.countAttempt(ex.pool.Name, cause)
 	ex.log("response interrupted", server, "cause", cause, "error", err.Error(), "last_event", ex.lastEventID, "answer_ms", int64(now-ex.answeredAt),
@@ -147,13 +149,23 @@
 	}
 }
 
+// writeEvents sends complete events to the caller. It reports false if that failed, which
+// means that the caller has disconnected.
+func (ex *exchange) writeEvents(controller *http.ResponseController, events []byte) bool {
+	if _, err := ex.w.Write(events); err != nil {
+		return false
+	}
+	return controller.Flush() == nil
+}
+
 // forwardStream forwards events as they arrive, and only complete ones, so that
 // another server can continue an interrupted stream from the last of them.
 func (ex *exchange) forwardStream(server *fleet.Entry, resp *h1.Response, info ResponseInfo) (bool, error) {
-	idle := idleLimit{timeout: ex.idleTimeout(server), resp: resp, clock: ex.relay.Clock}
+	idle := idleLimit{timeout: ex.watchStream(ex.idleTimeout(server)), resp: resp, clock: ex.relay.Clock}
 	idle.restart()
 	source := eventReader{source: resp}
 	controller := http.NewResponseController(ex.w)
+	var progress streamProgress
 	count, since := 0, ex.relay.Clock.Now()
 	defer func() { ex.recordEventTime(count, since) }()
 	meter := paceMeter{report: func(pace clock.Millis) { ex.recordPace(server, info, pace) }}
@@ -171,7 +183,7 @@
 		}
 		if hasEvent(complete) {
 			idle.restart()
-		} else if idle.exceeded() && ex.planSuccessor(server) {
+		} else if idle.exceeded() && ex.onSilence(server) == 0 {
 			return false, ex.handleInterruption(server, errNoEvents)
 		}
 		ex.resumed()
@@ -188,11 +200,11 @@
 		if id != "" {
 			ex.lastEventID = id
 		}
-		if _, err := ex.w.Write(complete); err != nil {
+		if !ex.writeEvents(controller, complete) {
 			return false, errCallerDisconnected
 		}
-		if err := controller.Flush(); err != nil {
-			return false, errCallerDisconnected
+		if hasEvent(complete) && ex.planStreamInTime(server, &progress) {
+			return false, ex.handleInterruption(server, errBehindDeadline)
 		}
 	}
 	if !ex.headerSent {
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -35,18 +35,7 @@
 	r.Metrics.countAttempt(ex.pool.Name, "no_answer")
 	ex.log("attempt failed", server, "sent", callErr.Sent, "reused", callErr.Reused, "error", callErr.Error(),
 		"replaced", ex.successor != nil, "remaining_ms", int64(ex.deadline-now), "prompt_segments", ex.promptSegments(), "request_parts", ex.requestParts())
-	if callErr.Sent && callErr.TimedOut {
-		// The elapsed time is a lower bound of the response time.
-		r.Balancer.RecordFirstByte(choice, ex.model, now-startedAt, now)
-	}
-	switch {
-	case ex.relay.Clock.Now() >= ex.deadline:
-		// The request's deadline has passed; that is not the server's fault.
-	case callErr.Sent && callErr.TimedOut:
-		r.Balancer.RecordServerError(server, now)
-	case !callErr.Reused || callErr.TimedOut:
-		r.Balancer.RecordNoAnswer(server, now)
-	}
+	ex.recordUnanswered(choice, callErr, startedAt, now)
 	if !callErr.Sent {
 		// Nothing reached the server, so this attempt does not use the retry budget.
 		ex.notExecutedOn = append(ex.notExecutedOn, server.ID)
@@ -59,13 +48,32 @@
 	if !callErr.TimedOut {
 		ex.checkCrash(server, now)
 	}
-	if callErr.TimedOut {
+	if callErr.TimedOut && ex.boundsLatency(choice, now-startedAt) {
 		// The elapsed time is a lower bound of the response time.
 		r.VersionRouter.RecordOutcome(ex.view, server, ex.route, newOutcome(choice, false, now-startedAt))
 	}
 	return ex.recordFailedExecution(server)
 }
 
+// recordUnanswered reports a call that got no response to the Balancer.
+func (ex *exchange) recordUnanswered(choice *loadbalance.Choice, callErr *h1.CallError, startedAt, now clock.Millis) {
+	b := ex.relay.Balancer
+	if callErr.Sent && callErr.TimedOut && ex.boundsLatency(choice, now-startedAt) {
+		// The elapsed time is a lower bound of the response time.
+		b.RecordFirstByte(choice, ex.model, now-startedAt, now)
+	}
+	switch {
+	case ex.relay.Clock.Now() >= ex.deadline:
+		// The request's deadline has passed; that is not the server's fault.
+	case ex.watch.yielded:
+		// The relay preferred another server, or the small model.
+	case callErr.Sent && callErr.TimedOut:
+		b.RecordServerError(&choice.Server, now)
+	case !callErr.Reused || callErr.TimedOut:
+		b.RecordNoAnswer(&choice.Server, now)
+	}
+}
+
 // recordExecution records that the request ran or may have run on the server.
 func (ex *exchange) recordExecution(server *fleet.Entry) {
 	ex.mayHaveExecuted = true
