Test rejecting servers, sudden load and streams that are moved once

Cause: three promises of the cascade and retries under load had no failure test in relay. Change: a server that rejects while peers report it as free, a pool that has filled since the last average, a stream that is slow at both servers.

--- a/internal/traffic/relay/cascade_under_load_test.go
+++ b/internal/traffic/relay/cascade_under_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -23,6 +24,26 @@
 	f.relay.Balancer.SetPeerLoads(loads, now)
 }
 
+// TestRejectingServerGetsLess has one of two servers reject all work while the other daemons
+// report it as free. Until it reports its own load, it must not be tried again and again.
+func TestRejectingServerGetsLess(t *testing.T) {
+	server := func(n int, w http.ResponseWriter, r *http.Request) {
+		if w.Header().Get(headerServer) == "s1" {
+			respondStatus(http.StatusServiceUnavailable, headerNotExecuted, "yes")(n, w, r)
+			return
+		}
+		sendEvents(5, 5)(n, w, r)
+	}
+	f := newFixture(t, streamRoutes(), server, server)
+	f.underLoad(0)
+	f.keepReporting(loadbalance.Load{})
+	for range 30 {
+		assert.Equal(t, f.send(http.MethodPost, "/draft/1", headerModel, "large").body, events(1, 5))
+		time.Sleep(40 * time.Millisecond)
+	}
+	assert.Check(t, f.callsTo("s1") <= 1, "%d calls", f.callsTo("s1"))
+}
+
 // TestCascadeFollowsRoom guards against spending the room of a full pool on escalations, and
 // against keeping poor answers of a small model while there is room, or without the feature.
 func TestCascadeFollowsRoom(t *testing.T) {
@@ -36,8 +57,13 @@
 		"full":                         {func(f *fixture) { f.underLoad(8) }, "20", small},
 		"nearly full, doubtful answer": {func(f *fixture) { f.underLoad(7) }, "40", small},
 		"nearly full, poor answer":     {func(f *fixture) { f.underLoad(7) }, "5", large},
-		"nothing known":                {func(f *fixture) { f.relay.Balancer.SetFeatures(loadfeatures.Features{SharedCapacity: true}) }, "20", large},
-		"without feature":              {func(f *fixture) { f.underLoad(8); f.relay.Balancer.SetFeatures(loadfeatures.Features{}) }, "20", large},
+		"full since a moment": {func(f *fixture) {
+			f.underLoad(0)
+			f.relay.Balancer.Utilisation(f.currentView(), "text", f.relay.Clock.Now())
+			f.setLoads(func(string) loadbalance.Load { return loadbalance.Load{Calls: 8} })
+		}, "20", small},
+		"nothing known":   {func(f *fixture) { f.relay.Balancer.SetFeatures(loadfeatures.Features{SharedCapacity: true}) }, "20", large},
+		"without feature": {func(f *fixture) { f.underLoad(8); f.relay.Balancer.SetFeatures(loadfeatures.Features{}) }, "20", large},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/traffic/relay/second_attempt_test.go
+++ b/internal/traffic/relay/second_attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -168,11 +169,13 @@
 		interEvent float64 // ms, of the pool's servers
 		calls      int
 		complete   bool
+		allSlow    bool // also the server that goes on with the stream
 	}{
-		"another server is faster": {loadfeatures.Features{SharedCapacity: true}, 10, 2, true},
-		"uneven servers":           {loadfeatures.Features{UnevenServers: loadfeatures.On}, 10, 2, true},
-		"all are as slow":          {loadfeatures.Features{SharedCapacity: true}, 150, 1, false},
-		"as before":                {loadfeatures.Features{}, 10, 1, false},
+		"another server is faster": {loadfeatures.Features{SharedCapacity: true}, 10, 2, true, false},
+		"uneven servers":           {loadfeatures.Features{UnevenServers: loadfeatures.On}, 10, 2, true, false},
+		"moved once":               {loadfeatures.Features{SharedCapacity: true}, 10, 2, false, true},
+		"all are as slow":          {loadfeatures.Features{SharedCapacity: true}, 150, 1, false, false},
+		"as before":                {loadfeatures.Features{}, 10, 1, false, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -182,19 +185,22 @@
 				if r.Header.Get(headerLastEventID) != "" {
 					o.set(&o.begins)
 				}
-				if r.Header.Get(headerLastEventID) != "" || r.Header.Get(headerID) == warmUpID {
+				if (r.Header.Get(headerLastEventID) != "" && !c.allSlow) || r.Header.Get(headerID) == warmUpID {
 					sendEvents(total, total)(n, w, r)
 					return
 				}
 				w.Header().Set(headerSigned, "yes")
-				for i := 1; i <= total && r.Context().Err() == nil; i++ {
+				after, _ := strconv.Atoi(r.Header.Get(headerLastEventID))
+				for i := after + 1; i <= total && r.Context().Err() == nil; i++ {
 					_, _ = fmt.Fprintf(w, "id: %d\ndata: piece-%d\n\n", i, i)
 					_ = http.NewResponseController(w).Flush()
 					time.Sleep(pause)
 				}
-				o.set(&o.ended)
+				if after == 0 {
+					o.set(&o.ended)
+				}
 			}
-			f := newFixture(t, streamRoutes(), server, server)
+			f := newFixture(t, streamRoutes(), server, server, server)
 			f.relay.Balancer.SetFeatures(c.features)
 			for range warmUp {
 				f.send(http.MethodPost, "/draft/1", headerID, warmUpID, headerModel, "large")
