--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -77,6 +77,10 @@
 	held   *heldMemory   // nil without shared capacity
 	out    *streamBuffer // of the response; nil without shared capacity and before its first byte
 	unread bool          // reading the last attempt's response was paused for the caller
+
+	watch      attemptWatch // of the attempt that runs
+	placedAnew bool         // another server was expected to be sooner; happens once
+	events     int          // that the caller received
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
@@ -265,6 +269,7 @@
 	ex.attempts++
 	ex.unread = false
 	deadline := ex.deadlineTime()
+	timeout := ex.watchAttempt(choice, ex.headerTimeout(choice.ExpectedFirstByte), startedAt)
 	resp, err := r.Client.Do(ctx, &h1.Call{
 		Address:        server.Address,
 		Method:         req.Method,
@@ -274,7 +279,7 @@
 		Body:           req.Body,
 		ID:             req.ID,
 		FreshConn:      ex.route.RetryPolicy == catalog.AtMostOnce,
-		HeaderDeadline: ex.headerDeadline(ex.headerTimeout(choice.ExpectedFirstByte), deadline),
+		HeaderDeadline: ex.headerDeadline(timeout, deadline),
 		Deadline:       deadline,
 		OnSilence:      func() time.Duration { return ex.extendWait(server) },
 	})
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -91,7 +91,7 @@
 	}
 	ex.lastError = "response interrupted: " + err.Error()
 	cause := ex.interruptionCause(now)
-	if cause != causeUnread {
+	if cause != causeUnread && !ex.watch.yielded {
 		ex.relay.Balancer.RecordServerError(server, now)
 	}
 	ex.relay.Metrics.countAttempt(ex.pool.Name, cause)
@@ -167,10 +167,11 @@
 // forwardStream forwards events as they arrive, and only complete ones, so that
 // another server can continue an interrupted stream from the last of them.
 func (ex *exchange) forwardStream(server *fleet.Entry, resp *h1.Response, info ResponseInfo) (bool, error) {
-	idle := idleLimit{timeout: ex.idleTimeout(server), resp: resp, clock: ex.relay.Clock}
+	idle := idleLimit{timeout: ex.watchStream(ex.idleTimeout(server)), resp: resp, clock: ex.relay.Clock}
 	idle.restart()
 	source := eventReader{source: resp, held: ex.held}
 	defer source.release()
+	var progress streamProgress
 	count, since := 0, ex.relay.Clock.Now()
 	defer func() { ex.recordEventTime(count, since) }()
 	meter := paceMeter{report: func(pace clock.Millis) { ex.recordPace(server, info, pace) }}
@@ -188,7 +189,7 @@
 		}
 		if hasEvent(complete) {
 			idle.restart()
-		} else if idle.exceeded() && ex.planSuccessor(server) {
+		} else if idle.exceeded() && ex.onSilence(server) == 0 {
 			return false, ex.handleInterruption(server, errNoEvents)
 		}
 		ex.resumed()
@@ -209,11 +210,15 @@
 		if id != "" {
 			ex.lastEventID = id
 		}
-		if paused {
+		switch {
+		case paused:
 			// The pause says nothing about the server.
 			idle.restart()
 			meter.end()
 			count, since = 0, ex.relay.Clock.Now()
+			progress = streamProgress{}
+		case hasEvent(complete) && ex.planStreamInTime(server, &progress):
+			return false, ex.handleInterruption(server, errBehindDeadline)
 		}
 	}
 	if !ex.headerSent {
--- a/internal/traffic/relay/kept_answer.go
+++ b/internal/traffic/relay/kept_answer.go
@@ -87,10 +87,8 @@
 		return 0
 	case ex.kept != nil && !ex.headerSent:
 		return max(ex.kept.until-ex.relay.Clock.Now(), 1).Duration()
-	case ex.planSuccessor(server):
-		return 0
 	}
-	return successorPeriod.Duration()
+	return ex.onSilence(server)
 }
 
 // keptIsDue reports whether the caller gets the kept answer now.
