--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -37,9 +37,14 @@
 // Load pattern: many daemons see a server become free or warm at the same time and
 // don't see each other's choices until the next report. Choosing from a sample limits
 // that server to its share of the requests in the meantime.
-func (r *Request) sampleBound(servers int) uint64 {
+func (r *Request) sampleBound(servers int, uneven bool) uint64 {
 	share := float64(maxUnsampledHosts) / float64(max(len(r.Hosts), 1))
-	share = max(share, float64(minSample)/float64(max(servers, 1)))
+	least := float64(minSample)
+	if uneven {
+		// Without samples, each of a few servers would in turn get the requests of all daemons.
+		least = min(least, float64(servers)/2)
+	}
+	share = max(share, least/float64(max(servers, 1)))
 	if share >= 1 {
 		return math.MaxUint64
 	}
@@ -86,6 +91,7 @@
 	pendingPrefill    clock.Millis // at a typical server
 	queueWait         clock.Millis // expected wait for a slot
 	queued            bool         // the server had as many requests as slots
+	sharesPrefix      bool         // other requests may have left a part of the prompt cached
 
 	usesColdToken  bool // the choice took a token of a cold server's bucket
 	usesLimitToken bool // the choice took a token of a limited server
--- a/internal/decision/loadbalance/finish.go
+++ b/internal/decision/loadbalance/finish.go
@@ -12,9 +12,10 @@
 	// of an uneven server. Callers have a target for the first event, and for the last only
 	// a deadline that is several times later.
 	lastEventWeight = 0.1
-	// unevenNoise is the range of the random cost at a server whose free capacity equals its
-	// slots. It is larger, the less is free.
-	unevenNoise = costNoise
+	// unevenNoise is the mean of the random cost at a server whose free capacity equals its
+	// slots. It is larger, the less is free. One request more or less at a server, which
+	// other daemons may have placed since their reports, must not decide.
+	unevenNoise = costEngineCall
 	// minRoom is the least free capacity that is assumed, as a share of the slots.
 	minRoom = 0.05
 )
@@ -28,22 +29,23 @@
 
 // finish returns the expected times of the request at the server.
 func (p *placement) finish(s *serverState, e *fleet.Entry, which int) finish {
-	load, slots := s.load(p.request.Now), s.slotsOf(e)
+	load := s.load(p.request.Now)
+	slots := float64(s.slotsOf(e))
 	var f finish
 	lasting := s.lastingSlowness()
-	if waiting := load.Calls - slots + 1; waiting > 0 {
+	if waiting := float64(load.Calls) - slots + 1; waiting > 0 {
 		// One slot becomes free each time that one of the running requests ends.
-		f.wait = lasting * (float64(p.firstByte[which]) + p.streamMs(slots)) * float64(waiting) / float64(slots)
+		f.wait = lasting * (float64(p.firstByte[which]) + p.streamMs(slots)) * waiting / slots
 	}
-	f.firstEvent = f.wait + s.currentSlowness(p.request.Now)*s.slowness(p.request.Now)*float64(load.Prefill+p.firstByte[which])
+	f.firstEvent = f.wait + s.currentSlowness(p.request.Now)*(float64(load.Prefill)+float64(p.firstByte[which]))
 	// The pace of this moment is over before most of the stream.
-	f.lastEvent = f.firstEvent + lasting*p.streamMs(min(load.Calls+1, slots))
+	f.lastEvent = f.firstEvent + lasting*p.streamMs(min(float64(load.Calls)+1, slots))
 	return f
 }
 
 // streamMs returns the expected time from the first to the last event of the request at a
 // typical server with that many requests; 0 if it doesn't generate a stream.
-func (p *placement) streamMs(calls int) float64 {
+func (p *placement) streamMs(calls float64) float64 {
 	if !p.request.Pool.HasEngines() {
 		return 0
 	}
@@ -62,14 +64,14 @@
 // proportion to their free capacity.
 func (p *placement) finishCost(s *serverState, e *fleet.Entry, which int) float64 {
 	r := p.request
-	f := p.finish(s, e, which)
 	load, lasting := s.load(r.Now), s.lastingSlowness()
+	f := p.finish(s, e, which)
 	call := costPlainCall
 	if r.Pool.HasEngines() {
 		call = costEngineCall
 	}
 	cost := f.firstEvent + lastEventWeight*(f.lastEvent-f.firstEvent)
-	cost += lasting * (call*float64(load.Calls) + costPrefill*float64(p.prefillTokens[which])/1000)
+	cost += lasting*call*float64(load.Calls) + costPrefill*float64(p.prefillTokens[which])/1000
 	room := (s.maxCalls(e, &r.Pool) - float64(load.Calls)) / float64(s.slotsOf(e))
 	// The least of exponential variates belongs to each with a probability in proportion to
 	// its rate.
--- a/internal/decision/loadbalance/placement.go
+++ b/internal/decision/loadbalance/placement.go
@@ -27,10 +27,10 @@
 	p := &placement{
 		request: r, latency: b.models[key], events: b.decode[key],
 		preferred:     b.preferred(v, r, entries),
-		bound:         r.sampleBound(len(entries)),
 		uneven:        b.refreshSpeeds(r.Pool.Name, entries, r.Now),
 		prefillTokens: [...]int{r.Prompt.Tokens, b.uncachedTokens(r.Prompt)},
 	}
+	p.bound = r.sampleBound(len(entries), p.uneven)
 	for i, tokens := range p.prefillTokens {
 		p.firstByte[i] = p.latency.FirstByte(tokens)
 	}
@@ -76,6 +76,7 @@
 	expected := p.finish(s, e, which)
 	c.queued, c.queueWait = expected.wait > 0, clock.Millis(expected.wait)
 	c.TypicalFirstByte += c.queueWait
+	c.sharesPrefix = len(p.request.Prompt.Segments) > 1
 	c.ExpectedFirstByte = clock.Millis(math.Ceil(expected.firstEvent))
 	c.Speed = s.knownSpeed(now)
 	return c
--- a/internal/decision/loadbalance/speed.go
+++ b/internal/decision/loadbalance/speed.go
@@ -133,7 +133,7 @@
 		return p.isUneven
 	}
 	wasUneven := p.isUneven
-	p = poolSpeeds{isUneven: b.isUneven(pool, now), refreshedAt: now}
+	p.isUneven, p.refreshedAt = b.isUneven(pool, now), now
 	b.speeds.pools[pool] = p
 	if !p.isUneven && !wasUneven {
 		return false
--- a/internal/decision/loadbalance/speed_records.go
+++ b/internal/decision/loadbalance/speed_records.go
@@ -6,18 +6,17 @@
 )
 
 // recordUnevenFirstByte records the time to the first byte of an answer in a pool with
-// uneven servers. The latency model gets the time at a typical server without pending
-// prefill, so that it doesn't depend on the servers that were chosen.
+// uneven servers. It shows the server's speed unless a part of the prompt may be cached
+// there: a server with more requests has more cached, would seem faster and get even more.
+// The latency model gets the time at a typical server without pending prefill, so that it
+// doesn't depend on the servers that were chosen.
 func (b *Balancer) recordUnevenFirstByte(c *Choice, key modelKey, firstByte, now clock.Millis) {
 	s, latency := b.state(&c.Server), b.models[key]
 	hasEstimate := latency.weight >= minWeight
 	slowness := s.currentSlowness(now)
-	if hasEstimate && c.HasEstimate {
+	if hasEstimate && c.HasEstimate && !c.queued && !c.sharesPrefix {
 		expected := max(float64(c.unloadedFirstByte+c.pendingPrefill), 1)
-		s.recordSlowness(firstByte, clock.Millis(slowness*expected+float64(c.queueWait)), now)
-		if !c.queued {
-			s.speed.learn(float64(max(firstByte, 1))/expected, firstByteWeight, now)
-		}
+		s.speed.learn(float64(max(firstByte, 1))/expected, firstByteWeight, now)
 	}
 	if c.queued && hasEstimate {
 		return // the time in the server's queue says nothing about its speed
@@ -31,7 +30,7 @@
 	s, times := b.state(e), b.decode[key]
 	calls := s.load(now).Calls
 	if times.weight >= minWeight {
-		s.speed.learn(ms/times.At(calls), eventTimeWeight, now)
+		s.speed.learn(ms/times.At(float64(calls)), eventTimeWeight, now)
 	}
 	b.decode[key] = times.With(calls, ms/s.currentSlowness(now))
 }
@@ -76,10 +75,10 @@
 }
 
 // At returns the expected time in ms at a server with that many requests.
-func (t eventTimes) At(calls int) float64 {
+func (t eventTimes) At(calls float64) float64 {
 	if t.weight < minWeight {
 		return defaultInterEventMs
 	}
 	// A slope that is too high must not make the time of an idle server negative.
-	return max(t.meanMs+t.perCall()*(float64(calls)-t.meanCalls), t.meanMs/4)
+	return max(t.meanMs+t.perCall()*(calls-t.meanCalls), t.meanMs/4)
 }
--- a/internal/decision/loadbalance/speed_report.go
+++ b/internal/decision/loadbalance/speed_report.go
@@ -108,7 +108,7 @@
 		s.usedAt = now
 		s.peers = speedEvidence{weight: float64(max(r.Weight, 0)) / weightUnit, logRatio: float64(r.LogRatio) / logRatioUnit, at: now}
 		if at := now - r.PaceAge; r.Pace >= MinPace && r.Pace <= MaxPace && at > s.pace.at {
-			s.pace = pace{percent: r.Pace, at: at}
+			s.pace = s.pace.With(r.Pace, false, at)
 		}
 	}
 }
--- /dev/null
+++ b/internal/decision/loadbalance/speed_test.go
@@ -0,0 +1,178 @@
+package loadbalance
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+)
+
+const speedTestStart = 1_000_000 * clock.Millis(1)
+
+// plainServers returns a view of plain servers, each with 6 slots.
+func plainServers(ids ...string) *fleet.View {
+	v := fleet.NewView()
+	for _, id := range ids {
+		v = v.WithServer(fleet.Server{ID: id, Pool: "plain", StartedAt: 5, Slots: 6}, 0)
+	}
+	return v
+}
+
+// plainRequest returns a request that runs at no server but the given one.
+func plainRequest(only string, now clock.Millis) Request {
+	return Request{Pool: catalog.Pool{Name: "plain"}, Now: now, Tried: func(id string) bool { return id != only }}
+}
+
+// answerPlain has the server answer a request of the balancer after the time.
+func answerPlain(t *testing.T, b *Balancer, v *fleet.View, id string, elapsed, now clock.Millis) {
+	t.Helper()
+	c, result := b.Choose(v, plainRequest(id, now))
+	assert.Equal(t, result, Chosen)
+	assert.Equal(t, c.Server.ID, id)
+	b.RecordReport(&c.Server, ServerReport{HasLoad: true, Slots: 6, Pace: 100}, now)
+	b.RecordFirstByte(&c, "", elapsed, now)
+	b.Done(&c)
+}
+
+// learnSpeeds has servers a and b answer in 86 ms and c in 35 ms, for some seconds.
+func learnSpeeds(t *testing.T, b *Balancer, v *fleet.View) clock.Millis {
+	t.Helper()
+	now := speedTestStart
+	for range 60 {
+		for id, elapsed := range map[string]clock.Millis{"a": 86, "b": 86, "c": 35} {
+			answerPlain(t, b, v, id, elapsed, now)
+		}
+		now += 100
+	}
+	return now
+}
+
+// speedAt returns the speed that the balancer knows of the server.
+func speedAt(b *Balancer, v *fleet.View, id string, now clock.Millis) float64 {
+	c, result := b.Choose(v, plainRequest(id, now))
+	if result != Chosen || c.Speed == nil {
+		return 0
+	}
+	b.Cancel(&c)
+	return c.Speed.Speed
+}
+
+// TestSpeedIsLearned guards against slow servers being taken for fast ones, and against the
+// capacity of a slow server counting as that of a fast one.
+func TestSpeedIsLearned(t *testing.T) {
+	v, b := plainServers("a", "b", "c"), NewBalancer()
+	now := learnSpeeds(t, b, v)
+	slow, fast := speedAt(b, v, "a", now), speedAt(b, v, "c", now)
+	assert.Assert(t, math.Abs(fast/slow-86.0/35) < 0.25, "fast %.2f, slow %.2f", fast, slow)
+	a, _ := v.Server("a")
+	c, _ := v.Server("c")
+	pool := catalog.Pool{Name: "plain"}
+	assert.Assert(t, b.state(&a).maxCalls(&a, &pool) < b.state(&c).maxCalls(&c, &pool))
+}
+
+// TestRestartedServerBeginsAnew guards against a server being preferred, or avoided, for the
+// speed of its former start, and against a new one starting as the fastest.
+func TestRestartedServerBeginsAnew(t *testing.T) {
+	v, b := plainServers("a", "b", "c"), NewBalancer()
+	now := learnSpeeds(t, b, v)
+	assert.Assert(t, speedAt(b, v, "c", now) > 1.3)
+	v = v.WithServer(fleet.Server{ID: "c", Pool: "plain", StartedAt: 6, Slots: 6}, now)
+	v = v.WithServer(fleet.Server{ID: "d", Pool: "plain", StartedAt: 6, Slots: 6}, now)
+	now += 1_000
+	assert.Equal(t, speedAt(b, v, "c", now), 1.0)
+	assert.Equal(t, speedAt(b, v, "d", now), 1.0)
+	assert.Assert(t, speedAt(b, v, "a", now) < 1)
+}
+
+// TestDaemonLearnsSpeedsFromPeers guards against a restarted daemon placing requests as if
+// all servers had the same speed, and against one that is cut off from its peers forgetting
+// what they reported.
+func TestDaemonLearnsSpeedsFromPeers(t *testing.T) {
+	v, old, restarted := plainServers("a", "b", "c"), NewBalancer(), NewBalancer()
+	now := learnSpeeds(t, old, v)
+	restarted.SetPeerSpeeds(old.OwnSpeeds(now), now)
+	answerPlain(t, restarted, v, "a", 86, now)
+	now += 1_000
+	known := speedAt(restarted, v, "c", now)
+	assert.Assert(t, math.Abs(known-speedAt(old, v, "c", now)) < 0.1, "%.2f", known)
+	for range 25 { // cut off: the reports are empty
+		now += 2_000
+		restarted.SetPeerSpeeds(nil, now)
+		e, _ := v.Server("a")
+		restarted.RecordPace(&e, 100, now)
+	}
+	assert.Assert(t, speedAt(restarted, v, "c", now) > 1.3)
+}
+
+// TestEvenPoolsArePlacedAsBefore guards against the speed of servers changing anything for
+// pools whose servers state no pace, or whose settings say so.
+func TestEvenPoolsArePlacedAsBefore(t *testing.T) {
+	v, b := plainServers("a", "b", "c"), NewBalancer()
+	b.SetFeatures(loadfeatures.Features{UnevenServers: loadfeatures.Off})
+	now := learnSpeeds(t, b, v)
+	assert.Equal(t, speedAt(b, v, "c", now), 0.0)
+	assert.Equal(t, len(b.OwnSpeeds(now)), 0)
+	b.SetFeatures(loadfeatures.Features{})
+	now += 1_000
+	assert.Equal(t, speedAt(b, v, "c", now), 1.0, "uneven, without evidence")
+	now += 61_000
+	assert.Equal(t, speedAt(b, v, "c", now), 0.0, "no server stated its pace for a minute")
+}
+
+// TestPaceFades guards against a pace being used after it has changed: servers change theirs
+// every 600 ms. A slowness that lasts for seconds must be kept between statements.
+func TestPaceFades(t *testing.T) {
+	once := pace{}.With(250, true, speedTestStart)
+	assert.Equal(t, once.slowness(speedTestStart), 2.5)
+	assert.Assert(t, once.slowness(speedTestStart+300) < 2)
+	assert.Assert(t, once.slowness(speedTestStart+1_200) < 1.4)
+	lasting, now := pace{}, speedTestStart
+	for range 12 {
+		now += 500
+		lasting = lasting.With(400, true, now)
+	}
+	assert.Assert(t, lasting.slowness(now+1_200) > 2.5)
+	assert.Assert(t, lasting.slowness(now+30_000) < 1.1)
+}
+
+// TestSpeedStaysInBounds lets servers answer after any time and state any pace, and peers
+// report anything. Speeds must stay within their bounds, and the costs finite.
+func TestSpeedStaysInBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v, b, now := plainServers("a", "b", "c"), NewBalancer(), speedTestStart
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 1_000).Draw(t, "pause"))
+			c, result := b.Choose(v, Request{Pool: catalog.Pool{Name: "plain"}, Salt: rapid.Uint64().Draw(t, "salt"), Now: now})
+			if result != Chosen {
+				t.Fatalf("result %d", result)
+			}
+			if c.Speed != nil && (c.Speed.Speed < minSpeed || c.Speed.Speed > maxSpeed) {
+				t.Fatalf("speed %v", c.Speed.Speed)
+			}
+			b.RecordReport(&c.Server, ServerReport{Pace: rapid.IntRange(0, 3_000).Draw(t, "pace")}, now)
+			b.RecordFirstByte(&c, "", clock.Millis(rapid.IntRange(0, 20_000).Draw(t, "elapsed")), now)
+			b.Done(&c)
+			b.SetPeerSpeeds([]SpeedReport{{
+				Server: speedKey(&c.Server), Weight: rapid.IntRange(-10, 10_000).Draw(t, "weight"),
+				LogRatio: rapid.IntRange(-1_000_000, 1_000_000).Draw(t, "sum"), Pace: rapid.IntRange(-1, 3_000).Draw(t, "peer_pace"),
+			}}, now)
+		}
+	})
+}
+
+// TestSpeedReportsAreBounded guards against reports that grow with the number of servers.
+func TestSpeedReportsAreBounded(t *testing.T) {
+	var reports []SpeedReport
+	for i := range 1_000 {
+		reports = append(reports, SpeedReport{Server: uint32(i), Weight: i})
+	}
+	bounded := MostCertainSpeeds(reports)
+	assert.Equal(t, len(bounded), 256)
+	assert.Equal(t, bounded[255].Weight, 744, "the most certain")
+}
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -103,17 +103,7 @@
 	server := &choice.Server
 	now := r.Clock.Now()
 	info := r.Dialect.Decode(server.ID, resp.Status, resp.Header)
-	r.Balancer.RecordReport(server, loadbalance.ServerReport{
-		HasLoad: info.HasLoad, Requests: info.Running + info.Waiting, Slots: info.Slots, ColdRemaining: info.ColdRemaining,
-		Pace: info.Pace,
-	}, now)
-	if info.PaceKind != loadbalance.NoPace {
-		r.Metrics.countPace(info.PaceKind)
-	}
-	if resp.Status < http.StatusMultipleChoices {
-		// After the report, whose pace explains a part of the time.
-		r.Balancer.RecordFirstByte(choice, ex.model, now-startedAt, now)
-	}
+	ex.recordReport(choice, info, resp.Status, startedAt, now)
 	ex.recordAnnouncement(server, info, startedAt, now)
 	ex.confidence = info.Confidence
 	if info.WrongServer || info.NotExecuted || info.Unverified {
@@ -141,6 +131,22 @@
 	return ex.forwardBuffered(server, resp)
 }
 
+// recordReport records the load and the pace that the server reports, and the time to its
+// response. The pace explains a part of that time, so it is recorded first.
+func (ex *exchange) recordReport(choice *loadbalance.Choice, info ResponseInfo, status int, startedAt, now clock.Millis) {
+	r := ex.relay
+	r.Balancer.RecordReport(&choice.Server, loadbalance.ServerReport{
+		HasLoad: info.HasLoad, Requests: info.Running + info.Waiting, Slots: info.Slots, ColdRemaining: info.ColdRemaining,
+		Pace: info.Pace,
+	}, now)
+	if info.PaceKind != loadbalance.NoPace {
+		r.Metrics.countPace(info.PaceKind)
+	}
+	if status < http.StatusMultipleChoices {
+		r.Balancer.RecordFirstByte(choice, ex.model, now-startedAt, now)
+	}
+}
+
 // recordAnnouncement records what the server states about the requests that it wants,
 // whatever becomes of its response.
 func (ex *exchange) recordAnnouncement(server *fleet.Entry, info ResponseInfo, sentAt, now clock.Millis) {
