--- a/internal/decision/loadbalance/placement.go
+++ b/internal/decision/loadbalance/placement.go
@@ -29,10 +29,10 @@
 		balancer: b,
 		request:  r, latency: b.models[key], events: b.decode[key],
 		preferred:     b.preferred(v, r, entries),
-		bound:         b.sampleBound(r, len(entries)),
 		uneven:        b.refreshSpeeds(r.Pool.Name, entries, r.Now),
 		prefillTokens: [...]int{r.Prompt.Tokens, b.uncachedTokens(r.Prompt)},
 	}
+	p.bound = b.sampleBound(r, len(entries), p.uneven)
 	for i, tokens := range p.prefillTokens {
 		p.firstByte[i] = p.latency.FirstByte(tokens)
 	}
@@ -78,6 +78,7 @@
 	expected := p.finish(s, e, which)
 	c.queued, c.queueWait = expected.wait > 0, clock.Millis(expected.wait)
 	c.TypicalFirstByte += c.queueWait
+	c.sharesPrefix = len(p.request.Prompt.Segments) > 1
 	c.ExpectedFirstByte = clock.Millis(math.Ceil(expected.firstEvent))
 	c.Speed = s.knownSpeed(now)
 	return c
--- a/internal/decision/loadbalance/start_credit.go
+++ b/internal/decision/loadbalance/start_credit.go
@@ -40,8 +40,8 @@
 
 // sampleBound returns the bound of Request.sampleBound, or that of a smaller sample with
 // shared capacity.
-func (b *Balancer) sampleBound(r *Request, servers int) uint64 {
-	bound := r.sampleBound(servers)
+func (b *Balancer) sampleBound(r *Request, servers int, uneven bool) uint64 {
+	bound := r.sampleBound(servers, uneven)
 	if !b.features.SharedCapacity || len(r.Hosts) <= maxUnsampledHosts || servers <= sharedSample {
 		return bound
 	}
