Add up the demand of all daemons within the budget of reports

Change: a leader keeps a sum from which it takes a host's report; counts by urgency are one list of numbers; shares are of 0.95 of the capacity (the target of five in a hundred) and paced accounts catch up by at most a fifth.

--- a/internal/control/peerstats/aggregator.go
+++ b/internal/control/peerstats/aggregator.go
@@ -33,6 +33,7 @@
 	dataCentres map[string]received // totals of other data centres
 	peerTotal   *received           // of all other daemons, from this daemon's leader
 	cached      *total              // of all other daemons; nil after a change
+	hostDemand  hostDemand          // of hosts
 }
 
 // received is a snapshot with the time at which it was received.
@@ -111,7 +112,7 @@
 	defer a.mu.Unlock()
 	a.cached = nil // its demand may have expired
 	others := a.others()
-	return demand.PeerTotal{Usage: demand.Total(others.demand...), Reporting: others.demandDaemons, Age: others.demandAge}
+	return demand.PeerTotal{Usage: others.demand.Usage(), Reporting: others.demand.Daemons(), Age: others.demandAge}
 }
 
 // SetOwnEvidence replaces this daemon's evidence of crashed servers.
@@ -156,12 +157,14 @@
 	t := newTotal()
 	t.add(a.own, true, a.clock.Now()-a.ownAt)
 	a.addReports(t, exceptHost, allDataCentres)
+	t.addDemand(a.own, a.clock.Now()-a.ownAt)
 	return t
 }
 
 // addReports adds the reports received and deletes expired ones. a.mu must be held.
 func (a *Aggregator) addReports(t *total, exceptHost string, allDataCentres bool) {
 	now := a.clock.Now()
+	t.demand, t.demandAge = a.hostDemand.except(exceptHost, now)
 	add := func(reports map[string]received) {
 		for name, r := range reports {
 			if now-r.receivedAt >= reportLifetime {
@@ -176,6 +179,11 @@
 	add(a.hosts)
 	if allDataCentres {
 		add(a.dataCentres)
+		for _, r := range a.dataCentres {
+			if now-r.receivedAt < loadLifetime {
+				t.addDemand(r.Snapshot, now-r.receivedAt)
+			}
+		}
 	}
 }
 
@@ -191,6 +199,7 @@
 		return a.total("", false).snapshot()
 	}
 	a.hosts[r.From] = report
+	a.hostDemand.set(r.From, report)
 	return a.total(r.From, true).snapshot()
 }
 
@@ -220,6 +229,7 @@
 	t := newTotal()
 	if a.peerTotal != nil && now-a.peerTotal.receivedAt < loadLifetime {
 		t.add(a.peerTotal.Snapshot, true, now-a.peerTotal.receivedAt)
+		t.addDemand(a.peerTotal.Snapshot, now-a.peerTotal.receivedAt)
 	} else {
 		a.addReports(t, "", true)
 		if a.peerTotal != nil {
--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -71,9 +71,8 @@
 	limits      map[serverStart]loadbalance.LimitReport
 	members     map[uint32]bool // that share the limits
 
-	demand        [][]demand.PoolUsage // of demandDaemons daemons; see demand.Total
-	demandDaemons int
-	demandAge     clock.Millis // of the newest one
+	demand    demand.Sum
+	demandAge clock.Millis // of the newest report in demand
 }
 
 // serverStart is one start of a server.
@@ -95,13 +94,12 @@
 	}
 }
 
-// add adds a snapshot that was received that long ago, without its loads, members and demand
-// unless they are fresh.
+// add adds a snapshot that was received that long ago, without its demand, and without its
+// loads and members unless they are fresh.
 func (t *total) add(s Snapshot, fresh bool, elapsed clock.Millis) {
 	t.addEvidence(s, elapsed)
 	t.addLimits(s.Limits, elapsed)
 	if fresh {
-		t.addDemand(s, elapsed)
 		for _, member := range s.LimitMembers {
 			t.members[member] = true
 		}
@@ -130,11 +128,10 @@
 	if s.DemandDaemons <= 0 {
 		return
 	}
-	if t.demandDaemons == 0 || elapsed < t.demandAge {
+	if t.demand.Daemons() == 0 || elapsed < t.demandAge {
 		t.demandAge = elapsed
 	}
-	t.demand = append(t.demand, s.Demand)
-	t.demandDaemons += s.DemandDaemons
+	t.demand.Add(s.Demand, s.DemandDaemons)
 }
 
 // addEvidence adds the crashes and the sound runs of a snapshot.
@@ -180,8 +177,8 @@
 		Crashes: t.newestCrashes(), SoundRuns: slices.Collect(maps.Values(t.soundRuns)),
 		Limits: loadbalance.LatestLimits(slices.Collect(maps.Values(t.limits))), LimitMembers: slices.Collect(maps.Keys(t.members)),
 	}
-	if t.demandDaemons > 0 {
-		s.Demand, s.DemandDaemons = demand.Total(t.demand...), t.demandDaemons
+	if t.demand.Daemons() > 0 {
+		s.Demand, s.DemandDaemons = t.demand.Usage(), t.demand.Daemons()
 	}
 	for key, stats := range t.answerStats {
 		s.AnswerStats = append(s.AnswerStats, AnswerStatsEntry{key, stats})
--- a/internal/decision/demand/ledger.go
+++ b/internal/decision/demand/ledger.go
@@ -153,7 +153,7 @@
 func (a *account) usage(name string, now clock.Millis) AccountUsage {
 	long := float64(a.longRunning + a.longWaiting)
 	u := AccountUsage{
-		Name: name, Accounts: 1, Used: toThousandths(a.used(now)),
+		Name: name, Used: toThousandths(a.used(now)),
 		Arrived: toThousandths(a.arrived.perMs(now) + long), Recent: toThousandths(a.recent.perMs(now) + long),
 	}
 	for _, c := range a.classes {
--- a/internal/decision/demand/pace.go
+++ b/internal/decision/demand/pace.go
@@ -28,7 +28,7 @@
 	// The rate of a paced account is adjusted by what the pool's total use lacks or exceeds,
 	// within these factors. Stronger adjustments oscillate with reports 0.8 s old.
 	minCatchUp = 0.5
-	maxCatchUp = 1.5
+	maxCatchUp = 1.2
 )
 
 // bind sets the account's share and this daemon's part of it. A newly bound account begins
--- a/internal/decision/demand/request.go
+++ b/internal/decision/demand/request.go
@@ -32,7 +32,7 @@
 	r.account.lastWork = r.work
 	class := r.account.class(c.Urgency)
 	class.Waiting++
-	class.WaitingWork += r.work
+	class.WaitingWork += int(r.work)
 	if r.isLong() {
 		r.account.longWaiting++
 	} else {
@@ -61,7 +61,7 @@
 	a := r.account
 	class := a.class(r.urgency)
 	class.Running++
-	class.RunningWork += r.work
+	class.RunningWork += int(r.work)
 	if r.isLong() {
 		a.longRunning++
 	} else {
@@ -74,7 +74,7 @@
 func (r *Request) removeWaiting() {
 	class := r.account.class(r.urgency)
 	class.Waiting--
-	class.WaitingWork -= r.work
+	class.WaitingWork -= int(r.work)
 	if r.isLong() {
 		r.account.longWaiting--
 	}
@@ -95,7 +95,7 @@
 		a := r.account
 		class := a.class(r.urgency)
 		class.Running--
-		class.RunningWork -= r.work
+		class.RunningWork -= int(r.work)
 		unused := float64(max(r.work-(now-r.startedAt), 0))
 		if r.isLong() {
 			a.longRunning--
--- a/internal/decision/demand/share.go
+++ b/internal/decision/demand/share.go
@@ -25,7 +25,7 @@
 const (
 	// usableShare is the part of a capacity that is divided. Queues at the servers would
 	// grow without bound at a utilisation of 1.
-	usableShare = 0.96
+	usableShare = 0.95
 	// shareLifetime is how long a computed level is used. An account's rate changes little
 	// in that time.
 	shareLifetime = 20 * clock.Millis(1)
@@ -87,6 +87,10 @@
 	return s
 }
 
+// restWeight is the weight of the accounts that reports don't name: there may be many, and
+// each is smaller than the named ones.
+const restWeight = maxNamedAccounts
+
 // smallestDemand is the demand below which an account wants nothing, in ms per ms. Decayed
 // rates and rounded reports don't reach zero.
 const smallestDemand = 1.0 / thousandths
@@ -117,7 +121,7 @@
 		used += fromThousandths(u.Used)
 	}
 	if rest := others.rest; rest != nil {
-		claims = append(claims, claim{demand: rest.wanted(), weight: float64(max(rest.Accounts, 1))})
+		claims = append(claims, claim{demand: rest.wanted(), weight: restWeight})
 		used += fromThousandths(rest.Used)
 	}
 	for _, c := range claims {
--- a/internal/decision/demand/usage.go
+++ b/internal/decision/demand/usage.go
@@ -29,17 +29,15 @@
 	// Used is the server time of the work that was started, Arrived that of the work that
 	// came, and Recent the same over a shorter time, all in thousandths of a slot.
 	Used, Arrived, Recent int
-	Accounts              int // of which this is the sum
-	Classes               []ClassUsage
+	Classes               Classes
 }
 
 // ClassUsage counts the requests of one urgency.
 type ClassUsage struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
-
-	Urgency                  int
-	Running, Waiting         int          // requests
-	RunningWork, WaitingWork clock.Millis // expected server time of them
+	Urgency          int
+	Running, Waiting int // requests
+	// RunningWork and WaitingWork are the expected server time of them in ms.
+	RunningWork, WaitingWork int
 }
 
 // thousandths is the number of units of AccountUsage.Used in one ms per ms.
@@ -81,60 +79,33 @@
 
 // Plus returns the sum of two usages with the name of the first.
 func (u AccountUsage) Plus(o AccountUsage) AccountUsage {
-	u.Used += o.Used
-	u.Arrived += o.Arrived
-	u.Recent += o.Recent
-	u.Accounts = max(u.Accounts, o.Accounts)
-	classes := slices.Clone(u.Classes)
-	for _, c := range o.Classes {
-		i := slices.IndexFunc(classes, func(have ClassUsage) bool { return have.Urgency == c.Urgency })
-		if i < 0 {
-			classes = append(classes, c)
-			continue
-		}
-		classes[i].Running += c.Running
-		classes[i].Waiting += c.Waiting
-		classes[i].RunningWork += c.RunningWork
-		classes[i].WaitingWork += c.WaitingWork
-	}
-	sortClasses(classes)
-	u.Classes = classes
+	u.Classes = slices.Clone(u.Classes)
+	u.accumulate(o, 1)
 	return u
 }
 
-// Total adds up the usages of several daemons by pool, account and urgency.
-func Total(usages ...[]PoolUsage) []PoolUsage {
-	pools := make(map[string]map[string]AccountUsage)
-	rests := make(map[string]AccountUsage)
-	for _, usage := range usages {
-		for _, p := range usage {
-			if pools[p.Pool] == nil {
-				pools[p.Pool] = make(map[string]AccountUsage, len(p.Accounts))
-			}
-			for _, a := range p.Accounts {
-				sum, ok := pools[p.Pool][a.Name]
-				if !ok {
-					sum = AccountUsage{Name: a.Name}
-				}
-				pools[p.Pool][a.Name] = sum.Plus(a)
-			}
-			if p.Rest != nil {
-				rests[p.Pool] = rests[p.Pool].Plus(*p.Rest)
-			}
-		}
-	}
-	total := make([]PoolUsage, 0, len(pools))
-	for name, accounts := range pools {
-		u := PoolUsage{Pool: name}
-		for _, a := range accounts {
-			u.Accounts = append(u.Accounts, a)
+// accumulate adds the other usage times the sign. It changes the classes in place.
+func (u *AccountUsage) accumulate(o AccountUsage, sign int) {
+	u.Used += sign * o.Used
+	u.Arrived += sign * o.Arrived
+	u.Recent += sign * o.Recent
+	for _, c := range o.Classes {
+		i, ok := slices.BinarySearchFunc(u.Classes, c.Urgency, func(have ClassUsage, urgency int) int { return cmp.Compare(have.Urgency, urgency) })
+		if !ok {
+			u.Classes = slices.Insert(u.Classes, i, ClassUsage{Urgency: c.Urgency})
 		}
-		if rest, ok := rests[name]; ok {
-			u.Rest = &rest
+		u.Classes[i].accumulate(c, sign)
+		if u.Classes[i] == (ClassUsage{Urgency: c.Urgency}) {
+			u.Classes = slices.Delete(u.Classes, i, i+1)
 		}
-		total = append(total, u.bounded())
 	}
-	return sortPools(total)
+}
+
+func (c *ClassUsage) accumulate(o ClassUsage, sign int) {
+	c.Running += sign * o.Running
+	c.Waiting += sign * o.Waiting
+	c.RunningWork += sign * o.RunningWork
+	c.WaitingWork += sign * o.WaitingWork
 }
 
 // bounded returns the usage with the largest accounts by name and the others in the rest.
@@ -145,13 +116,12 @@
 	if len(u.Accounts) <= maxNamedAccounts {
 		return u
 	}
-	rest := AccountUsage{}
+	var rest AccountUsage
 	for _, a := range u.Accounts[maxNamedAccounts:] {
-		rest = rest.Plus(a)
+		rest.accumulate(a, 1)
 	}
-	rest.Accounts = len(u.Accounts) - maxNamedAccounts
 	if u.Rest != nil {
-		rest = rest.Plus(*u.Rest)
+		rest.accumulate(*u.Rest, 1)
 	}
 	u.Accounts, u.Rest = u.Accounts[:maxNamedAccounts], &rest
 	return u
