Show the demand and the shares of client accounts

Cause: operators can't see which account takes a pool beyond its share. Change: gauges of running and waiting requests by pool, urgency and whether the account is over its share, and of the use and share of at most 32 accounts of a pool; one log line when an account begins or stops being over its share, at most one in 10 s for an account and 8 in a report period.

--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -25,7 +25,6 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/rolloutcontrol"
 	"gypsumpitch.example/gypsumpitch/internal/control/viewstate"
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
-	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
@@ -59,7 +58,6 @@
 	Quarantine    *quarantine.Tracker
 	Quarantines   *quarantinecontrol.Recorder
 	LimitBroker   *peerlimits.Broker
-	Demand        *demand.Ledger
 	Metrics       *metrics.Set
 }
 
@@ -205,7 +203,7 @@
 // refreshPeerStats passes the counts of this daemon to the aggregator, and the counts of
 // the peers and the number of hosts to the components that decide on requests. It also
 // removes from the balancer the servers that the view no longer has.
-func refreshPeerStats(c clock.Clock, host string, manager *viewstate.Manager, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, router *versionrouting.Router, retryBudget *admission.SharedRetryBudget, ledger *demand.Ledger) {
+func refreshPeerStats(c clock.Clock, host string, manager *viewstate.Manager, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, router *versionrouting.Router, retryBudget *admission.SharedRetryBudget) {
 	view := manager.View()
 	stats.SetOwn(balancer.OwnLoads(), router.AnswerStats(), router.PinnedSessions(view))
 	stats.SetOwnDepartures(balancer.OwnDepartures(view))
@@ -213,24 +211,12 @@
 	balancer.SetPeerDepartures(stats.PeerDepartures(), c.Now())
 	refreshLimits(host, view, stats, balancer, c.Now())
 	retryBudget.SetHostCount(len(view.Hosts))
-	refreshDemand(view, stats, balancer, ledger, c.Now())
 	balancer.Retain(func(id string) bool {
 		_, known := view.Server(id)
 		return known
 	}, c.Now())
 }
 
-// refreshDemand passes the demand of this daemon and its peers between the ledger and the
-// aggregator while the daemons share the capacity of pools.
-func refreshDemand(view *fleet.View, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, ledger *demand.Ledger, now clock.Millis) {
-	if !balancer.Features().SharedCapacity {
-		stats.RemoveOwnDemand()
-		return
-	}
-	stats.SetOwnDemand(ledger.Usage(now))
-	ledger.SetPeerTotal(stats.PeerDemand(), len(view.Hosts), now)
-}
-
 // refreshLimits passes what this daemon and its peers know of servers' rate limits between
 // the balancer and the aggregator.
 func refreshLimits(host string, view *fleet.View, stats *peerstats.Aggregator, balancer *loadbalance.Balancer, now clock.Millis) {
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -36,12 +36,6 @@
 
 func newViewFunc(manager *viewstate.Manager) viewFunc { return manager.View }
 
-func newDemandLedger(s settings.Settings) *demand.Ledger {
-	l := demand.NewLedger()
-	l.SetHost(s.Host)
-	return l
-}
-
 func newStore(log hclog.Logger, s settings.Settings) *platform.Store {
 	return platform.NewStore(log, s.Entry.Store)
 }
@@ -80,7 +74,7 @@
 func newExchange(
 	log hclog.Logger, c clock.Clock, s settings.Settings, manager *viewstate.Manager, stats *peerstats.Aggregator,
 	balancer *loadbalance.Balancer, router *versionrouting.Router, retryBudget *admission.SharedRetryBudget, peers *peer.Client,
-	feed *quarantineFeed, ledger *demand.Ledger,
+	feed *quarantineFeed, demands *demandFeed,
 ) *peerstats.Exchange {
 	return peerstats.NewExchange(peerstats.Config{
 		Log:        log,
@@ -91,8 +85,9 @@
 		Peers:      peers,
 		Hosts:      func() map[string]fleet.Host { return manager.View().Hosts },
 		Refresh: func() {
-			refreshPeerStats(c, s.Host, manager, stats, balancer, router, retryBudget, ledger)
+			refreshPeerStats(c, s.Host, manager, stats, balancer, router, retryBudget)
 			feed.refresh()
+			demands.refresh()
 		},
 	})
 }
--- a/internal/program/entry/wire.go
+++ b/internal/program/entry/wire.go
@@ -25,6 +25,7 @@
 		loadbalance.NewBalancer,
 		quarantine.NewTracker,
 		newDemandLedger,
+		newDemandFeed,
 		newViewFunc,
 		newStore,
 		newServerClient,
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -32,10 +32,11 @@
 	tracker := quarantine.NewTracker()
 	entryQuarantineFeed := newQuarantineFeed(log, system, s, manager, aggregator, tracker)
 	ledger := newDemandLedger(s)
-	exchange := newExchange(log, system, s, manager, aggregator, balancer, router, sharedRetryBudget, client, entryQuarantineFeed, ledger)
+	set := metrics.NewSet()
+	entryDemandFeed := newDemandFeed(log, system, manager, aggregator, balancer, ledger, set)
+	exchange := newExchange(log, system, s, manager, aggregator, balancer, router, sharedRetryBudget, client, entryQuarantineFeed, entryDemandFeed)
 	peerfeedStore := newPeerFeed(log, system, s, store, client, exchange)
 	h1Client := newServerClient()
-	set := metrics.NewSet()
 	relayMetrics := relay.NewMetrics(set)
 	broker := newLimitBroker(system, s, manager, balancer, client)
 	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics, tracker, entryQuarantineFeed, broker, ledger)
@@ -63,7 +64,6 @@
 		Quarantine:    tracker,
 		Quarantines:   recorder,
 		LimitBroker:   broker,
-		Demand:        ledger,
 		Metrics:       set,
 	}
 	return daemon, nil
