Test slow callers and hold plain responses in the blocks of their buffers

Cause: a plain response was held twice while its caller read it, found by a test that bounds what is held: 344,064 bytes for one response, 278,528 allowed. Change: the blocks that are read are handed over to the stream buffer; daemons are ranked per server by rendezvous hash for what remains of its token memory, within the competitors that they expect.

--- a/internal/decision/loadbalance/token_memory.go
+++ b/internal/decision/loadbalance/token_memory.go
@@ -17,10 +17,11 @@
 	// tokenReportLag is the time after which a request that was started is in the reports of
 	// all daemons: a period of 400 ms each for its daemon, its data centre and the other one.
 	tokenReportLag = 1_200 * clock.Millis(1)
-	// uncontendedShare of a server's memory may be used by any daemon. Requests run for about
-	// four times tokenReportLag, so what the others start there meanwhile is about a quarter
-	// of what is known: three times as much still fits into the other half.
-	uncontendedShare = 0.5
+	// competitorsFactor times the requests that the other daemons are expected to start at a
+	// server within tokenReportLag, plus competitorsExtra, is how many this daemon allows for:
+	// three standard deviations of a few random arrivals.
+	competitorsFactor = 3.0
+	competitorsExtra  = 3.0
 )
 
 // TokenLoad is the tokens of the requests in flight at one server, prompts and expected output.
@@ -61,6 +62,9 @@
 	prefix   uint32
 	shared   int    // tokens of the prefix
 	cachedAt string // ID of the server at which the prefix is shared
+	// competitors is how many other requests may be started at a server within
+	// tokenReportLag, if the other daemons have as many as this one.
+	competitors int
 }
 
 func (n tokenNeed) total() int { return n.private + n.shared }
@@ -68,7 +72,7 @@
 // at returns the need at the server: the prefix is private at servers that don't share it.
 func (n tokenNeed) at(server string) tokenNeed {
 	if n.shared > 0 && n.cachedAt != server {
-		return tokenNeed{private: n.total()}
+		n.private, n.shared = n.total(), 0
 	}
 	return n
 }
@@ -76,6 +80,7 @@
 // tokenMemory holds the tokens in flight at the servers, from this daemon and the others.
 type tokenMemory struct {
 	own     map[string]*ownTokens // by server ID
+	arrived map[string]arrivals   // by pool
 	peers   map[string]TokenLoad  // by server ID
 	peersAt clock.Millis          // of the peers' last report
 	known   bool                  // there was one
@@ -98,7 +103,28 @@
 	tokens int
 }
 
-func newTokenMemory() tokenMemory { return tokenMemory{own: make(map[string]*ownTokens)} }
+// arrivals counts requests in the current and the last interval of tokenReportLag.
+type arrivals struct {
+	interval      int64
+	current, last int
+}
+
+// add counts a request at the time, and returns how many came within about tokenReportLag.
+func (a *arrivals) add(now clock.Millis) int {
+	switch interval := int64(now / tokenReportLag); interval - a.interval {
+	case 0:
+	case 1:
+		a.interval, a.last, a.current = interval, a.current, 0
+	default:
+		a.interval, a.last, a.current = interval, 0, 0
+	}
+	a.current++
+	return max(a.current, a.last)
+}
+
+func newTokenMemory() tokenMemory {
+	return tokenMemory{own: make(map[string]*ownTokens), arrived: make(map[string]arrivals)}
+}
 
 // tokenNeed returns what the request needs; nothing if token memory isn't counted.
 func (b *Balancer) tokenNeed(r *Request, entries []fleet.Entry, preferred int) tokenNeed {
@@ -112,6 +138,10 @@
 		need.private -= need.shared
 		need.cachedAt = entries[preferred].ID
 	}
+	arrived := b.tokens.arrived[r.Pool.Name]
+	perServer := float64(arrived.add(r.Now)) / float64(max(len(entries), 1))
+	b.tokens.arrived[r.Pool.Name] = arrived
+	need.competitors = int(competitorsFactor*perServer*float64(len(r.Hosts)) + competitorsExtra)
 	return need
 }
 
@@ -218,11 +248,11 @@
 	if load.Shared[need.prefix] > 0 {
 		added = need.private
 	}
-	if float64(used+added) <= uncontendedShare*float64(memory) {
-		return true
+	recent, competitors := min(o.startedSince(r.Now-tokenReportLag), o.total()), len(r.Hosts)
+	if recent == 0 {
+		competitors = min(need.competitors, competitors)
 	}
-	recent := min(o.startedSince(r.Now-tokenReportLag), o.total())
-	return r.rankFits(server, recent+added, memory-used+recent)
+	return r.rankFits(server, recent+added, memory-used+recent, competitors)
 }
 
 // rankFits reports whether this daemon may have started the tokens at the server within
@@ -230,15 +260,14 @@
 // server by rendezvous hash. The first one may use all that remains, the nth 1/n of it: daemons
 // that start requests of equal size at the same time, without knowing of each other, don't use
 // more than what remains; with sizes mixed at worst, the sum is that times 1 + 1/2 + ... + 1/n.
-func (r *Request) rankFits(server string, tokens, remaining int) bool {
+// A daemon that has started nothing there lately takes no more than the competitors into account
+// that its own arrivals suggest, so that a server isn't closed to most daemons on a calm day.
+func (r *Request) rankFits(server string, tokens, remaining, competitors int) bool {
 	if tokens > remaining {
 		return false
 	}
-	hosts := max(len(r.Hosts), 1)
-	if tokens*hosts <= remaining {
-		return true
-	}
-	return tokens*(r.rank(server, remaining/tokens)+1) <= remaining
+	limit := min(remaining/tokens, competitors+1)
+	return tokens*(r.rank(server, limit)+1) <= remaining || tokens*(competitors+1) <= remaining
 }
 
 // rank returns how many daemons come before this one for the server, or limit if they are more.
--- /dev/null
+++ b/internal/decision/loadbalance/token_memory_test.go
@@ -0,0 +1,285 @@
+package loadbalance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+)
+
+func countingBalancer() *Balancer {
+	b := NewBalancer()
+	b.SetFeatures(loadfeatures.Features{SharedCapacity: true})
+	return b
+}
+
+// tokenReplay replays requests of many daemons that learn of each other by reports, as the
+// reports of peerstats arrive: a daemon's state is 0.4 to 0.8 s old in its own data centre and
+// 0.8 to 1.2 s elsewhere.
+type tokenReplay struct {
+	random    *rand.Rand
+	view      *fleet.View
+	pool      catalog.Pool
+	names     []string
+	balancers []*Balancer
+	history   [][]map[string]TokenLoad // by report period and daemon
+	loads     [][]map[string]Load
+	running   []replayedRequest
+	rejected  int
+	placed    int
+	sent      map[string]int // in flight by server
+}
+
+type replayedRequest struct {
+	daemon int
+	choice Choice
+	need   tokenNeed
+	ends   clock.Millis
+}
+
+const replayPeriod = 400 * clock.Millis(1)
+
+func newTokenReplay(seed uint64, daemons, servers, slots, memory int, counted bool) *tokenReplay {
+	r := &tokenReplay{random: rand.New(rand.NewPCG(seed, 2)), view: fleet.NewView(), sent: make(map[string]int)}
+	r.pool = catalog.Pool{Name: "text", Slots: slots, TokenMemory: memory, TokensPerEvent: 10}
+	for i := range servers {
+		r.view = r.view.WithServer(fleet.Server{ID: fmt.Sprintf("engine-%03d", i), Pool: "text", Address: fmt.Sprintf("127.0.0.1:%d", i+1), DataCentre: "dc-1", Version: "v1", Slots: slots}, 0)
+	}
+	for i := range daemons {
+		r.names = append(r.names, fmt.Sprintf("host-%02d", i))
+		b := NewBalancer()
+		b.SetFeatures(loadfeatures.Features{SharedCapacity: counted})
+		r.balancers = append(r.balancers, b)
+	}
+	return r
+}
+
+// exchange collects the daemons' reports and passes those of an earlier period to the others:
+// that of its data centre from one period ago, of the others from two.
+func (r *tokenReplay) exchange(now clock.Millis) {
+	var tokens []map[string]TokenLoad
+	var loads []map[string]Load
+	for _, b := range r.balancers {
+		tokens, loads = append(tokens, b.OwnTokens()), append(loads, b.OwnLoads())
+	}
+	r.history, r.loads = append(r.history, tokens), append(r.loads, loads)
+	for d, b := range r.balancers {
+		sum, calls := make(map[string]TokenLoad), make(map[string]Load)
+		for other := range r.balancers {
+			lag := 2
+			if other%3 == d%3 {
+				lag = 1
+			}
+			if period := len(r.history) - 1 - lag; other != d && period >= 0 {
+				for id, load := range r.history[period][other] {
+					sum[id] = sum[id].Plus(load)
+				}
+				for id, load := range r.loads[period][other] {
+					calls[id] = calls[id].Plus(load)
+				}
+			}
+		}
+		b.SetPeerTokens(sum, now)
+		b.SetPeerLoads(calls, now)
+	}
+}
+
+// arrive places a request of the daemon.
+func (r *tokenReplay) arrive(daemon int, p Prompt, duration, now clock.Millis) {
+	c, result := r.balancers[daemon].Choose(r.view, Request{
+		Pool: r.pool, DataCentre: "dc-1", Self: r.names[daemon], Hosts: r.names, Model: "m", Prompt: p, Salt: r.random.Uint64(), Now: now,
+	})
+	if result != Chosen {
+		r.rejected++
+		return
+	}
+	r.placed++
+	need := c.tokens
+	if need.total() == 0 {
+		// Not counted by the balancer: as the server holds it.
+		need = tokenNeed{private: p.Tokens + p.MaxOutputTokens}
+		if len(p.Segments) > 1 {
+			need = tokenNeed{private: need.private - p.Segments[0].Tokens, prefix: uint32(container.Hash(p.Segments[0].ID)), shared: p.Segments[0].Tokens}
+		}
+	}
+	r.running = append(r.running, replayedRequest{daemon, c, need, now + duration})
+}
+
+// finish ends the requests that are done, and returns the tokens held at the fullest server.
+func (r *tokenReplay) finish(now clock.Millis) (fullest int) {
+	kept := r.running[:0]
+	servers := make(map[string]TokenLoad)
+	for _, q := range r.running {
+		if q.ends <= now {
+			r.balancers[q.daemon].Done(&q.choice)
+			continue
+		}
+		kept = append(kept, q)
+		load := TokenLoad{Private: q.need.private}
+		if q.need.shared > 0 {
+			load.Shared = map[uint32]int{q.need.prefix: q.need.shared}
+		}
+		servers[q.choice.Server.ID] = servers[q.choice.Server.ID].Plus(load)
+	}
+	r.running = kept
+	for _, load := range servers {
+		fullest = max(fullest, load.Total())
+	}
+	return fullest
+}
+
+// TestTokensFitServers replays long prompts at 59 daemons whose reports are 0.4 to 1.2 s old,
+// also a flood of one prompt prefix through all daemons or two. An engine crashes if the tokens of
+// its requests exceed its memory, which they do if only its requests are counted.
+func TestTokensFitServers(t *testing.T) {
+	const daemons, servers, slots, memory = 59, 12, 64, 424_940
+	cases := map[string]struct {
+		hot   float64 // share of the requests with the same prefix
+		entry int     // daemons that the requests arrive at
+	}{
+		"spread":            {0, daemons},
+		"hot prefix":        {0.6, daemons},
+		"two daemons":       {0, 2},
+		"hot, two daemons":  {0.6, 2},
+		"one prefix, flood": {1, daemons},
+	}
+	for name, c := range cases {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				r := newTokenReplay(seed, daemons, servers, slots, memory, true)
+				fullest := 0
+				for now := clock.Millis(1_000); now < 15_000; now += 10 {
+					if now%replayPeriod == 0 {
+						r.exchange(now)
+					}
+					fullest = max(fullest, r.finish(now))
+					for range 2 { // 200 requests a second: twice what fits
+						document := fmt.Sprintf("document-%d", r.random.IntN(60))
+						if r.random.Float64() < c.hot {
+							document = "hot"
+						}
+						private := []int{800, 2_300, 6_600}[r.random.IntN(3)]
+						p := Prompt{Segments: []Segment{{document, 5_382}, {"own", private}}, Tokens: 5_382 + private, MaxOutputTokens: 400}
+						r.arrive(r.random.IntN(c.entry), p, 3_000+clock.Millis(r.random.IntN(6_000)), now)
+					}
+				}
+				t.Logf("fullest server: %.2f of its memory; %d placed, %d rejected", float64(fullest)/memory, r.placed, r.rejected)
+				assert.Assert(t, fullest <= memory, "%d tokens at a server with memory for %d", fullest, memory)
+			})
+		}
+	}
+}
+
+// TestKnownTokensFit checks with one daemon, or a lasting exchange, that what is known at a
+// server never exceeds its memory, and that all is released at the end.
+func TestKnownTokensFit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, v, pool := countingBalancer(), engines(3), textPool()
+		peers := map[string]TokenLoad{}
+		for _, id := range v.ServerIDs() {
+			peers[id] = TokenLoad{Private: rapid.IntRange(0, 300_000).Draw(t, "peers"), Shared: map[uint32]int{1: 5_000}}
+		}
+		hosts := []string{"a", "b", "c"}
+		b.SetPeerTokens(peers, 1_000)
+		var choices []Choice
+		for now := clock.Millis(1_000); now < 2_500; now += 10 {
+			private := rapid.IntRange(0, 30_000).Draw(t, "private")
+			document := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "document"))
+			if c, result := b.Choose(v, Request{Pool: pool, Self: "a", Hosts: hosts, Model: "m", Prompt: prompt(document, private), Now: now}); result == Chosen {
+				choices = append(choices, c)
+			}
+			for id, own := range b.OwnTokens() {
+				assert.Assert(t, own.Plus(peers[id]).Total() <= max(pool.TokenMemory, peers[id].Total()))
+			}
+		}
+		for i := range choices {
+			b.Done(&choices[i])
+		}
+		assert.Equal(t, len(b.OwnTokens()), 0)
+	})
+}
+
+// TestTokensWithoutReports has daemons place requests without any report of their peers, from
+// the start or after their reports have ended. Together they must not use more than each
+// server's memory beyond what they used before.
+func TestTokensWithoutReports(t *testing.T) {
+	const daemons = 59
+	for _, tokens := range []int{500, 5_000, 12_000, 60_000} {
+		t.Run(fmt.Sprint(tokens), func(t *testing.T) {
+			r := newTokenReplay(1, daemons, 40, 1_000, 424_940, true)
+			before := make(map[string]int)
+			for i := range 40 * daemons {
+				r.arrive(i%daemons, Prompt{Tokens: 500}, 100_000, 1_000)
+			}
+			r.exchange(1_000)
+			r.exchange(1_400)
+			for _, b := range r.balancers {
+				for id, load := range b.OwnTokens() {
+					before[id] += load.Total()
+				}
+			}
+			placedBefore := r.placed
+			now := clock.Millis(1_400) + reportLifetime
+			for range 100 {
+				for d := range daemons {
+					r.arrive(d, Prompt{Tokens: tokens}, 100_000, now)
+				}
+			}
+			after := make(map[string]int)
+			for _, b := range r.balancers {
+				for id, load := range b.OwnTokens() {
+					after[id] += load.Total()
+				}
+			}
+			for id, total := range after {
+				assert.Assert(t, total-before[id] <= r.pool.TokenMemory, "%s: %d tokens more, after %d", id, total-before[id], before[id])
+			}
+			assert.Assert(t, r.placed > placedBefore+daemons/2, "%d placed", r.placed-placedBefore)
+		})
+	}
+}
+
+// TestSharedPrefixCountsOnce checks that the prefix of several requests at its preferred server
+// counts once, also between daemons, and that it counts no longer than they run.
+func TestSharedPrefixCountsOnce(t *testing.T) {
+	v, pool := engines(1), textPool()
+	b, other := countingBalancer(), countingBalancer()
+	place := func(b *Balancer) Choice {
+		c, result := b.Choose(v, Request{Pool: pool, Model: "m", Prompt: prompt("document", 100), Now: 1_000})
+		assert.Equal(t, result, Chosen)
+		return c
+	}
+	first, second := place(b), place(b)
+	place(other)
+	assert.Equal(t, b.OwnTokens()["engine-00"].Total(), 5_500+2*400)
+	assert.Equal(t, b.OwnTokens()["engine-00"].Plus(other.OwnTokens()["engine-00"]).Total(), 5_500+3*400)
+	b.Done(&first)
+	assert.Equal(t, b.OwnTokens()["engine-00"].Total(), 5_500+400)
+	b.Done(&second)
+	assert.Equal(t, len(b.OwnTokens()), 0)
+}
+
+// TestTooLarge checks that a request beyond the memory of any server is told apart from one that
+// has to wait, and that nothing of it applies without shared capacity.
+func TestTooLarge(t *testing.T) {
+	v, pool := engines(3), textPool()
+	r := Request{Pool: pool, Model: "m", Prompt: Prompt{Tokens: pool.TokenMemory, MaxOutputTokens: 1}, Now: 1_000}
+	_, result := countingBalancer().Choose(v, r)
+	assert.Equal(t, result, TooLarge)
+	off := NewBalancer()
+	_, result = off.Choose(v, r)
+	assert.Equal(t, result, Chosen)
+	assert.Assert(t, off.OwnTokens() == nil)
+	r.Prompt.MaxOutputTokens = 0
+	_, result = countingBalancer().Choose(v, r)
+	assert.Equal(t, result, Chosen)
+}
--- a/internal/traffic/relay/buffered_body.go
+++ b/internal/traffic/relay/buffered_body.go
@@ -5,49 +5,82 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
 )
 
-// bodyReadBytes is the size up to which a plain response needs nothing from the budget, and
-// the least by which its buffer grows, in bytes.
-const bodyReadBytes = 8 << 10
+// bufferedBody is the beginning of a plain response, in blocks that a streamBuffer can take
+// over. Blocks beyond freeBlocks are counted by the exchange's heldMemory.
+type bufferedBody struct {
+	blocks [][]byte
+	length int
+	isLong bool // there is more, which exceeds maxBufferedBytes or finds no memory
+}
 
-// readBuffered reads a plain response. isLong reports that it isn't complete: it exceeds
-// maxBufferedBytes, or there is no memory for more of it. release must be called when the body
-// is no longer needed.
-func (ex *exchange) readBuffered(resp *h1.Response) (body []byte, isLong bool, release func(), err error) {
-	if ex.held == nil {
-		body, err = io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
-		return body, len(body) == maxBufferedBytes, func() {}, err
-	}
-	release = func() { ex.held.set(0) }
+// readBuffered reads a plain response with shared capacity.
+func (ex *exchange) readBuffered(resp *h1.Response) (body bufferedBody, err error) {
 	for {
-		if len(body) == cap(body) {
-			size := min(max(2*cap(body), bodyReadBytes), maxBufferedBytes)
-			if len(body) == maxBufferedBytes || !ex.held.trySet(size-bodyReadBytes) {
-				return body, true, release, nil
+		last := len(body.blocks) - 1
+		if last < 0 || len(body.blocks[last]) == blockBytes {
+			if count := last + 2; count > maxBlocks || !ex.held.trySet((count-freeBlocks)*blockBytes) {
+				body.isLong = true
+				return body, nil
 			}
-			body = append(make([]byte, 0, size), body...)
+			body.blocks = append(body.blocks, make([]byte, 0, blockBytes))
+			last++
 		}
-		n, err := resp.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		block := body.blocks[last]
+		n, err := resp.Read(block[len(block):blockBytes])
+		body.blocks[last] = block[:len(block)+n]
+		body.length += n
 		if errors.Is(err, io.EOF) {
-			return body, false, release, nil
+			return body, nil
 		}
 		if err != nil {
-			return body, false, release, err
+			return body, err
 		}
 	}
 }
 
-// copyRest forwards the rest of a long response as it arrives. With shared capacity it is
-// read ahead of a caller that reads slowly, as a stream is.
-func (ex *exchange) copyRest(resp *h1.Response) error {
-	if ex.held == nil {
-		_, err := io.Copy(ex.w, resp)
-		return err
+// forwardCounted is forwardBuffered with shared capacity. The server has done its work when the
+// response is read: its slot isn't held while the caller reads.
+func (ex *exchange) forwardCounted(server *fleet.Entry, resp *h1.Response) (bool, error) {
+	defer ex.held.set(0)
+	body, err := ex.readBuffered(resp)
+	if err == nil && !body.isLong && ex.isCutByCrash(server, resp) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return false, ex.handleInterruption(server, err)
 	}
-	buffer := make([]byte, bodyReadBytes)
+	ex.startResponse(resp)
+	if length := responseLength(ex.req.Method, resp, body.length); !body.isLong && length != "" {
+		ex.w.Header().Set("Content-Length", length)
+	}
+	ex.w.WriteHeader(resp.Status)
+	if !body.isLong && body.length <= directBytes {
+		for _, block := range body.blocks {
+			if _, err := ex.writeBody(block); err != nil {
+				return false, err
+			}
+		}
+		return true, nil
+	}
+	ex.out = ex.newStreamBuffer()
+	ex.out.takeOver(body.blocks)
+	ex.held.bytes = 0 // the streamBuffer counts them now
+	if body.isLong {
+		if err := ex.copyRest(resp); err != nil {
+			return false, errors.Wrap(errResponseInterrupted, err.Error())
+		}
+	}
+	return true, nil
+}
+
+// copyRest forwards the rest of a long response as it arrives, read ahead of a caller that
+// reads slowly, as a stream is.
+func (ex *exchange) copyRest(resp *h1.Response) error {
+	buffer := make([]byte, blockBytes)
 	for {
 		n, err := resp.Read(buffer)
 		if n > 0 {
--- a/internal/traffic/relay/caller_memory.go
+++ b/internal/traffic/relay/caller_memory.go
@@ -130,14 +130,9 @@
 		return false, nil
 	}
 	if ex.out == nil {
-		w := httpFlushWriter{ex.w, http.NewResponseController(ex.w)}
-		ex.out = newStreamBuffer(w, ex.held.budget, ex.recordBehind)
+		ex.out = ex.newStreamBuffer()
 	}
 	paused, err = ex.out.accept(ex.httpReq.Context(), p, ex.deadlineTime())
-	if paused {
-		ex.unread = true
-		ex.relay.memory.pauses.Add(1)
-	}
 	return paused, acceptError(err)
 }
 
@@ -158,6 +153,17 @@
 	return acceptError(ex.out.awaitRoom(ex.httpReq.Context(), ex.deadlineTime()))
 }
 
+func (ex *exchange) newStreamBuffer() *streamBuffer {
+	w := httpFlushWriter{ex.w, http.NewResponseController(ex.w)}
+	return newStreamBuffer(w, ex.held.budget, ex.recordBehind, ex.recordReadPause)
+}
+
+// recordReadPause records that reading from the server is paused for the caller.
+func (ex *exchange) recordReadPause() {
+	ex.unread = true
+	ex.relay.memory.pauses.Add(1)
+}
+
 // recordBehind records that the caller has fallen behind, or caught up. The latter comes from
 // the goroutine that writes, which must not use the exchange.
 func (ex *exchange) recordBehind(behind bool) {
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -22,43 +22,40 @@
 // forwardBuffered reads the complete response before it forwards it, so that the
 // request can be retried if the response is interrupted.
 func (ex *exchange) forwardBuffered(server *fleet.Entry, resp *h1.Response) (bool, error) {
-	body, isLong, release, err := ex.readBuffered(resp)
-	defer release()
-	if err == nil && !isLong && ex.isCutByCrash(server, resp) {
+	if ex.held != nil {
+		return ex.forwardCounted(server, resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
+	if err == nil && len(body) < maxBufferedBytes && ex.isCutByCrash(server, resp) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
 		return false, ex.handleInterruption(server, err)
 	}
+	isLong := len(body) == maxBufferedBytes
 	ex.startResponse(resp)
-	if length := responseLength(ex.req.Method, resp, body); !isLong && length != "" {
+	if length := responseLength(ex.req.Method, resp, len(body)); !isLong && length != "" {
 		ex.w.Header().Set("Content-Length", length)
 	}
 	ex.w.WriteHeader(resp.Status)
-	if ex.held != nil {
-		// The server has done its work: its slot isn't held while the caller reads.
-		if _, err := ex.writeBody(body); err != nil {
-			return false, err
-		}
-	} else if _, err := ex.w.Write(body); err != nil {
+	if _, err := ex.w.Write(body); err != nil {
 		return false, errCallerDisconnected
 	}
 	if isLong {
-		release()
-		if err := ex.copyRest(resp); err != nil {
+		if _, err := io.Copy(ex.w, resp); err != nil {
 			return false, errors.Wrap(errResponseInterrupted, err.Error())
 		}
 	}
 	return true, nil
 }
 
-// responseLength returns the length to state for a complete body; empty to state none. The
+// responseLength returns the length to state for a complete body of that length; empty to state none. The
 // response to a HEAD request has no body but states the length that another would have.
-func responseLength(method string, resp *h1.Response, body []byte) string {
+func responseLength(method string, resp *h1.Response, length int) string {
 	if method == http.MethodHead {
 		return resp.Header.Get("Content-Length")
 	}
-	return strconv.Itoa(len(body))
+	return strconv.Itoa(length)
 }
 
 const (
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,6 +118,25 @@
 	routes []catalog.Route
 	// servers by ID
 	servers map[string]*httptest.Server
+	// smallBuffers limits what the kernel holds of what is sent on new connections.
+	smallBuffers atomic.Bool
+}
+
+// smallBufferBytes is the size of the send buffers with smallBuffers.
+const smallBufferBytes = 8 << 10
+
+// start starts a server whose connections have small send buffers if they are to.
+func (f *fixture) start(handler http.HandlerFunc) *httptest.Server {
+	s := httptest.NewUnstartedServer(handler)
+	s.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if tcp, ok := c.(*net.TCPConn); ok && f.smallBuffers.Load() {
+			assert.Check(f.t, tcp.SetWriteBuffer(smallBufferBytes))
+		}
+		return ctx
+	}
+	s.Start()
+	f.t.Cleanup(s.Close)
+	return s
 }
 
 // receivedCall is a call that reached a server.
@@ -138,7 +159,7 @@
 	for i, b := range servers {
 		id := fmt.Sprintf("s%d", i+1)
 		n := 0
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := f.start(func(w http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
 			f.mu.Lock()
 			n++
@@ -148,8 +169,7 @@
 			w.Header().Set(headerID, r.Header.Get(headerID))
 			w.Header().Set(headerServer, id)
 			b(current, w, r)
-		}))
-		t.Cleanup(s.Close)
+		})
 		f.servers[id] = s
 		f.view = f.view.WithServer(fleet.Server{
 			ID: id, Pool: "text", Address: s.Listener.Addr().String(), DataCentre: "dc-1", Slots: 8,
@@ -170,7 +190,7 @@
 		OnServerReplaced: func(string, clock.Millis) {},
 	})
 	f.relay.Balancer.SetDrainTime(testDrainTime)
-	f.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	f.front = f.start(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		req := &Request{
 			ID: r.Header.Get(headerID), Method: r.Method, Host: "desk.example", Path: r.URL.Path, Target: r.RequestURI,
@@ -185,8 +205,7 @@
 			req.Timeout = clock.Millis(timeout)
 		}
 		f.relay.Serve(w, r, req)
-	}))
-	t.Cleanup(f.front.Close)
+	})
 	return f
 }
 
--- a/internal/traffic/relay/stream_buffer.go
+++ b/internal/traffic/relay/stream_buffer.go
@@ -41,6 +41,7 @@
 	writer   flushWriter
 	budget   *admission.MemoryBudget
 	onBehind func(behind bool) // called when the caller falls behind and when it has caught up
+	onPause  func()            // called when accept begins to wait
 	sent     int               // bytes written before the goroutine was started
 	started  bool
 	done     chan struct{} // closed when the goroutine has ended
@@ -56,8 +57,8 @@
 	changed  *sync.Cond // of blocks and ended
 }
 
-func newStreamBuffer(w flushWriter, budget *admission.MemoryBudget, onBehind func(bool)) *streamBuffer {
-	b := &streamBuffer{writer: w, budget: budget, onBehind: onBehind, done: make(chan struct{}), drained: make(chan struct{}, 1)}
+func newStreamBuffer(w flushWriter, budget *admission.MemoryBudget, onBehind func(bool), onPause func()) *streamBuffer {
+	b := &streamBuffer{writer: w, budget: budget, onBehind: onBehind, onPause: onPause, done: make(chan struct{}), drained: make(chan struct{}, 1)}
 	b.changed = sync.NewCond(&b.mu)
 	return b
 }
@@ -82,6 +83,9 @@
 		if err != nil || len(rest) == 0 {
 			return paused, err
 		}
+		if !paused {
+			b.onPause()
+		}
 		p, paused = rest, true
 		if err := b.awaitDrained(ctx, deadline); err != nil {
 			return paused, err
@@ -119,6 +123,14 @@
 	return b.held
 }
 
+// takeOver makes the blocks the first ones of a new buffer, which counts those beyond
+// freeBlocks from now on: they are acquired already.
+func (b *streamBuffer) takeOver(blocks [][]byte) {
+	b.blocks, b.held, b.acquired = blocks, len(blocks), max(len(blocks)-freeBlocks, 0)
+	b.started = true
+	go b.run()
+}
+
 // put keeps a copy of the beginning of p, as much as there is room for, and returns the rest.
 func (b *streamBuffer) put(p []byte) (rest []byte, err error) {
 	b.mu.Lock()
