Divide what remains of a server's token memory among the daemons by rank

Change: the daemon with rank n for a server may start 1/n of what remains within the reports' lag, divided by the harmonic number of the daemons; few expected competitors lift the limit.

--- a/internal/decision/loadbalance/token_memory.go
+++ b/internal/decision/loadbalance/token_memory.go
@@ -1,6 +1,8 @@
 package loadbalance
 
 import (
+	"math"
+
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -63,7 +65,7 @@
 	shared   int    // tokens of the prefix
 	cachedAt string // ID of the server at which the prefix is shared
 	// competitors is how many other requests may be started at a server within
-	// tokenReportLag, if the other daemons have as many as this one.
+	// tokenReportLag, if the other daemons get as many as this one.
 	competitors int
 }
 
@@ -80,7 +82,7 @@
 // tokenMemory holds the tokens in flight at the servers, from this daemon and the others.
 type tokenMemory struct {
 	own     map[string]*ownTokens // by server ID
-	arrived map[string]arrivals   // by pool
+	arrived map[string]*arrivals  // by pool
 	peers   map[string]TokenLoad  // by server ID
 	peersAt clock.Millis          // of the peers' last report
 	known   bool                  // there was one
@@ -103,27 +105,30 @@
 	tokens int
 }
 
-// arrivals counts requests in the current and the last interval of tokenReportLag.
+// arrivals counts the requests that looked for a server in the current interval of
+// tokenReportLag and in the one before. A request that looks again counts once.
 type arrivals struct {
-	interval      int64
-	current, last int
+	interval int64
+	current  map[uint64]bool // by Request.Salt
+	last     int
 }
 
-// add counts a request at the time, and returns how many came within about tokenReportLag.
-func (a *arrivals) add(now clock.Millis) int {
-	switch interval := int64(now / tokenReportLag); interval - a.interval {
-	case 0:
-	case 1:
-		a.interval, a.last, a.current = interval, a.current, 0
-	default:
-		a.interval, a.last, a.current = interval, 0, 0
-	}
-	a.current++
-	return max(a.current, a.last)
+// add counts a request, and returns how many came within about tokenReportLag.
+func (a *arrivals) add(salt uint64, now clock.Millis) int {
+	if interval := int64(now / tokenReportLag); interval != a.interval {
+		a.last = 0
+		if interval == a.interval+1 {
+			a.last = len(a.current)
+		}
+		a.interval = interval
+		clear(a.current)
+	}
+	a.current[salt] = true
+	return max(len(a.current), a.last)
 }
 
 func newTokenMemory() tokenMemory {
-	return tokenMemory{own: make(map[string]*ownTokens), arrived: make(map[string]arrivals)}
+	return tokenMemory{own: make(map[string]*ownTokens), arrived: make(map[string]*arrivals)}
 }
 
 // tokenNeed returns what the request needs; nothing if token memory isn't counted.
@@ -139,8 +144,11 @@
 		need.cachedAt = entries[preferred].ID
 	}
 	arrived := b.tokens.arrived[r.Pool.Name]
-	perServer := float64(arrived.add(r.Now)) / float64(max(len(entries), 1))
-	b.tokens.arrived[r.Pool.Name] = arrived
+	if arrived == nil {
+		arrived = &arrivals{current: make(map[uint64]bool)}
+		b.tokens.arrived[r.Pool.Name] = arrived
+	}
+	perServer := float64(arrived.add(r.Salt, r.Now)) / float64(max(len(entries), 1))
 	need.competitors = int(competitorsFactor*perServer*float64(len(r.Hosts)) + competitorsExtra)
 	return need
 }
@@ -256,20 +264,30 @@
 }
 
 // rankFits reports whether this daemon may have started the tokens at the server within
-// tokenReportLag, if that many remain there without them. The daemons are ranked for each
-// server by rendezvous hash. The first one may use all that remains, the nth 1/n of it: daemons
-// that start requests of equal size at the same time, without knowing of each other, don't use
-// more than what remains; with sizes mixed at worst, the sum is that times 1 + 1/2 + ... + 1/n.
-// A daemon that has started nothing there lately takes no more than the competitors into account
-// that its own arrivals suggest, so that a server isn't closed to most daemons on a calm day.
+// tokenReportLag, if that many remain there without them.
+//
+// The daemons are ranked for each server by rendezvous hash, and the nth may start 1/n of what
+// remains, divided by 1 + 1/2 + ... + 1/daemons: all of them together, without knowing of each
+// other, start no more than what remains. A daemon that has started nothing there lately and
+// expects few competitors may ignore its rank, so that a server isn't closed to most daemons on
+// a calm day.
 func (r *Request) rankFits(server string, tokens, remaining, competitors int) bool {
-	if tokens > remaining {
-		return false
+	hosts := max(len(r.Hosts), 1)
+	if hosts == 1 {
+		return tokens <= remaining
+	}
+	if competitors < hosts && tokens*(competitors+1) <= remaining {
+		return true
 	}
-	limit := min(remaining/tokens, competitors+1)
-	return tokens*(r.rank(server, limit)+1) <= remaining || tokens*(competitors+1) <= remaining
+	portions := float64(remaining) / (float64(tokens) * harmonic(hosts))
+	return portions >= 1 && float64(r.rank(server, int(portions))+1) <= portions
 }
 
+// harmonic returns about 1 + 1/2 + ... + 1/n, not less.
+func harmonic(n int) float64 { return math.Log(float64(n)) + 1/(2*float64(n)) + eulerGamma }
+
+const eulerGamma = 0.5773
+
 // rank returns how many daemons come before this one for the server, or limit if they are more.
 func (r *Request) rank(server string, limit int) int {
 	seed := container.Hash(server)
