--- a/internal/decision/loadbalance/token_memory.go
+++ b/internal/decision/loadbalance/token_memory.go
@@ -1,6 +1,8 @@
 package loadbalance
 
 import (
+	"math"
+
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
@@ -17,10 +19,11 @@
 	// tokenReportLag is the time after which a request that was started is in the reports of
 	// all daemons: a period of 400 ms each for its daemon, its data centre and the other one.
 	tokenReportLag = 1_200 * clock.Millis(1)
-	// uncontendedShare of a server's memory may be used by any daemon. Requests run for about
-	// four times tokenReportLag, so what the others start there meanwhile is about a quarter
-	// of what is known: three times as much still fits into the other half.
-	uncontendedShare = 0.5
+	// competitorsFactor times the requests that the other daemons are expected to start at a
+	// server within tokenReportLag, plus competitorsExtra, is how many this daemon allows for:
+	// three standard deviations of a few random arrivals.
+	competitorsFactor = 3.0
+	competitorsExtra  = 3.0
 )
 
 // TokenLoad is the tokens of the requests in flight at one server, prompts and expected output.
@@ -61,6 +64,9 @@
 	prefix   uint32
 	shared   int    // tokens of the prefix
 	cachedAt string // ID of the server at which the prefix is shared
+	// competitors is how many other requests may be started at a server within
+	// tokenReportLag, if the other daemons get as many as this one.
+	competitors int
 }
 
 func (n tokenNeed) total() int { return n.private + n.shared }
@@ -68,7 +74,7 @@
 // at returns the need at the server: the prefix is private at servers that don't share it.
 func (n tokenNeed) at(server string) tokenNeed {
 	if n.shared > 0 && n.cachedAt != server {
-		return tokenNeed{private: n.total()}
+		n.private, n.shared = n.total(), 0
 	}
 	return n
 }
@@ -76,6 +82,7 @@
 // tokenMemory holds the tokens in flight at the servers, from this daemon and the others.
 type tokenMemory struct {
 	own     map[string]*ownTokens // by server ID
+	arrived map[string]*arrivals  // by pool
 	peers   map[string]TokenLoad  // by server ID
 	peersAt clock.Millis          // of the peers' last report
 	known   bool                  // there was one
@@ -98,7 +105,31 @@
 	tokens int
 }
 
-func newTokenMemory() tokenMemory { return tokenMemory{own: make(map[string]*ownTokens)} }
+// arrivals counts the requests that looked for a server in the current interval of
+// tokenReportLag and in the one before. A request that looks again counts once.
+type arrivals struct {
+	interval int64
+	current  map[uint64]bool // by Request.Salt
+	last     int
+}
+
+// add counts a request, and returns how many came within about tokenReportLag.
+func (a *arrivals) add(salt uint64, now clock.Millis) int {
+	if interval := int64(now / tokenReportLag); interval != a.interval {
+		a.last = 0
+		if interval == a.interval+1 {
+			a.last = len(a.current)
+		}
+		a.interval = interval
+		clear(a.current)
+	}
+	a.current[salt] = true
+	return max(len(a.current), a.last)
+}
+
+func newTokenMemory() tokenMemory {
+	return tokenMemory{own: make(map[string]*ownTokens), arrived: make(map[string]*arrivals)}
+}
 
 // tokenNeed returns what the request needs; nothing if token memory isn't counted.
 func (b *Balancer) tokenNeed(r *Request, entries []fleet.Entry, preferred int) tokenNeed {
@@ -112,6 +143,13 @@
 		need.private -= need.shared
 		need.cachedAt = entries[preferred].ID
 	}
+	arrived := b.tokens.arrived[r.Pool.Name]
+	if arrived == nil {
+		arrived = &arrivals{current: make(map[uint64]bool)}
+		b.tokens.arrived[r.Pool.Name] = arrived
+	}
+	perServer := float64(arrived.add(r.Salt, r.Now)) / float64(max(len(entries), 1))
+	need.competitors = int(competitorsFactor*perServer*float64(len(r.Hosts)) + competitorsExtra)
 	return need
 }
 
@@ -218,29 +256,38 @@
 	if load.Shared[need.prefix] > 0 {
 		added = need.private
 	}
-	if float64(used+added) <= uncontendedShare*float64(memory) {
-		return true
+	recent, competitors := min(o.startedSince(r.Now-tokenReportLag), o.total()), len(r.Hosts)
+	if recent == 0 {
+		competitors = min(need.competitors, competitors)
 	}
-	recent := min(o.startedSince(r.Now-tokenReportLag), o.total())
-	return r.rankFits(server, recent+added, memory-used+recent)
+	return r.rankFits(server, recent+added, memory-used+recent, competitors)
 }
 
 // rankFits reports whether this daemon may have started the tokens at the server within
-// tokenReportLag, if that many remain there without them. The daemons are ranked for each
-// server by rendezvous hash. The first one may use all that remains, the nth 1/n of it: daemons
-// that start requests of equal size at the same time, without knowing of each other, don't use
-// more than what remains; with sizes mixed at worst, the sum is that times 1 + 1/2 + ... + 1/n.
-func (r *Request) rankFits(server string, tokens, remaining int) bool {
-	if tokens > remaining {
-		return false
-	}
+// tokenReportLag, if that many remain there without them.
+//
+// The daemons are ranked for each server by rendezvous hash, and the nth may start 1/n of what
+// remains, divided by 1 + 1/2 + ... + 1/daemons: all of them together, without knowing of each
+// other, start no more than what remains. A daemon that has started nothing there lately and
+// expects few competitors may ignore its rank, so that a server isn't closed to most daemons on
+// a calm day.
+func (r *Request) rankFits(server string, tokens, remaining, competitors int) bool {
 	hosts := max(len(r.Hosts), 1)
-	if tokens*hosts <= remaining {
+	if hosts == 1 {
+		return tokens <= remaining
+	}
+	if competitors < hosts && tokens*(competitors+1) <= remaining {
 		return true
 	}
-	return tokens*(r.rank(server, remaining/tokens)+1) <= remaining
+	portions := float64(remaining) / (float64(tokens) * harmonic(hosts))
+	return portions >= 1 && float64(r.rank(server, int(portions))+1) <= portions
 }
 
+// harmonic returns about 1 + 1/2 + ... + 1/n, not less.
+func harmonic(n int) float64 { return math.Log(float64(n)) + 1/(2*float64(n)) + eulerGamma }
+
+const eulerGamma = 0.5773
+
 // rank returns how many daemons come before this one for the server, or limit if they are more.
 func (r *Request) rank(server string, limit int) int {
 	seed := container.Hash(server)
