Let requests that can't wait for two reports take places beyond the daemon's part

Cause: a daemon with more urgent requests than others let them miss their target while others started less urgent ones; and a request was rejected while its daemon knew of a free slot and nothing else waited.

--- a/internal/decision/admission/overload_replay_test.go
+++ b/internal/decision/admission/overload_replay_test.go
@@ -71,7 +71,6 @@
 	id      string
 	running int
 	queue   []*call
-	lost    bool
 }
 
 type daemon struct {
@@ -178,14 +177,14 @@
 	c.daemon = r.daemons[r.rng.IntN(len(r.daemons))]
 	d := c.daemon
 	if !r.shared {
-		if !r.place(c) {
+		if !r.place(c, 0) {
 			r.reject(c, d.balancer.RetryAfter(r.view, r.pool, "large", r.now))
 		}
 		return
 	}
 	conditions := r.conditions(d)
 	ahead := d.queue.Ahead(r.wish(c), conditions)
-	if ahead == 0 && r.place(c) {
+	if ahead == 0 && r.place(c, 0) {
 		d.queue.RecordStart(r.now)
 		return
 	}
@@ -239,10 +238,10 @@
 }
 
 // place sends the request to a server if one has room.
-func (r *replay) place(c *call) bool {
+func (r *replay) place(c *call, overdraft int) bool {
 	choice, result := c.daemon.balancer.Choose(r.view, loadbalance.Request{
 		Pool: r.pool, DataCentre: "dc", Self: c.daemon.name, Hosts: r.view.HostNames(), Model: "large",
-		Prompt: loadbalance.Prompt{Tokens: c.kind.prompt}, Salt: r.rng.Uint64(), Now: r.now,
+		Prompt: loadbalance.Prompt{Tokens: c.kind.prompt}, Salt: r.rng.Uint64(), Overdraft: overdraft, Now: r.now,
 	})
 	if result != loadbalance.Chosen {
 		return false
@@ -329,8 +328,17 @@
 	})
 }
 
+// overdraft returns what a waiting request may take beyond its daemon's part.
+func (r *replay) overdraft(c *call) int {
+	return admission.Overdraft(c.receivedAt+c.kind.target-r.now, r.forecast(c, 0).FirstByte)
+}
+
 func (r *replay) rejectWaiting(c *call) {
 	d := c.daemon
+	if last := admission.LastOverdraft(d.queue.Len()); last > 0 && r.place(c, last) {
+		d.queue.RecordStart(r.now)
+		return
+	}
 	r.reject(c, d.returns.Schedule(admission.Return{
 		Rank:  admission.Rank{Urgency: c.kind.urgency},
 		Ahead: d.queue.Ahead(r.wish(c), r.conditions(d)), StartsPerSecond: r.startsPerSecond(d), Forecast: r.forecast(c, 0),
@@ -354,7 +362,7 @@
 		if next == nil {
 			return
 		}
-		if !r.place(next.Value) {
+		if !r.place(next.Value, r.overdraft(next.Value)) {
 			failed[next] = true
 			continue
 		}
@@ -371,8 +379,13 @@
 		if d.queue.Len() == 0 {
 			continue
 		}
+		perSecond := r.startsPerSecond(d)
 		for i, w := range d.queue.Ordered(r.conditions(d)) {
-			if r.forecast(w.Value, r.wait(d, i)).IsTooLate() {
+			wait := clock.Millis(0)
+			if perSecond > 0 && r.now%200 < checkEvery {
+				wait = clock.Millis(1000 * float64(i+1) / perSecond)
+			}
+			if r.forecast(w.Value, wait).IsTooLate() {
 				d.queue.Leave(w)
 				w.Value.waiting = nil
 				r.rejectWaiting(w.Value)
--- a/internal/decision/admission/return_schedule.go
+++ b/internal/decision/admission/return_schedule.go
@@ -39,8 +39,8 @@
 
 // Return is a rejected request whose caller is to be told when to return.
 type Return struct {
-	Rank            Rank // only Excess and Urgency count
-	Ahead           int  // waiting requests that are served before it
+	Rank            Rank    // only Excess and Urgency count
+	Ahead           int     // waiting requests that are served before it
 	StartsPerSecond float64 // of this daemon; 0 if unknown
 	Forecast        Forecast
 }
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -63,6 +63,7 @@
 	Salt           uint64                    // differs between requests
 	VersionAllowed func(version string) bool // nil allows all versions
 	Tried          func(id string) bool      // reports servers to use as a last resort only
+	Overdraft      int                       // starts beyond the daemon's credit, with shared capacity; see startCredit
 	Now            clock.Millis
 }
 
@@ -137,7 +138,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entries := v.Pool(r.Pool.Name)
-	if b.exceedsOwnPart(v, &r, entries) || !b.hasCredit(v, &r, entries) {
+	if b.isWithheld(v, &r, entries) {
 		return Choice{}, AtCapacity
 	}
 	b.prefixBuf = r.Prompt.Prefixes(r.Model, b.prefixBuf[:0])
@@ -167,16 +168,7 @@
 			which = 1
 		}
 		cost := b.cost(s, e, &r, prefillTokens[which], firstByte[which])
-		switch {
-		case n.isLeaving():
-			cost += costLeaving
-		case b.isBeyondSlots(s, e, r.Now):
-			cost += costBeyondSlots
-		case limit != nil:
-			cost -= costUnusedToken
-		case i != preferred && bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > bound:
-			cost += b.unsampledCost(container.CombineHash(r.Salt, e.ID))
-		}
+		cost += b.sampleCost(s, e, n, &r, i == preferred, bound)
 		if cost < lowest {
 			best, lowest = i, cost
 		}
--- a/internal/decision/loadbalance/start_credit.go
+++ b/internal/decision/loadbalance/start_credit.go
@@ -5,6 +5,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
 // startCredit bounds the requests that this daemon starts in a pool until the next report of
@@ -15,7 +16,9 @@
 type startCredit struct {
 	reportAt   clock.Millis // of the report that it was computed from
 	restricted bool
-	credit     float64
+	// credit is the number of requests that may start. It is negative if requests that could
+	// not wait have overdrawn it.
+	credit float64
 }
 
 const (
@@ -48,6 +51,22 @@
 	return min(bound, uint64(sharedSample/float64(servers)*math.MaxUint64))
 }
 
+// sampleCost returns the cost that ranks groups of servers: those in the request's sample,
+// which bound defines, outside it, with all slots in use, and leaving.
+func (b *Balancer) sampleCost(s *serverState, e *fleet.Entry, n *announcement, r *Request, isPreferred bool, bound uint64) float64 {
+	switch {
+	case n.isLeaving():
+		return costLeaving
+	case b.isBeyondSlots(s, e, r.Now):
+		return costBeyondSlots
+	case b.limits.of(e) != nil:
+		return -costUnusedToken
+	case !isPreferred && bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > bound:
+		return b.unsampledCost(container.CombineHash(r.Salt, e.ID))
+	}
+	return 0
+}
+
 // unsampledCost returns the cost of a server outside the sample; hash is that of request and
 // server.
 func (b *Balancer) unsampledCost(hash uint64) float64 {
@@ -57,6 +76,11 @@
 	return costUnsampled + rangeUnsampled*float64(hash)/math.MaxUint64
 }
 
+// isWithheld reports whether this daemon must leave the pool's free places to others.
+func (b *Balancer) isWithheld(v *fleet.View, r *Request, entries []fleet.Entry) bool {
+	return b.exceedsOwnPart(v, r, entries) || !b.hasCredit(v, r, entries)
+}
+
 // hasCredit reports whether the daemon may start a request in the pool before the next
 // report. The free places are divided by the daemons' parts of the pool's requests; the place
 // of a request of this daemon that ends is this daemon's.
@@ -73,7 +97,7 @@
 		c.reportAt = b.peerReportAt
 		b.renewCredit(c, v, r, entries)
 	}
-	return !c.restricted || c.credit >= 1
+	return !c.restricted || c.credit+float64(r.Overdraft) >= 1
 }
 
 // renewCredit computes the credit from a new report.
@@ -102,7 +126,7 @@
 	}
 	part := max(float64(own)/float64(max(calls, 1)), minPart/float64(len(r.Hosts)))
 	c.restricted = true
-	c.credit = min(max(c.credit, 0), maxCarriedCredit) + free*part
+	c.credit = min(c.credit, maxCarriedCredit) + free*part
 }
 
 // takeCredit takes the credit of a request that begins.
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -62,6 +62,7 @@
 		Salt:           container.Hash(req.ID),
 		VersionAllowed: r.VersionRouter.AllowedVersions(view, pool.Name, req, failed),
 		Tried:          excluded,
+		Overdraft:      ex.overdraft,
 		Now:            now,
 	})
 	ex.limited, ex.atCapacity = p.choice.Limited, outcome == loadbalance.AtCapacity
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -50,6 +50,7 @@
 	limited         []fleet.Entry // servers that only their rate limits kept the last plan from
 	answeredAt      clock.Millis  // when the last attempt's response header arrived
 	atCapacity      bool          // the last plan found all servers full
+	overdraft       int           // see admission.Overdraft; 0 unless the request waits
 
 	parts   []quarantine.Part // see quarantine.Parts
 	run     *quarantine.Run   // of the last attempt
--- a/internal/traffic/relay/wait.go
+++ b/internal/traffic/relay/wait.go
@@ -79,6 +79,9 @@
 	ahead := pool.queue.Ahead(wish, conditions)
 	forecast := ex.forecast(pool.name, pool.expectedWait(ahead, now))
 	if forecast.IsTooLate() {
+		if planned := ex.planLast(pool, pool.queue.Len()); planned != nil {
+			return planned, nil, true
+		}
 		return nil, ex.rejectWaiting(pool, wish, reasonLateOnArrival), true
 	}
 	w := &waiter{signals: make(chan signal, 1), latestStart: forecast.LatestStart()}
@@ -121,14 +124,24 @@
 // handleSignal follows a signal to the waiting request. It reports whether the wait is over;
 // the request is planned anew if it then has neither an attempt nor a rejection.
 func (ex *exchange) handleSignal(pool *waitPool, entry *waiting, s signal) (*plannedAttempt, *result.Error, bool) {
-	if rejection, done := ex.checkWaiting(pool, entry, s); done {
+	if rejection, done := ex.checkWaiting(pool, entry); done {
 		return nil, rejection, true
 	}
+	if reason := ex.lateReason(entry, s); reason != "" {
+		pool.queue.Leave(entry)
+		if planned := ex.planLast(pool, pool.queue.Len()); planned != nil {
+			ex.logWaited(pool, entry, "admitted at last, "+reason)
+			return planned, nil, true
+		}
+		ex.logWaited(pool, entry, reason)
+		return nil, ex.rejectWaiting(pool, entry.Wish, reason), true
+	}
 	if s != trySignal {
 		return nil, nil, false
 	}
 	now := ex.relay.Clock.Now()
-	planned, rejection := ex.planAttempt(ex.isExcluded, ex.backendFailed, now)
+	targetLeft := ex.req.ReceivedAt + ex.route.LatencyTarget - now
+	planned, rejection := ex.planWaiting(admission.Overdraft(targetLeft, ex.forecast(pool.name, 0).FirstByte), now)
 	switch {
 	case rejection == nil:
 		pool.queue.RecordStart(now)
@@ -148,9 +161,33 @@
 	return planned, rejection, true
 }
 
+// planWaiting plans an attempt of a waiting request, which may take that many places beyond
+// the daemon's part of the pool.
+func (ex *exchange) planWaiting(overdraft int, now clock.Millis) (*plannedAttempt, *result.Error) {
+	ex.overdraft = overdraft
+	defer func() { ex.overdraft = 0 }()
+	return ex.planAttempt(ex.isExcluded, ex.backendFailed, now)
+}
+
+// planLast plans an attempt of a request that would be rejected: while nothing else waits, it
+// may take any place that is known to be free. It returns nil if there is none.
+func (ex *exchange) planLast(pool *waitPool, waiting int) *plannedAttempt {
+	overdraft := admission.LastOverdraft(waiting)
+	if overdraft == 0 {
+		return nil
+	}
+	now := ex.relay.Clock.Now()
+	planned, rejection := ex.planWaiting(overdraft, now)
+	if rejection != nil {
+		return nil
+	}
+	pool.queue.RecordStart(now)
+	return planned
+}
+
 // checkWaiting reports whether the waiting request must leave the queue, and the rejection if
 // it isn't to be planned anew.
-func (ex *exchange) checkWaiting(pool *waitPool, entry *waiting, s signal) (*result.Error, bool) {
+func (ex *exchange) checkWaiting(pool *waitPool, entry *waiting) (*result.Error, bool) {
 	r := ex.relay
 	now := r.Clock.Now()
 	if ex.httpReq.Context().Err() != nil {
@@ -170,20 +207,24 @@
 		ex.logWaited(pool, entry, err.Error())
 		return result.From(err), true
 	}
-	reason := reasonLate
-	switch {
-	case entry.Value.evicted.Load():
-		reason = reasonQueueFull
-	case s == lateSignal || now >= entry.Value.latestStart:
-	case route.PoolAt(ex.poolPoint()) != pool.name || account.Name != entry.Wish.Account:
+	if route.PoolAt(ex.poolPoint()) != pool.name || account.Name != entry.Wish.Account {
 		ex.route, ex.account = route, account
 		ex.logWaited(pool, entry, "the configuration has changed")
 		return nil, true
-	default:
-		return nil, false
 	}
-	ex.logWaited(pool, entry, reason)
-	return ex.rejectWaiting(pool, entry.Wish, reason), true
+	return nil, false
+}
+
+// lateReason returns why there is no place in time for the waiting request; empty if there may
+// be one.
+func (ex *exchange) lateReason(entry *waiting, s signal) string {
+	switch {
+	case entry.Value.evicted.Load():
+		return reasonQueueFull
+	case s == lateSignal || ex.relay.Clock.Now() >= entry.Value.latestStart:
+		return reasonLate
+	}
+	return ""
 }
 
 // Reasons of rejections, in logs and metrics.
