--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -6,7 +6,6 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
-	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
 // Request describes a request that needs a server.
@@ -20,6 +19,7 @@
 	Salt           uint64                    // differs between requests
 	VersionAllowed func(version string) bool // nil allows all versions
 	Tried          func(id string) bool      // reports servers to use as a last resort only
+	Overdraft      int                       // starts beyond the daemon's credit, with shared capacity; see startCredit
 	Now            clock.Millis
 
 	tokens tokenNeed // set by Choose
@@ -112,7 +112,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entries := v.Pool(r.Pool.Name)
-	if b.exceedsOwnPart(v, &r, entries) || !b.hasCredit(v, &r, entries) {
+	if b.isWithheld(v, &r, entries) {
 		return Choice{}, AtCapacity
 	}
 	p := b.newPlacement(v, &r, entries)
@@ -134,17 +134,7 @@
 			}
 			continue
 		}
-		cost := p.cost(i, s, e)
-		switch {
-		case n.isLeaving():
-			cost += costLeaving
-		case b.isBeyondSlots(s, e, r.Now):
-			cost += costBeyondSlots
-		case limit != nil:
-			cost -= costUnusedToken
-		case !p.isPreferred(i) && p.bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > p.bound:
-			cost += costUnsampled
-		}
+		cost := p.cost(i, s, e) + b.sampleCost(s, e, n, &r, p.isPreferred(i), p.bound)
 		if cost < lowest {
 			best, lowest = i, cost
 		}
--- a/internal/decision/loadbalance/token_memory_test.go
+++ b/internal/decision/loadbalance/token_memory_test.go
@@ -45,7 +45,7 @@
 	ends   clock.Millis
 }
 
-const replayPeriod = 400 * clock.Millis(1)
+const tokenReplayPeriod = 400 * clock.Millis(1)
 
 func newTokenReplay(seed uint64, daemons, servers, slots, memory int, counted bool) *tokenReplay {
 	r := &tokenReplay{random: rand.New(rand.NewPCG(seed, 2)), view: fleet.NewView(), sent: make(map[string]int)}
@@ -166,7 +166,7 @@
 				r := newTokenReplay(seed, daemons, c.servers, slots, memory, true)
 				fullest, sum := 0, 0
 				for now := clock.Millis(1_000); now < 1_000*clock.Millis(1+seconds); now += 10 {
-					if now%replayPeriod == 0 {
+					if now%tokenReplayPeriod == 0 {
 						r.exchange(now)
 					}
 					highest, all := r.finish(now)
--- a/internal/traffic/relay/wait_test.go
+++ b/internal/traffic/relay/wait_test.go
@@ -41,9 +41,9 @@
 	}
 }
 
-// newSharedFixture returns a fixture with shared capacity whose servers have one slot each,
+// newWaitingFixture returns a fixture with shared capacity whose servers have one slot each,
 // so that each gets two requests at most.
-func newSharedFixture(t *testing.T, routes []catalog.Route, servers ...behaviour) *fixture {
+func newWaitingFixture(t *testing.T, routes []catalog.Route, servers ...behaviour) *fixture {
 	t.Helper()
 	f := newFixture(t, routes, servers...)
 	for id := range f.servers {
@@ -81,7 +81,7 @@
 // deadline allows a request to wait: all requests must be served once the servers answer.
 func TestFullPoolQueues(t *testing.T) {
 	g := newGate(t)
-	f := newSharedFixture(t, routes(), g.serve)
+	f := newWaitingFixture(t, routes(), g.serve)
 	responses := f.sendAsync(6, "/read/1")
 	f.awaitWaiting(4)
 	assert.Equal(t, f.callCount(), 2)
@@ -97,7 +97,7 @@
 // up: it must be rejected as not run, with a time to return, before its deadline.
 func TestDeadlineRejectsWaiting(t *testing.T) {
 	g := newGate(t)
-	f := newSharedFixture(t, routes(), g.serve)
+	f := newWaitingFixture(t, routes(), g.serve)
 	responses := f.sendAsync(2, "/read/1")
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if f.callCount() < 2 {
