--- a/internal/decision/admission/overload_replay_test.go
+++ b/internal/decision/admission/overload_replay_test.go
@@ -267,7 +267,7 @@
 			if next.server == s && next.result == "" {
 				next.daemon.balancer.PrefillDone(&next.choice)
 				next.daemon.balancer.RecordFirstByte(&next.choice, "large", r.now-next.startedAt, r.now)
-				next.daemon.balancer.RecordInterEvent(&next.choice.Server, "large", 10*step, r.now)
+				next.daemon.balancer.RecordInterEvent("text", "large", 10*step)
 			}
 		})
 		r.at(end, func() {
--- a/internal/decision/catalog/catalog.go
+++ b/internal/decision/catalog/catalog.go
@@ -19,6 +19,7 @@
 	pools      map[string]Pool
 	accounts   map[string]ClientAccount // by key
 	requireKey bool
+	targets    map[string]clock.Millis // shortest latency target of a stream, by pool
 }
 
 // Tables holds the contents of a Catalog.
@@ -40,34 +41,38 @@
 		pools:      make(map[string]Pool, len(t.Pools)),
 		accounts:   t.Accounts,
 		requireKey: t.RequireKey,
+		targets:    make(map[string]clock.Millis, len(t.Pools)),
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		c.routes[r.Host] = append(c.routes[r.Host], r)
+		c.addTarget(r)
 	}
 	for _, routes := range c.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for _, p := range t.Pools {
-		p.ShortestTarget = shortestTarget(t.Routes, p.Name)
 		c.pools[p.Name] = p
 	}
 	return c
 }
 
-// shortestTarget returns the shortest latency target among the streaming routes to the pool;
-// 0 if there is none.
-func shortestTarget(routes []Route, pool string) (shortest clock.Millis) {
-	for i := range routes {
-		r := &routes[i]
-		leads := slices.ContainsFunc(r.Pools, func(p WeightedPool) bool { return p.Pool == pool })
-		if r.Stream && r.LatencyTarget > 0 && leads && (shortest == 0 || r.LatencyTarget < shortest) {
-			shortest = r.LatencyTarget
+// addTarget records the latency target of the route for its pools.
+func (c *Catalog) addTarget(r *Route) {
+	if !r.Stream || r.LatencyTarget <= 0 {
+		return
+	}
+	for _, p := range r.Pools {
+		if target, known := c.targets[p.Pool]; !known || r.LatencyTarget < target {
+			c.targets[p.Pool] = r.LatencyTarget
 		}
 	}
-	return shortest
 }
 
+// ShortestTarget returns the shortest latency target among the streaming routes to the pool;
+// 0 if there is none.
+func (c *Catalog) ShortestTarget(pool string) clock.Millis { return c.targets[pool] }
+
 // Match returns the route of the host with the longest prefix of the path; nil if none
 // matches.
 func (c *Catalog) Match(host, path string) *Route {
--- a/internal/decision/catalog/pool.go
+++ b/internal/decision/catalog/pool.go
@@ -19,7 +19,6 @@
 	TokenMemory    int          // tokens that fit into the memory of a model engine; 0 for plain servers
 	TokensPerEvent int          // of a stream
 	Models         []Model
-	ShortestTarget clock.Millis // latency target of the streaming routes to the pool; set by New
 }
 
 // HasEngines reports whether the pool's servers are model engines.
--- a/internal/decision/loadbalance/capacity.go
+++ b/internal/decision/loadbalance/capacity.go
@@ -78,8 +78,5 @@
 	if float64(s.load(r.Now).Calls) >= limit || float64(s.own.Calls) >= n.returnLimit(r, e.ID, s.slotsOf(e), limit) {
 		return false
 	}
-	if b.features.SharedCapacity && !b.hasPrefillRoom(s, r) {
-		return false
-	}
 	return !s.isCold(e, &r.Pool, r.Now) || s.coldBucket.ready(r.coldLimit(e.ID), r.Now)
 }
--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -20,9 +20,8 @@
 // retry budget, which escalations use, is exhausted.
 func (ex *exchange) firstModelUnderLoad(pool string, now clock.Millis) int {
 	r, view := ex.relay, ex.relay.View()
-	row, _ := view.Catalog.Pool(pool)
 	u := r.Balancer.Utilisation(view, pool, r.VersionRouter.AllowedVersions(view, pool, ex.req, false), now)
-	if u.Against(row.ShortestTarget) >= ampleRoom {
+	if u.Against(view.Catalog.ShortestTarget(pool)) >= ampleRoom {
 		return 0
 	}
 	largest := ex.largestModel()
@@ -33,6 +32,7 @@
 	if !r.RetryBudget.AllowsOptional(pool, now) {
 		return largest
 	}
+	row, _ := view.Catalog.Pool(pool)
 	share := r.escalationRates.Share(ex.route.Name, ex.req.Prompt.Tokens, now)
 	if cascade.LargestIsCheaper(ex.modelCost(row, ex.route.Models[0]), ex.modelCost(row, ex.route.Models[largest]), share) {
 		return largest
@@ -69,7 +69,7 @@
 		Wait:        u.Wait(complete),
 		Target:      ex.route.LatencyTarget,
 		Deadline:    ex.deadline - ex.req.ReceivedAt,
-		Utilisation: u.Against(ex.pool.ShortestTarget),
+		Utilisation: u.Against(ex.view.Catalog.ShortestTarget(ex.pool.Name)),
 	}
 	// The largest model is awaited until the small one's answer would no longer be in time.
 	inTime := now+e.Wait+firstByte+ex.smallAnswerTime(ex.model, now) < ex.deadline
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -295,7 +295,6 @@
 	defer resp.Close()
 	ex.reachedServer, ex.answeredAt = true, r.Clock.Now()
 	r.Balancer.PrefillDone(choice)
-	ex.wakeWaiting(server.Pool)
 	r.Metrics.recordFirstByte(ex.account.Name, r.Clock.Now()-req.ReceivedAt)
 	if resp.Status < http.StatusMultipleChoices {
 		ex.run.Begin(r.Clock.Now())
--- a/internal/traffic/relay/wait.go
+++ b/internal/traffic/relay/wait.go
@@ -267,14 +267,6 @@
 	r.waits.pool(r, choice.Server.Pool).wake()
 }
 
-// wakeWaiting lets the requests that wait for the pool look for a server: one has ended a
-// prefill.
-func (ex *exchange) wakeWaiting(pool string) {
-	if r := ex.relay; r.Balancer.SharesCapacity() {
-		r.waits.pool(r, pool).wake()
-	}
-}
-
 // accountUsage returns what the account uses of a pool with that room, from all daemons.
 func (r *Relay) accountUsage(pool, account string, room loadbalance.Room, now clock.Millis) admission.Usage {
 	if r.Demand == nil || account == "" {
