Log and count each decision about a small answer of low confidence

Cause: an escalation whose attempt found no budget was counted as made, and the line of a discarded answer lacked the utilisation.

--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -73,19 +73,32 @@
 	}
 	// The largest model is awaited until the small one's answer would no longer be in time.
 	inTime := now+e.Wait+firstByte+ex.smallAnswerTime(ex.model, now) < ex.deadline
-	escalates := inTime && threshold.Escalates(e) && r.RetryBudget.AllowsOptional(ex.pool.Name, now)
-	if escalates {
-		return true
-	}
+	inBudget := r.RetryBudget.AllowsOptional(ex.pool.Name, now)
+	escalates := inTime && inBudget && threshold.Escalates(e)
 	if confidence >= threshold.Normal {
 		// Kept at any load: not a decision worth a line.
 		return false
 	}
-	r.Metrics.countEscalation(ex.pool.Name, escalationKept)
-	ex.log("small answer kept", nil, "threshold", threshold.Threshold(e), "utilisation", e.Utilisation, "utilisation_age_ms", int64(u.Age),
+	if !escalates {
+		r.Metrics.countEscalation(ex.pool.Name, escalationKept)
+	}
+	ex.log("small answer of low confidence", nil, "kept", !escalates, "in_budget", inBudget, "threshold", threshold.Threshold(e), "utilisation", e.Utilisation, "utilisation_age_ms", int64(u.Age),
 		"known_servers", u.Known, "servers", u.Servers, "wait_ms", int64(e.Wait), "first_byte_ms", int64(firstByte), "complete_ms", int64(complete),
 		"remaining_ms", int64(ex.deadline-now))
-	return false
+	return escalates
+}
+
+// countPlanned counts whether an escalation that the pool's utilisation allows was planned.
+func (ex *exchange) countPlanned(planned bool, now clock.Millis) {
+	r := ex.relay
+	if !r.Balancer.AdaptsToLoad(ex.pool.Name, now) {
+		return
+	}
+	if planned {
+		r.Metrics.countEscalation(ex.pool.Name, escalationDiscarded)
+	} else {
+		r.Metrics.countEscalation(ex.pool.Name, escalationNoRoom)
+	}
 }
 
 // maxRoomChecks is the number of servers whose room is checked for an escalation. The server
@@ -114,7 +127,6 @@
 		}
 		ex.relay.Balancer.Cancel(&next.choice)
 		if full = append(full, next.choice.Server.ID); len(full) == maxRoomChecks {
-			ex.relay.Metrics.countEscalation(next.pool.Name, escalationNoRoom)
 			return nil, rejection
 		}
 	}
@@ -132,6 +144,5 @@
 	}
 	ex.log("room for escalation", &p.choice.Server, "calls", backlog.Calls, "slots", backlog.Slots, "load_age_ms", int64(backlog.Age),
 		"load_known", backlog.Known, "complete_ms", int64(complete), "remaining_ms", int64(ex.deadline-now))
-	r.Metrics.countEscalation(p.pool.Name, escalationDiscarded)
 	return nil
 }
--- a/internal/traffic/relay/cascade_under_load_test.go
+++ b/internal/traffic/relay/cascade_under_load_test.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
 )
@@ -24,6 +27,49 @@
 	f.relay.Balancer.SetPeerLoads(loads, now)
 }
 
+// TestStartsWithLargestModel guards against a small model's run whose answer is nearly always
+// discarded, and against starting with the largest model where that costs more, where room is
+// scarce or where the costs are unknown.
+func TestStartsWithLargestModel(t *testing.T) {
+	costs := []catalog.Model{{Name: "small", CostPer1000Tokens: 1}, {Name: "large", CostPer1000Tokens: 10}}
+	cases := map[string]struct {
+		models   []catalog.Model
+		low      int // of 100 small answers before
+		requests int // of other daemons, in 8 slots
+		calls    int
+	}{
+		"always discarded": {costs, 100, 0, 1},
+		"half of them":     {costs, 50, 0, 2},
+		"costs unknown":    {nil, 100, 0, 2},
+		"half full":        {costs, 100, 4, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			large := withConfidence("90", sendEvents(5, 5))
+			server := byModel(map[string]behaviour{"small": withConfidence("20", sendEvents(2, 2)), "large": large, "": large})
+			f := newFixture(t, streamRoutes(), server, server, server)
+			f.setView(func(v *fleet.View) *fleet.View {
+				return v.WithCatalog(catalog.New(catalog.Tables{
+					Version: 2, Routes: f.routes, RequireKey: true, Accounts: map[string]catalog.ClientAccount{"key-1": {Name: "smiths"}},
+					Pools: []catalog.Pool{{Name: "text", TokenMemory: 100_000, TokensPerEvent: 8, Models: c.models}},
+				}))
+			})
+			f.underLoad(c.requests)
+			for range warmUp {
+				f.send(http.MethodPost, "/draft/1", headerID, warmUpID, headerModel, "large")
+			}
+			for i := range 100 {
+				f.relay.escalationRates.Record("draft", 200, i < c.low, f.relay.Clock.Now())
+			}
+			got := f.send(http.MethodPost, "/draft/1", headerModel, "*", headerPrompt, "shared,own", headerLengthHint, "8")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, events(1, 5))
+			assert.Equal(t, f.callCount()-warmUp, c.calls)
+		})
+	}
+}
+
 // TestRejectingServerGetsLess has one of two servers reject all work while the other daemons
 // report it as free. Until it reports its own load, it must not be tried again and again.
 func TestRejectingServerGetsLess(t *testing.T) {
@@ -37,8 +83,8 @@
 	f := newFixture(t, streamRoutes(), server, server)
 	f.underLoad(0)
 	f.keepReporting(loadbalance.Load{})
-	for range 30 {
-		assert.Equal(t, f.send(http.MethodPost, "/draft/1", headerModel, "large").body, events(1, 5))
+	for i := range 30 {
+		assert.Equal(t, f.send(http.MethodPost, "/draft/1", headerModel, "large", headerID, fmt.Sprint(i)).body, events(1, 5))
 		time.Sleep(40 * time.Millisecond)
 	}
 	assert.Check(t, f.callsTo("s1") <= 1, "%d calls", f.callsTo("s1"))
--- a/internal/traffic/relay/metrics_under_load.go
+++ b/internal/traffic/relay/metrics_under_load.go
@@ -6,7 +6,7 @@
 const (
 	escalationKept      = "kept"      // at the utilisation of the pool
 	escalationDiscarded = "discarded" // in favour of the largest model's answer
-	escalationNoRoom    = "no_room"   // kept, since the chosen server had no room
+	escalationNoRoom    = "refused"   // kept, since no server had room, or the retry budget none
 )
 
 // countEscalation counts a decision about a small answer of low confidence.
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -100,9 +100,11 @@
 	}
 	if rejection != nil {
 		ex.modelIndex = small
+		ex.countPlanned(false, now)
 		ex.log("not escalated", server, "reason", rejection.Error())
 		return false
 	}
+	ex.countPlanned(true, now)
 	ex.releaseSuccessor()
 	ex.successor, ex.replaced = next, true
 	ex.escalation, ex.smallModel = escalated, small
--- a/internal/traffic/relay/quarantine_test.go
+++ b/internal/traffic/relay/quarantine_test.go
@@ -21,6 +21,7 @@
 	var p loadbalance.Prompt
 	for _, id := range strings.Split(value, ",") {
 		p.Segments = append(p.Segments, loadbalance.Segment{ID: id, Tokens: 100})
+		p.Tokens += 100
 	}
 	return p
 }
--- a/internal/traffic/relay/second_attempt.go
+++ b/internal/traffic/relay/second_attempt.go
@@ -195,14 +195,15 @@
 }
 
 // planStreamInTime plans to resume a stream on another server if it would be cut off by its
-// deadline on the present one and is expected to end in time there. It does so once.
+// deadline on the present one and is expected to end in time there. It does so once, and not
+// for a stream that began at another daemon: how many events it has had is unknown.
 func (ex *exchange) planStreamInTime(server *fleet.Entry, progress *streamProgress) bool {
 	r := ex.relay
 	now := r.Clock.Now()
 	ex.watch.progressAt = now
 	ex.events++
 	interEvent := progress.record(now)
-	if interEvent == 0 || ex.placedAnew || ex.lastEventID == "" || !ex.mayRetryAfter(server) || !r.Balancer.AdaptsToLoad(ex.pool.Name, now) {
+	if interEvent == 0 || ex.placedAnew || ex.lastEventID == "" || ex.req.LastEventID != "" || !ex.mayRetryAfter(server) || !r.Balancer.AdaptsToLoad(ex.pool.Name, now) {
 		return false
 	}
 	remaining := float64(ex.expectedTokens())/float64(max(ex.pool.TokensPerEvent, 1)) - float64(ex.events)
