Keep escalating nearly worthless answers, and measure the room by calls

Cause: in a burst the threshold fell to 0 and stayed there for six seconds although the time to the first byte was back at 90 ms: the pending prefill was estimated from the slope fitted under contention. Answers of confidence 0 were kept, which are nearly always wrong. Change: utilisation is that of calls and slots; the threshold keeps a least value of 10; servers whose load a cut-off daemon doesn't know count like the known ones.

--- a/internal/decision/cascade/escalation.go
+++ b/internal/decision/cascade/escalation.go
@@ -18,7 +18,11 @@
 	Utilisation float64
 }
 
-// Utilisations between which the threshold falls to 0. A request with little slack keeps
+// leastThreshold is the threshold in a full pool. An answer of less confidence is most
+// probably wrong, and worth an escalation that ends in time.
+const leastThreshold = 10
+
+// Utilisations between which the threshold falls to leastThreshold. A request with little slack keeps
 // its small answer sooner: the queueing time varies by seconds in a pool that is nearly
 // full, whatever the length of the deadline.
 const (
@@ -56,7 +60,9 @@
 		float64(start+e.FirstByte)/float64(max(e.Target, 1)),
 		float64(start+e.Complete)/float64(max(e.Deadline, 1)),
 	)
-	return int(e.Room() * float64(t.At(latency)))
+	highest := t.At(latency)
+	least := min(leastThreshold, highest)
+	return least + int(e.Room()*float64(highest-least))
 }
 
 // Escalates reports whether the answer is discarded: the largest model's must be complete
--- a/internal/decision/cascade/replay_test.go
+++ b/internal/decision/cascade/replay_test.go
@@ -175,7 +175,7 @@
 	threshold := cascade.ConfidenceThreshold{Normal: 58, Overloaded: 44}
 	if !threshold.Escalates(cascade.Escalation{
 		Confidence: c.confidence, Elapsed: p.now - c.arrivedAt, FirstByte: firstByte, Complete: firstByte + stream, Wait: u.Wait(firstByte + stream),
-		Target: c.kind.target, Deadline: c.kind.deadline, Utilisation: u.Against(c.kind.target),
+		Target: c.kind.target, Deadline: c.kind.deadline, Utilisation: u.Load,
 	}) {
 		return false
 	}
--- a/internal/decision/catalog/catalog.go
+++ b/internal/decision/catalog/catalog.go
@@ -4,11 +4,8 @@
 package catalog
 
 import (
-	"maps"
 	"slices"
 	"strings"
-
-	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
 // Catalog is one version of the configuration. It is immutable.
@@ -19,7 +16,6 @@
 	pools      map[string]Pool
 	accounts   map[string]ClientAccount // by key
 	requireKey bool
-	targets    map[string]clock.Millis // shortest latency target of a stream, by pool
 }
 
 // Tables holds the contents of a Catalog.
@@ -41,12 +37,10 @@
 		pools:      make(map[string]Pool, len(t.Pools)),
 		accounts:   t.Accounts,
 		requireKey: t.RequireKey,
-		targets:    make(map[string]clock.Millis, len(t.Pools)),
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		c.routes[r.Host] = append(c.routes[r.Host], r)
-		c.addTarget(r)
 	}
 	for _, routes := range c.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -57,22 +51,6 @@
 	return c
 }
 
-// addTarget records the latency target of the route for its pools.
-func (c *Catalog) addTarget(r *Route) {
-	if !r.Stream || r.LatencyTarget <= 0 {
-		return
-	}
-	for _, p := range r.Pools {
-		if target, known := c.targets[p.Pool]; !known || r.LatencyTarget < target {
-			c.targets[p.Pool] = r.LatencyTarget
-		}
-	}
-}
-
-// ShortestTarget returns the shortest latency target among the streaming routes to the pool;
-// 0 if there is none.
-func (c *Catalog) ShortestTarget(pool string) clock.Millis { return c.targets[pool] }
-
 // Match returns the route of the host with the longest prefix of the path; nil if none
 // matches.
 func (c *Catalog) Match(host, path string) *Route {
@@ -90,9 +68,6 @@
 	return p, ok
 }
 
-// Pools returns all pools, in no particular order.
-func (c *Catalog) Pools() []Pool { return slices.Collect(maps.Values(c.pools)) }
-
 // NeedsKey reports whether requests on the route need the key of a client account.
 func (c *Catalog) NeedsKey(r *Route) bool { return c.requireKey && !r.Public }
 
--- a/internal/decision/loadbalance/utilisation.go
+++ b/internal/decision/loadbalance/utilisation.go
@@ -27,17 +27,10 @@
 	Age     clock.Millis // of the oldest load that is used
 }
 
-// Against returns the utilisation for requests with the latency target: the load, or the
-// pending prefill as a share of the target if that is more. Prefill delays all requests at a
-// server, so the shortest target of the pool counts.
-func (u Utilisation) Against(target clock.Millis) float64 {
-	return max(u.Load, u.Prefill/float64(max(target, 1)))
-}
-
 // Wait returns the expected time until one more request starts, where requests take the
-// given time.
+// given time. Pending prefill is no part of it: the measured times to the first byte hold it.
 func (u Utilisation) Wait(request clock.Millis) clock.Millis {
-	return clock.Millis(u.Prefill + max(u.Load-1, 0)*float64(request))
+	return clock.Millis(max(u.Load-1, 0) * float64(request))
 }
 
 // Plus returns the utilisation of the servers of both.
@@ -50,6 +43,20 @@
 	return sum
 }
 
+// minKnown is the number of servers with a known load from which on the others count as
+// loaded alike: a daemon that is cut off from the others knows only the servers that it has
+// just called, and would take the rest of a full pool for idle.
+const minKnown = 8
+
+// extrapolated returns the utilisation with the mean known load at all servers if enough of
+// them are known.
+func (u Utilisation) extrapolated() Utilisation {
+	if u.Known >= minKnown && u.Known < u.Servers {
+		u.Load *= float64(u.Servers) / float64(u.Known)
+	}
+	return u
+}
+
 // poolUtilisation is the last utilisation of a pool by the version of its servers, and when
 // it was computed.
 type poolUtilisation struct {
@@ -116,6 +123,9 @@
 		}
 		versions[e.Version] = versions[e.Version].Plus(u)
 	}
+	for version, u := range versions {
+		versions[version] = u.extrapolated()
+	}
 	return versions
 }
 
--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -21,7 +21,7 @@
 func (ex *exchange) firstModelUnderLoad(pool string, now clock.Millis) int {
 	r, view := ex.relay, ex.relay.View()
 	u := r.Balancer.Utilisation(view, pool, r.VersionRouter.AllowedVersions(view, pool, ex.req, false), now)
-	if u.Against(view.Catalog.ShortestTarget(pool)) >= ampleRoom {
+	if u.Load >= ampleRoom {
 		return 0
 	}
 	largest := ex.largestModel()
@@ -69,7 +69,7 @@
 		Wait:        u.Wait(complete),
 		Target:      ex.route.LatencyTarget,
 		Deadline:    ex.deadline - ex.req.ReceivedAt,
-		Utilisation: u.Against(ex.view.Catalog.ShortestTarget(ex.pool.Name)),
+		Utilisation: u.Load,
 	}
 	// The largest model is awaited until the small one's answer would no longer be in time.
 	inTime := now+e.Wait+firstByte+ex.smallAnswerTime(ex.model, now) < ex.deadline
