--- a/internal/decision/catalog/catalog.go
+++ b/internal/decision/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -68,6 +69,9 @@
 	return p, ok
 }
 
+// Pools returns all pools, in no particular order.
+func (c *Catalog) Pools() []Pool { return slices.Collect(maps.Values(c.pools)) }
+
 // NeedsKey reports whether requests on the route need the key of a client account.
 func (c *Catalog) NeedsKey(r *Route) bool { return c.requireKey && !r.Public }
 
