Let the threshold fall to 0 while requests queue

Cause: the least threshold of 10 also held in a pool where requests queue, and the property test of the threshold wanted 0 in a full pool. Change: at full utilisation the threshold is 10 at most, and 0 from 1.25 on. The test now wants both: 10 at most from 100%, 0 at 125%, falling by degrees all the way.

--- a/internal/decision/cascade/escalation.go
+++ b/internal/decision/cascade/escalation.go
@@ -19,8 +19,12 @@
 }
 
 // leastThreshold is the threshold in a full pool. An answer of less confidence is most
-// probably wrong, and worth an escalation that ends in time.
-const leastThreshold = 10
+// probably wrong, and worth an escalation that ends in time. From there the threshold falls
+// to 0 at the utilisation queueingLoad, where escalations would wait.
+const (
+	leastThreshold = 10
+	queueingLoad   = 1.25
+)
 
 // Utilisations between which the threshold falls to leastThreshold. A request with little slack keeps
 // its small answer sooner: the queueing time varies by seconds in a pool that is nearly
@@ -61,8 +65,9 @@
 		float64(start+e.Complete)/float64(max(e.Deadline, 1)),
 	)
 	highest := t.At(latency)
-	least := min(leastThreshold, highest)
-	return least + int(e.Room()*float64(highest-least))
+	queueing := min(max((queueingLoad-e.Utilisation)/(queueingLoad-1), 0), 1)
+	least := queueing * float64(min(leastThreshold, highest))
+	return int(least + e.Room()*(float64(highest)-least))
 }
 
 // Escalates reports whether the answer is discarded: the largest model's must be complete
