Test the small model's answer in time with kept and with discarded answers

Cause: a short answer is now kept, so TestSmallAnswerInTime saw two calls in place of three. Change: the test has both cases, the long one with three calls as before.

--- a/internal/traffic/relay/second_attempt_test.go
+++ b/internal/traffic/relay/second_attempt_test.go
@@ -149,15 +149,27 @@
 }
 
 // TestSmallAnswerInTime has the largest model's servers stall after a small answer was
-// discarded for it. The caller must get the small model's answer before the deadline.
+// discarded for it. The caller must get the small model's answer before the deadline: a
+// short one that was kept, or a long one that the small model gives again.
 func TestSmallAnswerInTime(t *testing.T) {
-	server := byModel(map[string]behaviour{"small": withConfidence("20", sendEvents(5, 5)), "large": hang})
-	f := newFixture(t, streamRoutes(), server, server, server)
-	f.underLoad(0)
-	got := f.send(http.MethodPost, "/draft/1", headerModel, "*")
-	assert.NilError(t, got.err)
-	assert.Equal(t, got.body, events(1, 5))
-	assert.Equal(t, f.callCount(), 3)
+	for name, c := range map[string]struct {
+		lengthHint string
+		calls      int
+	}{
+		"short": {"0", 2},
+		"long":  {"16", 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := byModel(map[string]behaviour{"small": withConfidence("20", sendEvents(5, 5)), "large": hang})
+			f := newFixture(t, streamRoutes(), server, server, server)
+			f.underLoad(0)
+			got := f.send(http.MethodPost, "/draft/1", headerModel, "*", headerLengthHint, c.lengthHint)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, events(1, 5))
+			assert.Equal(t, f.callCount(), c.calls)
+		})
+	}
 }
 
 // TestStreamBehindItsDeadline has a server send its events too slowly for the deadline. The
