Spread requests more widely over plain servers with stale reports

At plain servers the load changes several times between two reports, so that many daemons sent to the same server.

--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -29,6 +29,8 @@
 	maxUnsampledHosts = 5
 	// minSample is the minimum size of a sample, on average.
 	minSample = 4
+	// unevenSampleShare bounds minSample in pools of few uneven servers, as a share of them.
+	unevenSampleShare = 0.4
 )
 
 // sampleBound returns the highest hash of request and server with which the server is
@@ -42,7 +44,7 @@
 	least := float64(minSample)
 	if uneven {
 		// Without samples, each of a few servers would in turn get the requests of all daemons.
-		least = min(least, float64(servers)/2)
+		least = min(least, unevenSampleShare*float64(servers))
 	}
 	share = max(share, least/float64(max(servers, 1)))
 	if share >= 1 {
--- a/internal/decision/loadbalance/finish.go
+++ b/internal/decision/loadbalance/finish.go
@@ -12,10 +12,13 @@
 	// of an uneven server. Callers have a target for the first event, and for the last only
 	// a deadline that is several times later.
 	lastEventWeight = 0.1
-	// unevenNoise is the mean of the random cost at a server whose free capacity equals its
-	// slots. It is larger, the less is free. One request more or less at a server, which
-	// other daemons may have placed since their reports, must not decide.
-	unevenNoise = costEngineCall
+	// engineNoise is the mean of the random cost at a model engine whose free capacity equals
+	// its slots. It is larger, the less is free. One request more or less, which other
+	// daemons may have placed since their reports, must not decide.
+	engineNoise = costEngineCall
+	// plainNoise is the same at a plain server, whose load changes several times between
+	// two reports.
+	plainNoise = 200.0
 	// minRoom is the least free capacity that is assumed, as a share of the slots.
 	minRoom = 0.05
 )
@@ -66,9 +69,9 @@
 	r := p.request
 	load, lasting := s.load(r.Now), s.lastingSlowness()
 	f := p.finish(s, e, which)
-	call := costPlainCall
+	call, noise := costPlainCall, plainNoise
 	if r.Pool.HasEngines() {
-		call = costEngineCall
+		call, noise = costEngineCall, engineNoise
 	}
 	cost := f.firstEvent + lastEventWeight*(f.lastEvent-f.firstEvent)
 	cost += lasting*call*float64(load.Calls) + costPrefill*float64(p.prefillTokens[which])/1000
@@ -77,5 +80,5 @@
 	// its rate.
 	const steps = 1 << 20
 	unit := (float64(container.CombineHash(r.Salt, e.ID)%steps) + 1) / steps
-	return cost - unevenNoise*math.Log(unit)/max(room, minRoom)
+	return cost - noise*math.Log(unit)/max(room, minRoom)
 }
--- a/internal/decision/loadbalance/speed_records.go
+++ b/internal/decision/loadbalance/speed_records.go
@@ -14,11 +14,12 @@
 	s, latency := b.state(&c.Server), b.models[key]
 	hasEstimate := latency.weight >= minWeight
 	slowness := s.currentSlowness(now)
-	if hasEstimate && c.HasEstimate && !c.queued && !c.sharesPrefix {
+	isFull := s.load(now).Calls >= s.slotsOf(&c.Server) // by the server's own report
+	if hasEstimate && c.HasEstimate && !c.queued && !isFull && !c.sharesPrefix {
 		expected := max(float64(c.unloadedFirstByte+c.pendingPrefill), 1)
 		s.speed.learn(float64(max(firstByte, 1))/expected, firstByteWeight, now)
 	}
-	if c.queued && hasEstimate {
+	if (c.queued || isFull) && hasEstimate {
 		return // the time in the server's queue says nothing about its speed
 	}
 	typical := clock.Millis(float64(firstByte)/slowness) - c.pendingPrefill
