--- a/internal/decision/loadbalance/pace.go
+++ b/internal/decision/loadbalance/pace.go
@@ -56,6 +56,10 @@
 		return
 	}
 	b.paceStatedAt[e.Pool] = now
+	if p := b.speeds.pools[e.Pool]; !p.isUneven {
+		p.refreshedAt = 0
+		b.speeds.pools[e.Pool] = p
+	}
 	speed := b.state(e).speed
 	speed.pace = speed.pace.With(percent, true, now)
 }
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -42,6 +42,7 @@
 	headerLeaving     = "X-Leaving"
 	headerPause       = "X-Pause"  // ms
 	headerLimit       = "X-Limit"  // requests a second
+	headerPace        = "X-Pace"   // percent
 	headerPrompt      = "X-Prompt" // segments
 )
 
@@ -83,6 +84,13 @@
 	} else if h.Get(headerSigned) != "" {
 		info.Limit = loadbalance.Limit{Kind: loadbalance.NoLimit}
 	}
+	if pace := h.Get(headerPace); pace != "" {
+		info.Pace, _ = strconv.Atoi(pace)
+		info.PaceKind = loadbalance.MalformedPace
+		if info.Pace > 0 {
+			info.PaceKind = loadbalance.ValidPace
+		}
+	}
 	if pause, err := strconv.Atoi(h.Get(headerPause)); err == nil {
 		info.TurnedAway, info.Pause, info.PauseKind = true, clock.Millis(pause), ValidPause
 	}
