--- a/internal/decision/loadbalance/hot_prefixes_test.go
+++ b/internal/decision/loadbalance/hot_prefixes_test.go
@@ -8,6 +8,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
 // unevenBalancer returns a balancer that takes all pools' servers for uneven.
@@ -92,3 +93,58 @@
 	assert.Assert(t, reports[0].Work > 20*reports[1].Work, "%v", reports[:2])
 	assert.Assert(t, preferredCount(b, "hot", now) > 1)
 }
+
+// TestHotPromptIsSampled guards against all daemons sending a hot prompt to the same one of
+// its servers by the same reports: an idle one must get no more than half of the requests.
+// A quarter have it in their sample of two in eight preferred servers, and a sixth in that
+// of all servers.
+func TestHotPromptIsSampled(t *testing.T) {
+	const choices = 670
+	v, hot, now := engines(24), unevenBalancer(), speedTestStart
+	sendPrompts(t, hot, "hot", 30, now)
+	now += 20_000
+	reports := hot.OwnPrefixes(now)
+	counts := make(map[string]int)
+	for d := range choices {
+		b := unevenBalancer()
+		others := make(map[string]Load)
+		for i, id := range v.ServerIDs() {
+			others[id] = Load{Calls: 8 + i%2, Prefill: 100}
+		}
+		request := Request{
+			Pool: textPool(), Model: "m", Prompt: prompt("hot", 2_000), Now: now, Salt: container.Hash(fmt.Sprint(d)), Hosts: make([]string, 67),
+		}
+		c, _ := b.Choose(v, request)
+		b.Cancel(&c)
+		b.SetPeerPrefixes(reports, true, now)
+		first := b.newPlacement(v, &request, v.Pool("text")).preferred[0]
+		others[v.Pool("text")[first].ID] = Load{}
+		b.SetPeerLoads(others, now)
+		c, result := b.Choose(v, request)
+		assert.Equal(t, result, Chosen)
+		counts[c.Server.ID]++
+	}
+	for id, n := range counts {
+		assert.Assert(t, n <= choices/2, "%s got %d of %d", id, n, choices)
+	}
+}
+
+// TestFewUnevenServersAreShared guards against all daemons sending to the one of a few servers
+// that their reports show as idle: it must get no more than three in four of the requests.
+func TestFewUnevenServersAreShared(t *testing.T) {
+	const choices = 670
+	v := plainServers("a", "b", "c", "d")
+	counts := make(map[string]int)
+	for d := range choices {
+		b := unevenBalancer()
+		request := plainRequest("", speedTestStart)
+		request.Tried, request.Hosts, request.Salt = nil, make([]string, 67), container.Hash(fmt.Sprint(d))
+		c, _ := b.Choose(v, request)
+		b.Cancel(&c)
+		b.SetPeerLoads(map[string]Load{"b": {Calls: 17}, "c": {Calls: 17}, "d": {Calls: 17}}, speedTestStart)
+		c, result := b.Choose(v, request)
+		assert.Equal(t, result, Chosen)
+		counts[c.Server.ID]++
+	}
+	assert.Assert(t, counts["a"] <= choices*3/4, "%v", counts)
+}
