--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -46,6 +46,8 @@
 	DemandDaemons int                `json:"v,omitempty"`
 	// Tokens are the tokens of the requests in Loads; nil unless the daemons count them.
 	Tokens *TokenReport `json:"o,omitempty"`
+	// Prefixes are the shared prefixes of prompts with the most requests there.
+	Prefixes []loadbalance.PrefixReport `json:"hp,omitempty"`
 }
 
 // maxCrashes bounds the crashes in a snapshot. The newest ones are kept.
@@ -75,6 +77,7 @@
 	limits      map[serverStart]loadbalance.LimitReport
 	members     map[uint32]bool // that share the limits
 	speeds      speedTotals
+	prefixes    prefixTotals
 
 	demand    demand.Sum
 	demandAge clock.Millis // of the newest report in demand
@@ -99,6 +102,7 @@
 		members:     make(map[uint32]bool),
 		speeds:      make(speedTotals),
 		tokens:      make(map[string]loadbalance.TokenLoad),
+		prefixes:    make(prefixTotals),
 	}
 }
 
@@ -109,6 +113,7 @@
 	t.addLimits(s.Limits, elapsed)
 	t.speeds.add(s.Speeds, elapsed)
 	if fresh {
+		t.prefixes.add(s.Prefixes)
 		for _, member := range s.LimitMembers {
 			t.members[member] = true
 		}
@@ -188,7 +193,7 @@
 		Loads: t.loads, Departures: slices.Collect(maps.Keys(t.departures)),
 		Crashes: t.newestCrashes(), SoundRuns: slices.Collect(maps.Values(t.soundRuns)),
 		Limits: loadbalance.LatestLimits(slices.Collect(maps.Values(t.limits))), LimitMembers: slices.Collect(maps.Keys(t.members)),
-		Speeds: t.speeds.reports(),
+		Speeds: t.speeds.reports(), Prefixes: t.prefixes.reports(),
 		Tokens: newTokenReport(t.loads, t.tokens),
 	}
 	if t.demand.Daemons() > 0 {
--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -45,6 +45,7 @@
 	runTimes     map[modelKey]runTime       // with an empty model: of all models of the pool
 	peersHeardAt clock.Millis               // see SetPeersHeard
 	speeds       speeds
+	hot          hotPrefixes
 	decode       map[modelKey]eventTimes // of pools with uneven servers
 	peerReportAt clock.Millis            // of the last SetPeerLoads
 	credits      map[string]*startCredit // by pool
@@ -85,6 +86,7 @@
 		utilisations:  make(map[string]poolUtilisation),
 		runTimes:      make(map[modelKey]runTime),
 		speeds:        newSpeeds(),
+		hot:           newHotPrefixes(),
 		decode:        make(map[modelKey]eventTimes),
 		credits:       make(map[string]*startCredit),
 		tokens:        newTokenMemory(),
--- a/internal/decision/loadbalance/choose.go
+++ b/internal/decision/loadbalance/choose.go
@@ -31,6 +31,8 @@
 	maxUnsampledHosts = 5
 	// minSample is the minimum size of a sample, on average.
 	minSample = 4
+	// unevenSampleShare bounds minSample in pools of few uneven servers, as a share of them.
+	unevenSampleShare = 0.4
 )
 
 // sampleBound returns the highest hash of request and server with which the server is
@@ -44,7 +46,7 @@
 	least := float64(minSample)
 	if uneven {
 		// Without samples, each of a few servers would in turn get the requests of all daemons.
-		least = min(least, float64(servers)/2)
+		least = min(least, unevenSampleShare*float64(servers))
 	}
 	share = max(share, least/float64(max(servers, 1)))
 	if share >= 1 {
@@ -134,7 +136,7 @@
 			}
 			continue
 		}
-		cost := p.cost(i, s, e) + b.sampleCost(s, e, n, &r, p.isPreferred(i), p.bound)
+		cost := p.cost(i, s, e) + b.sampleCost(s, e, n, &r, p.inSample(i, e))
 		if cost < lowest {
 			best, lowest = i, cost
 		}
@@ -145,6 +147,9 @@
 	choice := p.choice(best, b.state(&entries[best]), &entries[best])
 	choice.LastResort = lowest >= costEjected
 	b.start(&choice, &r)
+	if p.uneven && len(b.prefixBuf) > 0 {
+		b.hot.record(b.prefixBuf[len(b.prefixBuf)-1].Hash, p.work(), r.Now)
+	}
 	return choice, Chosen
 }
 
--- a/internal/decision/loadbalance/start_credit.go
+++ b/internal/decision/loadbalance/start_credit.go
@@ -53,7 +53,7 @@
 
 // sampleCost returns the cost that ranks groups of servers: those in the request's sample,
 // which bound defines, outside it, with all slots in use, and leaving.
-func (b *Balancer) sampleCost(s *serverState, e *fleet.Entry, n *announcement, r *Request, isPreferred bool, bound uint64) float64 {
+func (b *Balancer) sampleCost(s *serverState, e *fleet.Entry, n *announcement, r *Request, inSample bool) float64 {
 	switch {
 	case n.isLeaving():
 		return costLeaving
@@ -61,7 +61,7 @@
 		return costBeyondSlots
 	case b.limits.of(e) != nil:
 		return -costUnusedToken
-	case !isPreferred && bound < math.MaxUint64 && container.CombineHash(r.Salt, e.ID) > bound:
+	case !inSample:
 		return b.unsampledCost(container.CombineHash(r.Salt, e.ID))
 	}
 	return 0
--- a/internal/decision/loadbalance/token_memory.go
+++ b/internal/decision/loadbalance/token_memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
@@ -62,8 +63,8 @@
 type tokenNeed struct {
 	private  int
 	prefix   uint32
-	shared   int    // tokens of the prefix
-	cachedAt string // ID of the server at which the prefix is shared
+	shared   int      // tokens of the prefix
+	cachedAt []string // IDs of the servers at which the prefix is shared
 	// competitors is how many other requests may be started at a server within
 	// tokenReportLag, if the other daemons get as many as this one.
 	competitors int
@@ -73,7 +74,7 @@
 
 // at returns the need at the server: the prefix is private at servers that don't share it.
 func (n tokenNeed) at(server string) tokenNeed {
-	if n.shared > 0 && n.cachedAt != server {
+	if n.shared > 0 && !slices.Contains(n.cachedAt, server) {
 		n.private, n.shared = n.total(), 0
 	}
 	return n
@@ -132,16 +133,18 @@
 }
 
 // tokenNeed returns what the request needs; nothing if token memory isn't counted.
-func (b *Balancer) tokenNeed(r *Request, entries []fleet.Entry, preferred int) tokenNeed {
+func (b *Balancer) tokenNeed(r *Request, entries []fleet.Entry, preferred []int) tokenNeed {
 	if !b.features.SharedCapacity || !r.Pool.HasEngines() {
 		return tokenNeed{}
 	}
 	need := tokenNeed{private: r.Prompt.Tokens + r.Prompt.MaxOutputTokens}
-	if preferred >= 0 {
+	if len(preferred) > 0 {
 		longest := b.prefixBuf[len(b.prefixBuf)-1]
 		need.prefix, need.shared = longest.TokenPrefix(), min(longest.Tokens, r.Prompt.Tokens)
 		need.private -= need.shared
-		need.cachedAt = entries[preferred].ID
+		for _, i := range preferred {
+			need.cachedAt = append(need.cachedAt, entries[i].ID)
+		}
 	}
 	arrived := b.tokens.arrived[r.Pool.Name]
 	if arrived == nil {
