--- a/internal/decision/demand/ledger.go
+++ b/internal/decision/demand/ledger.go
@@ -26,6 +26,8 @@
 	peers   peers
 	weights map[string]float64 // by account; 1 if absent
 	salt    string
+	since   clock.Millis // when the records began
+	hosts   func() int   // number of all daemons; nil if only SetPeers states it
 }
 
 // pool is the state of one pool.
@@ -36,6 +38,7 @@
 
 // account is the demand of this daemon for one pool and client account.
 type account struct {
+	since   clock.Millis        // when the ledger's records began
 	classes map[int]*ClassUsage // by urgency
 	started rate                // of requests shorter than window
 	arrived rate                // the same, from their arrival
@@ -58,6 +61,23 @@
 	l.salt = name
 }
 
+// SetBeginning sets when the records began, which must not depend on a request: rates would
+// be too high after it. Until then they count as complete.
+func (l *Ledger) SetBeginning(now clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.since = now
+}
+
+// SetHostCount sets the function that returns the number of hosts with a daemon, including
+// this one. It is called at each division, so that a daemon knows its part of the capacity
+// before its first report. It must not call the ledger.
+func (l *Ledger) SetHostCount(hosts func() int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts = hosts
+}
+
 // SetWeights sets the weights of the accounts' shares. Accounts without one have weight 1.
 func (l *Ledger) SetWeights(weights map[string]float64) {
 	l.mu.Lock()
@@ -126,7 +146,7 @@
 	a, ok := p.accounts[c.Account]
 	if !ok {
 		a = &account{
-			classes: make(map[int]*ClassUsage),
+			since: l.since, classes: make(map[int]*ClassUsage),
 			started: rate{window: window}, arrived: rate{window: window}, recent: rate{window: recentWindow},
 		}
 		p.accounts[c.Account] = a
@@ -146,7 +166,7 @@
 
 // used returns the server time that the account's requests take, in ms per ms.
 func (a *account) used(now clock.Millis) float64 {
-	return a.started.perMs(now) + float64(a.longRunning)
+	return a.started.perMs(a.since, now) + float64(a.longRunning)
 }
 
 // usage returns the account's part of a report.
@@ -154,7 +174,7 @@
 	long := float64(a.longRunning + a.longWaiting)
 	u := AccountUsage{
 		Name: name, Used: toThousandths(a.used(now)),
-		Arrived: toThousandths(a.arrived.perMs(now) + long), Recent: toThousandths(a.recent.perMs(now) + long),
+		Arrived: toThousandths(a.arrived.perMs(a.since, now) + long), Recent: toThousandths(a.recent.perMs(a.since, now) + long),
 	}
 	for _, c := range a.classes {
 		if c.Running > 0 || c.Waiting > 0 {
--- a/internal/decision/demand/ledger_test.go
+++ b/internal/decision/demand/ledger_test.go
@@ -29,28 +29,28 @@
 		}
 		return ClassUsage{}
 	}
-	r := l.Arrive(Class{Pool: "p", Account: "a", Urgency: 3}, 100, 1_000)
-	assert.DeepEqual(t, counts(1_000), ClassUsage{Urgency: 3, Waiting: 1, WaitingWork: 100}, ignoreCodec)
-	r.Start(1_010)
-	r.Start(1_020)
-	assert.DeepEqual(t, counts(1_020), ClassUsage{Urgency: 3, Running: 1, RunningWork: 100}, ignoreCodec)
-	assert.Equal(t, l.Usage(1_020)[0].Accounts[0].Used, 50, "100 ms over 2 s, once")
-	r.End(1_200)
-	r.End(1_300)
-	assert.DeepEqual(t, counts(1_300), ClassUsage{}, ignoreCodec)
-	l.SetPeers(nil, 1, 60_000)
+	r := l.Arrive(Class{Pool: "p", Account: "a", Urgency: 3}, 100, 101_000)
+	assert.DeepEqual(t, counts(101_000), ClassUsage{Urgency: 3, Waiting: 1, WaitingWork: 100}, ignoreCodec)
+	r.Start(101_010)
+	r.Start(101_020)
+	assert.DeepEqual(t, counts(101_020), ClassUsage{Urgency: 3, Running: 1, RunningWork: 100}, ignoreCodec)
+	assert.Equal(t, l.Usage(101_020)[0].Accounts[0].Used, 50, "100 ms over 2 s, once")
+	r.End(101_200)
+	r.End(101_300)
+	assert.DeepEqual(t, counts(101_300), ClassUsage{}, ignoreCodec)
+	l.SetPeers(nil, 1, 160_000)
 	assert.Equal(t, len(l.pools["p"].accounts), 0, "forgotten")
 }
 
 // Guards against an account that is charged for work that wasn't done.
 func TestUnusedWorkIsGivenBack(t *testing.T) {
 	l := NewLedger()
-	r := l.Arrive(Class{Pool: "p", Account: "a"}, 1_000, 1_000)
-	r.Start(1_000)
-	r.End(1_100)
+	r := l.Arrive(Class{Pool: "p", Account: "a"}, 1_000, 101_000)
+	r.Start(101_000)
+	r.End(101_100)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	used := l.pools["p"].accounts["a"].used(1_100)
+	used := l.pools["p"].accounts["a"].used(101_100)
 	assert.Assert(t, used > 0.045 && used < 0.05, "%v for 100 ms of 2 s", used)
 }
 
@@ -136,3 +136,17 @@
 		}
 	})
 }
+
+// Guards against a flood that daemons which start together take for little, since their
+// rates have just begun, and against rates that are too high then.
+func TestRateOfAYoungLedger(t *testing.T) {
+	l := NewLedger()
+	l.SetBeginning(1_000)
+	for now := clock.Millis(1_010); now <= 2_000; now += 10 {
+		l.Arrive(Class{Pool: "p", Account: "a"}, 5, now).Start(now)
+	}
+	u := l.Usage(2_000)[0].Accounts[0]
+	for name, rate := range map[string]int{"used": u.Used, "arrived": u.Arrived, "recent": u.Recent} {
+		assert.Check(t, rate > 490 && rate < 510, "%s: %d thousandths for 5 ms in 10 ms", name, rate)
+	}
+}
--- a/internal/decision/demand/pace.go
+++ b/internal/decision/demand/pace.go
@@ -32,15 +32,13 @@
 )
 
 // bind sets the account's share and this daemon's part of it. A newly bound account begins
-// with the debt of what it used beyond its share in the last window, and with a part of
-// one request, which differs between daemons: all learn of the excess at almost the same
-// time and would start a request each.
-func (p *pace) bind(fair, part, catchUp, used, request float64, now clock.Millis) {
+// with the debt.
+func (p *pace) bind(fair, part, catchUp, debt float64, now clock.Millis) {
 	p.part = max(part, minPart)
 	if p.bound {
 		p.advance(now)
 	} else {
-		p.bound, p.credit = true, min(fair-used, 0)*p.part*float64(window)-request
+		p.bound, p.credit = true, -debt
 	}
 	p.perMs, p.at = fair*p.part*catchUp, now
 }
--- a/internal/decision/demand/rate.go
+++ b/internal/decision/demand/rate.go
@@ -38,7 +38,13 @@
 	r.work = max(r.work, 0)
 }
 
-// perMs returns the rate in ms of server time per ms.
-func (r *rate) perMs(now clock.Millis) float64 {
-	return r.work * r.decay(now-r.at) / float64(r.window)
+// minAge is the least time over which a rate is averaged.
+const minAge = 200 * clock.Millis(1)
+
+// perMs returns the rate in ms of server time per ms. Records began at the earlier time: a
+// rate that is younger than its window would be too low, and daemons that restart together
+// would take a flood for little.
+func (r *rate) perMs(since, now clock.Millis) float64 {
+	observed := 1 - r.decay(max(now-since, minAge))
+	return r.work * r.decay(now-r.at) / (float64(r.window) * observed)
 }
--- a/internal/decision/demand/replay_test.go
+++ b/internal/decision/demand/replay_test.go
@@ -85,6 +85,7 @@
 	for i := range daemons {
 		d := &replayDaemon{ledger: NewLedger()}
 		d.ledger.SetHost(fmt.Sprintf("host-%d-%d", seed, i))
+		d.ledger.SetBeginning(r.now)
 		r.daemons = append(r.daemons, d)
 	}
 	for range replayServers {
--- a/internal/decision/demand/share.go
+++ b/internal/decision/demand/share.go
@@ -106,6 +106,9 @@
 // divide computes the fair level of the pool and paces the accounts that send more than
 // their share. l.mu must be held.
 func (l *Ledger) divide(p *pool, name string, others peerPool, capacity float64, now clock.Millis) {
+	if l.hosts != nil {
+		l.peers.daemons = l.hosts()
+	}
 	s := shares{valid: true, at: now, given: capacity, capacity: capacity * l.peers.covered(now) * usableShare}
 	usages := maps.Clone(others.accounts)
 	if usages == nil {
@@ -138,6 +141,14 @@
 			continue
 		}
 		part := a.usage(account, now).wanted() / u.wanted()
-		a.pace.bind(fair, part, factor, fromThousandths(u.Used), l.phase(name, account)*float64(a.lastWork), now)
+		a.pace.bind(fair, part, factor, l.debt(a, part*(fromThousandths(u.Used)-fair), l.phase(name, account), now), now)
 	}
 }
+
+// debt returns the work that an account owes when it is found to send more than its share:
+// what this daemon started beyond its part lately, at the given rate, and a part of one
+// request, which differs between daemons. All learn of the excess at almost the same time
+// and would start a request each.
+func (l *Ledger) debt(a *account, excess, phase float64, now clock.Millis) float64 {
+	return max(excess, 0)*float64(min(now-l.since, window)) + phase*float64(a.lastWork)
+}
--- a/internal/program/entry/demand.go
+++ b/internal/program/entry/demand.go
@@ -15,9 +15,11 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
 )
 
-func newDemandLedger(s settings.Settings) *demand.Ledger {
+func newDemandLedger(c clock.Clock, s settings.Settings, manager *viewstate.Manager) *demand.Ledger {
 	l := demand.NewLedger()
 	l.SetHost(s.Host)
+	l.SetBeginning(c.Now())
+	l.SetHostCount(func() int { return len(manager.View().Hosts) })
 	return l
 }
 
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -31,7 +31,7 @@
 	sharedRetryBudget := newRetryBudget(system, s)
 	tracker := quarantine.NewTracker()
 	entryQuarantineFeed := newQuarantineFeed(log, system, s, manager, aggregator, tracker)
-	ledger := newDemandLedger(s)
+	ledger := newDemandLedger(system, s, manager)
 	set := metrics.NewSet()
 	entryDemandFeed := newDemandFeed(log, system, manager, aggregator, balancer, ledger, set)
 	exchange := newExchange(log, system, s, manager, aggregator, balancer, router, sharedRetryBudget, client, entryQuarantineFeed, entryDemandFeed)
