--- a/internal/decision/demand/failure_test.go
+++ b/internal/decision/demand/failure_test.go
@@ -195,6 +195,7 @@
 		if d.frozen {
 			continue
 		}
+		refused := make(map[string]bool)
 		d.waiting = slices.DeleteFunc(d.waiting, func(q *replayRequest) bool {
 			if r.now-q.arrivedAt >= replayDeadline {
 				q.record.End(r.now)
@@ -203,7 +204,8 @@
 				}
 				return true
 			}
-			return r.start(d, q)
+			refused[q.class.Account] = refused[q.class.Account] || !r.start(d, q)
+			return !refused[q.class.Account]
 		})
 	}
 }
--- a/internal/decision/demand/replay_test.go
+++ b/internal/decision/demand/replay_test.go
@@ -152,12 +152,14 @@
 func (r *replay) poll() bool {
 	waiting := false
 	for _, d := range r.daemons {
+		refused := make(map[string]bool) // accounts; the others of them would be refused too
 		d.waiting = slices.DeleteFunc(d.waiting, func(q *replayRequest) bool {
 			if r.now-q.arrivedAt >= replayDeadline {
 				q.record.End(r.now)
 				return true
 			}
-			return r.send(d, q)
+			refused[q.class.Account] = refused[q.class.Account] || !r.send(d, q)
+			return !refused[q.class.Account]
 		})
 		waiting = waiting || len(d.waiting) > 0
 	}
--- a/internal/decision/demand/share.go
+++ b/internal/decision/demand/share.go
@@ -24,8 +24,9 @@
 
 const (
 	// usableShare is the part of a capacity that is divided. Queues at the servers would
-	// grow without bound at a utilisation of 1.
-	usableShare = 0.95
+	// grow without bound at a utilisation of 1; at most five in a hundred may be idle while
+	// work waits.
+	usableShare = 0.955
 	// shareLifetime is how long a computed level is used. An account's rate changes little
 	// in that time.
 	shareLifetime = 20 * clock.Millis(1)
