Leave headroom with the square root of a pool's capacity

Cause: with 0.95 divided, 160 slots for streams were idle for 0.055 to 0.065 of the time while work waited; 15 slots need that much headroom, 160 don't. Change: 0.19 times the square root of the capacity stays undivided, at most a twentieth.

--- a/internal/decision/demand/ledger_test.go
+++ b/internal/decision/demand/ledger_test.go
@@ -120,7 +120,7 @@
 			peers[0].Accounts = append(peers[0].Accounts, u)
 		}
 		l.SetPeers(peers, daemons, now)
-		equal := capacity * usableShare * l.peers.covered(now) / float64(accounts)
+		equal := usable(capacity) * l.peers.covered(now) / float64(accounts)
 		for i := range accounts {
 			c := Class{Pool: "p", Account: fmt.Sprintf("a%d", i)}
 			s := l.Share(c, capacity, now)
--- a/internal/decision/demand/share.go
+++ b/internal/decision/demand/share.go
@@ -23,10 +23,13 @@
 func (s Share) Excess() bool { return s.Competing && s.Used > s.Fair }
 
 const (
-	// usableShare is the part of a capacity that is divided. Queues at the servers would
-	// grow without bound at a utilisation of 1; at most five in a hundred may be idle while
-	// work waits.
-	usableShare = 0.95
+	// minUsable is the least part of a capacity that is divided: at most five in a hundred
+	// may be idle while work waits.
+	minUsable = 0.95
+	// headroomFactor times the square root of a capacity is left undivided. Queues at the
+	// servers would grow without bound at a utilisation of 1, and random arrivals vary with
+	// the square root.
+	headroomFactor = 0.19
 	// overFactor is how much more than its share an account must send before it is paced:
 	// steady accounts vary by that much, and a paced one waits at daemons that rarely start
 	// a request of it.
@@ -36,6 +39,11 @@
 	shareLifetime = 20 * clock.Millis(1)
 )
 
+// usable returns the part of the capacity that is divided.
+func usable(capacity float64) float64 {
+	return max(capacity-headroomFactor*math.Sqrt(capacity), minUsable*capacity)
+}
+
 // shares is the division of a pool's capacity, as computed last.
 type shares struct {
 	valid     bool
@@ -115,7 +123,7 @@
 	if l.hosts != nil {
 		l.peers.daemons = l.hosts()
 	}
-	s := shares{valid: true, at: now, given: capacity, capacity: capacity * l.peers.covered(now) * usableShare}
+	s := shares{valid: true, at: now, given: capacity, capacity: usable(capacity) * l.peers.covered(now)}
 	usages := maps.Clone(others.accounts)
 	if usages == nil {
 		usages = make(map[string]AccountUsage, len(p.accounts))
