--- a/internal/decision/demand/pace.go
+++ b/internal/decision/demand/pace.go
@@ -86,6 +86,16 @@
 	return min(max(1+unused/paced, minCatchUp), maxCatchUp)
 }
 
+// allowedQueue is the number of requests in flight per slot up to which servers are
+// thought to have no queue that matters: reports are late, and slots differ in speed.
+const allowedQueue = 1.5
+
+// relief returns the factor by which paced accounts start less while servers queue, so
+// that the others don't wait behind what was started before the excess was known.
+func relief(running int, capacity float64) float64 {
+	return min(max(1+allowedQueue-float64(running)/capacity, 0), 1)
+}
+
 // phase returns a number from 0 to 1 that differs between daemons.
 func (l *Ledger) phase(pool, account string) float64 {
 	return container.UnitHash(l.salt, pool, account)
--- a/internal/decision/demand/share.go
+++ b/internal/decision/demand/share.go
@@ -29,7 +29,7 @@
 	// headroomFactor times the square root of a capacity is left undivided. Queues at the
 	// servers would grow without bound at a utilisation of 1, and random arrivals vary with
 	// the square root.
-	headroomFactor = 0.19
+	headroomFactor = 0.09
 	// overFactor is how much more than its share an account must send before it is paced:
 	// steady accounts vary by that much, and a paced one waits at daemons that rarely start
 	// a request of it.
@@ -132,21 +132,23 @@
 		usages[account] = usages[account].Plus(a.usage(account, now))
 	}
 	claims := make([]claim, 0, len(usages)+1)
-	used := 0.0
+	used, running := 0.0, 0
 	for account, u := range usages {
 		claims = append(claims, claim{demand: u.wanted(), weight: l.weight(account)})
 		used += fromThousandths(u.Used)
+		running += u.running()
 	}
 	if rest := others.rest; rest != nil {
 		claims = append(claims, claim{demand: rest.wanted(), weight: restWeight})
 		used += fromThousandths(rest.Used)
+		running += rest.running()
 	}
 	for _, c := range claims {
 		s.wanted += c.demand
 	}
 	s.level = fairLevel(claims, s.capacity)
 	s.sharesOut = !math.IsInf(s.level, 1)
-	factor := catchUp(claims, s.level, s.capacity-used)
+	factor := catchUp(claims, s.level, s.capacity-used) * relief(running, s.capacity)
 	p.shares = s
 	for account, a := range p.accounts {
 		u, fair := usages[account], l.weight(account)*s.level
--- a/internal/decision/demand/usage.go
+++ b/internal/decision/demand/usage.go
@@ -85,6 +85,15 @@
 	return wanted
 }
 
+// running returns the number of running requests.
+func (u AccountUsage) running() int {
+	n := 0
+	for _, c := range u.Classes {
+		n += c.Running
+	}
+	return n
+}
+
 // Plus returns the sum of two usages with the name of the first.
 func (u AccountUsage) Plus(o AccountUsage) AccountUsage {
 	u.Classes = slices.Clone(u.Classes)
