--- a/internal/decision/demand/pace.go
+++ b/internal/decision/demand/pace.go
@@ -32,15 +32,13 @@
 )
 
 // bind sets the account's share and this daemon's part of it. A newly bound account begins
-// with the debt of what it used beyond its share in the last window, and with a part of
-// one request, which differs between daemons: all learn of the excess at almost the same
-// time and would start a request each.
-func (p *pace) bind(fair, part, catchUp, used, request float64, now clock.Millis) {
+// with the debt.
+func (p *pace) bind(fair, part, catchUp, debt float64, now clock.Millis) {
 	p.part = max(part, minPart)
 	if p.bound {
 		p.advance(now)
 	} else {
-		p.bound, p.credit = true, min(fair-used, 0)*p.part*float64(window)-request
+		p.bound, p.credit = true, -debt
 	}
 	p.perMs, p.at = fair*p.part*catchUp, now
 }
@@ -88,6 +86,16 @@
 	return min(max(1+unused/paced, minCatchUp), maxCatchUp)
 }
 
+// allowedQueue is the number of requests in flight per slot up to which servers are
+// thought to have no queue that matters: reports are late, and slots differ in speed.
+const allowedQueue = 1.5
+
+// relief returns the factor by which paced accounts start less while servers queue, so
+// that the others don't wait behind what was started before the excess was known.
+func relief(running int, capacity float64) float64 {
+	return min(max(1+allowedQueue-float64(running)/capacity, 0), 1)
+}
+
 // phase returns a number from 0 to 1 that differs between daemons.
 func (l *Ledger) phase(pool, account string) float64 {
 	return container.UnitHash(l.salt, pool, account)
