--- a/internal/decision/loadbalance/start_credit.go
+++ b/internal/decision/loadbalance/start_credit.go
@@ -124,6 +124,9 @@
 		*c = startCredit{reportAt: c.reportAt}
 		return
 	}
+	if !c.restricted {
+		c.credit = 0 // what was started while there were enough places is no debt
+	}
 	part := max(float64(own)/float64(max(calls, 1)), minPart/float64(len(r.Hosts)))
 	c.restricted = true
 	c.credit = min(c.credit, maxCarriedCredit) + free*part
