Put requests that are no longer expected in time behind the others

Cause: requests with less than their expected time left took places and ended at their deadline; callers rejected late were told to return when it was too late.

--- a/internal/decision/admission/forecast.go
+++ b/internal/decision/admission/forecast.go
@@ -45,6 +45,15 @@
 	return latest
 }
 
+// StartBy returns the time until which a start is expected to give a response in time; 0 if
+// that is unknown.
+func (f Forecast) StartBy() clock.Millis {
+	if f.FirstByte+f.Rest == 0 {
+		return 0
+	}
+	return f.Deadline - f.FirstByte - f.Rest
+}
+
 // IsServedAfter reports whether the response is expected in time if the request gets a place
 // after the given time.
 func (f Forecast) IsServedAfter(wait clock.Millis) bool {
--- a/internal/decision/admission/order.go
+++ b/internal/decision/admission/order.go
@@ -9,6 +9,7 @@
 // Rank is what decides which of several waiting requests is served first.
 type Rank struct {
 	Excess   bool         // its account uses more than its fair share while others compete
+	Doubtful bool         // its response is no longer expected in time
 	Urgency  int          // 0 is the most urgent
 	Yields   bool         // its prompt is long and lets shorter ones pass
 	Usage    float64      // what its account uses, relative to the account's share
@@ -18,7 +19,8 @@
 
 // Order compares two ranks: negative if a is served before b. It is the one policy of all
 // queues of requests. Accounts within their share come first, so that an account's urgent
-// requests don't take the capacity of the others.
+// requests don't take the capacity of the others. Among these, requests that are no longer
+// expected in time come last: they would take the places of some that are.
 func Order(a, b Rank) int {
 	if a.Excess != b.Excess {
 		if b.Excess {
@@ -26,6 +28,12 @@
 		}
 		return 1
 	}
+	if a.Doubtful != b.Doubtful {
+		if b.Doubtful {
+			return -1
+		}
+		return 1
+	}
 	if c := cmp.Compare(a.Urgency, b.Urgency); c != 0 {
 		return c
 	}
--- a/internal/decision/admission/return_schedule.go
+++ b/internal/decision/admission/return_schedule.go
@@ -66,8 +66,12 @@
 	}
 	wait = min(max(wait, minReturn), maxReturn)
 	left := clock.Millis(returnShare * float64(r.Forecast.Deadline-now))
-	if wait > left && left >= minReturn && r.Forecast.IsServedAfter(left) {
+	if left = max(left, minReturn); wait > left {
 		wait = left
+		if !r.Forecast.IsServedAfter(left) {
+			// It is late already: another daemon may have a place for it now.
+			wait = minReturn
+		}
 	}
 	s.remember(scheduledReturn{now + wait, r.Rank})
 	return wait
--- a/internal/decision/admission/wait_order.go
+++ b/internal/decision/admission/wait_order.go
@@ -62,11 +62,11 @@
 		o.usages[w.Wish.Account] = usage
 	}
 	rank := Rank{
-		Excess: usage.Excess, Urgency: w.Wish.Urgency, Usage: usage.Ratio, Deadline: w.Wish.Deadline, Arrival: w.arrival,
+		Excess: usage.Excess, Doubtful: w.Wish.StartBy > 0 && o.conditions.Now > w.Wish.StartBy, Urgency: w.Wish.Urgency, Usage: usage.Ratio, Deadline: w.Wish.Deadline, Arrival: w.arrival,
 		Yields: w.passed < maxPassed && float64(w.Wish.Prefill) > longPromptShare*float64(o.conditions.FreePrefill),
 	}
 	if o.relieved[w.Wish.Account] == w {
-		rank.Excess, rank.Urgency, rank.Yields = false, 0, false
+		rank.Excess, rank.Doubtful, rank.Urgency, rank.Yields = false, false, 0, false
 	}
 	return rank
 }
--- a/internal/decision/admission/wait_queue.go
+++ b/internal/decision/admission/wait_queue.go
@@ -13,6 +13,9 @@
 	Urgency  int          // 0 is the most urgent
 	Deadline clock.Millis // for the complete response
 	Prefill  clock.Millis // expected prefill time of its prompt
+	// StartBy is the time until which a start is expected to give a response in time; 0 if
+	// unknown.
+	StartBy clock.Millis
 }
 
 // Usage is what an account uses of a pool.
--- a/internal/decision/admission/wait_queue_test.go
+++ b/internal/decision/admission/wait_queue_test.go
@@ -36,6 +36,8 @@
 func TestOrder(t *testing.T) {
 	cases := map[string]struct{ first, second Rank }{
 		"fair share before urgency": {Rank{Urgency: 5}, Rank{Excess: true}},
+		"fair share before doubt":   {Rank{Doubtful: true}, Rank{Excess: true}},
+		"doubt before urgency":      {Rank{Urgency: 5}, Rank{Doubtful: true}},
 		"urgency before length":     {Rank{Urgency: 0, Yields: true}, Rank{Urgency: 1}},
 		"length before usage":       {Rank{Usage: 2}, Rank{Yields: true, Usage: 1}},
 		"usage before deadline":     {Rank{Usage: 0.5, Deadline: 9}, Rank{Usage: 0.6, Deadline: 1}},
--- a/internal/traffic/relay/wait.go
+++ b/internal/traffic/relay/wait.go
@@ -46,6 +46,7 @@
 	latency := ex.relay.Balancer.LatencyModel(pool, ex.attemptModel(ex.route))
 	return admission.Wish{
 		Account: ex.account.Name, Urgency: ex.priority(), Deadline: ex.deadline, Prefill: latency.PrefillTime(ex.req.Prompt.Tokens),
+		StartBy: ex.forecast(pool, 0).StartBy(),
 	}
 }
 
