Wait for full servers rather than use an ejected one again

Cause: a request whose server was lost was sent to that server again as a last resort while the others were full, until its attempts were used up (502 in TestServerLostWhileWaiting on a busy machine); a rejection came up to 25 ms late. Change: with shared capacity such a request waits for the full servers; waiting requests are rejected one check before their limit.

--- a/internal/decision/loadbalance/room.go
+++ b/internal/decision/loadbalance/room.go
@@ -36,7 +36,8 @@
 	sharedPlainQueue = 0.5
 )
 
-// Room returns the free capacity of the request's pool for the request.
+// Room returns the free capacity of the request's pool for the request, without the servers that
+// it would use as a last resort only.
 //
 // Load pattern: more requests arrive than the pool can serve, at all daemons.
 func (b *Balancer) Room(v *fleet.View, r Request) Room {
@@ -48,7 +49,7 @@
 	for i := range entries {
 		e := &entries[i]
 		n, s := b.announcements.of(e), b.state(e)
-		if !r.allows(v, e) || b.announcements.hasDeparted(n, r.Now) || n.isPaused(r.Now) || r.Now < s.ejectedUntil {
+		if !r.allows(v, e) || b.announcements.hasDeparted(n, r.Now) || n.isPaused(r.Now) || r.Now < s.ejectedUntil || (r.Tried != nil && r.Tried(e.ID)) {
 			continue
 		}
 		b.addServer(&room, s, e, &r, runMs)
--- a/internal/traffic/relay/wait.go
+++ b/internal/traffic/relay/wait.go
@@ -28,6 +28,9 @@
 		now = r.Clock.Now()
 		if pool.queue.Len() == 0 || pool.queue.Ahead(ex.wish(pool.name), pool.conditions(now)) == 0 {
 			planned, rejection := ex.planFirstOrNext(now)
+			if rejection == nil && ex.waitsForBetter(planned, now) {
+				planned, rejection = nil, result.New(result.Overloaded, "all other servers of pool %s are full", pool.name)
+			}
 			if rejection == nil {
 				pool.queue.RecordStart(now)
 			}
@@ -71,6 +74,16 @@
 	return f
 }
 
+// latestStart returns when a waiting request is rejected at the latest. The next check must come
+// before its caller gives up.
+func latestStart(f admission.Forecast) clock.Millis {
+	latest := min(f.LatestStart(), f.Deadline-waitPeriod)
+	if f.AnswerBy > 0 {
+		latest = min(latest, f.AnswerBy-waitPeriod)
+	}
+	return latest
+}
+
 // wait waits in the pool's queue until the request has a place or must leave the queue. It
 // returns false if the request is to be planned anew.
 func (ex *exchange) wait(pool *waitPool) (*plannedAttempt, *result.Error, bool) {
@@ -85,7 +98,7 @@
 		}
 		return nil, ex.rejectWaiting(pool, wish, reasonLateOnArrival), true
 	}
-	w := &waiter{signals: make(chan signal, 1), latestStart: forecast.LatestStart()}
+	w := &waiter{signals: make(chan signal, 1), latestStart: latestStart(forecast)}
 	// It is called by the goroutine that checks the queue, so it uses nothing of the exchange.
 	w.forecast = func(wait clock.Millis) admission.Forecast {
 		f := forecast
@@ -167,7 +180,31 @@
 func (ex *exchange) planWaiting(overdraft int, now clock.Millis) (*plannedAttempt, *result.Error) {
 	ex.overdraft = overdraft
 	defer func() { ex.overdraft = 0 }()
-	return ex.planAttempt(ex.isExcluded, ex.backendFailed, now)
+	planned, rejection := ex.planAttempt(ex.isExcluded, ex.backendFailed, now)
+	if rejection == nil && ex.waitsForBetter(planned, now) {
+		return nil, result.New(result.Overloaded, "all other servers are full")
+	}
+	return planned, rejection
+}
+
+// waitsForBetter reports whether the attempt, which it then cancels, has only an ejected server
+// or one that the request was sent to before, while others are just full. A request that fails
+// there again uses up its attempts while it could wait.
+func (ex *exchange) waitsForBetter(p *plannedAttempt, now clock.Millis) bool {
+	if !p.choice.LastResort {
+		return false
+	}
+	r := ex.relay
+	room := r.Balancer.Room(p.view, loadbalance.Request{
+		Pool: p.pool, Self: r.Host, Hosts: p.view.HostNames(), Model: p.model, Tried: ex.isExcluded, Now: now,
+		VersionAllowed: r.VersionRouter.AllowedVersions(p.view, p.pool.Name, ex.req, ex.backendFailed),
+	})
+	if room.Servers == 0 {
+		return false
+	}
+	r.Balancer.Cancel(&p.choice)
+	ex.atCapacity = true
+	return true
 }
 
 // planLast plans an attempt of a request that would be rejected: while nothing else waits, it
