--- a/internal/decision/loadbalance/token_memory.go
+++ b/internal/decision/loadbalance/token_memory.go
@@ -67,6 +67,9 @@
 	// competitors is how many other requests may be started at a server within
 	// tokenReportLag, if the other daemons get as many as this one.
 	competitors int
+	// steady reports that requests arrived throughout the interval before, so that
+	// competitors isn't the beginning of a rise.
+	steady bool
 }
 
 func (n tokenNeed) total() int { return n.private + n.shared }
@@ -106,19 +109,20 @@
 }
 
 // arrivals counts the requests that looked for a server in the current interval of
-// tokenReportLag and in the one before. A request that looks again counts once.
+// tokenReportLag and in those before. A request that looks again counts once.
 type arrivals struct {
 	interval int64
 	current  map[uint64]bool // by Request.Salt
 	last     int
+	before   int // in the interval before the last
 }
 
 // add counts a request, and returns how many came within about tokenReportLag.
 func (a *arrivals) add(salt uint64, now clock.Millis) int {
 	if interval := int64(now / tokenReportLag); interval != a.interval {
-		a.last = 0
-		if interval == a.interval+1 {
-			a.last = len(a.current)
+		a.before, a.last = a.last, len(a.current)
+		if interval != a.interval+1 {
+			a.before, a.last = 0, 0
 		}
 		a.interval = interval
 		clear(a.current)
@@ -149,6 +153,7 @@
 		b.tokens.arrived[r.Pool.Name] = arrived
 	}
 	perServer := float64(arrived.add(r.Salt, r.Now)) / float64(max(len(entries), 1))
+	need.steady = arrived.before > 0 && len(arrived.current) <= max(arrived.last, arrived.before)
 	need.competitors = int(competitorsFactor*perServer*float64(len(r.Hosts)) + competitorsExtra)
 	return need
 }
@@ -257,7 +262,7 @@
 		added = need.private
 	}
 	recent, competitors := min(o.startedSince(r.Now-tokenReportLag), o.total()), len(r.Hosts)
-	if recent == 0 {
+	if len(o.started) == 0 || (len(o.started) == 1 && need.steady) {
 		competitors = min(need.competitors, competitors)
 	}
 	return r.rankFits(server, recent+added, memory-used+recent, competitors)
@@ -268,9 +273,9 @@
 //
 // The daemons are ranked for each server by rendezvous hash, and the nth may start 1/n of what
 // remains, divided by 1 + 1/2 + ... + 1/daemons: all of them together, without knowing of each
-// other, start no more than what remains. A daemon that has started nothing there lately and
-// expects few competitors may ignore its rank, so that a server isn't closed to most daemons on
-// a calm day.
+// other, start no more than what remains. A daemon that has started none there lately, or one
+// while arrivals are steady, and that expects few competitors may ignore its rank, so that a
+// server isn't closed to most daemons on a calm day.
 func (r *Request) rankFits(server string, tokens, remaining, competitors int) bool {
 	hosts := max(len(r.Hosts), 1)
 	if hosts == 1 {
--- a/internal/decision/loadbalance/token_memory_test.go
+++ b/internal/decision/loadbalance/token_memory_test.go
@@ -146,14 +146,16 @@
 		hot     float64 // share of the requests with the same prefix
 		entry   int     // daemons that the requests arrive at
 		servers int
+		calm    clock.Millis // until then an eighth of the requests
 	}{
-		"spread":                    {0, daemons, 12},
-		"hot prefix":                {0.6, daemons, 12},
-		"one prefix":                {1, daemons, 12},
-		"two daemons":               {0, 2, 12},
-		"many servers":              {0, daemons, 140},
-		"many servers, hot prefix":  {0.3, daemons, 140},
-		"many servers, two daemons": {0, 2, 140},
+		"spread":                    {0, daemons, 12, 0},
+		"hot prefix":                {0.6, daemons, 12, 0},
+		"one prefix":                {1, daemons, 12, 0},
+		"two daemons":               {0, 2, 12, 0},
+		"many servers":              {0, daemons, 140, 0},
+		"many servers, hot prefix":  {0.3, daemons, 140, 0},
+		"many servers, rise":        {0.3, daemons, 140, 3_400},
+		"many servers, two daemons": {0, 2, 140, 0},
 	}
 	for name, c := range cases {
 		seeds, seconds := uint64(3), 8
@@ -171,7 +173,11 @@
 					}
 					highest, all := r.finish(now)
 					fullest, sum = max(fullest, highest), sum+all
-					for range c.servers / 6 { // twice what fits
+					rate := c.servers / 6 // twice what fits
+					if now < c.calm {
+						rate /= 8
+					}
+					for range rate {
 						document := fmt.Sprintf("document-%d", r.random.IntN(60))
 						if r.random.Float64() < c.hot {
 							document = "hot"
@@ -188,6 +194,39 @@
 	}
 }
 
+// TestTokenMemoryOnCalmDay replays the load of 59 daemons and 140 engines with 16 slots, which their
+// memory suffices for. Counting tokens must reject nothing, and must not keep prompts from the
+// servers that have their prefixes.
+func TestTokenMemoryOnCalmDay(t *testing.T) {
+	shared := make(map[bool]int)
+	for _, counted := range []bool{false, true} {
+		const seed = 7
+		r := newTokenReplay(seed, 59, 140, 16, 424_940, counted)
+		kinds := []struct{ perSecond, prompt, shared, output int }{{105, 12_000, 5_382, 400}, {120, 826, 198, 300}, {156, 2_368, 568, 20}}
+		for now := clock.Millis(1_000); now < 6_000; now += 10 {
+			if now%replayPeriod == 0 {
+				r.exchange(now)
+			}
+			r.finish(now)
+			for i, k := range kinds {
+				for range k.perSecond/100 + min(r.random.IntN(100)/max(100-k.perSecond%100, 1), 1) {
+					document := fmt.Sprintf("%d-%d", i, r.random.IntN(40))
+					p := Prompt{Segments: []Segment{{document, k.shared}, {"own", k.prompt - k.shared}}, Tokens: k.prompt, MaxOutputTokens: k.output}
+					r.arrive(r.random.IntN(59), p, 2_000+clock.Millis(r.random.IntN(3_000)), now)
+				}
+			}
+		}
+		for _, q := range r.running {
+			if q.choice.PrefillTokens < q.need.total()-400 {
+				shared[counted]++
+			}
+		}
+		t.Logf("seed %d, counted %v: %d placed, %d rejected, %d of %d running at the servers with their prefixes", seed, counted, r.placed, r.rejected, shared[counted], len(r.running))
+		assert.Equal(t, r.rejected, 0)
+	}
+	assert.Assert(t, float64(shared[true]) >= 0.95*float64(shared[false]))
+}
+
 // TestKnownTokensFit checks with one daemon, or a lasting exchange, that what is known at a
 // server never exceeds its memory, and that all is released at the end.
 func TestKnownTokensFit(t *testing.T) {
