--- a/internal/traffic/relay/slow_caller_test.go
+++ b/internal/traffic/relay/slow_caller_test.go
@@ -167,7 +167,7 @@
 // caller that reads must go on, and requests must be served again once the others have gone.
 func TestUsedUpMemory(t *testing.T) {
 	const limit, callers = 1 << 20, 20
-	live := func(n int, w http.ResponseWriter, r *http.Request) {
+	live := func(w http.ResponseWriter) {
 		w.Header().Set(headerSigned, "yes")
 		for i := range 60 {
 			_, _ = io.WriteString(w, sizedEvent(i+1, 500))
@@ -178,7 +178,7 @@
 	stuck := cutUnread(20*time.Second, equalSizes(1000, 1000))
 	f := newSharedFixture(t, limit, func(n int, w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/once/live" {
-			live(n, w, r)
+			live(w)
 			return
 		}
 		stuck(n, w, r)
