--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -149,6 +149,7 @@
 	}
 	ex := &exchange{relay: r, req: req, httpReq: httpReq}
 	ex.w = &callerWriter{ResponseWriter: w, ex: ex}
+	ex.controller = http.NewResponseController(ex.w)
 	ended := false
 	defer func() {
 		if !ended && !httpReq.ProtoAtLeast(1, 1) {
@@ -164,6 +165,9 @@
 	ended = true
 }
 
+// HasSharedCapacity reports whether requests that arrive now have shared capacity.
+func (r *Relay) HasSharedCapacity() bool { return r.features.Load().SharedCapacity }
+
 // match returns the request's route and client account in the view's configuration.
 func (r *Relay) match(v *fleet.View, req *Request) (*catalog.Route, catalog.ClientAccount, error) {
 	c := v.Catalog
