Place stragglers anew only where that saves their target or deadline

Cause: a replay of slow engines showed 1,200 to 1,500 of 8,400 requests placed anew, most because of passing prefills at sound engines. Change: before a request is overdue, moving it must save its target or its deadline; a stream must be too slow for three periods of a second, and is moved when its time there runs out. Table and relay tests pass.

--- a/internal/decision/loadbalance/replacement.go
+++ b/internal/decision/loadbalance/replacement.go
@@ -1,10 +1,16 @@
 package loadbalance
 
 import (
+	"slices"
+
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
+// earlyGain is the factor by which a request whose server is not overdue must be expected to miss
+// its target there, and to keep it elsewhere.
+const earlyGain = 1.25
+
 // minReplacementGain is how much sooner another server must respond: the request is sent
 // again, and the former server's work is lost.
 const minReplacementGain = 100 * clock.Millis(1)
@@ -16,11 +22,12 @@
 type Replacement struct {
 	Waited   clock.Millis // since the request was sent, or since its last event
 	Expected clock.Millis // by the present load, from sending a request there to its first byte, or to the next event
-	// Overdue reports that the server has been silent for longer than its load explains, so
-	// that it may have lost the request.
-	Overdue   bool
-	Next      clock.Millis // expected until the first byte from the other server, its queue counted
-	Remaining clock.Millis // until the deadline
+	// Overdue reports that the load doesn't explain a silence beyond Expected, Lost that it is
+	// so long that the server may have lost the request.
+	Overdue, Lost bool
+	Next          clock.Millis // expected until the first byte from the other server, its queue counted
+	Target        clock.Millis // until the target for the first byte, or for the longest pause; negative if missed
+	Remaining     clock.Millis // until the deadline
 }
 
 // Left returns the expected time until the silent server responds. Until the expected time
@@ -30,44 +37,84 @@
 	switch {
 	case r.Waited < r.Expected:
 		return r.Expected - r.Waited
-	case r.Overdue:
+	case r.Overdue || r.Lost:
 		return r.Waited - r.Expected
 	}
 	return 0
 }
 
 // BeginsSooner reports whether the other server is expected to respond sooner, and in time.
+// Unless the request may be lost, that must save its target or its deadline: prefills of other
+// requests delay many a request by a while, and attempts are better spent on escalations.
 func (r Replacement) BeginsSooner() bool {
-	return r.Next+minReplacementGain < r.Left() && r.Next < r.Remaining
+	if r.Next+minReplacementGain >= r.Left() || r.Next >= r.Remaining {
+		return false
+	}
+	return r.Lost || r.Left() >= r.Remaining || (float64(r.Left()) > earlyGain*float64(r.Target) && earlyGain*float64(r.Next) <= float64(r.Target))
 }
 
-// MayBeginSooner reports whether any other server could respond sooner.
-func (r Replacement) MayBeginSooner() bool { return r.Left() > minReplacementGain }
+// MayBeginSooner reports whether any other server could respond soon enough.
+func (r Replacement) MayBeginSooner() bool {
+	r.Next = 0
+	return r.BeginsSooner()
+}
 
-// streamGain is the factor by which a stream must be expected to end sooner on another
-// server, and before its deadline: estimates of its length are rough.
+// streamGain is the factor by which a stream must be expected to miss its deadline, and to end
+// sooner on another server, and in time: estimates of its length are rough.
 const streamGain = 1.2
 
+// lastMoment times the rest of the stream on the other server, plus lastMomentMargin, is the
+// remaining time from which a stream is moved: until then, its server may recover. The margin
+// is two periods of its pace.
+const (
+	lastMoment       = 1.3
+	lastMomentMargin = 2_000.0
+)
+
 // StreamReplacement compares the rest of a stream at its server with the same at another one.
 //
 // Load pattern: the speed of a server drops in the middle of a stream, which is then cut off
 // at its deadline.
 type StreamReplacement struct {
 	Events         float64      // expected that remain
-	InterEvent     float64      // ms, measured lately
+	InterEvent     float64      // ms, measured over seconds
 	Next           clock.Millis // expected until the first event from the other server, its queue counted
 	NextInterEvent float64      // ms, expected there
 	Remaining      clock.Millis // until the deadline
 }
 
+// StreamPace keeps the pace of a stream over its last periods of a second or more. Prefills of
+// other requests slow a stream for seconds while prompts are uncached.
+type StreamPace struct {
+	periods  [pacePeriods]float64 // ms an event
+	recorded int
+}
+
+// pacePeriods is the number of periods in which a stream must be too slow.
+const pacePeriods = 3
+
+// Record adds the mean time between the events of a period, in ms. It returns the least of the
+// last periods, and 0 until there are enough of them.
+func (p *StreamPace) Record(interEventMs float64) float64 {
+	p.periods[p.recorded%pacePeriods] = interEventMs
+	p.recorded++
+	if p.recorded < pacePeriods {
+		return 0
+	}
+	return slices.Min(p.periods[:])
+}
+
 // MissesDeadline reports whether the stream is expected to be cut off by its deadline.
-func (r StreamReplacement) MissesDeadline() bool { return r.Events*r.InterEvent > float64(r.Remaining) }
+func (r StreamReplacement) MissesDeadline() bool {
+	return r.Events*r.InterEvent > streamGain*float64(r.Remaining)
+}
 
 // FinishesSooner reports whether the stream misses its deadline and is expected to end on the
 // other server sooner, and in time.
 func (r StreamReplacement) FinishesSooner() bool {
 	next := float64(r.Next) + r.Events*r.NextInterEvent
-	return r.MissesDeadline() && streamGain*next < min(r.Events*r.InterEvent, float64(r.Remaining))
+	late := float64(r.Remaining) < lastMoment*next+lastMomentMargin
+	return late && r.MissesDeadline() && streamGain*next < min(r.Events*r.InterEvent, float64(r.Remaining))
 }
 
 // Forecast is what is expected of a server from its load.
--- a/internal/traffic/relay/second_attempt.go
+++ b/internal/traffic/relay/second_attempt.go
@@ -70,12 +70,12 @@
 	w, b := &ex.watch, ex.relay.Balancer
 	present = b.Forecast(w.choice, ex.pool, ex.model, now)
 	c = loadbalance.Replacement{Waited: now - w.progressAt, Expected: present.FirstByte, Remaining: ex.deadline - now}
-	c.Overdue = w.timeout > 0 && c.Waited >= w.timeout
+	c.Lost = w.timeout > 0 && c.Waited >= w.timeout
+	c.Target = ex.req.ReceivedAt + ex.route.LatencyTarget - now
 	if w.streaming {
-		// The server's pending prefill delays all of its streams.
-		c.Expected = clock.Millis(b.LatencyModel(ex.pool.Name, ex.model).InterEventMs()) + present.Prefill
-		// A pause that moving ends within its target is moved before it is too long.
-		c.Overdue = true
+		// The server's pending prefill delays all of its streams; nothing else explains a pause.
+		c.Expected, c.Overdue = clock.Millis(b.LatencyModel(ex.pool.Name, ex.model).InterEventMs())+present.Prefill, true
+		c.Target = ex.route.InterEventTarget - c.Waited
 	}
 	if next != nil {
 		c.Next = b.Forecast(&next.choice, next.pool, next.model, now).FirstByte
@@ -95,10 +95,7 @@
 		return result.New(result.NoServer, "the last attempt is kept for the small model")
 	}
 	c, present := ex.compareWith(next, now)
-	lost := ex.watch.timeout > 0 && c.Waited >= ex.watch.timeout
-	early := !lost && (ex.placedAnew || !r.RetryBudget.AllowsOptional(ex.pool.Name, now) ||
-		(ex.watch.streaming && c.Waited+c.Next >= ex.route.InterEventTarget))
-	if early || !c.BeginsSooner() {
+	if (!c.Lost && (ex.placedAnew || !r.RetryBudget.AllowsOptional(ex.pool.Name, now))) || !c.BeginsSooner() {
 		if ex.keptOn != server.ID {
 			r.Metrics.countSecondAttempt(ex.pool.Name, secondRefused)
 		}
@@ -106,7 +103,7 @@
 			c.Waited, c.Expected, c.Next, present.Calls, present.Slots, present.Age)
 	}
 	outcome := secondLost
-	if !lost {
+	if !c.Lost {
 		ex.placedAnew, ex.watch.yielded, outcome = true, true, secondSooner
 	}
 	r.Metrics.countSecondAttempt(ex.pool.Name, outcome)
@@ -173,25 +170,33 @@
 	return true
 }
 
-// streamProgress measures the pace of a stream over its last events.
+// streamProgress measures the pace of a stream over periods of progressPeriod or more.
 type streamProgress struct {
 	events int
 	since  clock.Millis
+	pace   loadbalance.StreamPace
 }
 
-// record counts an event. It returns the mean time between the last events in ms once there
-// are enough of them, and 0 otherwise.
+const (
+	// progressPeriod is longer than most pauses for the prefill of other prompts.
+	progressPeriod = 1_000 * clock.Millis(1)
+	// minProgressEvents is the least number of events in a period.
+	minProgressEvents = 2
+)
+
+// record counts an event. At the end of a period it returns the stream's time between events in
+// ms, once there are enough periods, and 0 otherwise.
 func (p *streamProgress) record(now clock.Millis) float64 {
 	if p.since == 0 {
 		p.since = now
 		return 0
 	}
-	if p.events++; p.events < eventTimeSample {
+	if p.events++; p.events < minProgressEvents || now-p.since < progressPeriod {
 		return 0
 	}
 	mean := float64(now-p.since) / float64(p.events)
 	p.events, p.since = 0, now
-	return mean
+	return p.pace.Record(mean)
 }
 
 // planStreamInTime plans to resume a stream on another server if it would be cut off by its
