--- a/internal/decision/loadbalance/room.go
+++ b/internal/decision/loadbalance/room.go
@@ -30,10 +30,6 @@
 	// reportPeriod is the age that a load from other daemons reaches before the next
 	// report. A server that finishes requests in the meantime must have others to run.
 	reportPeriod = 400 * clock.Millis(1)
-	// sharedPlainQueue is the queue length that a plain server is allowed with shared
-	// capacity, as a multiple of its slots. Calls end within a fraction of reportPeriod, so
-	// their number varies much between two reports.
-	sharedPlainQueue = 0.5
 )
 
 // Room returns the free capacity of the request's pool for the request, without the servers that
@@ -113,7 +109,9 @@
 	}
 	slots := float64(s.slotsOf(e))
 	if !pool.HasEngines() {
-		return slots * (1 + sharedPlainQueue) * s.capacityFactor()
+		// Calls end within a fraction of reportPeriod. With a lower limit, they waited for
+		// servers that were full only in outdated reports.
+		return s.maxCalls(e, pool)
 	}
 	margin := engineQueue * slots
 	if runMs := b.runTimes[modelKey{pool: pool.Name}].meanMs; runMs > 0 {
