Count delays that a server's speed doesn't explain

A slowness that servers don't state was learned with a half-life of a minute only. The smoothed slowness is back for uneven pools, for delays alone: early answers come from cached prompts and made servers with more requests seem faster.

--- a/internal/decision/loadbalance/finish.go
+++ b/internal/decision/loadbalance/finish.go
@@ -40,7 +40,8 @@
 		// One slot becomes free each time that one of the running requests ends.
 		f.wait = lasting * (float64(p.firstByte[which]) + p.streamMs(slots)) * waiting / slots
 	}
-	f.firstEvent = f.wait + s.currentSlowness(p.request.Now)*(float64(load.Prefill)+float64(p.firstByte[which]))
+	slowness := s.currentSlowness(p.request.Now) * s.slowness(p.request.Now)
+	f.firstEvent = f.wait + slowness*float64(load.Prefill+p.firstByte[which])
 	// The pace of this moment is over before most of the stream.
 	f.lastEvent = f.firstEvent + lasting*p.streamMs(min(float64(load.Calls)+1, slots))
 	return f
--- a/internal/decision/loadbalance/speed_records.go
+++ b/internal/decision/loadbalance/speed_records.go
@@ -12,12 +12,18 @@
 // doesn't depend on the servers that were chosen.
 func (b *Balancer) recordUnevenFirstByte(c *Choice, key modelKey, firstByte, now clock.Millis) {
 	s, latency := b.state(&c.Server), b.models[key]
-	hasEstimate := latency.weight >= minWeight
+	hasEstimate := latency.weight >= minWeight && c.HasEstimate
 	slowness := s.currentSlowness(now)
 	isFull := s.load(now).Calls >= s.slotsOf(&c.Server) // by the server's own report
-	if hasEstimate && c.HasEstimate && !c.queued && !isFull && !c.sharesPrefix {
-		expected := max(float64(c.unloadedFirstByte+c.pendingPrefill), 1)
-		s.speed.learn(float64(max(firstByte, 1))/expected, firstByteWeight, now)
+	expected := c.unloadedFirstByte + c.pendingPrefill
+	if hasEstimate && !c.queued && !isFull && !c.sharesPrefix {
+		s.speed.learn(float64(max(firstByte, 1))/float64(max(expected, 1)), firstByteWeight, now)
+	}
+	if hasEstimate {
+		// What the speed doesn't explain, such as a slowness that the server doesn't state. An
+		// answer that is early, because more of the prompt was cached, counts as punctual.
+		atServer := clock.Millis(slowness*float64(expected)) + c.queueWait
+		s.recordSlowness(max(firstByte, atServer), atServer, now)
 	}
 	if (c.queued || isFull) && hasEstimate {
 		return // the time in the server's queue says nothing about its speed
