--- a/internal/traffic/relay/second_attempt_test.go
+++ b/internal/traffic/relay/second_attempt_test.go
@@ -163,7 +163,7 @@
 // TestStreamBehindItsDeadline has a server send its events too slowly for the deadline. The
 // stream must go on at another server, once, where that one is expected to end it in time.
 func TestStreamBehindItsDeadline(t *testing.T) {
-	const total, pause = 50, 150 * time.Millisecond
+	const pause = 150 * time.Millisecond
 	cases := map[string]struct {
 		features   loadfeatures.Features
 		interEvent float64 // ms, of the pool's servers
@@ -181,9 +181,21 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var o overlap
+			var f *fixture
+			total, table := 50, streamRoutes()
+			if c.allSlow {
+				// Time for a second move.
+				total, table[0].Timeout = 100, 12_000
+			}
+			recordPace := func() {
+				for range 100 {
+					f.relay.Balancer.RecordInterEvent("text", "large", c.interEvent)
+				}
+			}
 			server := func(n int, w http.ResponseWriter, r *http.Request) {
 				if r.Header.Get(headerLastEventID) != "" {
 					o.set(&o.begins)
+					recordPace()
 				}
 				if (r.Header.Get(headerLastEventID) != "" && !c.allSlow) || r.Header.Get(headerID) == warmUpID {
 					sendEvents(total, total)(n, w, r)
@@ -200,14 +212,12 @@
 					o.set(&o.ended)
 				}
 			}
-			f := newFixture(t, streamRoutes(), server, server, server)
+			f = newFixture(t, table, server, server, server)
 			f.relay.Balancer.SetFeatures(c.features)
 			for range warmUp {
 				f.send(http.MethodPost, "/draft/1", headerID, warmUpID, headerModel, "large")
 			}
-			for range 100 {
-				f.relay.Balancer.RecordInterEvent("text", "large", c.interEvent)
-			}
+			recordPace()
 			got := f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLengthHint, fmt.Sprint(total*8))
 			assert.Equal(t, got.err == nil && got.body == events(1, total), c.complete, "%v", got.err)
 			assert.Equal(t, f.callCount()-warmUp, c.calls)
