Order the waiting requests for the forecasts only

Cause: each check sorted the queue 40 times a second, 34 us for one pass over 100 waiting requests on the busy machine. Change: only the checks of the expected waits, every 0.2 s, need the order. Result: the waiting tests pass twice with -race.

--- a/internal/decision/admission/wait_queue.go
+++ b/internal/decision/admission/wait_queue.go
@@ -180,6 +180,13 @@
 	return ordered
 }
 
+// All returns the waiting requests by arrival. It is cheaper than Ordered.
+func (q *WaitQueue[T]) All() []*Waiting[T] {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Clone(q.waiting)
+}
+
 // Len returns the number of waiting requests.
 func (q *WaitQueue[T]) Len() int {
 	q.mu.Lock()
--- a/internal/traffic/relay/wait_pool.go
+++ b/internal/traffic/relay/wait_pool.go
@@ -236,7 +236,6 @@
 func (p *waitPool) check(now clock.Millis) {
 	r := p.relay
 	_, stopping := r.shutdownTime()
-	conditions := p.conditions(now)
 	p.mu.Lock()
 	all := stopping || r.rejecting.Load() || p.catalog != r.View().Catalog
 	p.catalog = r.View().Catalog
@@ -245,7 +244,11 @@
 		p.checkedAt = now
 	}
 	p.mu.Unlock()
-	for i, w := range p.queue.Ordered(conditions) {
+	list := p.queue.All()
+	if forecast {
+		list = p.queue.Ordered(p.conditions(now))
+	}
+	for i, w := range list {
 		switch {
 		case all || now >= w.Value.latestStart:
 			w.Value.notify(checkSignal)
