--- a/internal/decision/demand/request.go
+++ b/internal/decision/demand/request.go
@@ -32,17 +32,13 @@
 	r.account.lastWork = r.work
 	class := r.account.class(c.Urgency)
 	class.Waiting++
-	class.WaitingWork += r.work
-	if r.isLong() {
-		r.account.longWaiting++
-	} else {
-		r.account.arrived.add(float64(r.work), now)
-		r.account.recent.add(float64(r.work), now)
-	}
+	class.WaitingWork += int(r.work)
+	r.account.arrived.add(float64(r.work), now)
+	r.account.recent.add(float64(r.work), now)
 	return r
 }
 
-// isLong reports whether the request is judged by being in flight, and not by the rate.
+// isLong reports whether the request's use is judged by being in flight, and not by the rate.
 func (r *Request) isLong() bool { return r.work >= window }
 
 // Start records that the request runs. It may be called again after a retry, which isn't
@@ -61,7 +57,7 @@
 	a := r.account
 	class := a.class(r.urgency)
 	class.Running++
-	class.RunningWork += r.work
+	class.RunningWork += int(r.work)
 	if r.isLong() {
 		a.longRunning++
 	} else {
@@ -74,10 +70,7 @@
 func (r *Request) removeWaiting() {
 	class := r.account.class(r.urgency)
 	class.Waiting--
-	class.WaitingWork -= r.work
-	if r.isLong() {
-		r.account.longWaiting--
-	}
+	class.WaitingWork -= int(r.work)
 }
 
 // End removes the request. Further calls have no effect. Work that a request which ended
@@ -95,7 +88,7 @@
 		a := r.account
 		class := a.class(r.urgency)
 		class.Running--
-		class.RunningWork -= r.work
+		class.RunningWork -= int(r.work)
 		unused := float64(max(r.work-(now-r.startedAt), 0))
 		if r.isLong() {
 			a.longRunning--
--- a/internal/decision/demand/share.go
+++ b/internal/decision/demand/share.go
@@ -23,14 +23,27 @@
 func (s Share) Excess() bool { return s.Competing && s.Used > s.Fair }
 
 const (
-	// usableShare is the part of a capacity that is divided. Queues at the servers would
-	// grow without bound at a utilisation of 1.
-	usableShare = 0.96
+	// minUsable is the least part of a capacity that is divided: at most five in a hundred
+	// may be idle while work waits.
+	minUsable = 0.95
+	// headroomFactor times the square root of a capacity is left undivided. Queues at the
+	// servers would grow without bound at a utilisation of 1, and random arrivals vary with
+	// the square root.
+	headroomFactor = 0.09
+	// overFactor is how much more than its share an account must send before it is paced:
+	// steady accounts vary by that much, and a paced one waits at daemons that rarely start
+	// a request of it.
+	overFactor = 1.25
 	// shareLifetime is how long a computed level is used. An account's rate changes little
 	// in that time.
 	shareLifetime = 20 * clock.Millis(1)
 )
 
+// usable returns the part of the capacity that is divided.
+func usable(capacity float64) float64 {
+	return max(capacity-headroomFactor*math.Sqrt(capacity), minUsable*capacity)
+}
+
 // shares is the division of a pool's capacity, as computed last.
 type shares struct {
 	valid     bool
@@ -79,6 +92,7 @@
 	s.Fair = l.weight(accountName) * p.shares.level
 	s.Competing = p.shares.wanted-usage.wanted() > smallestDemand
 	if a != nil && a.pace.bound {
+		s.Competing = true // wanted is as old as the level, the usage is not
 		s.Used = a.pace.used(s.Fair, now)
 		if s.Measured > maxCatchUp*s.Fair {
 			s.Used = max(s.Used, s.Measured)
@@ -87,6 +101,10 @@
 	return s
 }
 
+// restWeight is the weight of the accounts that reports don't name: there may be many, and
+// each is smaller than the named ones.
+const restWeight = maxNamedAccounts
+
 // smallestDemand is the demand below which an account wants nothing, in ms per ms. Decayed
 // rates and rounded reports don't reach zero.
 const smallestDemand = 1.0 / thousandths
@@ -102,7 +120,10 @@
 // divide computes the fair level of the pool and paces the accounts that send more than
 // their share. l.mu must be held.
 func (l *Ledger) divide(p *pool, name string, others peerPool, capacity float64, now clock.Millis) {
-	s := shares{valid: true, at: now, given: capacity, capacity: capacity * l.peers.covered(now) * usableShare}
+	if l.hosts != nil {
+		l.peers.daemons = l.hosts()
+	}
+	s := shares{valid: true, at: now, given: capacity, capacity: usable(capacity) * l.peers.covered(now)}
 	usages := maps.Clone(others.accounts)
 	if usages == nil {
 		usages = make(map[string]AccountUsage, len(p.accounts))
@@ -111,29 +132,39 @@
 		usages[account] = usages[account].Plus(a.usage(account, now))
 	}
 	claims := make([]claim, 0, len(usages)+1)
-	used := 0.0
+	used, running := 0.0, 0
 	for account, u := range usages {
 		claims = append(claims, claim{demand: u.wanted(), weight: l.weight(account)})
 		used += fromThousandths(u.Used)
+		running += u.running()
 	}
 	if rest := others.rest; rest != nil {
-		claims = append(claims, claim{demand: rest.wanted(), weight: float64(max(rest.Accounts, 1))})
+		claims = append(claims, claim{demand: rest.wanted(), weight: restWeight})
 		used += fromThousandths(rest.Used)
+		running += rest.running()
 	}
 	for _, c := range claims {
 		s.wanted += c.demand
 	}
 	s.level = fairLevel(claims, s.capacity)
 	s.sharesOut = !math.IsInf(s.level, 1)
-	factor := catchUp(claims, s.level, s.capacity-used)
+	factor := catchUp(claims, s.level, s.capacity-used) * relief(running, s.capacity)
 	p.shares = s
 	for account, a := range p.accounts {
 		u, fair := usages[account], l.weight(account)*s.level
-		if !s.sharesOut || u.offered() <= fair || s.wanted-u.wanted() <= smallestDemand {
+		if !s.sharesOut || u.offered() <= overFactor*fair || s.wanted-u.wanted() <= smallestDemand {
 			a.pace.release()
 			continue
 		}
 		part := a.usage(account, now).wanted() / u.wanted()
-		a.pace.bind(fair, part, factor, fromThousandths(u.Used), l.phase(name, account)*float64(a.lastWork), now)
+		a.pace.bind(fair, part, factor, l.debt(a, part*(fromThousandths(u.Used)-fair), l.phase(name, account), now), now)
 	}
 }
+
+// debt returns the work that an account owes when it is found to send more than its share:
+// what this daemon started beyond its part lately, at the given rate, and a part of one
+// request, which differs between daemons. All learn of the excess at almost the same time
+// and would start a request each.
+func (l *Ledger) debt(a *account, excess, phase float64, now clock.Millis) float64 {
+	return max(excess, 0)*float64(min(now-l.since, window)) + phase*float64(a.lastWork)
+}
