--- a/internal/decision/demand/pace_test.go
+++ b/internal/decision/demand/pace_test.go
@@ -32,3 +32,16 @@
 	p.spend(-4_000, 1_000)
 	assert.Equal(t, p.credit, -1_000.0, "the request ended early")
 }
+
+// Guards against paced accounts that keep the servers' queues full.
+func TestRelief(t *testing.T) {
+	assert.Equal(t, relief(15, 15), 1.0)
+	assert.Equal(t, relief(30, 15), 0.5)
+	assert.Equal(t, relief(45, 15), 0.0)
+}
+
+// Guards against a flood that isn't seen until its rate over seconds has risen.
+func TestRisenAccountWantsWhatItSends(t *testing.T) {
+	assert.Equal(t, AccountUsage{Used: 100, Arrived: 100, Recent: 200}.wanted(), 0.1)
+	assert.Equal(t, AccountUsage{Used: 100, Arrived: 100, Recent: 300}.wanted(), 0.3)
+}
