--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -161,6 +161,16 @@
 	}
 }
 
+// nextEvents returns the next complete events of the stream; see eventReader.Next. io.EOF means
+// that the stream is complete.
+func (ex *exchange) nextEvents(source *eventReader, server *fleet.Entry, resp *h1.Response) (complete []byte, id string, err error) {
+	complete, id, err = source.Next()
+	if errors.Is(err, io.EOF) && ex.isCutShort(server, resp) {
+		err = io.ErrUnexpectedEOF
+	}
+	return complete, id, err
+}
+
 // forwardStream forwards events as they arrive, and only complete ones, so that
 // another server can continue an interrupted stream from the last of them.
 func (ex *exchange) forwardStream(server *fleet.Entry, resp *h1.Response, info ResponseInfo) (bool, error) {
@@ -174,12 +184,9 @@
 	meter := paceMeter{report: func(pace clock.Millis) { ex.recordPace(server, info, pace) }}
 	defer meter.finish()
 	for {
-		complete, id, err := source.Next()
+		complete, id, err := ex.nextEvents(&source, server, resp)
 		if errors.Is(err, io.EOF) {
-			if !ex.isCutShort(server, resp) {
-				break
-			}
-			err = io.ErrUnexpectedEOF
+			break
 		}
 		if err != nil {
 			return false, ex.handleInterruption(server, err)
