Let the threshold fall from half of the slots on

Cause: with the threshold falling from 0.75 to 0.97 of the slots, a doubled traffic filled the pools before quality gave way. Change: it falls from 0.35 or 0.45 to 0.75 or 0.85.

--- a/internal/decision/cascade/escalation.go
+++ b/internal/decision/cascade/escalation.go
@@ -26,12 +26,13 @@
 	queueingLoad   = 1.25
 )
 
-// Utilisations between which the threshold falls to leastThreshold. A request with little slack keeps
+// Utilisations between which the threshold falls to leastThreshold. Up to half of the slots
+// stay free for a burst of twice the traffic, which arrives before reports tell of it. A request with little slack keeps
 // its small answer sooner: the queueing time varies by seconds in a pool that is nearly
 // full, whatever the length of the deadline.
 const (
-	noSlackCalm, noSlackFull       = 0.75, 0.97
-	ampleSlackCalm, ampleSlackFull = 0.87, 1.00
+	noSlackCalm, noSlackFull       = 0.35, 0.75
+	ampleSlackCalm, ampleSlackFull = 0.45, 0.85
 	// ampleSlack is the time to spare from which a request has ample slack: the longest
 	// waits in full servers' queues were 3.4 s.
 	ampleSlack = 4_000 * clock.Millis(1)
