--- a/internal/decision/cascade/escalation.go
+++ b/internal/decision/cascade/escalation.go
@@ -31,8 +31,8 @@
 // its small answer sooner: the queueing time varies by seconds in a pool that is nearly
 // full, whatever the length of the deadline.
 const (
-	noSlackCalm, noSlackFull       = 0.35, 0.75
-	ampleSlackCalm, ampleSlackFull = 0.45, 0.85
+	noSlackCalm, noSlackFull       = 0.62, 0.86
+	ampleSlackCalm, ampleSlackFull = 0.72, 0.92
 	// ampleSlack is the time to spare from which a request has ample slack: the longest
 	// waits in full servers' queues were 3.4 s.
 	ampleSlack = 4_000 * clock.Millis(1)
