--- a/internal/control/peerstats/aggregator.go
+++ b/internal/control/peerstats/aggregator.go
@@ -35,7 +35,7 @@
 	peerTotal   *received           // of all other daemons, from this daemon's leader
 	cached      *total              // of all other daemons; nil after a change
 	cachedAt    clock.Millis
-	hostDemand  hostDemand          // of hosts
+	hostDemand  hostDemand // of hosts
 }
 
 // received is a snapshot with the time at which it was received.
--- a/internal/decision/loadbalance/room.go
+++ b/internal/decision/loadbalance/room.go
@@ -187,7 +187,8 @@
 // exceedsOwnPart reports whether a daemon without reports of the others uses its part of
 // the request's pool, which is the capacity divided by the number of daemons.
 func (b *Balancer) exceedsOwnPart(v *fleet.View, r *Request, entries []fleet.Entry) bool {
-	if !b.isAlone(r) {
+	if !r.Pool.HasEngines() || !b.isAlone(r) {
+		// Each response of a plain server tells its load, and calls are short.
 		return false
 	}
 	capacity, own := 0.0, 0
--- a/internal/decision/loadbalance/start_credit.go
+++ b/internal/decision/loadbalance/start_credit.go
@@ -41,11 +41,12 @@
 	sharedSample = 3
 )
 
-// sampleBound returns the bound of Request.sampleBound, or that of a smaller sample with
-// shared capacity.
+// sampleBound returns the bound of Request.sampleBound, or that of a smaller sample of model
+// engines with shared capacity. Calls at plain servers end within a fraction of the age of
+// reports, which are no ground to leave servers out.
 func (b *Balancer) sampleBound(r *Request, servers int, uneven bool) uint64 {
 	bound := r.sampleBound(servers, uneven)
-	if !b.features.SharedCapacity || len(r.Hosts) <= maxUnsampledHosts || servers <= sharedSample {
+	if !b.features.SharedCapacity || !r.Pool.HasEngines() || len(r.Hosts) <= maxUnsampledHosts || servers <= sharedSample {
 		return bound
 	}
 	return min(bound, uint64(sharedSample/float64(servers)*math.MaxUint64))
@@ -57,7 +58,7 @@
 	switch {
 	case n.isLeaving():
 		return costLeaving
-	case b.isBeyondSlots(s, e, r.Now):
+	case r.Pool.HasEngines() && b.isBeyondSlots(s, e, r.Now):
 		return costBeyondSlots
 	case b.limits.of(e) != nil:
 		return -costUnusedToken
--- a/internal/proof/soak/oracle_test.go
+++ b/internal/proof/soak/oracle_test.go
@@ -191,13 +191,19 @@
 	return violations
 }
 
-// checkRequest returns the violations of one request. o.mu must be held.
-func (o *oracle) checkRequest(r *request, executions []*execution) (violations []string) {
+// checkAccount returns the runs for another client account than the caller's.
+func checkAccount(r *request, executions []*execution) (violations []string) {
 	for _, e := range executions {
 		if e.account != accountOf(r.key) {
 			violations = append(violations, fmt.Sprintf("%s ran for client account %q", r.id, e.account))
 		}
 	}
+	return violations
+}
+
+// checkRequest returns the violations of one request. o.mu must be held.
+func (o *oracle) checkRequest(r *request, executions []*execution) (violations []string) {
+	violations = checkAccount(r, executions)
 	if r.kind.atMostOnce() {
 		if len(executions) > 1 {
 			violations = append(violations, fmt.Sprintf("%s, a %s, ran %d times", r.id, r.kind, len(executions)))
--- a/internal/traffic/relay/wait_test.go
+++ b/internal/traffic/relay/wait_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/poll"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
@@ -50,8 +51,8 @@
 	return list
 }
 
-// newWaitingFixture returns a fixture with shared capacity whose servers have one slot each,
-// so that each gets two requests at most.
+// newWaitingFixture returns a fixture with shared capacity whose servers have one slot each and
+// one call that never ends, so that each gets two requests at most.
 func newWaitingFixture(t *testing.T, routes []catalog.Route, servers ...behaviour) *fixture {
 	t.Helper()
 	f := newFixture(t, routes, servers...)
@@ -61,6 +62,15 @@
 		f.view = f.view.WithServer(e.Server, e.UpdatedAt)
 	}
 	f.relay.Balancer.SetFeatures(loadfeatures.Features{SharedCapacity: true})
+	pool, _ := f.view.Catalog.Pool("text")
+	occupied := make(map[string]bool)
+	for range f.servers {
+		choice, result := f.relay.Balancer.Choose(f.view, loadbalance.Request{
+			Pool: pool, Tried: func(id string) bool { return occupied[id] }, Now: f.relay.Clock.Now(),
+		})
+		assert.Equal(t, result, loadbalance.Chosen)
+		occupied[choice.Server.ID] = true
+	}
 	return f
 }
 
