--- a/internal/decision/admission/overload_replay_test.go
+++ b/internal/decision/admission/overload_replay_test.go
@@ -183,7 +183,7 @@
 		return
 	}
 	conditions := r.conditions(d)
-	ahead := d.queue.Ahead(r.wish(c), conditions)
+	ahead := d.queue.Ahead(r.spec(c), conditions)
 	if ahead == 0 && r.place(c, 0) {
 		d.queue.RecordStart(r.now)
 		return
@@ -192,13 +192,13 @@
 		r.rejectWaiting(c)
 		return
 	}
-	c.waiting, _ = d.queue.Add(c, r.wish(c), conditions)
+	c.waiting, _ = d.queue.Add(c, r.spec(c), conditions)
 	r.wake(d)
 }
 
-func (r *replay) wish(c *call) admission.Wish {
+func (r *replay) spec(c *call) admission.Spec {
 	latency := c.daemon.balancer.LatencyModel("text", "large")
-	return admission.Wish{Account: c.account, Urgency: c.kind.urgency, Deadline: c.deadline, Prefill: latency.PrefillTime(c.kind.prompt), StartBy: r.forecast(c, 0).StartBy()}
+	return admission.Spec{Account: c.account, Urgency: c.kind.urgency, Deadline: c.deadline, Prefill: latency.PrefillTime(c.kind.prompt), StartBy: r.forecast(c, 0).StartBy()}
 }
 
 func (r *replay) room(d *daemon) loadbalance.Room {
@@ -342,7 +342,7 @@
 	}
 	r.reject(c, d.returns.Schedule(admission.Return{
 		Rank:  admission.Rank{Urgency: c.kind.urgency},
-		Ahead: d.queue.Ahead(r.wish(c), r.conditions(d)), StartsPerSecond: r.startsPerSecond(d), Forecast: r.forecast(c, 0),
+		Ahead: d.queue.Ahead(r.spec(c), r.conditions(d)), StartsPerSecond: r.startsPerSecond(d), Forecast: r.forecast(c, 0),
 	}))
 }
 
--- a/internal/decision/admission/wait_order.go
+++ b/internal/decision/admission/wait_order.go
@@ -34,7 +34,7 @@
 	oldest := make(map[string]clock.Millis)
 	best := make(map[string]*Waiting[T])
 	for _, w := range q.waiting {
-		account := w.Wish.Account
+		account := w.Spec.Account
 		if since, ok := oldest[account]; !ok || w.Since < since {
 			oldest[account] = w.Since
 		}
@@ -54,18 +54,18 @@
 // while counts as the most urgent within its share: otherwise an account whose requests are
 // all less urgent, or whose share is overstated, would get nothing at all.
 func (o *waitOrder[T]) rank(w *Waiting[T]) Rank {
-	usage, ok := o.usages[w.Wish.Account]
+	usage, ok := o.usages[w.Spec.Account]
 	if !ok {
 		if o.conditions.Usage != nil {
-			usage = o.conditions.Usage(w.Wish.Account)
+			usage = o.conditions.Usage(w.Spec.Account)
 		}
-		o.usages[w.Wish.Account] = usage
+		o.usages[w.Spec.Account] = usage
 	}
 	rank := Rank{
-		Excess: usage.Excess, Doubtful: w.Wish.StartBy > 0 && o.conditions.Now > w.Wish.StartBy, Urgency: w.Wish.Urgency, Usage: usage.Ratio, Deadline: w.Wish.Deadline, Arrival: w.arrival,
-		Yields: w.passed < maxPassed && float64(w.Wish.Prefill) > longPromptShare*float64(o.conditions.FreePrefill),
+		Excess: usage.Excess, Doubtful: w.Spec.StartBy > 0 && o.conditions.Now > w.Spec.StartBy, Urgency: w.Spec.Urgency, Usage: usage.Ratio, Deadline: w.Spec.Deadline, Arrival: w.arrival,
+		Yields: w.passed < maxPassed && float64(w.Spec.Prefill) > longPromptShare*float64(o.conditions.FreePrefill),
 	}
-	if o.relieved[w.Wish.Account] == w {
+	if o.relieved[w.Spec.Account] == w {
 		rank.Excess, rank.Doubtful, rank.Urgency, rank.Yields = false, false, 0, false
 	}
 	return rank
--- a/internal/decision/admission/wait_queue.go
+++ b/internal/decision/admission/wait_queue.go
@@ -7,8 +7,8 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
-// Wish is what a waiting request asks of its pool.
-type Wish struct {
+// Spec is what a waiting request asks of its pool.
+type Spec struct {
 	Account  string
 	Urgency  int          // 0 is the most urgent
 	Deadline clock.Millis // for the complete response
@@ -37,7 +37,7 @@
 // Waiting is a request in a WaitQueue.
 type Waiting[T any] struct {
 	Value T
-	Wish  Wish
+	Spec  Spec
 	Since clock.Millis // when it began to wait
 
 	arrival uint64
@@ -73,11 +73,11 @@
 
 // Add adds a request. If the queue is full, it returns the request that must leave it, which
 // has been removed: the last in order, which may be the new one.
-func (q *WaitQueue[T]) Add(value T, w Wish, c Conditions) (added, evicted *Waiting[T]) {
+func (q *WaitQueue[T]) Add(value T, w Spec, c Conditions) (added, evicted *Waiting[T]) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.arrivals++
-	added = &Waiting[T]{Value: value, Wish: w, Since: c.Now, arrival: q.arrivals}
+	added = &Waiting[T]{Value: value, Spec: w, Since: c.Now, arrival: q.arrivals}
 	q.waiting = append(q.waiting, added)
 	if len(q.waiting) > q.limit {
 		ordered := q.ordered(c)
@@ -112,7 +112,7 @@
 			other.passed++
 		}
 	}
-	q.servedAt[w.Wish.Account] = c.Now
+	q.servedAt[w.Spec.Account] = c.Now
 	q.remove(w)
 }
 
@@ -145,14 +145,14 @@
 }
 
 // Ahead returns the number of waiting requests that are served before a new one.
-func (q *WaitQueue[T]) Ahead(w Wish, c Conditions) int {
+func (q *WaitQueue[T]) Ahead(w Spec, c Conditions) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.waiting) == 0 {
 		return 0
 	}
 	o := q.orderUnder(c)
-	rank := o.rank(&Waiting[T]{Wish: w, Since: c.Now, arrival: q.arrivals + 1})
+	rank := o.rank(&Waiting[T]{Spec: w, Since: c.Now, arrival: q.arrivals + 1})
 	ahead := 0
 	for _, other := range q.waiting {
 		if Order(o.rank(other), rank) < 0 {
--- a/internal/decision/admission/wait_queue_test.go
+++ b/internal/decision/admission/wait_queue_test.go
@@ -21,7 +21,7 @@
 		name, account string
 		urgency       int
 	}{{"flooding", "flood", 0}, {"patient", "smiths", 2}, {"urgent", "jones", 0}} {
-		q.Add(w.name, Wish{Account: w.account, Urgency: w.urgency, Deadline: 5_000}, c)
+		q.Add(w.name, Spec{Account: w.account, Urgency: w.urgency, Deadline: 5_000}, c)
 	}
 	for _, w := range q.Ordered(c) {
 		fmt.Println(w.Value)
@@ -81,12 +81,12 @@
 		for range 200 {
 			for i := range accounts {
 				name := fmt.Sprintf("a%d", i)
-				q.Add(i, Wish{Account: name, Urgency: urgency[name], Deadline: now + 20_000}, conditions())
+				q.Add(i, Spec{Account: name, Urgency: urgency[name], Deadline: now + 20_000}, conditions())
 			}
 			now += servicePeriod
 			next := q.Next(conditions(), nil)
 			q.Admit(next, conditions())
-			servedAt[next.Wish.Account] = now
+			servedAt[next.Spec.Account] = now
 			for name, at := range servedAt {
 				assert.Assert(t, now-at <= bound, "account %s got nothing for %d ms", name, now-at)
 			}
@@ -114,12 +114,12 @@
 func TestLongPromptYields(t *testing.T) {
 	q := NewWaitQueue[string](64)
 	c := Conditions{Now: 1, FreePrefill: 300, ReliefPeriod: 60_000}
-	q.Add("long", Wish{Account: "a", Prefill: 200, Deadline: 100}, c)
+	q.Add("long", Spec{Account: "a", Prefill: 200, Deadline: 100}, c)
 	var order []string
 	for i := range 6 {
-		q.Add(fmt.Sprintf("short %d", i), Wish{Account: "a", Prefill: 10, Deadline: 200 + clock.Millis(i)}, c)
+		q.Add(fmt.Sprintf("short %d", i), Spec{Account: "a", Prefill: 10, Deadline: 200 + clock.Millis(i)}, c)
 	}
-	q.Add("less urgent", Wish{Account: "a", Urgency: 1, Prefill: 10, Deadline: 50}, c)
+	q.Add("less urgent", Spec{Account: "a", Urgency: 1, Prefill: 10, Deadline: 50}, c)
 	for q.Len() > 0 {
 		next := q.Next(c, nil)
 		order = append(order, next.Value)
@@ -133,13 +133,13 @@
 func TestFullQueueEvictsLast(t *testing.T) {
 	q := NewWaitQueue[string](2)
 	c := Conditions{Now: 1, FreePrefill: 1_000, ReliefPeriod: 1_000, Usage: func(a string) Usage { return Usage{Excess: a == "flood"} }}
-	_, evicted := q.Add("flood 1", Wish{Account: "flood"}, c)
+	_, evicted := q.Add("flood 1", Spec{Account: "flood"}, c)
 	assert.Assert(t, evicted == nil)
-	_, evicted = q.Add("patient", Wish{Account: "a", Urgency: 3}, c)
+	_, evicted = q.Add("patient", Spec{Account: "a", Urgency: 3}, c)
 	assert.Assert(t, evicted == nil)
-	_, evicted = q.Add("flood 2", Wish{Account: "flood"}, c)
+	_, evicted = q.Add("flood 2", Spec{Account: "flood"}, c)
 	assert.Equal(t, evicted.Value, "flood 2")
-	_, evicted = q.Add("urgent", Wish{Account: "a"}, c)
+	_, evicted = q.Add("urgent", Spec{Account: "a"}, c)
 	assert.Equal(t, evicted.Value, "flood 1")
 	assert.Equal(t, q.Len(), 2)
 }
@@ -151,16 +151,16 @@
 		c := Conditions{Now: 5_000, FreePrefill: 500, ReliefPeriod: 60_000, Usage: func(a string) Usage {
 			return Usage{Excess: a == "x", Ratio: float64(len(a))}
 		}}
-		wish := func() Wish {
-			return Wish{
+		spec := func() Spec {
+			return Spec{
 				Account: rapid.SampledFrom([]string{"x", "y", "zz"}).Draw(t, "account"), Urgency: rapid.IntRange(0, 2).Draw(t, "urgency"),
 				Prefill: clock.Millis(rapid.SampledFrom([]int{10, 400}).Draw(t, "prefill")), Deadline: clock.Millis(rapid.IntRange(6_000, 6_005).Draw(t, "deadline")),
 			}
 		}
 		for i := range rapid.IntRange(0, 20).Draw(t, "waiting") {
-			q.Add(i, wish(), c)
+			q.Add(i, spec(), c)
 		}
-		added := wish()
+		added := spec()
 		ahead := q.Ahead(added, c)
 		w, _ := q.Add(-1, added, c)
 		ordered := q.Ordered(c)
--- a/internal/traffic/relay/wait.go
+++ b/internal/traffic/relay/wait.go
@@ -26,7 +26,7 @@
 	for {
 		pool := r.waits.pool(r, ex.route.PoolAt(ex.poolPoint()))
 		now = r.Clock.Now()
-		if pool.queue.Len() == 0 || pool.queue.Ahead(ex.wish(pool.name), pool.conditions(now)) == 0 {
+		if pool.queue.Len() == 0 || pool.queue.Ahead(ex.spec(pool.name), pool.conditions(now)) == 0 {
 			planned, rejection := ex.planFirstOrNext(now)
 			if rejection == nil && ex.waitsForBetter(planned, now) {
 				planned, rejection = nil, result.New(result.Overloaded, "all other servers of pool %s are full", pool.name)
@@ -44,10 +44,10 @@
 	}
 }
 
-// wish returns what the request asks of the pool.
-func (ex *exchange) wish(pool string) admission.Wish {
+// spec returns what the request asks of the pool.
+func (ex *exchange) spec(pool string) admission.Spec {
 	latency := ex.relay.Balancer.LatencyModel(pool, ex.attemptModel(ex.route))
-	return admission.Wish{
+	return admission.Spec{
 		Account: ex.account.Name, Urgency: ex.priority(), Deadline: ex.deadline, Prefill: latency.PrefillTime(ex.req.Prompt.Tokens),
 		StartBy: ex.forecast(pool, 0).StartBy(),
 	}
@@ -89,14 +89,14 @@
 func (ex *exchange) wait(pool *waitPool) (*plannedAttempt, *result.Error, bool) {
 	r := ex.relay
 	now := r.Clock.Now()
-	wish, conditions := ex.wish(pool.name), pool.conditions(now)
-	ahead := pool.queue.Ahead(wish, conditions)
+	spec, conditions := ex.spec(pool.name), pool.conditions(now)
+	ahead := pool.queue.Ahead(spec, conditions)
 	forecast := ex.forecast(pool.name, pool.expectedWait(ahead, now))
 	if forecast.IsTooLate() {
 		if planned := ex.planLast(pool, pool.queue.Len()); planned != nil {
 			return planned, nil, true
 		}
-		return nil, ex.rejectWaiting(pool, wish, reasonLateOnArrival), true
+		return nil, ex.rejectWaiting(pool, spec, reasonLateOnArrival), true
 	}
 	w := &waiter{signals: make(chan signal, 1), latestStart: latestStart(forecast)}
 	// It is called by the goroutine that checks the queue, so it uses nothing of the exchange.
@@ -106,18 +106,18 @@
 		return f
 	}
 	w.constrained = r.VersionRouter.AllowedVersions(r.View(), pool.name, ex.req, ex.backendFailed) != nil
-	entry, evicted := pool.queue.Add(w, wish, conditions)
+	entry, evicted := pool.queue.Add(w, spec, conditions)
 	if evicted != nil {
 		evicted.Value.evicted.Store(true)
 		evicted.Value.notify(checkSignal)
 	}
-	ex.logWaiting(pool, wish, ahead, forecast)
-	r.Metrics.addWaiting(pool.name, wish.Urgency, 1)
+	ex.logWaiting(pool, spec, ahead, forecast)
+	r.Metrics.addWaiting(pool.name, spec.Urgency, 1)
 	defer func() {
 		pool.queue.Leave(entry)
 		pool.finishTurn(entry, true)
-		r.Metrics.addWaiting(pool.name, wish.Urgency, -1)
-		r.Metrics.recordWait(wish.Urgency, wish.Account, r.Clock.Now()-now)
+		r.Metrics.addWaiting(pool.name, spec.Urgency, -1)
+		r.Metrics.recordWait(spec.Urgency, spec.Account, r.Clock.Now()-now)
 	}()
 	pool.startTicking()
 	pool.wake()
@@ -148,7 +148,7 @@
 			return planned, nil, true
 		}
 		ex.logWaited(pool, entry, reason)
-		return nil, ex.rejectWaiting(pool, entry.Wish, reason), true
+		return nil, ex.rejectWaiting(pool, entry.Spec, reason), true
 	}
 	if s != trySignal {
 		return nil, nil, false
@@ -245,7 +245,7 @@
 		ex.logWaited(pool, entry, err.Error())
 		return result.From(err), true
 	}
-	if route.PoolAt(ex.poolPoint()) != pool.name || account.Name != entry.Wish.Account {
+	if route.PoolAt(ex.poolPoint()) != pool.name || account.Name != entry.Spec.Account {
 		ex.route, ex.account = route, account
 		ex.logWaited(pool, entry, "the configuration has changed")
 		return nil, true
@@ -273,21 +273,21 @@
 )
 
 // rejectWaiting returns the rejection of a request for which there is no place in time.
-func (ex *exchange) rejectWaiting(pool *waitPool, wish admission.Wish, reason string) *result.Error {
+func (ex *exchange) rejectWaiting(pool *waitPool, spec admission.Spec, reason string) *result.Error {
 	r := ex.relay
 	now := r.Clock.Now()
 	conditions := pool.conditions(now)
-	usage := conditions.Usage(wish.Account)
+	usage := conditions.Usage(spec.Account)
 	forecast := ex.forecast(pool.name, 0)
 	wait := pool.returns.Schedule(admission.Return{
-		Rank:  admission.Rank{Excess: usage.Excess, Urgency: wish.Urgency},
-		Ahead: pool.queue.Ahead(wish, conditions), StartsPerSecond: pool.startsPerSecond(now), Forecast: forecast,
+		Rank:  admission.Rank{Excess: usage.Excess, Urgency: spec.Urgency},
+		Ahead: pool.queue.Ahead(spec, conditions), StartsPerSecond: pool.startsPerSecond(now), Forecast: forecast,
 	})
 	code := result.RejectedForDeadline
 	if usage.Excess {
 		code = result.RejectedForAccount
 	}
-	ex.logRejected(pool, wish, reason, code, wait)
+	ex.logRejected(pool, spec, reason, code, wait)
 	r.Metrics.countRejection(pool.name, reason, code)
 	return result.New(code, "no place in pool %s in time; %s", pool.name, ex.lastError).WithRetryAfter(int64(wait))
 }
@@ -322,10 +322,10 @@
 const minFairShare = 0.001
 
 // logWaiting logs that the request begins to wait.
-func (ex *exchange) logWaiting(pool *waitPool, wish admission.Wish, ahead int, f admission.Forecast) {
+func (ex *exchange) logWaiting(pool *waitPool, spec admission.Spec, ahead int, f admission.Forecast) {
 	room := pool.roomFor(f.Now)
-	usage := ex.relay.accountUsage(pool.name, wish.Account, room, f.Now)
-	ex.log("request waits", nil, "wait_pool", pool.name, "account", wish.Account, "urgency", wish.Urgency, "excess", usage.Excess, "usage", usage.Ratio,
+	usage := ex.relay.accountUsage(pool.name, spec.Account, room, f.Now)
+	ex.log("request waits", nil, "wait_pool", pool.name, "account", spec.Account, "urgency", spec.Urgency, "excess", usage.Excess, "usage", usage.Ratio,
 		"ahead", ahead, "queue", pool.queue.Len(), "expected_wait_ms", int64(f.Wait), "remaining_ms", int64(ex.deadline-f.Now),
 		"slots", room.Slots, "busy", room.Busy, "queued", room.Queued, "starts_per_second", int(room.StartsPerSecond),
 		"room_age_ms", int64(room.Age), "servers", room.Servers, "known", room.Known)
@@ -334,12 +334,12 @@
 // logWaited logs why the request no longer waits.
 func (ex *exchange) logWaited(pool *waitPool, entry *waiting, why string) {
 	now := ex.relay.Clock.Now()
-	ex.log("request no longer waits", nil, "wait_pool", pool.name, "account", entry.Wish.Account, "urgency", entry.Wish.Urgency,
+	ex.log("request no longer waits", nil, "wait_pool", pool.name, "account", entry.Spec.Account, "urgency", entry.Spec.Urgency,
 		"wait_ms", int64(now-entry.Since), "why", why, "queue", pool.queue.Len(), "remaining_ms", int64(ex.deadline-now))
 }
 
 // logRejected logs that the request is rejected.
-func (ex *exchange) logRejected(pool *waitPool, wish admission.Wish, reason string, code result.Code, returnAfter clock.Millis) {
-	ex.log("request rejected", nil, "wait_pool", pool.name, "account", wish.Account, "urgency", wish.Urgency, "reason", reason,
+func (ex *exchange) logRejected(pool *waitPool, spec admission.Spec, reason string, code result.Code, returnAfter clock.Millis) {
+	ex.log("request rejected", nil, "wait_pool", pool.name, "account", spec.Account, "urgency", spec.Urgency, "reason", reason,
 		"code", code.Number, "return_after_ms", int64(returnAfter), "queue", pool.queue.Len())
 }
