Say what servers of unknown load count as

Cause: the comment of Utilisation.Known was older than the extrapolation from known servers. Change: comments only.

--- a/internal/decision/loadbalance/utilisation.go
+++ b/internal/decision/loadbalance/utilisation.go
@@ -22,7 +22,7 @@
 	Prefill float64      // ms of prefill that is pending at a server, averaged
 	Calls   int          // running and queued requests now
 	Slots   int          // of the servers that accept requests
-	Known   int          // servers with a load that hasn't expired; the others count as free
+	Known   int          // servers with a load that hasn't expired; for the others see minKnown
 	Servers int          // that accept requests
 	Age     clock.Millis // of the oldest load that is used
 }
@@ -44,7 +44,7 @@
 }
 
 // minKnown is the number of servers with a known load from which on the others count as
-// loaded alike: a daemon that is cut off from the others knows only the servers that it has
+// loaded alike; with fewer, they count as free. A daemon that is cut off from the others knows only the servers that it has
 // just called, and would take the rest of a full pool for idle.
 const minKnown = 8
 
