Merge the two branches of the limit of servers and drop an unused parameter

Cause: maxCalls had two branches with the same result, runMs a parameter that nothing used. Change: one branch; runMs takes the pool's name. Behaviour is the same.

--- a/internal/decision/loadbalance/room.go
+++ b/internal/decision/loadbalance/room.go
@@ -26,11 +26,9 @@
 // ahead: about the shortest latency target of a stream.
 const prefillHorizon = 1_000 * clock.Millis(1)
 
-const (
-	// reportPeriod is the age that a load from other daemons reaches before the next
-	// report. A server that finishes requests in the meantime must have others to run.
-	reportPeriod = 400 * clock.Millis(1)
-)
+// reportPeriod is the age that a load from other daemons reaches before the next report. A
+// server that finishes requests in the meantime must have others to run.
+const reportPeriod = 400 * clock.Millis(1)
 
 // Room returns the free capacity of the request's pool for the request, without the servers that
 // it would use as a last resort only.
@@ -40,7 +38,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	room := Room{}
-	runMs := b.runMs(r.Pool, r.Model)
+	runMs := b.runMs(r.Pool.Name)
 	entries := v.Pool(r.Pool.Name)
 	for i := range entries {
 		e := &entries[i]
@@ -104,15 +102,12 @@
 // shared capacity, that is what the server can start soon: a request that waits in a daemon
 // can still be overtaken by a more urgent one and go to any server.
 func (b *Balancer) maxCalls(s *serverState, e *fleet.Entry, pool *catalog.Pool) float64 {
-	if !b.features.SharedCapacity {
+	if !b.features.SharedCapacity || !pool.HasEngines() {
+		// Calls of plain servers end within a fraction of reportPeriod. With a lower limit,
+		// they waited for servers that were full only in outdated reports.
 		return s.maxCalls(e, pool)
 	}
 	slots := float64(s.slotsOf(e))
-	if !pool.HasEngines() {
-		// Calls end within a fraction of reportPeriod. With a lower limit, they waited for
-		// servers that were full only in outdated reports.
-		return s.maxCalls(e, pool)
-	}
 	margin := engineQueue * slots
 	if runMs := b.runTimes[modelKey{pool: pool.Name}].meanMs; runMs > 0 {
 		margin = min(margin, slots*float64(reportPeriod)/runMs)
@@ -161,8 +156,8 @@
 
 // runMs returns the mean time that requests run in the pool; 0 if there are too few
 // measurements. The requests of all models use the same slots, so the mean is that of all.
-func (b *Balancer) runMs(pool catalog.Pool, _ string) float64 {
-	if t := b.runTimes[modelKey{pool: pool.Name}]; t.weight >= minWeight {
+func (b *Balancer) runMs(pool string) float64 {
+	if t := b.runTimes[modelKey{pool: pool}]; t.weight >= minWeight {
 		return t.meanMs
 	}
 	return 0
--- a/internal/decision/loadbalance/start_credit.go
+++ b/internal/decision/loadbalance/start_credit.go
@@ -119,7 +119,7 @@
 	}
 	// Requests beyond the limit of one server take the margins of the others.
 	free := max(limit-float64(calls), float64(idle))
-	runMs := b.runMs(r.Pool, r.Model)
+	runMs := b.runMs(r.Pool.Name)
 	if runMs < float64(reportPeriod) || free >= scarcePeriods*float64(slots)*float64(reportPeriod)/runMs {
 		// Calls that are shorter than a period say little about the next one.
 		*c = startCredit{reportAt: c.reportAt}
