Keep a server's cost a number when all events of its streams arrive at once

A stream whose events all arrive within a millisecond has a time of 0 ms between events. After eight such answers the expected time is 0 as well, the measured time is divided by it, and 0/0 stays NaN in the sum of the server's speed. Its cost is NaN then, no comparison holds, and the request is rejected as if the pool had no server in service.

Change: the expected time between events is at least 0.1 ms, and a ratio that isn't a number is no evidence.

Measured: TestEventsAtOnce fails before and passes.

--- a/internal/decision/loadbalance/speed.go
+++ b/internal/decision/loadbalance/speed.go
@@ -52,8 +52,12 @@
 	return speedEvidence{weight: s.weight * factor, logRatio: s.logRatio * factor, at: now}
 }
 
-// With returns the evidence with one more measurement.
+// With returns the evidence with one more measurement. A ratio that isn't a number is
+// ignored: all later sums would be none either.
 func (s speedEvidence) With(ratio, weight float64, now clock.Millis) speedEvidence {
+	if math.IsNaN(ratio) {
+		return s
+	}
 	ratio = min(max(ratio, minSpeed), maxSpeed)
 	s = s.At(now)
 	s.weight += weight
--- a/internal/decision/loadbalance/speed_records.go
+++ b/internal/decision/loadbalance/speed_records.go
@@ -57,6 +57,10 @@
 // has fallen to about a third.
 const eventTimeAnswers = 200
 
+// minEventTimeMs is the least expected time between events: all events of a short answer may
+// arrive within the clock's resolution.
+const minEventTimeMs = 0.1
+
 // With returns the times updated with a measurement.
 func (t eventTimes) With(calls int, ms float64) eventTimes {
 	const keep = 1 - 1.0/eventTimeAnswers
@@ -86,6 +90,7 @@
 	if t.weight < minWeight {
 		return defaultInterEventMs
 	}
-	// A slope that is too high must not make the time of an idle server negative.
-	return max(t.meanMs+t.perCall()*(calls-t.meanCalls), t.meanMs/4)
+	// A slope that is too high must not make the time of an idle server negative. Measured
+	// times are divided by it.
+	return max(t.meanMs+t.perCall()*(calls-t.meanCalls), t.meanMs/4, minEventTimeMs)
 }
--- a/internal/decision/loadbalance/speed_test.go
+++ b/internal/decision/loadbalance/speed_test.go
@@ -176,3 +176,30 @@
 	assert.Equal(t, len(bounded), maxSpeedReports)
 	assert.Equal(t, bounded[maxSpeedReports-1].Weight, 1_000-maxSpeedReports, "the most certain")
 }
+
+// TestEventsAtOnce has servers send all events of their streams at once. The times of 0 ms
+// must not leave the servers without a cost: requests would be rejected as if the pool were
+// empty.
+func TestEventsAtOnce(t *testing.T) {
+	b := NewBalancer()
+	b.SetFeatures(loadfeatures.Features{UnevenServers: loadfeatures.On})
+	v := fleet.NewView()
+	pool := catalog.Pool{Name: "text", Slots: 16, TokensPerEvent: 8, Models: []catalog.Model{{Name: "small"}}}
+	for _, id := range []string{"a", "b"} {
+		v = v.WithServer(fleet.Server{ID: id, Pool: pool.Name, StartedAt: 5, Slots: 16}, 0)
+	}
+	now := speedTestStart
+	for range 2 * minWeight {
+		for _, id := range []string{"a", "b"} {
+			server, _ := v.Server(id)
+			b.RecordInterEvent(&server, "small", 0, now)
+		}
+		now += 100
+	}
+	r := Request{Pool: pool, Model: "small", Prompt: Prompt{Tokens: 100, MaxOutputTokens: 400}, Now: now}
+	_, result := b.Choose(v, r)
+	assert.Equal(t, result, Chosen)
+	for _, reported := range b.OwnSpeeds(now) {
+		assert.Assert(t, math.Abs(float64(reported.LogRatio)) <= math.Log(maxSpeed)*logRatioUnit*float64(reported.Weight), "%+v", reported)
+	}
+}
