Escalate by urgency and by the rise of the load, and count earlier requests in the retry budget

Long digests of low urgency took the room of short urgent questions, and from 9 to 15 s the retry budget kept most answers although the pool had room again.

Change: the least urgent kinds of requests of a pool keep their small answers first, by the priorities of its routes; the rise of the load is added to the utilisation; escalations of the less urgent leave more of the retry budget. Where the load counts, requests of earlier windows count for the budget as the backend servers count them, checked for each of their windows.

--- a/internal/decision/admission/shared_retry_budget.go
+++ b/internal/decision/admission/shared_retry_budget.go
@@ -19,12 +19,13 @@
 	hosts     int
 	// allowanceFrom is the time from which on the allowance applies.
 	allowanceFrom clock.Millis
+	countsEarlier func(pool string, now clock.Millis) bool // see SetCountsEarlier; nil for none
 }
 
-// slidingWindow counts requests and retries in slices of time. It has one slice more
-// than the window is long, since the oldest slice is only partly inside the window.
+// slidingWindow counts requests and retries in slices of time. It holds two windows and one
+// slice more, since the oldest slice is only partly inside.
 type slidingWindow struct {
-	slices [slicesPerWindow + 1]windowSlice
+	slices [keptSlices]windowSlice
 }
 
 type windowSlice struct {
@@ -33,7 +34,10 @@
 	retries   int
 }
 
-const slicesPerWindow = 10
+const (
+	slicesPerWindow = 20
+	keptSlices      = 2*slicesPerWindow + 1
+)
 
 // usableFraction is the fraction of the budget that is used. The rest is a margin: the
 // backend servers count in windows that start at other instants, and an attempt may
@@ -60,6 +64,18 @@
 	b.allowanceFrom = startedAt + b.window
 }
 
+// SetCountsEarlier sets for which pools the requests of earlier windows count. In each of its
+// windows, a backend server allows retries for the requests of that window, of the one before it or
+// of the one half a window before it, whichever has most.
+//
+// Load pattern: a crowd leaves, and its last requests still need a second attempt or an
+// escalation while few new ones arrive.
+func (b *SharedRetryBudget) SetCountsEarlier(counts func(pool string, now clock.Millis) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.countsEarlier = counts
+}
+
 // SetHostCount sets the number of daemons that share the allowance.
 func (b *SharedRetryBudget) SetHostCount(n int) {
 	b.mu.Lock()
@@ -79,8 +95,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.slice(pool, now)
-	retries, allowed := b.count(pool, now)
-	if retries+1 > allowed {
+	if !b.allows(pool, 1, now) {
 		return false
 	}
 	current.retries++
@@ -95,32 +110,79 @@
 // escalation, leaves the reserve for retries after failures. It takes nothing from
 // the budget.
 func (b *SharedRetryBudget) AllowsOptional(pool string, now clock.Millis) bool {
+	return b.LeavesReserve(pool, 0, now)
+}
+
+// LeavesReserve is AllowsOptional for an attempt that leaves another fraction of the budget to
+// more urgent ones.
+func (b *SharedRetryBudget) LeavesReserve(pool string, reserve float64, now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.slice(pool, now)
-	retries, allowed := b.count(pool, now)
-	return retries+1 <= allowed*(1-reservedFraction)
+	return b.allows(pool, 1-reservedFraction-reserve, now)
 }
 
-// count returns the retries in the window and how many are allowed. The caller must
-// hold mu.
-func (b *SharedRetryBudget) count(pool string, now clock.Millis) (retries, allowed float64) {
-	requests := 0.0
+// allows reports whether one more retry leaves the rest of the budget beyond the fraction. The
+// caller must hold mu.
+func (b *SharedRetryBudget) allows(pool string, fraction float64, now clock.Millis) bool {
+	w := b.pools[pool]
+	if b.countsEarlier != nil && b.countsEarlier(pool, now) {
+		return b.allowsByEarlier(w, fraction, now)
+	}
+	// Somewhat more than a window of retries counts: the backend servers' windows start at
+	// other instants.
+	retries := w.retriesFrom(now - b.window - b.window/10 + 1)
+	return b.isWithin(retries, w.requestsIn(now-b.window+1, now+1), fraction, now)
+}
+
+// allowsByEarlier reports whether one more retry is within the budget of each window that began
+// at most a window ago, if no further requests arrive. Of the windows that begin within the same
+// slice, none has fewer requests or more retries than are counted.
+func (b *SharedRetryBudget) allowsByEarlier(w *slidingWindow, fraction float64, now clock.Millis) bool {
 	length := b.sliceLength()
-	for _, s := range b.pools[pool].slices {
-		// Retries of a slice that is partly outside the window still count.
-		if now-s.startedAt < b.window+length {
-			retries += float64(s.retries)
-		}
-		if now-s.startedAt < b.window {
-			requests += float64(s.requests)
+	current := now - now%length
+	for from := current - b.window; from <= current; from += length {
+		requests := max(
+			w.requestsIn(from+length, from+b.window),
+			w.requestsIn(from+length-b.window/2, from+b.window/2),
+			w.requestsIn(from+length-b.window, from),
+		)
+		if !b.isWithin(w.retriesFrom(from), requests, fraction, now) {
+			return false
 		}
 	}
+	return true
+}
+
+// isWithin reports whether one retry more than the given ones is within the fraction of the
+// budget for the requests.
+func (b *SharedRetryBudget) isWithin(retries, requests int, fraction float64, now clock.Millis) bool {
 	allowance := b.allowance
 	if now < b.allowanceFrom {
 		allowance = 0
 	}
-	return retries, usableFraction * (b.ratio*requests + allowance/float64(b.hosts))
+	return float64(retries+1) <= fraction*usableFraction*(b.ratio*float64(requests)+allowance/float64(b.hosts))
+}
+
+// requestsIn returns the number of requests of slices that began from the one time on and before
+// the other.
+func (w *slidingWindow) requestsIn(from, before clock.Millis) (n int) {
+	for _, s := range w.slices {
+		if s.startedAt >= from && s.startedAt < before {
+			n += s.requests
+		}
+	}
+	return n
+}
+
+// retriesFrom returns the number of retries of slices that began from the time on.
+func (w *slidingWindow) retriesFrom(from clock.Millis) (n int) {
+	for _, s := range w.slices {
+		if s.startedAt >= from {
+			n += s.retries
+		}
+	}
+	return n
 }
 
 func (b *SharedRetryBudget) sliceLength() clock.Millis { return max(b.window/slicesPerWindow, 1) }
@@ -135,7 +197,7 @@
 	}
 	length := b.sliceLength()
 	startedAt := now - now%length
-	s := &w.slices[(now/length)%(slicesPerWindow+1)]
+	s := &w.slices[(now/length)%keptSlices]
 	if s.startedAt != startedAt {
 		*s = windowSlice{startedAt: startedAt}
 	}
--- a/internal/decision/admission/shared_retry_budget_test.go
+++ b/internal/decision/admission/shared_retry_budget_test.go
@@ -50,6 +50,83 @@
 	})
 }
 
+// TestRequestsOfEarlierWindow has daemons that count earlier requests retry as often as their
+// budget allows while crowds come and go. In no window may they retry more than the backend
+// servers allow, which count the requests of that window, of the one before it or of the one half
+// a window before it, whichever has most.
+func TestRequestsOfEarlierWindow(t *testing.T) {
+	const (
+		ratio     = 0.9
+		allowance = 54.0
+		window    = clock.Millis(10_000)
+		step      = 500
+		perWindow = int(window / step)
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 5).Draw(t, "hosts")
+		budgets := make([]*SharedRetryBudget, hosts)
+		for i := range budgets {
+			budgets[i] = NewSharedRetryBudget(ratio, allowance, window)
+			budgets[i].SetHostCount(hosts)
+			budgets[i].SetCountsEarlier(func(string, clock.Millis) bool { return true })
+		}
+		var requests, retries []int
+		for range rapid.IntRange(2, 8).Draw(t, "crowds") {
+			perStep, steps := rapid.IntRange(0, 60).Draw(t, "requests in each step"), rapid.IntRange(1, 30).Draw(t, "steps")
+			for range steps {
+				now := clock.Millis(1_000_000 + step*len(requests))
+				retried := 0
+				for i := range perStep {
+					budgets[i%hosts].RecordRequest("text", now)
+				}
+				for _, b := range budgets {
+					for b.TryAcquire("text", now) {
+						retried++
+					}
+				}
+				requests, retries = append(requests, perStep), append(retries, retried)
+			}
+		}
+		in := func(counts []int, from int) float64 {
+			return sum(counts[min(max(from, 0), len(counts)):min(max(from+perWindow, 0), len(counts))])
+		}
+		for from := -perWindow; from < len(requests); from++ {
+			counted := max(in(requests, from), in(requests, from-perWindow/2), in(requests, from-perWindow))
+			if in(retries, from) > ratio*counted+allowance+1 {
+				t.Fatalf("%v retries of %v requests", in(retries, from), counted)
+			}
+		}
+	})
+}
+
+// TestRetriesAfterCrowd guards against a budget that a crowd's last requests have used up when
+// the crowd has left, although the backend servers still count its requests.
+func TestRetriesAfterCrowd(t *testing.T) {
+	for name, c := range map[string]struct {
+		counts bool
+		want   int
+	}{"counts earlier": {true, 8}, "doesn't": {false, 0}} {
+		t.Run(name, func(t *testing.T) {
+			b := NewSharedRetryBudget(0.9, 0, 10_000)
+			b.SetCountsEarlier(func(string, clock.Millis) bool { return c.counts })
+			for range 100 {
+				b.RecordRequest("text", 1_000_000)
+			}
+			for range 70 {
+				assert.Assert(t, b.TryAcquire("text", 1_003_000))
+			}
+			for range 10 {
+				b.RecordRequest("text", 1_011_500)
+			}
+			retries := 0
+			for b.TryAcquire("text", 1_011_500) {
+				retries++
+			}
+			assert.Equal(t, retries, c.want)
+		})
+	}
+}
+
 // TestRestartsDoNotRenewAllowance restarts all daemons after they have used up the budget.
 // Together with their former incarnations they must not retry more than one budget allows.
 func TestRestartsDoNotRenewAllowance(t *testing.T) {
--- a/internal/decision/cascade/escalation.go
+++ b/internal/decision/cascade/escalation.go
@@ -14,8 +14,11 @@
 	Target     clock.Millis // for the first byte, from the arrival
 	Deadline   clock.Millis // for the last byte, from the arrival
 	// Utilisation is the share of the pool's capacity in use, over 1 while requests queue; 0
-	// if unknown.
-	Utilisation float64
+	// if unknown. Rise is by how much it has risen lately.
+	Utilisation, Rise float64
+	// Precedence is how urgent the route is among those to the pool: 1 for the most urgent,
+	// -1 for the least, 0 if all are alike.
+	Precedence float64
 }
 
 // leastThreshold is the threshold in a full pool. An answer of less confidence is most
@@ -36,6 +39,16 @@
 	// ampleSlack is the time to spare from which a request has ample slack: the longest
 	// waits in full servers' queues were 3.4 s.
 	ampleSlack = 4_000 * clock.Millis(1)
+	// precedenceShift is by how much earlier the least urgent requests of a pool keep their
+	// small answers, and the most urgent ones later. Long prompts of low urgency took the
+	// room that short urgent requests needed: these have a tenth of their prefill.
+	precedenceShift = 0.15
+	// calmShift is the same for the utilisation from which the least urgent ones begin to keep
+	// theirs. With more, they did so at the usual load of a pool that is half full.
+	calmShift = 0.05
+	// precedenceLead is by how much further the least urgent requests look ahead, and the
+	// most urgent ones less, as a share of the rise.
+	precedenceLead = 0.5
 )
 
 // Slack returns the time to spare if the answer is discarded: until the deadline at the
@@ -46,15 +59,23 @@
 	return min(e.Deadline-start-e.Complete, e.Target-start-e.FirstByte)
 }
 
+// expectedUtilisation returns the utilisation once the requests that were started lately have
+// run for a while.
+func (e Escalation) expectedUtilisation() float64 {
+	return e.Utilisation + (1-precedenceLead*e.Precedence)*e.Rise
+}
+
 // Room returns how much of the threshold the pool's utilisation leaves, from 0 to 1.
 //
 // Load pattern: traffic rises over the capacity for seconds. Each escalation then takes
-// ten times the work of the answer that it discards, and comes late.
+// ten times the work of the answer that it discards, and comes late. What was started before
+// the pool is full fills it for seconds more.
 func (e Escalation) Room() float64 {
 	ease := min(max(float64(e.Slack())/float64(ampleSlack), 0), 1)
-	calm := noSlackCalm + ease*(ampleSlackCalm-noSlackCalm)
-	full := noSlackFull + ease*(ampleSlackFull-noSlackFull)
-	return min(max((full-e.Utilisation)/(full-calm), 0), 1)
+	shift := precedenceShift * e.Precedence
+	calm := noSlackCalm + ease*(ampleSlackCalm-noSlackCalm) + max(shift, calmShift*e.Precedence)
+	full := min(noSlackFull+ease*(ampleSlackFull-noSlackFull)+shift, 1)
+	return min(max((full-e.expectedUtilisation())/(full-calm), 0), 1)
 }
 
 // Threshold returns the confidence below which the answer is discarded. It falls by
@@ -66,7 +87,7 @@
 		float64(start+e.Complete)/float64(max(e.Deadline, 1)),
 	)
 	highest := t.At(latency)
-	queueing := min(max((queueingLoad-e.Utilisation)/(queueingLoad-1), 0), 1)
+	queueing := min(max((queueingLoad-e.expectedUtilisation())/(queueingLoad-1), 0), 1)
 	least := queueing * float64(min(leastThreshold, highest))
 	return int(least + e.Room()*(float64(highest)-least))
 }
--- a/internal/decision/cascade/escalation_test.go
+++ b/internal/decision/cascade/escalation_test.go
@@ -24,6 +24,14 @@
 // TestEscalates guards against discarding a small model's answer for one that comes late or
 // takes the room of other requests, and against keeping it while there is room.
 func TestEscalates(t *testing.T) {
+	urgent := func(e Escalation, precedence float64) Escalation {
+		e.Precedence = precedence
+		return e
+	}
+	rising := func(e Escalation, rise float64) Escalation {
+		e.Rise = rise
+		return e
+	}
 	waiting := func(e Escalation, wait clock.Millis) Escalation {
 		e.Wait = wait
 		return e
@@ -45,6 +53,12 @@
 		"nearly full, poor answer":              {tagEscalation(20, 0.89), false},
 		"nearly full, time to spare":            {digestEscalation(40, 0.89), false},
 		"nearly full, worthless answer":         {tagEscalation(5, 0.89), true},
+		"least urgent, half full":               {urgent(digestEscalation(40, 0.5), -1), true},
+		"least urgent, nearly full":             {urgent(digestEscalation(40, 0.76), -1), false},
+		"most urgent, nearly full":              {urgent(tagEscalation(40, 0.76), 1), true},
+		"most urgent, full":                     {urgent(tagEscalation(40, 1.01), 1), false},
+		"half full and rising":                  {rising(tagEscalation(40, 0.5), 0.3), false},
+		"half full and rising, most urgent":     {rising(urgent(tagEscalation(40, 0.5), 1), 0.3), true},
 		"wait beyond the deadline":              {waiting(tagEscalation(10, 0.2), 3_300), false},
 		"complete just in time":                 {waiting(tagEscalation(10, 0.2), 3_200), true},
 		"in time by its wait, not by its first": {Escalation{Confidence: 10, Elapsed: 30, FirstByte: 100, Complete: 4_000, Target: 2_000, Deadline: 4_000}, false},
@@ -67,6 +81,7 @@
 			Wait: clock.Millis(rapid.IntRange(0, 3_000).Draw(t, "wait")), Target: target, Deadline: target + clock.Millis(rapid.IntRange(0, 20_000).Draw(t, "deadline")),
 		}
 		e.Complete = e.FirstByte + clock.Millis(rapid.IntRange(0, 10_000).Draw(t, "stream"))
+		e.Precedence = rapid.Float64Range(-1, 1).Draw(t, "precedence")
 		last := testThreshold.Threshold(e)
 		for percent := 1; percent <= 125; percent++ {
 			e.Utilisation = float64(percent) / 100
--- a/internal/decision/cascade/replay_test.go
+++ b/internal/decision/cascade/replay_test.go
@@ -24,12 +24,13 @@
 	output           int // tokens
 	perSecond        float64
 	target, deadline clock.Millis
+	precedence       float64 // see cascade.Escalation
 }
 
 var kinds = []kind{
-	{"digest", 12_000, 5_382, 600, 105, 6_000, 20_000},
-	{"question", 826, 198, 400, 120, 1_500, 15_000},
-	{"tag", 2_368, 568, 40, 156, 2_000, 4_000},
+	{"digest", 12_000, 5_382, 600, 105, 6_000, 20_000, -1},
+	{"question", 826, 198, 400, 120, 1_500, 15_000, 1},
+	{"tag", 2_368, 568, 40, 156, 2_000, 4_000, 0},
 }
 
 // call is a request of the replay and what became of it.
@@ -181,7 +182,7 @@
 	threshold := cascade.ConfidenceThreshold{Normal: 58, Overloaded: 44}
 	if !threshold.Escalates(cascade.Escalation{
 		Confidence: c.confidence, Elapsed: p.now - c.arrivedAt, FirstByte: firstByte, Complete: firstByte + stream, Wait: u.Wait(firstByte + stream),
-		Target: c.kind.target, Deadline: c.kind.deadline, Utilisation: u.Load,
+		Target: c.kind.target, Deadline: c.kind.deadline, Utilisation: u.Load, Rise: u.Rise(), Precedence: c.kind.precedence,
 	}) {
 		return false
 	}
@@ -290,8 +291,9 @@
 
 // TestCascadeAtTwiceTheTraffic replays twice the crowded deployment's traffic for 12 s. It
 // guards against escalations that take the room of the other requests and come late, against
-// small answers that are kept while there is room, before and after, and against client
-// accounts that are treated unequally.
+// small answers that are kept while there is room, before and after, against less urgent kinds
+// of requests that are escalated more often than more urgent ones, and against client accounts
+// that are treated unequally.
 func TestCascadeAtTwiceTheTraffic(t *testing.T) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -306,12 +308,15 @@
 			_, _, escalatedBefore := shares(before, all)
 			_, _, escalatedAfter := shares(after, all)
 			t.Logf("%d requests: %.3f in target, %.4f failed, %.2f escalated; %.2f before, %.2f after", len(crowded), inTarget, failed, escalated, escalatedBefore, escalatedAfter)
+			escalatedKinds := make(map[string]float64)
 			for i := range kinds {
 				target, failures, share := shares(crowded, func(c *call) bool { return c.kind == &kinds[i] })
+				escalatedKinds[kinds[i].name] = share
 				t.Logf("%s: %.3f in target, %.4f failed, %.2f escalated", kinds[i].name, target, failures, share)
 			}
 			assert.Check(t, inTarget >= 0.95)
 			assert.Check(t, failed <= 0.01)
+			assert.Check(t, escalatedKinds["question"] >= escalatedKinds["tag"] && escalatedKinds["tag"] >= escalatedKinds["digest"], "%v", escalatedKinds)
 			assert.Check(t, escalatedBefore >= 0.95, "there is room")
 			assert.Check(t, escalatedAfter >= escalatedBefore-0.05, "room has returned")
 			for account := range replayAccounts {
--- a/internal/decision/catalog/catalog.go
+++ b/internal/decision/catalog/catalog.go
@@ -17,6 +17,7 @@
 	pools      map[string]Pool
 	accounts   map[string]ClientAccount // by key
 	requireKey bool
+	priorities map[string]priorityRange // of the routes with several models, by pool
 }
 
 // Tables holds the contents of a Catalog.
@@ -49,6 +50,7 @@
 	for _, p := range t.Pools {
 		c.pools[p.Name] = p
 	}
+	c.priorities = priorityRanges(t.Routes)
 	return c
 }
 
--- a/internal/decision/loadbalance/utilisation.go
+++ b/internal/decision/loadbalance/utilisation.go
@@ -14,11 +14,16 @@
 	// utilisationPeriodMs is the time over which it is averaged, so that decisions don't
 	// alternate from one report to the next.
 	utilisationPeriodMs = 1_000.0
+	// earlierPeriodMs is the time over which the utilisation is averaged that it is compared
+	// with. The difference is the rise of about two seconds: half of the time that a stream
+	// of a large model runs.
+	earlierPeriodMs = 3_000.0
 )
 
 // Utilisation is how much of a pool's capacity the requests of all daemons use.
 type Utilisation struct {
 	Load    float64      // running and queued requests / slots, averaged; over 1 while requests queue
+	Earlier float64      // the same, averaged over a longer time
 	Prefill float64      // ms of prefill that is pending at a server, averaged
 	Calls   int          // running and queued requests now
 	Slots   int          // of the servers that accept requests
@@ -33,12 +38,22 @@
 	return clock.Millis(max(u.Load-1, 0) * float64(request))
 }
 
+// Rise returns by how much the load has risen in the last seconds; 0 if it falls.
+//
+// Load pattern: the traffic doubles within a second. Streams run for seconds, so the load goes
+// on rising until as many end as start, and reports tell of it late.
+func (u Utilisation) Rise() float64 { return max(u.Load-u.Earlier-usualRise, 0) }
+
+// usualRise is the rise that the usual variation of the traffic brings about.
+const usualRise = 0.05
+
 // Plus returns the utilisation of the servers of both.
 func (u Utilisation) Plus(o Utilisation) Utilisation {
 	sum := Utilisation{
 		Calls: u.Calls + o.Calls, Slots: u.Slots + o.Slots, Known: u.Known + o.Known, Servers: u.Servers + o.Servers, Age: max(u.Age, o.Age),
 	}
 	sum.Load = (u.Load*float64(u.Slots) + o.Load*float64(o.Slots)) / float64(max(sum.Slots, 1))
+	sum.Earlier = (u.Earlier*float64(u.Slots) + o.Earlier*float64(o.Slots)) / float64(max(sum.Slots, 1))
 	sum.Prefill = (u.Prefill*float64(u.Servers) + o.Prefill*float64(o.Servers)) / float64(max(sum.Servers, 1))
 	return sum
 }
@@ -53,6 +68,7 @@
 func (u Utilisation) extrapolated() Utilisation {
 	if u.Known >= minKnown && u.Known < u.Servers {
 		u.Load *= float64(u.Servers) / float64(u.Known)
+		u.Earlier *= float64(u.Servers) / float64(u.Known)
 	}
 	return u
 }
@@ -86,9 +102,11 @@
 // caller must hold mu.
 func (b *Balancer) updateUtilisation(v *fleet.View, pool string, last poolUtilisation, now clock.Millis) poolUtilisation {
 	next := poolUtilisation{b.measureUtilisation(v, pool, now), now}
-	keep := math.Exp(-float64(now-last.at) / utilisationPeriodMs)
+	elapsed := float64(now - last.at)
+	keep, keepEarlier := math.Exp(-elapsed/utilisationPeriodMs), math.Exp(-elapsed/earlierPeriodMs)
 	for version, u := range next.versions {
 		if before, known := last.versions[version]; known {
+			u.Earlier += (before.Earlier - u.Earlier) * keepEarlier
 			u.Load += (before.Load - u.Load) * keep
 			u.Prefill += (before.Prefill - u.Prefill) * keep
 			next.versions[version] = u
@@ -115,8 +133,9 @@
 		}
 		load, slots := s.load(now), s.slotsOf(e)
 		calls := max(load.Calls, 0)
+		loaded := float64(calls) / float64(slots)
 		u := Utilisation{
-			Load: float64(calls) / float64(slots), Prefill: float64(max(load.Prefill, 0)), Calls: calls, Slots: slots, Servers: 1,
+			Load: loaded, Earlier: loaded, Prefill: float64(max(load.Prefill, 0)), Calls: calls, Slots: slots, Servers: 1,
 		}
 		if age, known := s.loadAge(now); known {
 			u.Known, u.Age = 1, age
--- a/internal/decision/loadbalance/utilisation_test.go
+++ b/internal/decision/loadbalance/utilisation_test.go
@@ -32,14 +32,14 @@
 		want  Utilisation
 	}{
 		"nothing known":    {nil, now, Utilisation{Slots: 256, Servers: 4}},
-		"known from peers": {[]setup{peers(32, 100)}, now, Utilisation{Load: 0.5, Prefill: 100, Calls: 128, Slots: 256, Known: 4, Servers: 4, Age: 300}},
-		"queueing":         {[]setup{peers(96, 0)}, now, Utilisation{Load: 1.5, Calls: 384, Slots: 256, Known: 4, Servers: 4, Age: 300}},
+		"known from peers": {[]setup{peers(32, 100)}, now, Utilisation{Load: 0.5, Earlier: 0.5, Prefill: 100, Calls: 128, Slots: 256, Known: 4, Servers: 4, Age: 300}},
+		"queueing":         {[]setup{peers(96, 0)}, now, Utilisation{Load: 1.5, Earlier: 1.5, Calls: 384, Slots: 256, Known: 4, Servers: 4, Age: 300}},
 		"expired":          {[]setup{peers(96, 0)}, now + 2_000, Utilisation{Slots: 256, Servers: 4}},
 		"own report": {[]setup{func(b *Balancer) {
 			b.RecordReport(&first, ServerReport{HasLoad: true, Requests: 64, Slots: 64}, now-100)
-		}}, now, Utilisation{Load: 0.25, Calls: 64, Slots: 256, Known: 1, Servers: 4, Age: 100}},
+		}}, now, Utilisation{Load: 0.25, Earlier: 0.25, Calls: 64, Slots: 256, Known: 1, Servers: 4, Age: 100}},
 		"ejected": {[]setup{peers(48, 0), func(b *Balancer) { b.RecordNoAnswer(&first, now-100) }}, now,
-			Utilisation{Load: 0.75, Calls: 144, Slots: 192, Known: 3, Servers: 3, Age: 300}},
+			Utilisation{Load: 0.75, Earlier: 0.75, Calls: 144, Slots: 192, Known: 3, Servers: 3, Age: 300}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -99,3 +99,29 @@
 		})
 	}
 }
+
+// TestUtilisationRise guards against a rise of the load that shows only when the pool is full,
+// and against one that a falling or steady load is taken for.
+func TestUtilisationRise(t *testing.T) {
+	b, v, now := NewBalancer(), engines(2), clock.Millis(100_000)
+	setLoad := func(calls int) {
+		b.SetPeerLoads(map[string]Load{"engine-00": {Calls: calls}, "engine-01": {Calls: calls}}, now)
+	}
+	play := func(from, perPeriod int) (u Utilisation) {
+		for i := range 10 {
+			setLoad(from + i*perPeriod)
+			now += 200
+			u = b.Utilisation(v, "text", nil, now)
+		}
+		return u
+	}
+	b.Utilisation(v, "text", nil, now) // registers the servers
+	for range 5 {
+		play(16, 0)
+	}
+	assert.Equal(t, play(16, 0).Rise(), 0.0, "steady")
+	rising := play(16, 2)
+	assert.Assert(t, rising.Load < 0.5 && rising.Rise() > 0.03, "%+v", rising)
+	play(34, 0)
+	assert.Equal(t, play(34, -3).Rise(), 0.0, "falling")
+}
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -293,6 +293,7 @@
 		debug.SetMemoryLimit(int64(float64(s.Entry.MemoryMB) * memoryLimitShare * (1 << 20)))
 	}
 	d.RetryBudget.SetLimits(s.Entry.RepeatRatio, s.Entry.RepeatSlack)
+	d.RetryBudget.SetCountsEarlier(d.Balancer.AdaptsToLoad)
 	d.Balancer.SetDrainTime(clock.Millis(s.Entry.DrainMs))
 	features := platform.LoadFeatures(s.Entry)
 	d.Balancer.SetFeatures(features)
--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -61,6 +61,7 @@
 	threshold := r.ConfidenceThreshold
 	r.escalationRates.Record(ex.route.Name, ex.req.Prompt.Tokens, confidence < threshold.Normal, now)
 	u := r.Balancer.Utilisation(ex.view, ex.pool.Name, r.VersionRouter.AllowedVersions(ex.view, ex.pool.Name, ex.req, false), now)
+	precedence := ex.view.Catalog.Precedence(ex.pool.Name, ex.route.Priority)
 	e := cascade.Escalation{
 		Confidence:  confidence,
 		Elapsed:     now - ex.req.ReceivedAt,
@@ -70,10 +71,12 @@
 		Target:      ex.route.LatencyTarget,
 		Deadline:    ex.deadline - ex.req.ReceivedAt,
 		Utilisation: u.Load,
+		Rise:        u.Rise(),
+		Precedence:  precedence,
 	}
 	// The largest model is awaited until the small one's answer would no longer be in time.
 	inTime := now+e.Wait+firstByte+ex.smallAnswerTime(ex.model, now) < ex.deadline
-	inBudget := r.RetryBudget.AllowsOptional(ex.pool.Name, now)
+	inBudget := r.RetryBudget.LeavesReserve(ex.pool.Name, escalationReserve(precedence), now)
 	escalates := inTime && inBudget && threshold.Escalates(e)
 	if confidence >= threshold.Normal {
 		// Kept at any load: not a decision worth a line.
@@ -82,12 +85,21 @@
 	if !escalates {
 		r.Metrics.countEscalation(ex.pool.Name, escalationKept)
 	}
-	ex.log("small answer of low confidence", nil, "kept", !escalates, "in_budget", inBudget, "threshold", threshold.Threshold(e), "utilisation", e.Utilisation, "utilisation_age_ms", int64(u.Age),
+	ex.log("small answer of low confidence", nil, "kept", !escalates, "in_budget", inBudget, "threshold", threshold.Threshold(e), "utilisation", u.Load, "rise", e.Rise, "precedence", precedence, "utilisation_age_ms", int64(u.Age),
 		"known_servers", u.Known, "servers", u.Servers, "wait_ms", int64(e.Wait), "first_byte_ms", int64(firstByte), "complete_ms", int64(complete),
 		"remaining_ms", int64(ex.deadline-now))
 	return escalates
 }
 
+// escalationReserve returns the fraction of the retry budget that an escalation leaves to
+// others, in addition to the reserve for retries after failures: the less urgent the route is,
+// the more.
+func escalationReserve(precedence float64) float64 {
+	return maxEscalationReserve * (1 - precedence) / 2
+}
+
+const maxEscalationReserve = 0.1
+
 // countPlanned counts whether an escalation that the pool's utilisation allows was planned.
 func (ex *exchange) countPlanned(planned bool, now clock.Millis) {
 	r := ex.relay
