Make no second attempt for its target in a full pool

Cause: at a utilisation near 1, 1,119 of 1,267 second attempts of the crowded load peak were made because another server seemed sooner. The estimate for it was outdated, and the attempts used the retry budget that escalations needed afterwards.

Change: Replacement takes the pool's utilisation. From 0.86 on, a request moves only if it may be lost or would miss its deadline. Second attempts have a part of the retry budget: 0.08 where they save a target, 0.2 where they save a deadline and for streams. The outcomes full_pool and no_budget of the metric and the log line "silent server kept" show it. Without reports, the utilisation is 0 and requests move as before.

--- a/internal/decision/admission/shared_retry_budget.go
+++ b/internal/decision/admission/shared_retry_budget.go
@@ -31,6 +31,7 @@
 	startedAt clock.Millis
 	requests  int
 	retries   int
+	seconds   int // retries in place of an attempt that still ran
 }
 
 const slicesPerWindow = 10
@@ -102,6 +103,36 @@
 	return retries+1 <= allowed*(1-reservedFraction)
 }
 
+// AllowsSecondAttempt reports whether an attempt in place of one that still runs leaves the
+// reserve for retries after failures, and keeps such attempts within the part of the budget.
+// The other retries, such as escalations, may use the rest. One attempt in a window is allowed
+// in any case: a daemon with few requests has too small a part. It takes nothing from the budget.
+//
+// Load pattern: requests queue at every server, and second attempts for them would use up what
+// escalations need once the pool has free capacity again.
+func (b *SharedRetryBudget) AllowsSecondAttempt(pool string, part float64, now clock.Millis) bool {
+	if !b.AllowsOptional(pool, now) {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, allowed := b.count(pool, now)
+	seconds := 0
+	for _, s := range b.pools[pool].slices {
+		if now-s.startedAt < b.window+b.sliceLength() {
+			seconds += s.seconds
+		}
+	}
+	return float64(seconds+1) <= max(part*allowed, 1)
+}
+
+// RecordSecondAttempt counts a retry, which TryAcquire also counts, as a second attempt.
+func (b *SharedRetryBudget) RecordSecondAttempt(pool string, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slice(pool, now).seconds++
+}
+
 // count returns the retries in the window and how many are allowed. The caller must
 // hold mu.
 func (b *SharedRetryBudget) count(pool string, now clock.Millis) (retries, allowed float64) {
--- a/internal/decision/admission/shared_retry_budget_test.go
+++ b/internal/decision/admission/shared_retry_budget_test.go
@@ -108,3 +108,30 @@
 	assert.Equal(t, optional+remaining, int(allowed))
 	assert.Assert(t, float64(remaining) >= reservedFraction*allowed-1, "%d of %g remain for failures", remaining, allowed)
 }
+
+// TestPartOfSecondAttempts guards against second attempts that use up what escalations need, and
+// against a daemon with few requests that makes none at all.
+func TestPartOfSecondAttempts(t *testing.T) {
+	const part, now = 0.1, 1_000_000
+	cases := map[string]struct{ requests, want int }{
+		"many requests": {1_000, 83}, // 0.93 x 0.9 x 1,000 x 0.1
+		"few requests":  {5, 1},
+		"no budget":     {0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := NewSharedRetryBudget(0.9, 0, 10_000)
+			for range c.requests {
+				b.RecordRequest("text", now)
+			}
+			made := 0
+			for b.AllowsSecondAttempt("text", part, now) && b.TryAcquire("text", now) {
+				b.RecordSecondAttempt("text", now)
+				made++
+			}
+			assert.Equal(t, made, c.want)
+			assert.Equal(t, b.AllowsOptional("text", now), c.requests > 0, "escalations have the rest")
+			assert.Equal(t, b.AllowsSecondAttempt("text", part, now+12_000), false, "no requests in the window")
+		})
+	}
+}
--- a/internal/decision/cascade/replay_stragglers_test.go
+++ b/internal/decision/cascade/replay_stragglers_test.go
@@ -20,6 +20,7 @@
 // placeAnew sends the call to another server if that is expected to begin, or to end, sooner.
 func (p *replay) placeAnew(c *call) {
 	remaining := c.arrivedAt + c.kind.deadline - p.now
+	var part float64 // of the retry budget
 	var sooner func(next loadbalance.Forecast, latency loadbalance.LatencyModel) bool
 	if c.run.firstByteAt == 0 {
 		r := loadbalance.Replacement{Waited: p.now - c.sentAt, Target: c.arrivedAt + c.kind.target - p.now, Remaining: remaining}
@@ -27,6 +28,10 @@
 			return
 		}
 		r.Expected = c.daemon.Forecast(c.choice, p.pool, c.model, p.now).FirstByte
+		if p.limitsSecondAttempts {
+			r.Utilisation = c.daemon.Utilisation(p.view, "text", nil, p.now).Load
+		}
+		part = r.BudgetPart()
 		sooner = func(next loadbalance.Forecast, _ loadbalance.LatencyModel) bool {
 			r.Next = next.FirstByte
 			return r.BeginsSooner()
@@ -46,12 +51,17 @@
 		if !r.MissesDeadline() {
 			return
 		}
+		part = r.BudgetPart()
 		sooner = func(next loadbalance.Forecast, latency loadbalance.LatencyModel) bool {
 			r.Next = next.FirstByte + latency.PrefillTime(c.kind.output-int(c.run.tokens))
 			r.NextInterEvent = latency.InterEventMs() * max(next.Slowness, 1)
 			return r.FinishesSooner()
 		}
 	}
+	budget := p.budgets[c.daemon]
+	if budget != nil && (!budget.AllowsOptional("text", p.now) || (p.limitsSecondAttempts && !budget.AllowsSecondAttempt("text", part, p.now))) {
+		return
+	}
 	request := p.request(c, c.model)
 	request.Tried = func(id string) bool { return id == c.server }
 	choice, result := c.daemon.Choose(p.view, request)
@@ -62,6 +72,10 @@
 		c.daemon.Cancel(&choice)
 		return
 	}
+	if budget != nil {
+		budget.TryAcquire("text", p.now)
+		budget.RecordSecondAttempt("text", p.now)
+	}
 	former := c.run
 	c.daemon.Done(c.choice)
 	p.engines[c.server].remove(former)
--- a/internal/decision/cascade/replay_test.go
+++ b/internal/decision/cascade/replay_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
@@ -67,6 +68,13 @@
 	calls   []*call
 	open    []*call
 	moves   bool // stragglers are placed anew
+	// budgets are the daemons' retry budgets; nil for unlimited ones.
+	budgets map[*loadbalance.Balancer]*admission.SharedRetryBudget
+	// limitsSecondAttempts has the rules for second attempts in a full pool, and for their part
+	// of the retry budget, apply.
+	limitsSecondAttempts bool
+	reports              [][]map[string]loadbalance.Load // by exchange and daemon, not yet delivered
+	reportDelay          int                             // in exchanges
 }
 
 // replayAccounts and replayDocuments are the numbers of client accounts, and of beginnings
@@ -132,6 +140,9 @@
 			daemon: p.daemons[p.rng.IntN(len(p.daemons))], arrivedAt: p.now,
 		}
 		p.calls, p.open = append(p.calls, c), append(p.open, c)
+		if b := p.budgets[c.daemon]; b != nil {
+			b.RecordRequest("text", p.now)
+		}
 		p.start(c, "small")
 	}
 }
@@ -185,6 +196,10 @@
 	}) {
 		return false
 	}
+	budget := p.budgets[c.daemon]
+	if budget != nil && !budget.AllowsOptional("text", p.now) {
+		return false
+	}
 	small, server, choice := c.run, c.server, c.choice
 	var full []string
 	for {
@@ -205,6 +220,9 @@
 	c.daemon.Done(choice)
 	p.engines[server].remove(small)
 	c.escalated = true
+	if budget != nil {
+		budget.TryAcquire("text", p.now)
+	}
 	return true
 }
 
@@ -244,17 +262,26 @@
 	p.open = open
 }
 
-// exchangeReports tells each daemon the load of the others.
+// exchangeReports tells each daemon the load of the others, as it was the report delay ago.
 func (p *replay) exchangeReports() {
+	loads := make([]map[string]loadbalance.Load, len(p.daemons))
+	for i, b := range p.daemons {
+		loads[i] = b.OwnLoads()
+	}
+	p.reports = append(p.reports, loads)
+	if len(p.reports) <= p.reportDelay {
+		return
+	}
+	loads, p.reports = p.reports[0], p.reports[1:]
 	total := make(map[string]loadbalance.Load)
-	for _, b := range p.daemons {
-		for id, load := range b.OwnLoads() {
+	for _, own := range loads {
+		for id, load := range own {
 			total[id] = total[id].Plus(load)
 		}
 	}
-	for _, b := range p.daemons {
+	for i, b := range p.daemons {
 		others := maps.Clone(total)
-		for id, own := range b.OwnLoads() {
+		for id, own := range loads[i] {
 			others[id] = others[id].Plus(loadbalance.Load{Calls: -own.Calls, Prefill: -own.Prefill})
 		}
 		b.SetPeerLoads(others, p.now)
--- a/internal/decision/loadbalance/replacement.go
+++ b/internal/decision/loadbalance/replacement.go
@@ -15,6 +15,18 @@
 // again, and the former server's work is lost.
 const minReplacementGain = 100 * clock.Millis(1)
 
+// fullPool is the utilisation from which a pool counts as full. The other daemons' requests of
+// the last second aren't in the loads yet, so an estimate for another server is outdated when
+// the request arrives there.
+const fullPool = 0.86
+
+// The parts of the retry budget that second attempts may use while the first one isn't lost.
+// Escalations use the same budget, and an attempt that only saves a target is worth less.
+const (
+	targetBudgetPart   = 0.08
+	deadlineBudgetPart = 0.2
+)
+
 // Replacement compares a silent server, which has a request, with another one.
 //
 // Load pattern: a pool is full and slow everywhere, so a second attempt only adds to the
@@ -28,6 +40,9 @@
 	Next          clock.Millis // expected until the first byte from the other server, its queue counted
 	Target        clock.Millis // until the target for the first byte, or for the longest pause; negative if missed
 	Remaining     clock.Millis // until the deadline
+	// Utilisation is the share of the pool's capacity in use, over 1 while requests queue; 0
+	// if unknown.
+	Utilisation float64
 }
 
 // Left returns the expected time until the silent server responds. Until the expected time
@@ -45,12 +60,40 @@
 
 // BeginsSooner reports whether the other server is expected to respond sooner, and in time.
 // Unless the request may be lost, that must save its target or its deadline: prefills of other
-// requests delay many a request by a while, and attempts are better spent on escalations.
+// requests delay many a request by a while, and attempts are better spent on escalations. In a
+// full pool, saving the target is no reason.
 func (r Replacement) BeginsSooner() bool {
 	if r.Next+minReplacementGain >= r.Left() || r.Next >= r.Remaining {
 		return false
 	}
-	return r.Lost || r.Left() >= r.Remaining || (float64(r.Left()) > earlyGain*float64(r.Target) && earlyGain*float64(r.Next) <= float64(r.Target))
+	return r.Lost || r.missesDeadline() || (r.Utilisation < fullPool && r.savesTarget())
+}
+
+// missesDeadline reports whether the silent server is expected to respond too late.
+func (r Replacement) missesDeadline() bool { return r.Left() >= r.Remaining }
+
+// savesTarget reports whether the silent server is expected to miss the target and the other one
+// to meet it.
+func (r Replacement) savesTarget() bool {
+	return float64(r.Left()) > earlyGain*float64(r.Target) && earlyGain*float64(r.Next) <= float64(r.Target)
+}
+
+// KeptInFullPool reports whether only the pool's utilisation speaks against the other server.
+func (r Replacement) KeptInFullPool() bool {
+	free := r
+	free.Utilisation = 0
+	return free.BeginsSooner() && !r.BeginsSooner()
+}
+
+// BudgetPart returns the part of the retry budget that attempts of this kind may use.
+func (r Replacement) BudgetPart() float64 {
+	switch {
+	case r.Lost:
+		return 1
+	case r.missesDeadline():
+		return deadlineBudgetPart
+	}
+	return targetBudgetPart
 }
 
 // MayBeginSooner reports whether any other server could respond soon enough.
@@ -109,6 +152,9 @@
 	return r.Events*r.InterEvent > streamGain*float64(r.Remaining)
 }
 
+// BudgetPart returns the part of the retry budget that attempts of this kind may use.
+func (r StreamReplacement) BudgetPart() float64 { return deadlineBudgetPart }
+
 // FinishesSooner reports whether the stream misses its deadline and is expected to end on the
 // other server sooner, and in time.
 func (r StreamReplacement) FinishesSooner() bool {
--- a/internal/decision/loadbalance/replacement_test.go
+++ b/internal/decision/loadbalance/replacement_test.go
@@ -16,25 +16,30 @@
 		replacement Replacement
 		want        bool
 	}{
-		"the pool is full":               {Replacement{Waited: 1_000, Expected: 3_000, Next: 3_000, Remaining: 5_000}, false},
-		"full, long overdue":             {Replacement{Waited: 5_000, Expected: 3_000, Lost: true, Next: 3_000, Remaining: 9_000}, false},
-		"full, lost":                     {Replacement{Waited: 7_000, Expected: 3_000, Lost: true, Next: 3_000, Remaining: 9_000}, true},
-		"slowed down, another is free":   {Replacement{Waited: 250, Expected: 3_000, Next: 100, Target: 1_500, Remaining: 5_000}, true},
-		"slowed down, still in target":   {Replacement{Waited: 250, Expected: 1_000, Next: 100, Target: 1_500, Remaining: 5_000}, false},
-		"slowed down, late anyway":       {Replacement{Waited: 250, Expected: 3_000, Next: 100, Target: -100, Remaining: 5_000}, false},
-		"slowed down, would fail":        {Replacement{Waited: 250, Expected: 6_000, Next: 100, Target: -100, Remaining: 5_000}, true},
-		"paused, still within target":    {Replacement{Waited: 800, Expected: 100, Overdue: true, Next: 200, Target: 500, Remaining: 5_000}, true},
-		"paused, too late for it":        {Replacement{Waited: 700, Expected: 100, Overdue: true, Next: 550, Target: 500, Remaining: 5_000}, false},
-		"nearly done":                    {Replacement{Waited: 2_900, Expected: 3_000, Next: 100, Remaining: 5_000}, false},
-		"late, but not overdue":          {Replacement{Waited: 600, Expected: 100, Next: 50, Remaining: 5_000}, false},
-		"overdue, another is free":       {Replacement{Waited: 800, Expected: 50, Lost: true, Next: 50, Remaining: 5_000}, true},
-		"no gain":                        {Replacement{Waited: 0, Expected: 500, Next: 450, Remaining: 5_000}, false},
-		"sooner, but after the deadline": {Replacement{Waited: 250, Expected: 9_000, Next: 3_000, Remaining: 2_000}, false},
+		"the pool is full":                  {Replacement{Waited: 1_000, Expected: 3_000, Next: 3_000, Remaining: 5_000}, false},
+		"full, long overdue":                {Replacement{Waited: 5_000, Expected: 3_000, Lost: true, Next: 3_000, Remaining: 9_000}, false},
+		"full, lost":                        {Replacement{Waited: 7_000, Expected: 3_000, Lost: true, Next: 3_000, Remaining: 9_000}, true},
+		"slowed down, another is free":      {Replacement{Waited: 250, Expected: 3_000, Next: 100, Target: 1_500, Remaining: 5_000}, true},
+		"slowed down in a nearly full pool": {Replacement{Waited: 250, Expected: 3_000, Next: 100, Target: 1_500, Remaining: 5_000, Utilisation: 0.8}, true},
+		"slowed down in a full pool":        {Replacement{Waited: 250, Expected: 3_000, Next: 100, Target: 1_500, Remaining: 5_000, Utilisation: 1}, false},
+		"would fail in a full pool":         {Replacement{Waited: 250, Expected: 6_000, Next: 100, Target: 1_500, Remaining: 5_000, Utilisation: 1}, true},
+		"lost in a full pool":               {Replacement{Waited: 7_000, Expected: 3_000, Lost: true, Next: 3_000, Remaining: 9_000, Utilisation: 1}, true},
+		"slowed down, still in target":      {Replacement{Waited: 250, Expected: 1_000, Next: 100, Target: 1_500, Remaining: 5_000}, false},
+		"slowed down, late anyway":          {Replacement{Waited: 250, Expected: 3_000, Next: 100, Target: -100, Remaining: 5_000}, false},
+		"slowed down, would fail":           {Replacement{Waited: 250, Expected: 6_000, Next: 100, Target: -100, Remaining: 5_000}, true},
+		"paused, still within target":       {Replacement{Waited: 800, Expected: 100, Overdue: true, Next: 200, Target: 500, Remaining: 5_000}, true},
+		"paused, too late for it":           {Replacement{Waited: 700, Expected: 100, Overdue: true, Next: 550, Target: 500, Remaining: 5_000}, false},
+		"nearly done":                       {Replacement{Waited: 2_900, Expected: 3_000, Next: 100, Remaining: 5_000}, false},
+		"late, but not overdue":             {Replacement{Waited: 600, Expected: 100, Next: 50, Remaining: 5_000}, false},
+		"overdue, another is free":          {Replacement{Waited: 800, Expected: 50, Lost: true, Next: 50, Remaining: 5_000}, true},
+		"no gain":                           {Replacement{Waited: 0, Expected: 500, Next: 450, Remaining: 5_000}, false},
+		"sooner, but after the deadline":    {Replacement{Waited: 250, Expected: 9_000, Next: 3_000, Remaining: 2_000}, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			assert.Equal(t, c.replacement.BeginsSooner(), c.want)
 			assert.Assert(t, c.replacement.MayBeginSooner() || !c.want)
+			assert.Equal(t, c.replacement.KeptInFullPool(), name == "slowed down in a full pool")
 		})
 	}
 }
--- a/internal/traffic/relay/metrics_under_load.go
+++ b/internal/traffic/relay/metrics_under_load.go
@@ -16,11 +16,13 @@
 
 // Outcomes of the decision about a second attempt while the first one runs, in metrics.
 const (
-	secondRefused = "refused"      // no server is expected to begin sooner
-	secondLost    = "lost"         // the server may have lost the request
-	secondSooner  = "sooner"       // placed anew: another server is expected to begin sooner
-	secondSmall   = "small_model"  // the small model's answer must be in time
-	secondStream  = "stream_moved" // placed anew: the stream would miss its deadline
+	secondRefused  = "refused"      // no server is expected to begin sooner
+	secondFullPool = "full_pool"    // the pool is full, and neither the request nor its deadline is at risk
+	secondNoBudget = "no_budget"    // second attempts have used their part of the retry budget
+	secondLost     = "lost"         // the server may have lost the request
+	secondSooner   = "sooner"       // placed anew: another server is expected to begin sooner
+	secondSmall    = "small_model"  // the small model's answer must be in time
+	secondStream   = "stream_moved" // placed anew: the stream would miss its deadline
 )
 
 // countSecondAttempt counts a decision about a second attempt.
--- a/internal/traffic/relay/second_attempt.go
+++ b/internal/traffic/relay/second_attempt.go
@@ -55,6 +55,7 @@
 			return 0
 		}
 		if present, _ := ex.compareWith(nil, now); !present.MayBeginSooner() {
+			ex.recordKeptInFullPool(server, present, now)
 			return successorPeriod.Duration()
 		}
 	}
@@ -64,6 +65,17 @@
 	return successorPeriod.Duration()
 }
 
+// recordKeptInFullPool records, once for each server, that only the pool's utilisation keeps the
+// request there.
+func (ex *exchange) recordKeptInFullPool(server *fleet.Entry, c loadbalance.Replacement, now clock.Millis) {
+	c.Next = 0
+	if ex.keptOn == server.ID || !c.KeptInFullPool() {
+		return
+	}
+	ex.relay.Metrics.countSecondAttempt(ex.pool.Name, secondFullPool)
+	ex.logKept(server, result.New(result.NoServer, "the pool is full: utilisation %.2f, waited %d ms of %d", c.Utilisation, c.Waited, c.Expected), now)
+}
+
 // compareWith compares the attempt that runs with the planned one; with nil, only the former's
 // values are set.
 func (ex *exchange) compareWith(next *plannedAttempt, now clock.Millis) (c loadbalance.Replacement, present loadbalance.Forecast) {
@@ -72,6 +84,7 @@
 	c = loadbalance.Replacement{Waited: now - w.progressAt, Expected: present.FirstByte, Remaining: ex.deadline - now}
 	c.Lost = w.timeout > 0 && c.Waited >= w.timeout
 	c.Target = ex.req.ReceivedAt + ex.route.LatencyTarget - now
+	c.Utilisation = b.Utilisation(ex.view, ex.pool.Name, ex.relay.VersionRouter.AllowedVersions(ex.view, ex.pool.Name, ex.req, true), now).Load
 	if w.streaming {
 		// The server's pending prefill delays all of its streams; nothing else explains a pause.
 		c.Expected, c.Overdue = clock.Millis(b.LatencyModel(ex.pool.Name, ex.model).InterEventMs())+present.Prefill, true
@@ -95,7 +108,14 @@
 		return result.New(result.NoServer, "the last attempt is kept for the small model")
 	}
 	c, present := ex.compareWith(next, now)
-	if (!c.Lost && (ex.placedAnew || !r.RetryBudget.AllowsOptional(ex.pool.Name, now))) || !c.BeginsSooner() {
+	if !c.Lost && c.BeginsSooner() && !ex.placedAnew && !r.RetryBudget.AllowsSecondAttempt(ex.pool.Name, c.BudgetPart(), now) {
+		if ex.keptOn != server.ID {
+			r.Metrics.countSecondAttempt(ex.pool.Name, secondNoBudget)
+		}
+		return result.New(result.NoServer, "second attempts have used their part %.2f of the retry budget: waited %d ms of %d, %d ms elsewhere",
+			c.BudgetPart(), c.Waited, c.Expected, c.Next)
+	}
+	if (!c.Lost && ex.placedAnew) || !c.BeginsSooner() {
 		if ex.keptOn != server.ID {
 			r.Metrics.countSecondAttempt(ex.pool.Name, secondRefused)
 		}
@@ -105,11 +125,12 @@
 	outcome := secondLost
 	if !c.Lost {
 		ex.placedAnew, ex.watch.yielded, outcome = true, true, secondSooner
+		r.RetryBudget.RecordSecondAttempt(ex.pool.Name, now)
 	}
 	r.Metrics.countSecondAttempt(ex.pool.Name, outcome)
 	ex.log("second attempt planned", server, "outcome", outcome, "to", next.choice.Server.ID, "waited_ms", int64(c.Waited), "expected_ms", int64(c.Expected),
 		"next_ms", int64(c.Next), "calls", present.Calls, "slots", present.Slots, "load_age_ms", int64(present.Age), "load_known", present.Known,
-		"remaining_ms", int64(c.Remaining))
+		"remaining_ms", int64(c.Remaining), "utilisation", c.Utilisation)
 	return nil
 }
 
@@ -213,7 +234,7 @@
 	}
 	remaining := float64(ex.expectedTokens())/float64(max(ex.pool.TokensPerEvent, 1)) - float64(ex.events)
 	c := loadbalance.StreamReplacement{Events: remaining, InterEvent: interEvent, Remaining: ex.deadline - now}
-	if !c.MissesDeadline() || !r.RetryBudget.AllowsOptional(ex.pool.Name, now) {
+	if !c.MissesDeadline() || !r.RetryBudget.AllowsSecondAttempt(ex.pool.Name, c.BudgetPart(), now) {
 		return false
 	}
 	excluded := func(id string) bool { return id == server.ID || ex.isExcluded(id) }
@@ -236,6 +257,7 @@
 	}
 	ex.releaseSuccessor()
 	ex.successor, ex.placedAnew, ex.watch.yielded = next, true, true
+	r.RetryBudget.RecordSecondAttempt(ex.pool.Name, now)
 	r.Metrics.countSecondAttempt(ex.pool.Name, secondStream)
 	ex.log("stream placed anew", server, "to", next.choice.Server.ID, "events_left", c.Events, "inter_event_ms", c.InterEvent,
 		"next_ms", int64(c.Next), "next_inter_event_ms", c.NextInterEvent, "remaining_ms", int64(c.Remaining))
--- a/internal/traffic/relay/second_attempt_test.go
+++ b/internal/traffic/relay/second_attempt_test.go
@@ -13,6 +13,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
 // maxOverlap is the longest time for which a request may run twice.
@@ -108,21 +109,30 @@
 		setup func(f *fixture)
 		// during is called with the server that stalls.
 		during  func(f *fixture, server string)
+		target  clock.Millis  // for the first byte; 0 for the route's
 		longest time.Duration // of the stall
 		calls   int
 		within  time.Duration // the complete response
 	}{
 		"the pool is full": {"/draft/1", func(f *fixture) { f.underLoad(10) }, func(f *fixture, _ string) {
 			f.keepReporting(loadbalance.Load{Calls: 10})
-		}, 3 * time.Second, 1, 4 * time.Second},
-		"lost":            {"/draft/1", func(f *fixture) { f.underLoad(0) }, nil, 9 * time.Second, 2, 3 * time.Second},
-		"has slowed down": {"/draft/1", func(f *fixture) { f.underLoad(0) }, busy, 9 * time.Second, 2, 1_500 * time.Millisecond},
-		"at most once":    {"/once/1", func(f *fixture) { f.underLoad(0) }, busy, 2 * time.Second, 1, 4 * time.Second},
+		}, 0, 3 * time.Second, 1, 4 * time.Second},
+		"lost":            {"/draft/1", func(f *fixture) { f.underLoad(0) }, nil, 0, 9 * time.Second, 2, 3 * time.Second},
+		"has slowed down": {"/draft/1", func(f *fixture) { f.underLoad(0) }, busy, 0, 9 * time.Second, 2, 1_500 * time.Millisecond},
+		"at most once":    {"/once/1", func(f *fixture) { f.underLoad(0) }, busy, 0, 2 * time.Second, 1, 4 * time.Second},
 		"has slowed down, reserve only": {"/draft/1", func(f *fixture) {
 			f.underLoad(0)
 			f.relay.RetryBudget = admission.NewSharedRetryBudget(0, 1.1, 10_000)
-		}, busy, 1_600 * time.Millisecond, 1, 3 * time.Second},
-		"no feature": {"/draft/1", func(f *fixture) { f.underLoad(10); f.relay.Balancer.SetFeatures(loadfeatures.Features{}) }, nil, 9 * time.Second, 2, 4 * time.Second},
+		}, busy, 0, 1_600 * time.Millisecond, 1, 3 * time.Second},
+		"has slowed down in a full pool": {"/draft/1", func(f *fixture) { f.underLoad(8) }, func(f *fixture, slow string) {
+			f.setLoads(func(server string) loadbalance.Load {
+				if server == slow {
+					return loadbalance.Load{Calls: 7, Prefill: 2_500}
+				}
+				return loadbalance.Load{Calls: 7}
+			})
+		}, 2_000, 1_600 * time.Millisecond, 1, 3 * time.Second},
+		"no feature": {"/draft/1", func(f *fixture) { f.underLoad(10); f.relay.Balancer.SetFeatures(loadfeatures.Features{}) }, nil, 0, 9 * time.Second, 2, 4 * time.Second},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -135,7 +145,9 @@
 				}
 			}
 			server := firstHangs(&o, c.longest, during)
-			f = newFixture(t, streamRoutes(), server, server)
+			table := streamRoutes()
+			table[0].LatencyTarget = max(table[0].LatencyTarget, c.target)
+			f = newFixture(t, table, server, server)
 			c.setup(f)
 			start := time.Now()
 			got := f.send(http.MethodPost, c.path, headerModel, "large")
