--- a/internal/decision/admission/shared_retry_budget.go
+++ b/internal/decision/admission/shared_retry_budget.go
@@ -32,6 +32,7 @@
 	startedAt clock.Millis
 	requests  int
 	retries   int
+	seconds   int // retries in place of an attempt that still ran
 }
 
 const (
@@ -122,6 +123,35 @@
 	return b.allows(pool, 1-reservedFraction-reserve, now)
 }
 
+// AllowsSecondAttempt reports whether an attempt in place of one that still runs leaves the
+// reserve for retries after failures, and keeps such attempts within the part of the budget.
+// The other retries, such as escalations, may use the rest. One attempt in a window is allowed
+// in any case: a daemon with few requests has too small a part. It takes nothing from the budget.
+//
+// Load pattern: requests queue at every server, and second attempts for them would use up what
+// escalations need once the pool has free capacity again.
+func (b *SharedRetryBudget) AllowsSecondAttempt(pool string, part float64, now clock.Millis) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slice(pool, now)
+	w := b.pools[pool]
+	within := part * b.allowed(w.requestsIn(now-b.window+1, now+1), now)
+	return b.allows(pool, 1-reservedFraction, now) && float64(w.secondsFrom(b.oldestRetry(now))+1) <= max(within, 1)
+}
+
+// RecordSecondAttempt counts a retry, which TryAcquire also counts, as a second attempt.
+func (b *SharedRetryBudget) RecordSecondAttempt(pool string, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slice(pool, now).seconds++
+}
+
+// oldestRetry returns the time from which on retries count. That is somewhat more than a window:
+// the backend servers' windows start at other instants.
+func (b *SharedRetryBudget) oldestRetry(now clock.Millis) clock.Millis {
+	return now - b.window - b.window/10 + 1
+}
+
 // allows reports whether one more retry leaves the rest of the budget beyond the fraction. The
 // caller must hold mu.
 func (b *SharedRetryBudget) allows(pool string, fraction float64, now clock.Millis) bool {
@@ -129,10 +159,7 @@
 	if b.countsEarlier != nil && b.countsEarlier(pool, now) {
 		return b.allowsByEarlier(w, fraction, now)
 	}
-	// Somewhat more than a window of retries counts: the backend servers' windows start at
-	// other instants.
-	retries := w.retriesFrom(now - b.window - b.window/10 + 1)
-	return b.isWithin(retries, w.requestsIn(now-b.window+1, now+1), fraction, now)
+	return b.isWithin(w.retriesFrom(b.oldestRetry(now)), w.requestsIn(now-b.window+1, now+1), fraction, now)
 }
 
 // allowsByEarlier reports whether one more retry is within the budget of each window that began
@@ -157,11 +184,16 @@
 // isWithin reports whether one retry more than the given ones is within the fraction of the
 // budget for the requests.
 func (b *SharedRetryBudget) isWithin(retries, requests int, fraction float64, now clock.Millis) bool {
+	return float64(retries+1) <= fraction*b.allowed(requests, now)
+}
+
+// allowed returns the number of retries that this daemon may make for the requests.
+func (b *SharedRetryBudget) allowed(requests int, now clock.Millis) float64 {
 	allowance := b.allowance
 	if now < b.allowanceFrom {
 		allowance = 0
 	}
-	return float64(retries+1) <= fraction*usableFraction*(b.ratio*float64(requests)+allowance/float64(b.hosts))
+	return usableFraction * (b.ratio*float64(requests) + allowance/float64(b.hosts))
 }
 
 // requestsIn returns the number of requests of slices that began from the one time on and before
@@ -185,6 +217,16 @@
 	return n
 }
 
+// secondsFrom returns the number of second attempts of slices that began from the time on.
+func (w *slidingWindow) secondsFrom(from clock.Millis) (n int) {
+	for _, s := range w.slices {
+		if s.startedAt >= from {
+			n += s.seconds
+		}
+	}
+	return n
+}
+
 func (b *SharedRetryBudget) sliceLength() clock.Millis { return max(b.window/slicesPerWindow, 1) }
 
 // slice returns the current slice, cleared if it held an older period. The caller
