relay: plan every attempt in one place

An attempt was planned by planAttempt, and each of its callers then checked the retry budget and released the slot itself, in six places and three orders of code. What the last plan had found (limited servers, a full pool) and the overdraft of a waiting request were fields of the exchange.

attemptPlanner takes a planRequest and checks configuration, quarantine, free capacity, the purpose of the attempt and the retry budget in this order; a rejected attempt is released by exchange.release, the only caller of Balancer.Cancel. A request that waits for a place is still charged once it has one (planRequest.paidLater).

--- a/internal/traffic/relay/announcements_test.go
+++ b/internal/traffic/relay/announcements_test.go
@@ -270,7 +270,7 @@
 		relay: f.relay, httpReq: httpReq, w: httptest.NewRecorder(), deadline: now + 2_000,
 		req: &Request{ID: "request-1", Method: http.MethodPost, Host: "desk.example", Path: "/read/1", Target: "/read/1", Header: http.Header{}, APIKey: "key-1", ReceivedAt: now},
 	}
-	planned, rejection := ex.planAttempt(ex.isExcluded, false, now)
+	planned, rejection := ex.plan(planRequest{now: now, paidLater: true})
 	assert.Assert(f.t, rejection == nil)
 	ex.successor = planned
 	return ex, now
--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -1,10 +1,9 @@
 package relay
 
 import (
-	"slices"
-
 	"gypsumpitch.example/gypsumpitch/internal/decision/cascade"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
@@ -105,29 +104,27 @@
 // that has a prompt's beginning cached is the first choice, however many requests share it.
 const maxRoomChecks = 3
 
-// planLargest plans an attempt on the largest model in place of the small one's. The error
-// states why none is likely to succeed.
-func (ex *exchange) planLargest(now clock.Millis) (*plannedAttempt, *result.Error) {
+// planLargest plans an attempt on the largest model in place of the small one's, which runs on
+// the server. The error states why none is likely to succeed.
+func (ex *exchange) planLargest(server *fleet.Entry, now clock.Millis) (*plannedAttempt, *result.Error) {
 	var full []string
-	excluded := func(id string) bool { return ex.isExcluded(id) || slices.Contains(full, id) }
 	for {
-		next, rejection := ex.planAttempt(excluded, ex.backendFailed, now)
-		if rejection != nil {
-			return nil, rejection
-		}
-		if next.choice.LastResort {
-			ex.relay.Balancer.Cancel(&next.choice)
-			return nil, result.New(result.NoServer, "only ejected servers are left")
-		}
-		if !ex.relay.Balancer.AdaptsToLoad(next.pool.Name, now) {
-			return next, nil
-		}
-		if rejection = ex.checkRoom(next, now); rejection == nil {
-			return next, nil
-		}
-		ex.relay.Balancer.Cancel(&next.choice)
-		if full = append(full, next.choice.Server.ID); len(full) == maxRoomChecks {
-			return nil, rejection
+		checked := len(full)
+		next, rejection := ex.plan(planRequest{now: now, running: server, excluded: full, check: func(next *plannedAttempt) *result.Error {
+			if next.choice.LastResort {
+				return result.New(result.NoServer, "only ejected servers are left")
+			}
+			if !ex.relay.Balancer.AdaptsToLoad(next.pool.Name, now) {
+				return nil
+			}
+			rejection := ex.checkRoom(next, now)
+			if rejection != nil {
+				full = append(full, next.choice.Server.ID)
+			}
+			return rejection
+		}})
+		if len(full) == checked || len(full) == maxRoomChecks {
+			return next, rejection
 		}
 	}
 }
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -50,10 +50,7 @@
 	lastError       string                  // why the last attempt failed
 	server          fleet.Entry             // of the last attempt
 	speed           *loadbalance.KnownSpeed // of that server; see loadbalance.Choice
-	limited         []fleet.Entry           // servers that only their rate limits kept the last plan from
 	answeredAt      clock.Millis            // when the last attempt's response header arrived
-	atCapacity      bool                    // the last plan found all servers full
-	overdraft       int                     // see admission.Overdraft; 0 unless the request waits
 
 	parts   []quarantine.Part // see quarantine.Parts
 	run     *quarantine.Run   // of the last attempt
@@ -233,7 +230,9 @@
 		var rejection *result.Error
 		planned, now, rejection = ex.planOrWait(now)
 		if rejection == nil && !inBudget {
-			rejection = ex.acquireRetry(planned, nil, now)
+			if rejection = ex.acquireRetry(planned, nil, now); rejection != nil {
+				ex.release(planned)
+			}
 		}
 		if rejection != nil {
 			return false, ex.reject(rejection)
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -94,10 +94,7 @@
 func (ex *exchange) planEscalation(server *fleet.Entry, now clock.Millis) bool {
 	small := ex.modelIndex
 	ex.modelIndex = ex.largestModel()
-	next, rejection := ex.planLargest(now)
-	if rejection == nil {
-		rejection = ex.acquireRetry(next, server, now)
-	}
+	next, rejection := ex.planLargest(server, now)
 	if rejection != nil {
 		ex.modelIndex = small
 		ex.countPlanned(false, now)
--- /dev/null
+++ b/internal/traffic/relay/resume.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+)
+
+// resumeWait is how long an interrupted stream waits for a server that can go on with it.
+// A later event would miss the caller's target for pauses, and the caller may find another
+// daemon that has a server.
+const resumeWait = 2_500 * clock.Millis(1)
+
+// The pause before an interrupted stream is planned again doubles from the minimum to the
+// maximum: each attempt that a server refuses is taken from the retry budget.
+const (
+	minResumeDelay = 200 * clock.Millis(1)
+	maxResumeDelay = 800 * clock.Millis(1)
+)
+
+// awaitServer sets a pause after which the rejected attempt is planned again. It reports
+// false if the rejection is final: the caller has no part of a response and the relay has
+// ended no attempt that would have gone on, or the request has been interrupted for too long.
+func (ex *exchange) awaitServer(rejection *result.Error) bool {
+	switch rejection.Code {
+	case result.NoServer, result.Overloaded, result.RateLimited, result.BackendRefused:
+	default:
+		return false
+	}
+	if !ex.headerSent && !ex.replaced {
+		return false
+	}
+	now := ex.relay.Clock.Now()
+	if ex.interruptedAt == 0 {
+		ex.interruptedAt = now
+		ex.log("waiting for a server", nil, "reason", rejection.Error(), "last_event", ex.lastEventID, "remaining_ms", int64(ex.deadline-now))
+	}
+	delay := min(max(2*ex.resumeDelay, minResumeDelay), maxResumeDelay)
+	if now+delay >= min(ex.interruptedAt+resumeWait, ex.deadline) {
+		return false
+	}
+	ex.resumeDelay, ex.pause = delay, delay
+	return true
+}
+
+// resumed records that a server goes on with the request.
+func (ex *exchange) resumed() { ex.replaced, ex.interruptedAt, ex.resumeDelay = false, 0, 0 }
+
+// pauseError returns the error of a request for which all servers of the pool asked for a
+// pause; the first pause ends at the given time. A stream that has begun waits only for a
+// pause that ends in time.
+func (ex *exchange) pauseError(pool *catalog.Pool, until, now clock.Millis) *result.Error {
+	code, waitsSince := result.Overloaded, now
+	if ex.interruptedAt > 0 {
+		waitsSince = ex.interruptedAt
+	}
+	if ex.headerSent && until >= min(ex.deadline, waitsSince+resumeWait) {
+		code = result.DeadlineTooShort
+	}
+	rejection := result.New(code, "all servers of pool %s asked for a pause of %d ms; %s", pool.Name, until-now, ex.lastError)
+	return rejection.WithRetryAfter(retryAfterAtLeast(until - now))
+}
--- a/internal/traffic/relay/second_attempt.go
+++ b/internal/traffic/relay/second_attempt.go
@@ -152,11 +152,7 @@
 	ex.reachedServer = true
 	largest := ex.modelIndex
 	ex.modelIndex = ex.smallModel
-	excluded := func(id string) bool { return id == server.ID || ex.isExcluded(id) }
-	next, rejection := ex.planAttempt(excluded, true, now)
-	if rejection == nil {
-		rejection = ex.acquireRetry(next, server, now)
-	}
+	next, rejection := ex.plan(planRequest{now: now, running: server, excluded: []string{server.ID}, failed: true})
 	if rejection != nil {
 		ex.modelIndex = largest
 		ex.logKept(server, rejection, now)
@@ -216,20 +212,16 @@
 	if !c.MissesDeadline() || !r.RetryBudget.AllowsOptional(ex.pool.Name, now) {
 		return false
 	}
-	excluded := func(id string) bool { return id == server.ID || ex.isExcluded(id) }
-	next, rejection := ex.planAttempt(excluded, true, now)
-	if rejection == nil {
+	next, rejection := ex.plan(planRequest{now: now, running: server, excluded: []string{server.ID}, failed: true, check: func(next *plannedAttempt) *result.Error {
 		latency := r.Balancer.LatencyModel(next.pool.Name, next.model)
 		f := r.Balancer.Forecast(&next.choice, next.pool, next.model, now)
 		c.Next = f.FirstByte + latency.PrefillTime(ex.events*ex.pool.TokensPerEvent)
 		c.NextInterEvent = latency.InterEventMs() * max(f.Slowness, 1)
 		if next.choice.LastResort || next.pool.Name != ex.pool.Name || !c.FinishesSooner() {
-			r.Balancer.Cancel(&next.choice)
-			rejection = result.New(result.NoServer, "no server is expected to end the stream in time: %d ms and %.0f ms an event", c.Next, c.NextInterEvent)
-		} else {
-			rejection = ex.acquireRetry(next, server, now)
+			return result.New(result.NoServer, "no server is expected to end the stream in time: %d ms and %.0f ms an event", c.Next, c.NextInterEvent)
 		}
-	}
+		return nil
+	}})
 	if rejection != nil {
 		ex.logKept(server, rejection, now)
 		return false
--- a/internal/traffic/relay/wait.go
+++ b/internal/traffic/relay/wait.go
@@ -18,23 +18,20 @@
 // response has begun doesn't wait here: see awaitServer. startAt is the time at which the
 // attempt begins.
 func (ex *exchange) planOrWait(now clock.Millis) (p *plannedAttempt, startAt clock.Millis, rejection *result.Error) {
-	r := ex.relay
+	r, planner := ex.relay, attemptPlanner{ex: ex}
 	if ex.headerSent || !r.Balancer.SharesCapacity() {
-		planned, rejection := ex.planFirstOrNext(now)
+		planned, rejection := planner.planBorrowing(planRequest{now: now, paidLater: true})
 		return planned, now, rejection
 	}
 	for {
 		pool := r.waits.pool(r, ex.route.PoolAt(ex.poolPoint()))
 		now = r.Clock.Now()
 		if pool.queue.Len() == 0 || pool.queue.Ahead(ex.spec(pool.name), pool.conditions(now)) == 0 {
-			planned, rejection := ex.planFirstOrNext(now)
-			if rejection == nil && ex.waitsForBetter(planned, now) {
-				planned, rejection = nil, result.New(result.Overloaded, "all other servers of pool %s are full", pool.name)
-			}
+			planned, rejection := planner.planBorrowing(planner.waitingRequest(0, now))
 			if rejection == nil {
 				pool.queue.RecordStart(now)
 			}
-			if rejection == nil || !ex.atCapacity {
+			if rejection == nil || !planner.atCapacity {
 				return planned, now, rejection
 			}
 		}
@@ -155,41 +152,42 @@
 	}
 	now := ex.relay.Clock.Now()
 	targetLeft := ex.req.ReceivedAt + ex.route.LatencyTarget - now
-	planned, rejection := ex.planWaiting(admission.Overdraft(targetLeft, ex.forecast(pool.name, 0).FirstByte), now)
+	planner := attemptPlanner{ex: ex}
+	planned, rejection := planner.plan(planner.waitingRequest(admission.Overdraft(targetLeft, ex.forecast(pool.name, 0).FirstByte), now))
 	switch {
 	case rejection == nil:
 		pool.queue.RecordStart(now)
 		pool.queue.Admit(entry, pool.conditions(now))
 		ex.logWaited(pool, entry, "admitted")
 		return planned, nil, true
-	case ex.atCapacity:
+	case planner.atCapacity:
 		pool.finishTurn(entry, false)
 		return nil, nil, false
 	}
 	// The servers are not full but lost, paused or limited, which is handled as without a queue.
 	ex.logWaited(pool, entry, rejection.Error())
-	planned, rejection = ex.planFirstOrNext(now)
-	if rejection != nil && ex.atCapacity {
+	planned, rejection = planner.planBorrowing(planRequest{now: now, paidLater: true})
+	if rejection != nil && planner.atCapacity {
 		return nil, nil, true
 	}
 	return planned, rejection, true
 }
 
-// planWaiting plans an attempt of a waiting request, which may take that many places beyond
-// the daemon's part of the pool.
-func (ex *exchange) planWaiting(overdraft int, now clock.Millis) (*plannedAttempt, *result.Error) {
-	ex.overdraft = overdraft
-	defer func() { ex.overdraft = 0 }()
-	planned, rejection := ex.planAttempt(ex.isExcluded, ex.backendFailed, now)
-	if rejection == nil && ex.waitsForBetter(planned, now) {
-		return nil, result.New(result.Overloaded, "all other servers are full")
-	}
-	return planned, rejection
+// waitingRequest returns the plan of an attempt of a request that may wait instead, and may take
+// that many places beyond the daemon's part of the pool.
+func (a *attemptPlanner) waitingRequest(overdraft int, now clock.Millis) planRequest {
+	return planRequest{now: now, overdraft: overdraft, paidLater: true, check: func(p *plannedAttempt) *result.Error {
+		if !a.ex.waitsForBetter(p, now) {
+			return nil
+		}
+		a.atCapacity = true
+		return result.New(result.Overloaded, "all other servers of pool %s are full", p.pool.Name)
+	}}
 }
 
-// waitsForBetter reports whether the attempt, which it then cancels, has only an ejected server
-// or one that the request was sent to before, while others are just full. A request that fails
-// there again uses up its attempts while it could wait.
+// waitsForBetter reports whether the attempt has only an ejected server or one that the request
+// was sent to before, while others are just full. A request that fails there again uses up its
+// attempts while it could wait.
 func (ex *exchange) waitsForBetter(p *plannedAttempt, now clock.Millis) bool {
 	if !p.choice.LastResort {
 		return false
@@ -199,12 +197,7 @@
 		Pool: p.pool, Self: r.Host, Hosts: p.view.HostNames(), Model: p.model, Tried: ex.isExcluded, Now: now,
 		VersionAllowed: r.VersionRouter.AllowedVersions(p.view, p.pool.Name, ex.req, ex.backendFailed),
 	})
-	if room.Servers == 0 {
-		return false
-	}
-	r.Balancer.Cancel(&p.choice)
-	ex.atCapacity = true
-	return true
+	return room.Servers > 0
 }
 
 // planLast plans an attempt of a request that would be rejected: while nothing else waits, it
@@ -215,7 +208,8 @@
 		return nil
 	}
 	now := ex.relay.Clock.Now()
-	planned, rejection := ex.planWaiting(overdraft, now)
+	planner := attemptPlanner{ex: ex}
+	planned, rejection := planner.plan(planner.waitingRequest(overdraft, now))
 	if rejection != nil {
 		return nil
 	}
