relay: make the states of an exchange and their transitions explicit

What follows an attempt was spread over serve, attempt, sendTo and handleResponse, by nested calls, pairs of (done, err) and deferred releases.

exchange_state.go has the seven states (arrive, wait, attempt, respond, escalate, resume, end) and all transitions. The attempt that is under way is a value of its own (activeAttempt), which endAttempt ends: response, run in the quarantine, slot.

No change of behaviour.

--- a/internal/traffic/relay/announcements_test.go
+++ b/internal/traffic/relay/announcements_test.go
@@ -293,9 +293,9 @@
 			ex, now := f.planAhead()
 			server := ex.successor.choice.Server
 			f.relay.Balancer.RecordAnnouncement(&server, c.announcement, now-testDrainTime)
-			done, err := ex.attempt()
-			assert.NilError(t, err)
-			assert.Assert(t, done)
+			ex.state = stateWait
+			assert.NilError(t, ex.serve())
+			assert.Equal(t, ex.attempts, 1)
 			assert.Equal(t, f.callsTo(server.ID) == 0, c.isDropped)
 			assert.Equal(t, f.relay.Balancer.OwnLoads()[server.ID].Calls, 0)
 		})
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,11 +15,14 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
-	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
 )
 
-// exchange is the state of a request while it is served. It is used by one goroutine.
+// exchange is a request while it is served. It is used by one goroutine. Its states are those
+// of exchange_state.go.
 type exchange struct {
+	state   state
+	current *activeAttempt // nil unless one is under way
+
 	relay   *Relay
 	req     *Request
 	httpReq *http.Request
@@ -98,8 +100,8 @@
 	minAttemptTime = 5 * clock.Millis(1)
 )
 
-// serve makes attempts until the caller has a complete response or the request fails.
-func (ex *exchange) serve() error {
+// arrive admits the request by the configuration, and chooses the model that it starts with.
+func (ex *exchange) arrive() error {
 	r, req := ex.relay, ex.req
 	ex.awaitTables()
 	now := r.Clock.Now()
@@ -127,22 +129,7 @@
 	}
 	r.RetryBudget.RecordRequest(ex.pool.Name, now)
 	ex.demand = r.Demand.Arrive(ex.demandClass(), ex.expectedWork(), now)
-	defer func() { ex.demand.End(r.Clock.Now()) }()
-	defer ex.releaseSuccessor()
-	for {
-		fallback := ex.kept != nil
-		done, err := ex.attempt()
-		if !done && fallback && ex.serveKept(err) {
-			return nil
-		}
-		if done || err != nil {
-			return err
-		}
-		if ex.pause > 0 {
-			clock.Sleep(ex.httpReq.Context(), ex.pause)
-			ex.pause = 0
-		}
-	}
+	return nil
 }
 
 // tablesPollPeriod is how often a request that waits for the tables checks them.
@@ -212,127 +199,11 @@
 	return container.UnitHash(seed)
 }
 
-// attempt sends the request to one server. It reports whether the caller has the
-// complete response. If it has not and err is nil, the request may be retried.
-func (ex *exchange) attempt() (done bool, err error) {
-	r := ex.relay
-	now := r.Clock.Now()
-	if ex.httpReq.Context().Err() != nil {
-		return false, errCallerDisconnected
-	}
-	if ex.deadline-now < minAttemptTime {
-		return false, ex.deadlineError()
-	}
-	inBudget := ex.successor != nil // it was taken from the retry budget when it was planned
-	planned := ex.releaseOutdated(ex.successor, now)
-	ex.successor = nil
-	if planned == nil {
-		var rejection *result.Error
-		planned, now, rejection = ex.planOrWait(now)
-		if rejection == nil && !inBudget {
-			if rejection = ex.acquireRetry(planned, nil, now); rejection != nil {
-				ex.release(planned)
-			}
-		}
-		if rejection != nil {
-			return false, ex.reject(rejection)
-		}
-	}
-	defer ex.endAttempt(&planned.choice, now)
-	ex.view, ex.route, ex.account = planned.view, planned.route, planned.account
-	ex.pool, ex.model, ex.server = planned.pool, planned.model, planned.choice.Server
-	ex.speed = planned.choice.Speed
-	r.VersionRouter.RecordPlacement(ex.req, &ex.server)
-	ex.demand.Start(now)
-	return ex.sendTo(&planned.choice, now)
-}
-
 // isExcluded reports whether the request must not be sent to the server again.
 func (ex *exchange) isExcluded(id string) bool {
 	return (ex.backendFailed && slices.Contains(ex.executedOn, id)) || slices.Contains(ex.notExecutedOn, id)
 }
 
-// sendTo calls the chosen server and forwards its response.
-func (ex *exchange) sendTo(choice *loadbalance.Choice, startedAt clock.Millis) (done bool, err error) {
-	r, req := ex.relay, ex.req
-	server := &choice.Server
-	ctx, endRun := ex.startRun(server, startedAt)
-	defer func() { endRun(done && err == nil) }()
-	attempt := Attempt{
-		Server:      *server,
-		Account:     ex.account.Name,
-		Remaining:   ex.deadline - startedAt,
-		Priority:    ex.priority(),
-		LastEventID: ex.lastEventID,
-	}
-	if req.AnyModel {
-		attempt.Model = ex.model
-	}
-	ex.attempts++
-	ex.unread = false
-	deadline := ex.deadlineTime()
-	timeout := ex.watchAttempt(choice, ex.headerTimeout(choice.ExpectedFirstByte), startedAt)
-	resp, err := r.Client.Do(ctx, &h1.Call{
-		Address:        server.Address,
-		Method:         req.Method,
-		Target:         req.Target,
-		Host:           req.Host,
-		Header:         r.Dialect.Encode(req, attempt),
-		Body:           req.Body,
-		ID:             req.ID,
-		FreshConn:      ex.route.RetryPolicy == catalog.AtMostOnce,
-		HeaderDeadline: ex.headerDeadline(timeout, deadline),
-		Deadline:       deadline,
-		OnSilence:      func() time.Duration { return ex.extendWait(server) },
-	})
-	if err != nil && ex.keptIsDue() {
-		ex.recordExecution(server)
-		ex.lastError = "the largest model was silent"
-		return false, nil
-	}
-	if err != nil {
-		return false, ex.handleCallError(choice, startedAt, err)
-	}
-	defer resp.Close()
-	ex.reachedServer, ex.answeredAt = true, r.Clock.Now()
-	r.Balancer.PrefillDone(choice)
-	r.Metrics.recordFirstByte(ex.account.Name, r.Clock.Now()-req.ReceivedAt)
-	if resp.Status < http.StatusMultipleChoices {
-		ex.run.Begin(r.Clock.Now())
-	}
-	return ex.handleResponse(choice, resp, startedAt)
-}
-
-const (
-	// headerTimeoutFactor times the expected time to the response header, plus
-	// headerTimeoutSlack, is how long a request that may be retried waits for it.
-	headerTimeoutFactor = 3
-	headerTimeoutSlack  = 700 * clock.Millis(1)
-	// plainHeaderTimeoutSlack replaces headerTimeoutSlack for plain calls, whose
-	// servers respond within tens of ms.
-	plainHeaderTimeoutSlack = 100 * clock.Millis(1)
-	// headerTimeoutTargetFactor times the route's latency target is the longest wait
-	// while servers are not busy: a later response misses the target anyway, and lost
-	// responses raise the expected time. A retry would give up the place in a busy
-	// server's queue, so the wait there is at least twice the expected time.
-	headerTimeoutTargetFactor = 1.5
-)
-
-// headerTimeout returns how long to wait for the response header before the request
-// is retried on another server; 0 means until the deadline. Only a timeout reveals a
-// server that has lost the response.
-func (ex *exchange) headerTimeout(expected clock.Millis) time.Duration {
-	if ex.route.RetryPolicy == catalog.AtMostOnce || len(ex.executedOn)+1 >= ex.route.MaxAttempts {
-		return 0
-	}
-	slack := plainHeaderTimeoutSlack
-	if ex.pool.HasEngines() {
-		slack = headerTimeoutSlack
-	}
-	longest := max(clock.Millis(headerTimeoutTargetFactor*float64(ex.route.LatencyTarget)), 2*expected)
-	return min(headerTimeoutFactor*expected+slack, longest).Duration()
-}
-
 // priority returns the priority stated to the server: the client account's, or else the
 // route's.
 func (ex *exchange) priority() int {
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -108,6 +108,16 @@
 	return true
 }
 
+// escalate discards the small model's answer, or keeps it until the largest model's begins.
+func (ex *exchange) escalate() {
+	server := &ex.current.choice.Server
+	ex.log("escalated", server)
+	ex.relay.Metrics.countAttempt(ex.pool.Name, "escalated")
+	ex.lastError = "the small model's confidence was too low"
+	ex.keepAnswer(server, ex.current.resp, ex.relay.Clock.Now())
+	ex.recordExecution(server)
+}
+
 // fallBackToSmallModel requests the small model again if the largest has no server for the
 // request whose small answer was discarded. It reports false if there is nothing to fall
 // back to.
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -105,12 +105,15 @@
 	return nil
 }
 
-// handleResponse forwards the response, or returns false and nil for a retry.
-func (ex *exchange) handleResponse(choice *loadbalance.Choice, resp *h1.Response, startedAt clock.Millis) (bool, error) {
-	r := ex.relay
+// checkResponse records what the response header states, and reports whether the response can be
+// forwarded. If it can't and err is nil, the request may be retried.
+func (ex *exchange) checkResponse() (usable bool, err error) {
+	r, a := ex.relay, ex.current
+	choice, resp, startedAt := &a.choice, a.resp, a.startedAt
 	server := &choice.Server
 	now := r.Clock.Now()
 	info := r.Dialect.Decode(server.ID, resp.Status, resp.Header)
+	a.info = info
 	ex.recordReport(choice, info, resp.Status, startedAt, now)
 	ex.recordAnnouncement(server, info, startedAt, now)
 	ex.confidence = info.Confidence
@@ -125,19 +128,8 @@
 		return false, ex.recordFailure(server, http.StatusText(resp.Status)+" from the server")
 	case failed && (impliesNotExecuted(resp.Status) || (ex.mayRetryAfter(server) && ex.deadline-now > minAttemptTime)):
 		return false, ex.recordFailure(server, http.StatusText(resp.Status)+" from the server")
-	case failed:
-		return ex.forwardBuffered(server, resp)
-	case ex.shouldEscalate(info, now) && ex.planEscalation(server, now):
-		ex.log("escalated", server)
-		r.Metrics.countAttempt(ex.pool.Name, "escalated")
-		ex.lastError = "the small model's confidence was too low"
-		ex.keepAnswer(server, resp, now)
-		ex.recordExecution(server)
-		return false, nil
-	case ex.route.Stream && resp.Status == http.StatusOK:
-		return ex.forwardStream(server, resp, info)
-	}
-	return ex.forwardBuffered(server, resp)
+	}
+	return true, nil
 }
 
 // recordReport records the load and the pace that the server reports, and the time to its
--- a/internal/traffic/relay/server_limits_test.go
+++ b/internal/traffic/relay/server_limits_test.go
@@ -96,9 +96,9 @@
 	ex, now := f.planAhead()
 	server := ex.successor.choice.Server
 	f.relay.Balancer.RecordLimit(&server, loadbalance.Limit{Kind: loadbalance.ValidLimit, PerSecond: 0.5}, now, now)
-	done, err := ex.attempt()
-	assert.NilError(t, err)
-	assert.Assert(t, done)
+	ex.state = stateWait
+	assert.NilError(t, ex.serve())
+	assert.Equal(t, ex.attempts, 1)
 	assert.Equal(t, f.callsTo(server.ID), 0)
 }
 
--- a/internal/traffic/relay/wait.go
+++ b/internal/traffic/relay/wait.go
@@ -286,17 +286,18 @@
 	return result.New(code, "no place in pool %s in time; %s", pool.name, ex.lastError).WithRetryAfter(int64(wait))
 }
 
-// endAttempt ends an attempt that was sent at the given time: its place is free.
-func (ex *exchange) endAttempt(choice *loadbalance.Choice, startedAt clock.Millis) {
+// freePlace returns the place of the attempt, which has ended, to the requests that wait.
+func (ex *exchange) freePlace(a *activeAttempt) {
 	r := ex.relay
-	r.Balancer.Done(choice)
+	r.Balancer.Done(&a.choice)
 	if !r.Balancer.SharesCapacity() {
 		return
 	}
-	if ex.answeredAt >= startedAt {
-		r.Balancer.RecordRunTime(choice.Server.Pool, ex.model, r.Clock.Now()-startedAt)
+	server := &a.choice.Server
+	if ex.answeredAt >= a.startedAt {
+		r.Balancer.RecordRunTime(server.Pool, ex.model, r.Clock.Now()-a.startedAt)
 	}
-	r.waits.pool(r, choice.Server.Pool).wake()
+	r.waits.pool(r, server.Pool).wake()
 }
 
 // accountUsage returns what the account uses of a pool with that room, from all daemons.
