relay: group the fields of an exchange by concern

exchange had about forty fields in one list, and the count of servers that a request has used was written out twice.

Fields that belong together are types of their own: placement, executionHistory, responseProgress, resumption, modelChoice, crashSuspicion. They are embedded, so that names at the places of use stay. isExcluded, recordExecution, usedServers and resumed are methods of the types whose fields they use.

No change of behaviour. go test ./internal/traffic/relay passes (112 s), the linter has no findings.

--- a/internal/traffic/relay/attempt.go
+++ b/internal/traffic/relay/attempt.go
@@ -54,9 +54,10 @@
 // begin makes the planned attempt the current one.
 func (ex *exchange) begin(planned *plannedAttempt, now clock.Millis) {
 	ex.current = &activeAttempt{choice: planned.choice, startedAt: now}
-	ex.view, ex.route, ex.account = planned.view, planned.route, planned.account
-	ex.pool, ex.model, ex.server = planned.pool, planned.model, planned.choice.Server
-	ex.speed = planned.choice.Speed
+	ex.placement = placement{
+		view: planned.view, route: planned.route, account: planned.account, pool: planned.pool, model: planned.model,
+		server: planned.choice.Server, speed: planned.choice.Speed,
+	}
 	ex.relay.VersionRouter.RecordPlacement(ex.req, &ex.server)
 	ex.demand.Start(now)
 }
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -200,10 +200,7 @@
 // that applies now allows no further attempt. running is the server that the request still
 // runs on; nil if there is none.
 func (ex *exchange) acquireRetry(p *plannedAttempt, running *fleet.Entry, now clock.Millis) *result.Error {
-	used := len(ex.executedOn)
-	if running != nil && !slices.Contains(ex.executedOn, running.ID) {
-		used++
-	}
+	used := ex.usedServers(running)
 	if used > 0 && (p.route.RetryPolicy == catalog.AtMostOnce || used >= max(p.route.MaxAttempts, 1)) {
 		return result.New(result.BackendFailed, "route %s allows no further attempt; %s", p.route.Name, ex.lastError)
 	}
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 
 	"github.com/pkg/errors"
 
@@ -11,7 +10,6 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
-	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
@@ -20,69 +18,46 @@
 // exchange is a request while it is served. It is used by one goroutine. Its states are those
 // of exchange_state.go.
 type exchange struct {
-	state   state
-	current *activeAttempt // nil unless one is under way
-
-	relay   *Relay
-	req     *Request
-	httpReq *http.Request
-	w       http.ResponseWriter
-
+	relay      *Relay
+	req        *Request
+	httpReq    *http.Request
+	w          http.ResponseWriter
 	controller *http.ResponseController // of w
-
-	view     *fleet.View // of the last attempt
-	route    *catalog.Route
-	account  catalog.ClientAccount
-	pool     catalog.Pool
-	model    string       // of the last attempt
-	deadline clock.Millis // for the complete response
-
-	modelIndex      int                     // in the route's models, smallest first
-	backendFailed   bool                    // some attempt may have run and gave no usable response
-	attempts        int                     // calls made to servers
-	reachedServer   bool                    // some call reached a server, or may have
-	executions      int                     // runs that gave no usable response, or whose answer was discarded
-	executedOn      []string                // servers on which the request ran or may have run
-	notExecutedOn   []string                // servers that did not run it: they refused it or could not be reached
-	mayHaveExecuted bool                    // it may have run on some server
-	headerSent      bool                    // the response to the caller has begun
-	status          int                     // HTTP status sent to the caller
-	lastEventID     string                  // last event that was accepted for the caller
-	confidence      int                     // stated in the last response, 0 to 100; -1 if none was
-	lastError       string                  // why the last attempt failed
-	server          fleet.Entry             // of the last attempt
-	speed           *loadbalance.KnownSpeed // of that server; see loadbalance.Choice
-	answeredAt      clock.Millis            // when the last attempt's response header arrived
-
-	parts   []quarantine.Part // see quarantine.Parts
-	run     *quarantine.Run   // of the last attempt
-	onTrial bool              // the next attempt may have a quarantined segment
-
-	demand *demand.Request // in the ledger; nil before the route is known
+	deadline   clock.Millis             // for the complete response
+	demand     *demand.Request          // in the ledger; nil before the route is known
+	held       *heldMemory              // nil without shared capacity
+
+	state state
+	placement
+	executionHistory
+	responseProgress
+	resumption
+	modelChoice
+	crashSuspicion
+
+	current    *activeAttempt // nil unless one is under way
+	watch      attemptWatch   // of it
+	confidence int            // stated in the last response, 0 to 100; -1 if none was
+	answeredAt clock.Millis   // when the last attempt's response header arrived
+	lastError  string         // why the last attempt failed
 
 	// successor is the next attempt, if it was planned while the last one still ran.
 	successor *plannedAttempt
 	// keptOn is the silent server that the request was last kept on.
-	keptOn string
-	// replaced reports that the relay ended the last attempt that ran, for a successor.
-	replaced bool
-	// interruptedAt is when the request began to wait for a server that goes on with it; 0
-	// if it doesn't. resumeDelay is the last pause in that wait, and pause the one before the
-	// next attempt.
-	interruptedAt, resumeDelay, pause clock.Millis
-	// escalation tells whether a small model's answer was discarded for the largest model's.
-	escalation escalation
-	smallModel int // index of the model whose answer was discarded
-	kept       *keptAnswer
-	keeping    bool // a small model's answer is being read to its end
-
-	held   *heldMemory   // nil without shared capacity
-	out    *streamBuffer // of the response; nil without shared capacity and before its first byte
-	unread bool          // reading the last attempt's response was paused for the caller
-
-	watch      attemptWatch // of the attempt that runs
-	placedAnew bool         // another server was expected to be sooner; happens once
-	events     int          // that the caller received
+	keptOn     string
+	placedAnew bool // another server was expected to be sooner; happens once
+}
+
+// placement is where the last attempt was sent, and the configuration that applied to it.
+// Before the first attempt, route, account and the pool's name are those at arrival.
+type placement struct {
+	view    *fleet.View
+	route   *catalog.Route
+	account catalog.ClientAccount
+	pool    catalog.Pool
+	model   string
+	server  fleet.Entry
+	speed   *loadbalance.KnownSpeed // of the server; see loadbalance.Choice
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
@@ -199,11 +174,6 @@
 	return container.UnitHash(seed)
 }
 
-// isExcluded reports whether the request must not be sent to the server again.
-func (ex *exchange) isExcluded(id string) bool {
-	return (ex.backendFailed && slices.Contains(ex.executedOn, id)) || slices.Contains(ex.notExecutedOn, id)
-}
-
 // priority returns the priority stated to the server: the client account's, or else the
 // route's.
 func (ex *exchange) priority() int {
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -89,6 +89,15 @@
 	fellBack                // the largest model had no server; the small one is requested again
 )
 
+// modelChoice is which of the route's models the request uses.
+type modelChoice struct {
+	modelIndex int // in the route's models, smallest first
+	escalation escalation
+	smallModel int         // index of the model whose answer was discarded
+	kept       *keptAnswer // of that model
+	keeping    bool        // a small model's answer is being read to its end
+}
+
 // planEscalation plans an attempt on the largest model. It reports false if none can be
 // made that is likely to succeed, so that the small model's answer is kept.
 func (ex *exchange) planEscalation(server *fleet.Entry, now clock.Millis) bool {
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 
 	"github.com/pkg/errors"
 
@@ -38,7 +37,7 @@
 	ex.recordUnanswered(choice, callErr, startedAt, now)
 	if !callErr.Sent {
 		// Nothing reached the server, so this attempt does not use the retry budget.
-		ex.notExecutedOn = append(ex.notExecutedOn, server.ID)
+		ex.recordNotExecuted(server)
 		if len(ex.notExecutedOn) > maxUnreachable {
 			return ex.reject(result.New(result.BackendRefused, "%d servers are unreachable; %s", len(ex.notExecutedOn), ex.lastError))
 		}
@@ -74,15 +73,6 @@
 	}
 }
 
-// recordExecution records that the request ran or may have run on the server.
-func (ex *exchange) recordExecution(server *fleet.Entry) {
-	ex.mayHaveExecuted = true
-	ex.executions++
-	if !slices.Contains(ex.executedOn, server.ID) {
-		ex.executedOn = append(ex.executedOn, server.ID)
-	}
-}
-
 // recordFailedExecution records that the request ran or may have run on the server
 // without a usable response. It returns nil if the request may be retried.
 func (ex *exchange) recordFailedExecution(server *fleet.Entry) error {
@@ -227,7 +217,7 @@
 // recordRefusal records that the server did not run the request. It returns nil if
 // the request may be retried.
 func (ex *exchange) recordRefusal(server *fleet.Entry, reason string) error {
-	ex.notExecutedOn = append(ex.notExecutedOn, server.ID)
+	ex.recordNotExecuted(server)
 	ex.lastError = reason
 	ex.log("server refused", server, "reason", reason)
 	ex.relay.Metrics.countAttempt(ex.pool.Name, "not_run")
@@ -257,14 +247,7 @@
 // mayRetryAfter reports whether the request may run on another server after it ran on
 // the given one.
 func (ex *exchange) mayRetryAfter(server *fleet.Entry) bool {
-	if ex.route.RetryPolicy == catalog.AtMostOnce {
-		return false
-	}
-	used := len(ex.executedOn)
-	if !slices.Contains(ex.executedOn, server.ID) {
-		used++
-	}
-	return used < ex.route.MaxAttempts
+	return ex.route.RetryPolicy != catalog.AtMostOnce && ex.usedServers(server) < ex.route.MaxAttempts
 }
 
 // deadlineError returns the error of a request that has no time for another attempt.
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -14,6 +14,13 @@
 // minQuarantineRetry is the least retry time stated for a quarantined request.
 const minQuarantineRetry = 5_000 * clock.Millis(1)
 
+// crashSuspicion is what a request that crashes its servers is recognised and stopped by.
+type crashSuspicion struct {
+	parts   []quarantine.Part // see quarantine.Parts
+	run     *quarantine.Run   // of the last attempt
+	onTrial bool              // the next attempt may have a quarantined segment
+}
+
 // setParts sets what the request has in common with others, by its route and account.
 func (ex *exchange) setParts() {
 	req := ex.req
--- a/internal/traffic/relay/resume.go
+++ b/internal/traffic/relay/resume.go
@@ -18,6 +18,17 @@
 	maxResumeDelay = 800 * clock.Millis(1)
 )
 
+// resumption is the wait for a server that goes on with a request.
+type resumption struct {
+	replaced      bool         // the relay ended the last attempt that ran, for a successor
+	interruptedAt clock.Millis // when the wait began; 0 if the request doesn't wait
+	resumeDelay   clock.Millis // the last pause in the wait
+	pause         clock.Millis // before the next attempt
+}
+
+// resumed records that a server goes on with the request.
+func (w *resumption) resumed() { w.replaced, w.interruptedAt, w.resumeDelay = false, 0, 0 }
+
 // awaitServer sets a pause after which the rejected attempt is planned again. It reports
 // false if the rejection is final: the caller has no part of a response and the relay has
 // ended no attempt that would have gone on, or the request has been interrupted for too long.
@@ -43,9 +54,6 @@
 	return true
 }
 
-// resumed records that a server goes on with the request.
-func (ex *exchange) resumed() { ex.replaced, ex.interruptedAt, ex.resumeDelay = false, 0, 0 }
-
 // pauseError returns the error of a request for which all servers of the pool asked for a
 // pause; the first pause ends at the given time. A stream that has begun waits only for a
 // pause that ends in time.
