loadbalance: walk a pool's servers once for Room and Utilisation

Room and Utilisation each had a loop over a pool's servers with the same conditions. acceptingServers has them now.

--- a/internal/decision/loadbalance/room.go
+++ b/internal/decision/loadbalance/room.go
@@ -39,14 +39,10 @@
 	defer b.mu.Unlock()
 	room := Room{}
 	runMs := b.runMs(r.Pool.Name)
-	entries := v.Pool(r.Pool.Name)
-	for i := range entries {
-		e := &entries[i]
-		n, s := b.announcements.of(e), b.state(e)
-		if !r.allows(v, e) || b.announcements.hasDeparted(n, r.Now) || n.isPaused(r.Now) || r.Now < s.ejectedUntil || (r.Tried != nil && r.Tried(e.ID)) {
-			continue
+	for e, s := range b.acceptingServers(v, r.Pool.Name, r.Now) {
+		if r.allows(v, e) && (r.Tried == nil || !r.Tried(e.ID)) {
+			b.addServer(&room, s, e, &r, runMs)
 		}
-		b.addServer(&room, s, e, &r, runMs)
 	}
 	if excess := room.Busy + room.Queued + 1 - room.Slots; excess > 0 && room.StartsPerSecond > 0 {
 		room.Wait = clock.Millis(1000 * float64(excess) / room.StartsPerSecond)
--- a/internal/decision/loadbalance/utilisation.go
+++ b/internal/decision/loadbalance/utilisation.go
@@ -19,7 +19,6 @@
 // Utilisation is how much of a pool's capacity the requests of all daemons use.
 type Utilisation struct {
 	Load    float64      // running and queued requests / slots, averaged; over 1 while requests queue
-	Prefill float64      // ms of prefill that is pending at a server, averaged
 	Calls   int          // running and queued requests now
 	Slots   int          // of the servers that accept requests
 	Known   int          // servers with a load that hasn't expired; for the others see minKnown
@@ -39,7 +38,6 @@
 		Calls: u.Calls + o.Calls, Slots: u.Slots + o.Slots, Known: u.Known + o.Known, Servers: u.Servers + o.Servers, Age: max(u.Age, o.Age),
 	}
 	sum.Load = (u.Load*float64(u.Slots) + o.Load*float64(o.Slots)) / float64(max(sum.Slots, 1))
-	sum.Prefill = (u.Prefill*float64(u.Servers) + o.Prefill*float64(o.Servers)) / float64(max(sum.Servers, 1))
 	return sum
 }
 
@@ -90,7 +88,6 @@
 	for version, u := range next.versions {
 		if before, known := last.versions[version]; known {
 			u.Load += (before.Load - u.Load) * keep
-			u.Prefill += (before.Prefill - u.Prefill) * keep
 			next.versions[version] = u
 		}
 	}
@@ -102,22 +99,10 @@
 // must hold mu.
 func (b *Balancer) measureUtilisation(v *fleet.View, pool string, now clock.Millis) map[string]Utilisation {
 	versions := make(map[string]Utilisation)
-	entries := v.Pool(pool)
-	for i := range entries {
-		e := &entries[i]
-		n := b.announcements.of(e)
-		if !v.InService(e) || b.announcements.hasDeparted(n, now) || n.isPaused(now) {
-			continue
-		}
-		s := b.state(e)
-		if now < s.ejectedUntil {
-			continue
-		}
+	for e, s := range b.acceptingServers(v, pool, now) {
 		load, slots := s.load(now), s.slotsOf(e)
 		calls := max(load.Calls, 0)
-		u := Utilisation{
-			Load: float64(calls) / float64(slots), Prefill: float64(max(load.Prefill, 0)), Calls: calls, Slots: slots, Servers: 1,
-		}
+		u := Utilisation{Load: float64(calls) / float64(slots), Calls: calls, Slots: slots, Servers: 1}
 		if age, known := s.loadAge(now); known {
 			u.Known, u.Age = 1, age
 		}
