--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -34,18 +34,13 @@
 	resumption
 	modelChoice
 	crashSuspicion
+	succession
 
 	current    *activeAttempt // nil unless one is under way
 	watch      attemptWatch   // of it
 	confidence int            // stated in the last response, 0 to 100; -1 if none was
 	answeredAt clock.Millis   // when the last attempt's response header arrived
 	lastError  string         // why the last attempt failed
-
-	// successor is the next attempt, if it was planned while the last one still ran.
-	successor *plannedAttempt
-	// keptOn is the silent server that the request was last kept on.
-	keptOn     string
-	placedAnew bool // another server was expected to be sooner; happens once
 }
 
 // placement is where the last attempt was sent, and the configuration that applied to it.
--- a/internal/traffic/relay/interruption_test.go
+++ b/internal/traffic/relay/interruption_test.go
@@ -23,7 +23,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			ex := &exchange{deadline: deadline, successor: c.successor}
+			ex := &exchange{deadline: deadline, succession: succession{successor: c.successor}}
 			assert.Equal(t, ex.interruptionCause(c.now), c.want)
 		})
 	}
--- a/internal/traffic/relay/successor.go
+++ b/internal/traffic/relay/successor.go
@@ -6,6 +6,13 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
+// succession is how a request moves from the server that it runs on to another one.
+type succession struct {
+	successor  *plannedAttempt // the next attempt, if it was planned while the last one still ran
+	keptOn     string          // the silent server that the request was last kept on
+	placedAnew bool            // another server was expected to be sooner; happens once
+}
+
 // successorPeriod is how often a silent attempt is checked for a server that can take
 // over.
 const successorPeriod = 250 * clock.Millis(1)
