--- a/internal/decision/loadbalance/utilisation.go
+++ b/internal/decision/loadbalance/utilisation.go
@@ -24,7 +24,6 @@
 type Utilisation struct {
 	Load    float64      // running and queued requests / slots, averaged; over 1 while requests queue
 	Earlier float64      // the same, averaged over a longer time
-	Prefill float64      // ms of prefill that is pending at a server, averaged
 	Calls   int          // running and queued requests now
 	Slots   int          // of the servers that accept requests
 	Known   int          // servers with a load that hasn't expired; for the others see minKnown
@@ -54,7 +53,6 @@
 	}
 	sum.Load = (u.Load*float64(u.Slots) + o.Load*float64(o.Slots)) / float64(max(sum.Slots, 1))
 	sum.Earlier = (u.Earlier*float64(u.Slots) + o.Earlier*float64(o.Slots)) / float64(max(sum.Slots, 1))
-	sum.Prefill = (u.Prefill*float64(u.Servers) + o.Prefill*float64(o.Servers)) / float64(max(sum.Servers, 1))
 	return sum
 }
 
@@ -108,7 +106,6 @@
 		if before, known := last.versions[version]; known {
 			u.Earlier += (before.Earlier - u.Earlier) * keepEarlier
 			u.Load += (before.Load - u.Load) * keep
-			u.Prefill += (before.Prefill - u.Prefill) * keep
 			next.versions[version] = u
 		}
 	}
@@ -120,23 +117,11 @@
 // must hold mu.
 func (b *Balancer) measureUtilisation(v *fleet.View, pool string, now clock.Millis) map[string]Utilisation {
 	versions := make(map[string]Utilisation)
-	entries := v.Pool(pool)
-	for i := range entries {
-		e := &entries[i]
-		n := b.announcements.of(e)
-		if !v.InService(e) || b.announcements.hasDeparted(n, now) || n.isPaused(now) {
-			continue
-		}
-		s := b.state(e)
-		if now < s.ejectedUntil {
-			continue
-		}
+	for e, s := range b.acceptingServers(v, pool, now) {
 		load, slots := s.load(now), s.slotsOf(e)
 		calls := max(load.Calls, 0)
 		loaded := float64(calls) / float64(slots)
-		u := Utilisation{
-			Load: loaded, Earlier: loaded, Prefill: float64(max(load.Prefill, 0)), Calls: calls, Slots: slots, Servers: 1,
-		}
+		u := Utilisation{Load: loaded, Earlier: loaded, Calls: calls, Slots: slots, Servers: 1}
 		if age, known := s.loadAge(now); known {
 			u.Known, u.Age = 1, age
 		}
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -12,78 +10,49 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/demand"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
-	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
-	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
 )
 
-// exchange is the state of a request while it is served. It is used by one goroutine.
+// exchange is a request while it is served. It is used by one goroutine. Its states are those
+// of exchange_state.go.
 type exchange struct {
-	relay   *Relay
-	req     *Request
-	httpReq *http.Request
-	w       http.ResponseWriter
-
+	relay      *Relay
+	req        *Request
+	httpReq    *http.Request
+	w          http.ResponseWriter
 	controller *http.ResponseController // of w
+	deadline   clock.Millis             // for the complete response
+	demand     *demand.Request          // in the ledger; nil before the route is known
+	held       *heldMemory              // nil without shared capacity
+
+	state state
+	placement
+	executionHistory
+	responseProgress
+	resumption
+	modelChoice
+	crashSuspicion
+	succession
+
+	current    *activeAttempt // nil unless one is under way
+	watch      attemptWatch   // of it
+	confidence int            // stated in the last response, 0 to 100; -1 if none was
+	answeredAt clock.Millis   // when the last attempt's response header arrived
+	lastError  string         // why the last attempt failed
+}
 
-	view     *fleet.View // of the last attempt
-	route    *catalog.Route
-	account  catalog.ClientAccount
-	pool     catalog.Pool
-	model    string       // of the last attempt
-	deadline clock.Millis // for the complete response
-
-	modelIndex      int                     // in the route's models, smallest first
-	backendFailed   bool                    // some attempt may have run and gave no usable response
-	attempts        int                     // calls made to servers
-	reachedServer   bool                    // some call reached a server, or may have
-	executions      int                     // runs that gave no usable response, or whose answer was discarded
-	executedOn      []string                // servers on which the request ran or may have run
-	notExecutedOn   []string                // servers that did not run it: they refused it or could not be reached
-	mayHaveExecuted bool                    // it may have run on some server
-	headerSent      bool                    // the response to the caller has begun
-	status          int                     // HTTP status sent to the caller
-	lastEventID     string                  // last event that was accepted for the caller
-	confidence      int                     // stated in the last response, 0 to 100; -1 if none was
-	lastError       string                  // why the last attempt failed
-	server          fleet.Entry             // of the last attempt
-	speed           *loadbalance.KnownSpeed // of that server; see loadbalance.Choice
-	limited         []fleet.Entry           // servers that only their rate limits kept the last plan from
-	answeredAt      clock.Millis            // when the last attempt's response header arrived
-	atCapacity      bool                    // the last plan found all servers full
-	overdraft       int                     // see admission.Overdraft; 0 unless the request waits
-
-	parts   []quarantine.Part // see quarantine.Parts
-	run     *quarantine.Run   // of the last attempt
-	onTrial bool              // the next attempt may have a quarantined segment
-
-	demand *demand.Request // in the ledger; nil before the route is known
-
-	// successor is the next attempt, if it was planned while the last one still ran.
-	successor *plannedAttempt
-	// keptOn is the silent server that the request was last kept on.
-	keptOn string
-	// replaced reports that the relay ended the last attempt that ran, for a successor.
-	replaced bool
-	// interruptedAt is when the request began to wait for a server that goes on with it; 0
-	// if it doesn't. resumeDelay is the last pause in that wait, and pause the one before the
-	// next attempt.
-	interruptedAt, resumeDelay, pause clock.Millis
-	// escalation tells whether a small model's answer was discarded for the largest model's.
-	escalation escalation
-	smallModel int // index of the model whose answer was discarded
-	kept       *keptAnswer
-	keeping    bool // a small model's answer is being read to its end
-
-	held   *heldMemory   // nil without shared capacity
-	out    *streamBuffer // of the response; nil without shared capacity and before its first byte
-	unread bool          // reading the last attempt's response was paused for the caller
-
-	watch      attemptWatch // of the attempt that runs
-	placedAnew bool         // another server was expected to be sooner; happens once
-	events     int          // that the caller received
+// placement is where the last attempt was sent, and the configuration that applied to it.
+// Before the first attempt, route, account and the pool's name are those at arrival.
+type placement struct {
+	view    *fleet.View
+	route   *catalog.Route
+	account catalog.ClientAccount
+	pool    catalog.Pool
+	model   string
+	server  fleet.Entry
+	speed   *loadbalance.KnownSpeed // of the server; see loadbalance.Choice
 }
 
 // errCallerDisconnected means that the caller no longer waits for the response.
@@ -101,8 +70,8 @@
 	minAttemptTime = 5 * clock.Millis(1)
 )
 
-// serve makes attempts until the caller has a complete response or the request fails.
-func (ex *exchange) serve() error {
+// arrive admits the request by the configuration, and chooses the model that it starts with.
+func (ex *exchange) arrive() error {
 	r, req := ex.relay, ex.req
 	ex.awaitTables()
 	now := r.Clock.Now()
@@ -130,22 +99,7 @@
 	}
 	r.RetryBudget.RecordRequest(ex.pool.Name, now)
 	ex.demand = r.Demand.Arrive(ex.demandClass(), ex.expectedWork(), now)
-	defer func() { ex.demand.End(r.Clock.Now()) }()
-	defer ex.releaseSuccessor()
-	for {
-		fallback := ex.kept != nil
-		done, err := ex.attempt()
-		if !done && fallback && ex.serveKept(err) {
-			return nil
-		}
-		if done || err != nil {
-			return err
-		}
-		if ex.pause > 0 {
-			clock.Sleep(ex.httpReq.Context(), ex.pause)
-			ex.pause = 0
-		}
-	}
+	return nil
 }
 
 // tablesPollPeriod is how often a request that waits for the tables checks them.
@@ -215,125 +169,6 @@
 	return container.UnitHash(seed)
 }
 
-// attempt sends the request to one server. It reports whether the caller has the
-// complete response. If it has not and err is nil, the request may be retried.
-func (ex *exchange) attempt() (done bool, err error) {
-	r := ex.relay
-	now := r.Clock.Now()
-	if ex.httpReq.Context().Err() != nil {
-		return false, errCallerDisconnected
-	}
-	if ex.deadline-now < minAttemptTime {
-		return false, ex.deadlineError()
-	}
-	inBudget := ex.successor != nil // it was taken from the retry budget when it was planned
-	planned := ex.releaseOutdated(ex.successor, now)
-	ex.successor = nil
-	if planned == nil {
-		var rejection *result.Error
-		planned, now, rejection = ex.planOrWait(now)
-		if rejection == nil && !inBudget {
-			rejection = ex.acquireRetry(planned, nil, now)
-		}
-		if rejection != nil {
-			return false, ex.reject(rejection)
-		}
-	}
-	defer ex.endAttempt(&planned.choice, now)
-	ex.view, ex.route, ex.account = planned.view, planned.route, planned.account
-	ex.pool, ex.model, ex.server = planned.pool, planned.model, planned.choice.Server
-	ex.speed = planned.choice.Speed
-	r.VersionRouter.RecordPlacement(ex.req, &ex.server)
-	ex.demand.Start(now)
-	return ex.sendTo(&planned.choice, now)
-}
-
-// isExcluded reports whether the request must not be sent to the server again.
-func (ex *exchange) isExcluded(id string) bool {
-	return (ex.backendFailed && slices.Contains(ex.executedOn, id)) || slices.Contains(ex.notExecutedOn, id)
-}
-
-// sendTo calls the chosen server and forwards its response.
-func (ex *exchange) sendTo(choice *loadbalance.Choice, startedAt clock.Millis) (done bool, err error) {
-	r, req := ex.relay, ex.req
-	server := &choice.Server
-	ctx, endRun := ex.startRun(server, startedAt)
-	defer func() { endRun(done && err == nil) }()
-	attempt := Attempt{
-		Server:      *server,
-		Account:     ex.account.Name,
-		Remaining:   ex.deadline - startedAt,
-		Priority:    ex.priority(),
-		LastEventID: ex.lastEventID,
-	}
-	if req.AnyModel {
-		attempt.Model = ex.model
-	}
-	ex.attempts++
-	ex.unread = false
-	deadline := ex.deadlineTime()
-	timeout := ex.watchAttempt(choice, ex.headerTimeout(choice.ExpectedFirstByte), startedAt)
-	resp, err := r.Client.Do(ctx, &h1.Call{
-		Address:        server.Address,
-		Method:         req.Method,
-		Target:         req.Target,
-		Host:           req.Host,
-		Header:         r.Dialect.Encode(req, attempt),
-		Body:           req.Body,
-		ID:             req.ID,
-		FreshConn:      ex.route.RetryPolicy == catalog.AtMostOnce,
-		HeaderDeadline: ex.headerDeadline(timeout, deadline),
-		Deadline:       deadline,
-		OnSilence:      func() time.Duration { return ex.extendWait(server) },
-	})
-	if err != nil && ex.keptIsDue() {
-		ex.recordExecution(server)
-		ex.lastError = "the largest model was silent"
-		return false, nil
-	}
-	if err != nil {
-		return false, ex.handleCallError(choice, startedAt, err)
-	}
-	defer resp.Close()
-	ex.reachedServer, ex.answeredAt = true, r.Clock.Now()
-	r.Balancer.PrefillDone(choice)
-	r.Metrics.recordFirstByte(ex.account.Name, r.Clock.Now()-req.ReceivedAt)
-	if resp.Status < http.StatusMultipleChoices {
-		ex.run.Begin(r.Clock.Now())
-	}
-	return ex.handleResponse(choice, resp, startedAt)
-}
-
-const (
-	// headerTimeoutFactor times the expected time to the response header, plus
-	// headerTimeoutSlack, is how long a request that may be retried waits for it.
-	headerTimeoutFactor = 3
-	headerTimeoutSlack  = 700 * clock.Millis(1)
-	// plainHeaderTimeoutSlack replaces headerTimeoutSlack for plain calls, whose
-	// servers respond within tens of ms.
-	plainHeaderTimeoutSlack = 100 * clock.Millis(1)
-	// headerTimeoutTargetFactor times the route's latency target is the longest wait
-	// while servers are not busy: a later response misses the target anyway, and lost
-	// responses raise the expected time. A retry would give up the place in a busy
-	// server's queue, so the wait there is at least twice the expected time.
-	headerTimeoutTargetFactor = 1.5
-)
-
-// headerTimeout returns how long to wait for the response header before the request
-// is retried on another server; 0 means until the deadline. Only a timeout reveals a
-// server that has lost the response.
-func (ex *exchange) headerTimeout(expected clock.Millis) time.Duration {
-	if ex.route.RetryPolicy == catalog.AtMostOnce || len(ex.executedOn)+1 >= ex.route.MaxAttempts {
-		return 0
-	}
-	slack := plainHeaderTimeoutSlack
-	if ex.pool.HasEngines() {
-		slack = headerTimeoutSlack
-	}
-	longest := max(clock.Millis(headerTimeoutTargetFactor*float64(ex.route.LatencyTarget)), 2*expected)
-	return min(headerTimeoutFactor*expected+slack, longest).Duration()
-}
-
 // priority returns the priority stated to the server: the client account's, or else the
 // route's.
 func (ex *exchange) priority() int {
--- a/internal/traffic/relay/models.go
+++ b/internal/traffic/relay/models.go
@@ -89,15 +89,21 @@
 	fellBack                // the largest model had no server; the small one is requested again
 )
 
+// modelChoice is which of the route's models the request uses.
+type modelChoice struct {
+	modelIndex int // in the route's models, smallest first
+	escalation escalation
+	smallModel int         // index of the model whose answer was discarded
+	kept       *keptAnswer // of that model
+	keeping    bool        // a small model's answer is being read to its end
+}
+
 // planEscalation plans an attempt on the largest model. It reports false if none can be
 // made that is likely to succeed, so that the small model's answer is kept.
 func (ex *exchange) planEscalation(server *fleet.Entry, now clock.Millis) bool {
 	small := ex.modelIndex
 	ex.modelIndex = ex.largestModel()
-	next, rejection := ex.planLargest(now)
-	if rejection == nil {
-		rejection = ex.acquireRetry(next, server, now)
-	}
+	next, rejection := ex.planLargest(server, now)
 	if rejection != nil {
 		ex.modelIndex = small
 		ex.countPlanned(false, now)
@@ -111,6 +117,16 @@
 	return true
 }
 
+// escalate discards the small model's answer, or keeps it until the largest model's begins.
+func (ex *exchange) escalate() {
+	server := &ex.current.choice.Server
+	ex.log("escalated", server)
+	ex.relay.Metrics.countAttempt(ex.pool.Name, "escalated")
+	ex.lastError = "the small model's confidence was too low"
+	ex.keepAnswer(server, ex.current.resp, ex.relay.Clock.Now())
+	ex.recordExecution(server)
+}
+
 // fallBackToSmallModel requests the small model again if the largest has no server for the
 // request whose small answer was discarded. It reports false if there is nothing to fall
 // back to.
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 
 	"github.com/pkg/errors"
 
@@ -38,7 +37,7 @@
 	ex.recordUnanswered(choice, callErr, startedAt, now)
 	if !callErr.Sent {
 		// Nothing reached the server, so this attempt does not use the retry budget.
-		ex.notExecutedOn = append(ex.notExecutedOn, server.ID)
+		ex.recordNotExecuted(server)
 		if len(ex.notExecutedOn) > maxUnreachable {
 			return ex.reject(result.New(result.BackendRefused, "%d servers are unreachable; %s", len(ex.notExecutedOn), ex.lastError))
 		}
@@ -74,15 +73,6 @@
 	}
 }
 
-// recordExecution records that the request ran or may have run on the server.
-func (ex *exchange) recordExecution(server *fleet.Entry) {
-	ex.mayHaveExecuted = true
-	ex.executions++
-	if !slices.Contains(ex.executedOn, server.ID) {
-		ex.executedOn = append(ex.executedOn, server.ID)
-	}
-}
-
 // recordFailedExecution records that the request ran or may have run on the server
 // without a usable response. It returns nil if the request may be retried.
 func (ex *exchange) recordFailedExecution(server *fleet.Entry) error {
@@ -105,12 +95,15 @@
 	return nil
 }
 
-// handleResponse forwards the response, or returns false and nil for a retry.
-func (ex *exchange) handleResponse(choice *loadbalance.Choice, resp *h1.Response, startedAt clock.Millis) (bool, error) {
-	r := ex.relay
+// checkResponse records what the response header states, and reports whether the response can be
+// forwarded. If it can't and err is nil, the request may be retried.
+func (ex *exchange) checkResponse() (usable bool, err error) {
+	r, a := ex.relay, ex.current
+	choice, resp, startedAt := &a.choice, a.resp, a.startedAt
 	server := &choice.Server
 	now := r.Clock.Now()
 	info := r.Dialect.Decode(server.ID, resp.Status, resp.Header)
+	a.info = info
 	ex.recordReport(choice, info, resp.Status, startedAt, now)
 	ex.recordAnnouncement(server, info, startedAt, now)
 	ex.confidence = info.Confidence
@@ -125,19 +118,8 @@
 		return false, ex.recordFailure(server, http.StatusText(resp.Status)+" from the server")
 	case failed && (impliesNotExecuted(resp.Status) || (ex.mayRetryAfter(server) && ex.deadline-now > minAttemptTime)):
 		return false, ex.recordFailure(server, http.StatusText(resp.Status)+" from the server")
-	case failed:
-		return ex.forwardBuffered(server, resp)
-	case ex.shouldEscalate(info, now) && ex.planEscalation(server, now):
-		ex.log("escalated", server)
-		r.Metrics.countAttempt(ex.pool.Name, "escalated")
-		ex.lastError = "the small model's confidence was too low"
-		ex.keepAnswer(server, resp, now)
-		ex.recordExecution(server)
-		return false, nil
-	case ex.route.Stream && resp.Status == http.StatusOK:
-		return ex.forwardStream(server, resp, info)
-	}
-	return ex.forwardBuffered(server, resp)
+	}
+	return true, nil
 }
 
 // recordReport records the load and the pace that the server reports, and the time to its
@@ -235,7 +217,7 @@
 // recordRefusal records that the server did not run the request. It returns nil if
 // the request may be retried.
 func (ex *exchange) recordRefusal(server *fleet.Entry, reason string) error {
-	ex.notExecutedOn = append(ex.notExecutedOn, server.ID)
+	ex.recordNotExecuted(server)
 	ex.lastError = reason
 	ex.log("server refused", server, "reason", reason)
 	ex.relay.Metrics.countAttempt(ex.pool.Name, "not_run")
@@ -265,14 +247,7 @@
 // mayRetryAfter reports whether the request may run on another server after it ran on
 // the given one.
 func (ex *exchange) mayRetryAfter(server *fleet.Entry) bool {
-	if ex.route.RetryPolicy == catalog.AtMostOnce {
-		return false
-	}
-	used := len(ex.executedOn)
-	if !slices.Contains(ex.executedOn, server.ID) {
-		used++
-	}
-	return used < ex.route.MaxAttempts
+	return ex.route.RetryPolicy != catalog.AtMostOnce && ex.usedServers(server) < ex.route.MaxAttempts
 }
 
 // deadlineError returns the error of a request that has no time for another attempt.
