Expect the time to the first byte from few answers at uneven servers

Cause: a daemon expects 1,000 ms to the first byte until it has eight answers. With 390 daemons and four plain servers that takes 18 s. At servers that take 60 ms, a stated pace of 250 then costs 1,500 ms, more than any load and the random cost, so all daemons choose the same servers.

Change: in pools with uneven servers, fewer answers count with their mean and the default prefill time. Choice.HasEstimate still needs eight. Other pools are placed as before.

--- a/internal/decision/loadbalance/latency_model.go
+++ b/internal/decision/loadbalance/latency_model.go
@@ -101,6 +101,17 @@
 	return max(m.BaseLatency()+m.PrefillTime(tokens), 1)
 }
 
+// FirstByteFromFew is FirstByte that uses the mean of the answers, and the default prefill
+// time, while the fit has too few of them. With 390 daemons, a daemon may get eight answers
+// only after 18 s, and a default of 1,000 ms at servers that take 60 would make any stated
+// pace outweigh all else.
+func (m LatencyModel) FirstByteFromFew(tokens int) clock.Millis {
+	if m.weight == 0 || m.weight >= minWeight {
+		return m.FirstByte(tokens)
+	}
+	return clock.Millis(max(m.meanMs+defaultPrefillMs*(float64(tokens)-m.meanTokens), 1))
+}
+
 // InterEventMs returns the expected time between two events of a stream.
 func (m LatencyModel) InterEventMs() float64 {
 	if m.interEventMs == 0 {
--- a/internal/decision/loadbalance/placement.go
+++ b/internal/decision/loadbalance/placement.go
@@ -42,8 +42,12 @@
 	}
 	p.sampled = samplePreferred(p.preferred, entries, r.Salt)
 	p.bound = b.sampleBound(r, len(entries), p.uneven)
+	firstByte := p.latency.FirstByte
+	if p.uneven {
+		firstByte = p.latency.FirstByteFromFew
+	}
 	for i, tokens := range p.prefillTokens {
-		p.firstByte[i] = p.latency.FirstByte(tokens)
+		p.firstByte[i] = firstByte(tokens)
 	}
 	return p
 }
--- a/internal/decision/loadbalance/speed_test.go
+++ b/internal/decision/loadbalance/speed_test.go
@@ -141,6 +141,21 @@
 	assert.Assert(t, lasting.slowness(now+30_000) < 1.1)
 }
 
+// TestFewAnswersAreUsed guards against a daemon with few requests taking the default time to
+// the first byte for that of its servers: all such daemons would choose the servers that
+// state the usual pace, whatever their load.
+func TestFewAnswersAreUsed(t *testing.T) {
+	v, b := plainServers("a", "b"), unevenBalancer()
+	answerPlain(t, b, v, "a", 60, speedTestStart)
+	c, result := b.Choose(v, plainRequest("b", speedTestStart+100))
+	assert.Equal(t, result, Chosen)
+	assert.Equal(t, c.ExpectedFirstByte, clock.Millis(60))
+	assert.Assert(t, !c.HasEstimate)
+	engine := LatencyModel{}.WithFirstByte(1_000, 100)
+	assert.Equal(t, engine.FirstByteFromFew(3_000), clock.Millis(160))
+	assert.Equal(t, engine.FirstByteFromFew(0), clock.Millis(70))
+}
+
 // TestSpeedStaysInBounds lets servers answer after any time and state any pace, and peers
 // report anything. Speeds must stay within their bounds, and the costs finite.
 func TestSpeedStaysInBounds(t *testing.T) {
