Leave more to chance at plain servers, the older their load is

Cause: the random cost at plain servers had a mean of 200 however old the load was. With 390 daemons, a daemon has few answers of its own and knows the load from reports that are 0.2 to 0.6 s old, while calls take 60 ms. The daemons choose the servers that the same reports show as free.

Change: the mean is 1 ms for each ms since the load was measured, at least 50; 200 as before where no load is known.

--- a/internal/decision/loadbalance/finish.go
+++ b/internal/decision/loadbalance/finish.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
 )
 
@@ -16,9 +17,14 @@
 	// its slots. It is larger, the less is free. One request more or less, which other
 	// daemons may have placed since their reports, must not decide.
 	engineNoise = costEngineCall
-	// plainNoise is the same at a plain server, whose load changes several times between
-	// two reports.
-	plainNoise = 200.0
+	// plainNoisePerMs is the same at a plain server for each ms of the age of its load, which
+	// changes several times between two reports. Load that is 400 ms old, as with 390
+	// daemons, needs twice the noise of load that is 200 ms old.
+	plainNoisePerMs = 1.0
+	// minPlainNoise keeps the choice random among servers that have just answered.
+	minPlainNoise = 50.0
+	// unknownLoadNoise is the noise at a plain server of whose load nothing is known.
+	unknownLoadNoise = 200.0
 	// minRoom is the least free capacity that is assumed, as a share of the slots.
 	minRoom = 0.05
 )
@@ -70,7 +76,7 @@
 	r := p.request
 	load, lasting := s.load(r.Now), s.lastingSlowness()
 	f := p.finish(s, e, which)
-	call, noise := costPlainCall, plainNoise
+	call, noise := costPlainCall, s.plainNoise(r.Now)
 	if r.Pool.HasEngines() {
 		call, noise = costEngineCall, engineNoise
 	}
@@ -83,3 +89,28 @@
 	unit := (float64(container.CombineHash(r.Salt, e.ID)%steps) + 1) / steps
 	return cost - noise*math.Log(unit)/max(room, minRoom)
 }
+
+// plainNoise returns the mean of the random cost at a plain server.
+//
+// Load pattern: many daemons, each with few answers of a server, so that most of what they
+// know of it is from reports. The older that is, the more it must be left to chance.
+func (s *serverState) plainNoise(now clock.Millis) float64 {
+	age, known := s.measuredAge(now)
+	if !known {
+		return unknownLoadNoise
+	}
+	return max(plainNoisePerMs*float64(age), minPlainNoise)
+}
+
+// measuredAge returns the time since the load that the placement uses was measured. A report of
+// other daemons is on average half a reportPeriod old when it comes in.
+func (s *serverState) measuredAge(now clock.Millis) (age clock.Millis, known bool) {
+	age = reportLifetime
+	if s.peerLoadAt != 0 {
+		age = min(age, now-s.peerLoadAt+reportPeriod/2)
+	}
+	if s.reportedAt != 0 && (s.peerLoadAt == 0 || now-s.reportedAt < freshReport) {
+		age = min(age, now-s.reportedAt)
+	}
+	return age, age < reportLifetime
+}
--- a/internal/decision/loadbalance/speed_test.go
+++ b/internal/decision/loadbalance/speed_test.go
@@ -156,6 +156,21 @@
 	assert.Equal(t, engine.FirstByteFromFew(0), clock.Millis(70))
 }
 
+// TestOldLoadIsLeftToChance guards against daemons that know a plain server's load only from
+// old reports choosing the same one: the random cost must grow with the age of the load.
+func TestOldLoadIsLeftToChance(t *testing.T) {
+	now := speedTestStart
+	s := &serverState{}
+	assert.Equal(t, s.plainNoise(now), unknownLoadNoise)
+	s.peerLoadAt = now
+	assert.Equal(t, s.plainNoise(now), 200.0)
+	assert.Equal(t, s.plainNoise(now+200), 400.0)
+	s.reportedAt = now + 100
+	assert.Equal(t, s.plainNoise(now+200), 100.0)
+	assert.Equal(t, s.plainNoise(now+100), minPlainNoise)
+	assert.Equal(t, s.plainNoise(now+reportLifetime), unknownLoadNoise)
+}
+
 // TestSpeedStaysInBounds lets servers answer after any time and state any pace, and peers
 // report anything. Speeds must stay within their bounds, and the costs finite.
 func TestSpeedStaysInBounds(t *testing.T) {
