Count reported prefill at uneven servers less what was done since

Cause: the pending prefill of the other daemons counted in full until the next report, up to 400 ms. A prefill takes 10 to 200 ms, so servers were avoided for prefill that they had done, and requests lost their cached prefix for it.

Change: the reported prefill falls with the time since the report, at the server's speed and pace. Own requests count as before. Utilisation and room are unchanged.

--- a/internal/decision/loadbalance/finish.go
+++ b/internal/decision/loadbalance/finish.go
@@ -47,7 +47,7 @@
 		f.wait = lasting * (float64(p.firstByte[which]) + p.streamMs(slots)) * waiting / slots
 	}
 	slowness := s.currentSlowness(p.request.Now) * s.slowness(p.request.Now)
-	f.firstEvent = f.wait + slowness*float64(load.Prefill+p.firstByte[which])
+	f.firstEvent = f.wait + slowness*float64(s.pendingPrefill(p.request.Now)+p.firstByte[which])
 	// The pace of this moment is over before most of the stream.
 	f.lastEvent = f.firstEvent + lasting*p.streamMs(min(float64(load.Calls)+1, slots))
 	return f
@@ -114,3 +114,17 @@
 	}
 	return age, age < reportLifetime
 }
+
+// pendingPrefill returns the prefill that is pending at an uneven server, in ms at a typical one.
+//
+// The server has gone on with the other daemons' prefill since their report, at its present
+// speed. A prefill takes 10 to 200 ms and reports come every 400 ms, so most of what a report
+// states is done before the next one.
+func (s *serverState) pendingPrefill(now clock.Millis) clock.Millis {
+	pending := s.own.Prefill
+	if s.peerLoadAt == 0 || now-s.peerLoadAt >= reportLifetime || s.peerLoad.Prefill <= 0 {
+		return pending
+	}
+	done := float64(now-s.peerLoadAt) / (s.currentSlowness(now) * s.slowness(now))
+	return pending + max(s.peerLoad.Prefill-clock.Millis(done), 0)
+}
--- a/internal/decision/loadbalance/placement.go
+++ b/internal/decision/loadbalance/placement.go
@@ -111,6 +111,8 @@
 		c.ExpectedFirstByte = clock.Millis(s.slowness(now) * float64(c.TypicalFirstByte))
 		return c
 	}
+	c.pendingPrefill = s.pendingPrefill(now)
+	c.TypicalFirstByte = c.unloadedFirstByte + c.pendingPrefill
 	expected := p.finish(s, e, which)
 	c.queued, c.queueWait = expected.wait > 0, clock.Millis(expected.wait)
 	c.TypicalFirstByte += c.queueWait
--- a/internal/decision/loadbalance/speed_test.go
+++ b/internal/decision/loadbalance/speed_test.go
@@ -171,6 +171,21 @@
 	assert.Equal(t, s.plainNoise(now+reportLifetime), unknownLoadNoise)
 }
 
+// TestReportedPrefillIsDone guards against servers being avoided for prefill that they have done
+// since other daemons reported it. A slow server takes longer, and own requests are known.
+func TestReportedPrefillIsDone(t *testing.T) {
+	now := speedTestStart
+	s := &serverState{speed: &serverSpeed{}, peerLoad: Load{Prefill: 300}, peerLoadAt: now}
+	assert.Equal(t, s.pendingPrefill(now), clock.Millis(300))
+	assert.Equal(t, s.pendingPrefill(now+200), clock.Millis(100))
+	assert.Equal(t, s.pendingPrefill(now+400), clock.Millis(0))
+	s.own.Prefill = 50
+	assert.Equal(t, s.pendingPrefill(now+400), clock.Millis(50))
+	s.lasting = 2
+	assert.Equal(t, s.pendingPrefill(now+400), clock.Millis(150))
+	assert.Equal(t, s.pendingPrefill(now+reportLifetime), clock.Millis(50))
+}
+
 // TestSpeedStaysInBounds lets servers answer after any time and state any pace, and peers
 // report anything. Speeds must stay within their bounds, and the costs finite.
 func TestSpeedStaysInBounds(t *testing.T) {
