Take the speed of servers from the first few streams

Cause: a time between events was evidence of a server's speed only from a daemon's ninth stream on. With 390 daemons, a daemon has about ten in 25 s, so all daemons together knew no speeds.

Change: a decayed weight of two is enough, which is the fourth stream.

--- a/internal/decision/loadbalance/speed_records.go
+++ b/internal/decision/loadbalance/speed_records.go
@@ -36,7 +36,7 @@
 func (b *Balancer) recordUnevenEventTime(e *fleet.Entry, key modelKey, ms float64, now clock.Millis) {
 	s, times := b.state(e), b.decode[key]
 	calls := s.load(now).Calls
-	if times.weight >= minWeight {
+	if times.weight >= minEventTimes {
 		s.speed.learn(ms/times.At(float64(calls)), eventTimeWeight, now)
 	}
 	b.decode[key] = times.With(calls, ms/s.currentSlowness(now))
@@ -57,6 +57,11 @@
 // has fallen to about a third.
 const eventTimeAnswers = 200
 
+// minEventTimes is the number of measurements from which on their mean is used. With 390
+// daemons, each has some ten streams in 25 s: if the first eight told nothing, the evidence of
+// all daemons together would show no server's speed.
+const minEventTimes = 2
+
 // minEventTimeMs is the least expected time between events: all events of a short answer may
 // arrive within the clock's resolution.
 const minEventTimeMs = 0.1
@@ -87,7 +92,7 @@
 
 // At returns the expected time in ms at a server with that many requests.
 func (t eventTimes) At(calls float64) float64 {
-	if t.weight < minWeight {
+	if t.weight < minEventTimes {
 		return defaultInterEventMs
 	}
 	// A slope that is too high must not make the time of an idle server negative. Measured
--- a/internal/decision/loadbalance/speed_test.go
+++ b/internal/decision/loadbalance/speed_test.go
@@ -186,6 +186,29 @@
 	assert.Equal(t, s.pendingPrefill(now+reportLifetime), clock.Millis(50))
 }
 
+// TestFewEventTimesAreUsed guards against the speeds of servers staying unknown where there are
+// many daemons, each of which gets less than eight streams in a while.
+func TestFewEventTimesAreUsed(t *testing.T) {
+	b, v, now := unevenBalancer(), plainServers("a", "b"), speedTestStart
+	assert.Equal(t, speedAt(b, v, "a", now), 1.0)
+	slow, _ := v.Server("b")
+	usual, _ := v.Server("a")
+	for range 4 {
+		b.RecordInterEvent(&usual, "", 30, now)
+	}
+	b.RecordInterEvent(&slow, "", 120, now)
+	reports := b.OwnSpeeds(now)
+	assert.Equal(t, len(reports), 2)
+	for _, r := range reports {
+		logRatio := float64(r.LogRatio) / logRatioUnit
+		if r.Server == speedKey(&slow) {
+			assert.Assert(t, logRatio > eventTimeWeight*math.Log(3), "%+v", r)
+		} else {
+			assert.Equal(t, logRatio, 0.0)
+		}
+	}
+}
+
 // TestSpeedStaysInBounds lets servers answer after any time and state any pace, and peers
 // report anything. Speeds must stay within their bounds, and the costs finite.
 func TestSpeedStaysInBounds(t *testing.T) {
