--- a/internal/decision/loadbalance/placement.go
+++ b/internal/decision/loadbalance/placement.go
@@ -42,8 +42,12 @@
 	}
 	p.sampled = samplePreferred(p.preferred, entries, r.Salt)
 	p.bound = b.sampleBound(r, len(entries), p.uneven)
+	firstByte := p.latency.FirstByte
+	if p.uneven {
+		firstByte = p.latency.FirstByteFromFew
+	}
 	for i, tokens := range p.prefillTokens {
-		p.firstByte[i] = p.latency.FirstByte(tokens)
+		p.firstByte[i] = firstByte(tokens)
 	}
 	return p
 }
@@ -107,6 +111,8 @@
 		c.ExpectedFirstByte = clock.Millis(s.slowness(now) * float64(c.TypicalFirstByte))
 		return c
 	}
+	c.pendingPrefill = s.pendingPrefill(now)
+	c.TypicalFirstByte = c.unloadedFirstByte + c.pendingPrefill
 	expected := p.finish(s, e, which)
 	c.queued, c.queueWait = expected.wait > 0, clock.Millis(expected.wait)
 	c.TypicalFirstByte += c.queueWait
--- a/internal/decision/loadbalance/speed_test.go
+++ b/internal/decision/loadbalance/speed_test.go
@@ -141,6 +141,89 @@
 	assert.Assert(t, lasting.slowness(now+30_000) < 1.1)
 }
 
+// TestFewAnswersAreUsed guards against a daemon with few requests taking the default time to
+// the first byte for that of its servers: all such daemons would choose the servers that
+// state the usual pace, whatever their load.
+func TestFewAnswersAreUsed(t *testing.T) {
+	v, b := plainServers("a", "b"), unevenBalancer()
+	answerPlain(t, b, v, "a", 60, speedTestStart)
+	c, result := b.Choose(v, plainRequest("b", speedTestStart+100))
+	assert.Equal(t, result, Chosen)
+	assert.Equal(t, c.ExpectedFirstByte, clock.Millis(60))
+	assert.Assert(t, !c.HasEstimate)
+	engine := LatencyModel{}.WithFirstByte(1_000, 100)
+	assert.Equal(t, engine.FirstByteFromFew(3_000), clock.Millis(160))
+	assert.Equal(t, engine.FirstByteFromFew(0), clock.Millis(70))
+}
+
+// TestOldLoadIsLeftToChance guards against daemons that know a plain server's load only from
+// old reports choosing the same one: the random cost must grow with the age of the load.
+func TestOldLoadIsLeftToChance(t *testing.T) {
+	now := speedTestStart
+	s := &serverState{}
+	assert.Equal(t, s.plainNoise(now), unknownLoadNoise)
+	s.peerLoadAt = now
+	assert.Equal(t, s.plainNoise(now), 200.0)
+	assert.Equal(t, s.plainNoise(now+200), 400.0)
+	s.reportedAt = now + 100
+	assert.Equal(t, s.plainNoise(now+200), 100.0)
+	assert.Equal(t, s.plainNoise(now+100), minPlainNoise)
+	assert.Equal(t, s.plainNoise(now+reportLifetime), unknownLoadNoise)
+}
+
+// TestReportedPrefillIsDone guards against servers being avoided for prefill that they have done
+// since other daemons reported it. A slow server takes longer, and own requests are known.
+func TestReportedPrefillIsDone(t *testing.T) {
+	now := speedTestStart
+	s := &serverState{speed: &serverSpeed{}, peerLoad: Load{Prefill: 300}, peerLoadAt: now}
+	assert.Equal(t, s.pendingPrefill(now), clock.Millis(300))
+	assert.Equal(t, s.pendingPrefill(now+200), clock.Millis(100))
+	assert.Equal(t, s.pendingPrefill(now+400), clock.Millis(0))
+	s.own.Prefill = 50
+	assert.Equal(t, s.pendingPrefill(now+400), clock.Millis(50))
+	s.lasting = 2
+	assert.Equal(t, s.pendingPrefill(now+400), clock.Millis(150))
+	assert.Equal(t, s.pendingPrefill(now+reportLifetime), clock.Millis(50))
+}
+
+// TestFewEventTimesAreUsed guards against the speeds of servers staying unknown where there are
+// many daemons, each of which gets less than eight streams in a while.
+func TestFewEventTimesAreUsed(t *testing.T) {
+	b, v, now := unevenBalancer(), plainServers("a", "b"), speedTestStart
+	assert.Equal(t, speedAt(b, v, "a", now), 1.0)
+	slow, _ := v.Server("b")
+	usual, _ := v.Server("a")
+	for range 4 {
+		b.RecordInterEvent(&usual, "", 30, now)
+	}
+	b.RecordInterEvent(&slow, "", 120, now)
+	reports := b.OwnSpeeds(now)
+	assert.Equal(t, len(reports), 2)
+	for _, r := range reports {
+		logRatio := float64(r.LogRatio) / logRatioUnit
+		if r.Server == speedKey(&slow) {
+			assert.Assert(t, logRatio > eventTimeWeight*math.Log(3), "%+v", r)
+		} else {
+			assert.Equal(t, logRatio, 0.0)
+		}
+	}
+}
+
+// TestLateAnswerCountsAfterGap guards against a slowness that isn't stated staying unknown to a
+// daemon that has few answers of the server.
+func TestLateAnswerCountsAfterGap(t *testing.T) {
+	slownessAfter := func(lasting float64, gap clock.Millis) float64 {
+		s := &serverState{lasting: lasting, slownessAt: speedTestStart}
+		now := speedTestStart + gap
+		s.recordSlowness(400, 100, now)
+		return s.slowness(now)
+	}
+	assert.Assert(t, slownessAfter(1, 11_000) > 3.5)
+	assert.Assert(t, slownessAfter(1, 1_500) > 1.9)
+	assert.Assert(t, slownessAfter(1, 100) < 1.3)
+	assert.Assert(t, slownessAfter(0, 11_000) < 1.3, "the servers aren't uneven")
+}
+
 // TestSpeedStaysInBounds lets servers answer after any time and state any pace, and peers
 // report anything. Speeds must stay within their bounds, and the costs finite.
 func TestSpeedStaysInBounds(t *testing.T) {
