Keep the sum of the reports of a daemon within 20 KB/s at 390 daemons

Cause: each part of the reports was bounded by itself, but not their sum: with all parts at their bounds, a report and its reply took 18,596 bytes each 0.4 s, 46.5 KB/s with the loads of 140 servers and 390 limit members.

Change: a report and a reply have budgets, 8,000 bytes together at 390 daemons and in inverse proportion to the daemons. If a message doesn't fit, the limit members, speeds and prefixes are in one of four messages, the receiver keeps them for 2 s at most, and the least certain are left out; the smallest accounts are counted in the rest of their pool. Loads are encoded with integers of the least size. Messages between data centres have no budget.

--- a/internal/control/peerstats/aggregator.go
+++ b/internal/control/peerstats/aggregator.go
@@ -36,12 +36,16 @@
 	cached      *total              // of all other daemons; nil after a change
 	cachedAt    clock.Millis
 	hostDemand  hostDemand // of hosts
+	daemons     int        // among which the bytes of reports are divided
+	round       int        // the number of own reports
 }
 
 // received is a snapshot with the time at which it was received.
 type received struct {
 	Snapshot
 	receivedAt clock.Millis
+	slowAt     clock.Millis // when its slow parts were received
+	round      int          // of a host: the number of reports before
 }
 
 // New returns an aggregator without any reports.
@@ -140,6 +144,22 @@
 	return slices.Collect(maps.Keys(a.others().departures))
 }
 
+// ownReport returns the snapshot of this daemon as the next report to its leader.
+func (a *Aggregator) ownReport() Snapshot {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.ownSnapshot().within(a.budget(reportBytes), a.round)
+	a.round++
+	return s
+}
+
+// restartReports makes the next report have all parts: the last one may be lost.
+func (a *Aggregator) restartReports() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.round = 0
+}
+
 // Own returns the snapshot of this daemon.
 func (a *Aggregator) Own() Snapshot {
 	a.mu.Lock()
@@ -203,14 +223,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cached = nil
-	report := received{r.Snapshot, a.clock.Now()}
+	report := received{Snapshot: r.Snapshot, receivedAt: a.clock.Now()}
 	if r.IsDataCentre {
 		a.dataCentres[r.From] = report
 		return a.total("", false).snapshot()
 	}
+	if before, known := a.hosts[r.From]; known {
+		report = report.keepSlow(&before)
+		report.round = before.round + 1
+	} else {
+		report = report.keepSlow(nil)
+	}
 	a.hosts[r.From] = report
 	a.hostDemand.set(r.From, report)
-	return a.total(r.From, true).snapshot()
+	return a.total(r.From, true).snapshot().within(a.budget(replyBytes), report.round)
 }
 
 // SetPeerTotal records the total of all other daemons, which is the leader's reply to a
@@ -218,14 +244,15 @@
 func (a *Aggregator) SetPeerTotal(s Snapshot) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.peerTotal, a.cached = &received{s, a.clock.Now()}, nil
+	total := received{Snapshot: s, receivedAt: a.clock.Now()}.keepSlow(a.peerTotal)
+	a.peerTotal, a.cached = &total, nil
 }
 
 // SetDataCentreTotal records the total of another data centre.
 func (a *Aggregator) SetDataCentreTotal(name string, s Snapshot) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.dataCentres[name], a.cached = received{s, a.clock.Now()}, nil
+	a.dataCentres[name], a.cached = received{Snapshot: s, receivedAt: a.clock.Now()}, nil
 }
 
 // others returns the total of all other daemons: the leader's reply while it is recent,
--- a/internal/control/peerstats/exchange.go
+++ b/internal/control/peerstats/exchange.go
@@ -38,6 +38,7 @@
 
 	mu           sync.Mutex
 	skippedUntil map[string]clock.Millis // by host; guarded by mu
+	overBudget   bool                    // a report or a reply exceeded its budget; guarded by mu
 }
 
 // Config holds the dependencies of an Exchange.
@@ -73,6 +74,7 @@
 	clock.Every(ctx, reportPeriod, func() {
 		e.refresh()
 		hosts := e.hosts()
+		e.aggregator.SetDaemons(len(hosts))
 		dataCentres := make(map[string]int)
 		for _, h := range hosts {
 			dataCentres[h.DataCentre]++
@@ -151,9 +153,25 @@
 
 // reportHost reports this daemon's snapshot to its leader.
 func (e *Exchange) reportHost(ctx context.Context, host, address string) {
-	reply, err := e.send(ctx, host, address, Report{From: e.host, Snapshot: e.aggregator.Own()})
-	if err == nil {
-		e.aggregator.SetPeerTotal(reply)
+	own := e.aggregator.ownReport()
+	reply, err := e.send(ctx, host, address, Report{From: e.host, Snapshot: own})
+	if err != nil {
+		e.aggregator.restartReports()
+		return
+	}
+	e.aggregator.SetPeerTotal(reply)
+	e.logBudget(own.KeepSlow || reply.KeepSlow)
+}
+
+// logBudget logs when the budget of the reports begins to bind. Messages with all parts come
+// in between, so it doesn't log the end.
+func (e *Exchange) logBudget(binds bool) {
+	e.mu.Lock()
+	first := binds && !e.overBudget
+	e.overBudget = e.overBudget || binds
+	e.mu.Unlock()
+	if first {
+		e.log.Warn("reports exceed their budget; speeds, prefixes and limit members are sent less often, small accounts unnamed")
 	}
 }
 
--- a/internal/control/peerstats/snapshot.go
+++ b/internal/control/peerstats/snapshot.go
@@ -23,8 +23,8 @@
 // Snapshot is the state of one daemon or the total of several.
 type Snapshot struct {
 	// Loads are the in-flight loads by server ID.
-	Loads       map[string]loadbalance.Load `json:"l"`
-	AnswerStats []AnswerStatsEntry          `json:"t,omitempty"`
+	Loads       loadMap            `json:"l"`
+	AnswerStats []AnswerStatsEntry `json:"t,omitempty"`
 	// PinnedSessions are the hashes of the sessions that stay on an old version, by the
 	// order version of the roll-out.
 	PinnedSessions map[int64][]uint64 `json:"k,omitempty"`
@@ -48,6 +48,9 @@
 	Tokens *TokenReport `json:"o,omitempty"`
 	// Prefixes are the shared prefixes of prompts with the most requests there.
 	Prefixes []loadbalance.PrefixReport `json:"hp,omitempty"`
+	// KeepSlow means that LimitMembers, Speeds and Prefixes are left out and the receiver
+	// keeps those of the message before.
+	KeepSlow bool `json:"z,omitempty"`
 }
 
 // maxCrashes bounds the crashes in a snapshot. The newest ones are kept.
