Let the straggler replay place by the speeds that the daemons learn

Cause: the replay's engines stated no pace and its daemons exchanged no speeds, so new requests went to the slow engines, which the product avoids where engines state their pace.

Change: the replay's engines state their pace with each response, and the daemons exchange SpeedReports. The bound of TestStragglersArePlacedAnew is unchanged. The former replay, without a stated pace, stays with the same bound as TestStragglersOfUnstatedPace, since engines need not state it.

--- a/internal/decision/cascade/replay_stragglers_test.go
+++ b/internal/decision/cascade/replay_stragglers_test.go
@@ -86,14 +86,20 @@
 }
 
 // TestStragglersArePlacedAnew replays the crowded deployment's traffic while a tenth of the
-// engines takes eight times as long for 12 s. It guards against streams that are cut off by
-// their deadline while other engines would complete them, and against so many re-placements
-// that they exceed the retry budget, a tenth of the requests.
-func TestStragglersArePlacedAnew(t *testing.T) {
+// engines takes eight times as long for 12 s, and states it. It guards against streams that are
+// cut off by their deadline while other engines would complete them, and against so many
+// re-placements that they exceed the retry budget, a tenth of the requests.
+func TestStragglersArePlacedAnew(t *testing.T) { playStragglers(t, true) }
+
+// TestStragglersOfUnstatedPace guards against the same with engines that don't state their pace.
+// The daemons then learn it only from the requests that the slow engines get.
+func TestStragglersOfUnstatedPace(t *testing.T) { playStragglers(t, false) }
+
+func playStragglers(t *testing.T, statesPace bool) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			p := newReplay(seed)
-			p.moves = true
+			p.moves, p.statesPace = true, statesPace
 			before := p.play(10_000, 1)
 			p.slowDown(8)
 			during := p.play(12_000, 1)
--- a/internal/decision/cascade/replay_test.go
+++ b/internal/decision/cascade/replay_test.go
@@ -75,6 +75,7 @@
 	limitsSecondAttempts bool
 	reports              [][]map[string]loadbalance.Load // by exchange and daemon, not yet delivered
 	reportDelay          int                             // in exchanges
+	statesPace           bool                            // engines state their pace
 }
 
 // replayAccounts and replayDocuments are the numbers of client accounts, and of beginnings
@@ -111,6 +112,7 @@
 	for end := p.now + duration; p.now < end; p.now += tick {
 		if p.now%reportExchange == 0 {
 			p.exchangeReports()
+			p.exchangeSpeeds()
 		}
 		for i := range kinds {
 			p.arrive(&kinds[i], factor)
@@ -175,7 +177,11 @@
 	e, b := p.engines[c.server], c.daemon
 	b.PrefillDone(c.choice)
 	b.RecordFirstByte(c.choice, c.model, p.now-c.sentAt, p.now)
-	b.RecordReport(&c.choice.Server, loadbalance.ServerReport{HasLoad: true, Requests: len(e.runs), Slots: engineSlots}, p.now)
+	report := loadbalance.ServerReport{HasLoad: true, Requests: len(e.runs), Slots: engineSlots}
+	if p.statesPace {
+		report.Pace = int(100 * e.slow)
+	}
+	b.RecordReport(&c.choice.Server, report, p.now)
 	if c.began || (c.model == "small" && p.escalate(c)) {
 		return
 	}
@@ -288,6 +294,31 @@
 	}
 }
 
+// exchangeSpeeds tells each daemon what the others know of the engines' speeds.
+func (p *replay) exchangeSpeeds() {
+	speeds := make([]map[uint32]loadbalance.SpeedReport, len(p.daemons))
+	total := make(map[uint32]loadbalance.SpeedReport)
+	for i, b := range p.daemons {
+		speeds[i] = make(map[uint32]loadbalance.SpeedReport)
+		for _, r := range b.OwnSpeeds(p.now) {
+			speeds[i][r.Server] = r
+			if sum, known := total[r.Server]; known {
+				r = sum.Plus(r)
+			}
+			total[r.Server] = r
+		}
+	}
+	for i, b := range p.daemons {
+		others := make([]loadbalance.SpeedReport, 0, len(total))
+		for _, r := range total {
+			own := speeds[i][r.Server]
+			r.Weight, r.LogRatio = r.Weight-own.Weight, r.LogRatio-own.LogRatio
+			others = append(others, r)
+		}
+		b.SetPeerSpeeds(loadbalance.MostCertainSpeeds(others), p.now)
+	}
+}
+
 // shares returns the shares of the calls that began within their target and completed, that
 // failed, and whose low confidence was escalated. Calls for which keep is false don't count.
 func shares(calls []*call, keep func(c *call) bool) (inTarget, failed, escalated float64) {
