Give a server's answer after a gap more weight in its slowness

Cause: a slowness that servers don't state is averaged with a sixth for each answer. With 7 daemons an answer of a server comes every 1.2 s and with 67 every 11 s, so a slow phase of 8 s was over before it was known.

Change: in pools with uneven servers, the weight grows with the time since the last answer, half of all after 1.5 s. Frequent answers count a sixth as before.

--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -202,6 +202,10 @@
 	// slownessAnswers is the number of answers over which the slowness is averaged.
 	slownessAnswers    = 6
 	slownessHalfLifeMs = 5_000.0
+	// slownessGapMs is the time without answers after which the next one of an uneven server
+	// has half of the weight. With 7 daemons an answer comes every 1.2 s, with 67 every 11 s:
+	// with a sixth of the weight each, a slow phase of 8 s was over before it was known.
+	slownessGapMs = 1_500.0
 	// maxSlowness bounds the slowness of a single answer, in both directions.
 	maxSlowness = 8.0
 )
@@ -211,7 +215,11 @@
 	ratio := float64(max(elapsed, 1)) / float64(max(expected, 1))
 	ratio = min(max(ratio, 1/maxSlowness), maxSlowness)
 	old := s.logSlowness * math.Exp2(-float64(now-s.slownessAt)/slownessHalfLifeMs)
-	s.logSlowness, s.slownessAt = old+(math.Log(ratio)-old)/slownessAnswers, now
+	share := 1.0 / slownessAnswers
+	if s.lasting != 0 {
+		share = max(share, 1-math.Exp2(-float64(now-s.slownessAt)/slownessGapMs))
+	}
+	s.logSlowness, s.slownessAt = old+(math.Log(ratio)-old)*share, now
 }
 
 // slowness returns the factor by which the server is slower than its pool.
--- a/internal/decision/loadbalance/speed_test.go
+++ b/internal/decision/loadbalance/speed_test.go
@@ -209,6 +209,21 @@
 	}
 }
 
+// TestLateAnswerCountsAfterGap guards against a slowness that isn't stated staying unknown to a
+// daemon that has few answers of the server.
+func TestLateAnswerCountsAfterGap(t *testing.T) {
+	slownessAfter := func(lasting float64, gap clock.Millis) float64 {
+		s := &serverState{lasting: lasting, slownessAt: speedTestStart}
+		now := speedTestStart + gap
+		s.recordSlowness(400, 100, now)
+		return s.slowness(now)
+	}
+	assert.Assert(t, slownessAfter(1, 11_000) > 3.5)
+	assert.Assert(t, slownessAfter(1, 1_500) > 1.9)
+	assert.Assert(t, slownessAfter(1, 100) < 1.3)
+	assert.Assert(t, slownessAfter(0, 11_000) < 1.3, "the servers aren't uneven")
+}
+
 // TestSpeedStaysInBounds lets servers answer after any time and state any pace, and peers
 // report anything. Speeds must stay within their bounds, and the costs finite.
 func TestSpeedStaysInBounds(t *testing.T) {
