Suspect requests whose attempt was given up before the crash

Cause: a run without a response header was forgotten at its end, so a request that crashed its server after a time-out or after its caller had left was no suspect.

Change: an attempt that reached its server and was ended by its time or its context stays a suspect for 0.5 s. One that wasn't sent, or whose server broke off, doesn't.

Tests of relay for quarantines, crashes and own attempts pass three times.

--- a/internal/decision/quarantine/runs.go
+++ b/internal/decision/quarantine/runs.go
@@ -26,6 +26,7 @@
 	sentAt   clock.Millis
 	begunAt  clock.Millis // 0 until the response header has arrived
 	sound    bool         // its answer crashed no server
+	givenUp  clock.Millis // 0 unless the attempt was ended while it waited for its answer
 	ended    bool         // it is kept as a suspect only
 	canceled bool
 }
@@ -76,8 +77,18 @@
 	}
 }
 
-// End notes that the attempt is over. An answer that was abandoned soon after its beginning
-// may still crash the server.
+// GiveUp notes that the attempt, which has reached the server, is ended before the response
+// header. The server may still run the request.
+func (r *Run) GiveUp(now clock.Millis) {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	if r.begunAt == 0 {
+		r.givenUp = now
+	}
+}
+
+// End notes that the attempt is over. An answer that was abandoned soon after its beginning,
+// or an attempt that was given up, may still crash the server.
 func (r *Run) End(complete bool, now clock.Millis) {
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
@@ -85,13 +96,20 @@
 		r.markSound(now)
 	}
 	r.ended = true
-	if r.sound || r.begunAt == 0 || now-r.begunAt >= suspectTime {
+	if r.sound || !r.mayCrash(now) {
 		r.tracker.forget(r)
 		return
 	}
 	r.tracker.ended = append(r.tracker.ended, r)
 }
 
+// mayCrash reports whether a server that crashes at the time may do so under the run, which has
+// ended: soon after its answer began or, without one, soon after it was given up.
+func (r *Run) mayCrash(now clock.Millis) bool {
+	last := max(r.begunAt, r.givenUp)
+	return last != 0 && now-last < suspectTime
+}
+
 // Canceled reports whether the attempt was ended because a part was quarantined.
 func (r *Run) Canceled() bool {
 	r.tracker.mu.Lock()
@@ -129,7 +147,7 @@
 // held.
 func (t *Tracker) forgetEnded(now clock.Millis) {
 	t.ended = slices.DeleteFunc(t.ended, func(r *Run) bool {
-		if now-r.begunAt < suspectTime {
+		if r.mayCrash(now) {
 			return false
 		}
 		t.forget(r)
--- a/internal/decision/quarantine/tracker_test.go
+++ b/internal/decision/quarantine/tracker_test.go
@@ -328,3 +328,38 @@
 		})
 	}
 }
+
+// TestGivenUpAttemptIsSuspect has attempts given up while they wait for their answers. Their
+// servers crash soon afterwards: then they are suspects, but not later, nor if they weren't sent.
+func TestGivenUpAttemptIsSuspect(t *testing.T) {
+	cases := map[string]struct {
+		gaveUp  bool
+		wait    clock.Millis // from the end of the attempt to the crash
+		suspect bool
+	}{
+		"soon afterwards": {true, 100, true},
+		"much later":      {true, suspectTime, false},
+		"not sent":        {false, 100, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker()
+			for i := range clock.Millis(3) {
+				now := start + 1_000*i
+				server := ServerStart{ID: fmt.Sprintf("s%d", i)}
+				r := tracker.Start(server, []Part{request("a", 1)}, false, nothing, now)
+				if test.gaveUp {
+					r.GiveUp(now + 50)
+				}
+				r.End(false, now+50)
+				at := now + 50 + test.wait
+				tracker.Start(server, []Part{request("b", int(i))}, false, nothing, at-10)
+				crash, ok := tracker.Suspect(server, at)
+				assert.Assert(t, ok)
+				crash.Pool, crash.Servers = "text", 9
+				tracker.Confirm(crash, at, at+1)
+			}
+			assert.Equal(t, isBlocked(tracker, request("a", 1)), test.suspect)
+		})
+	}
+}
--- a/internal/traffic/relay/crashing_request_test.go
+++ b/internal/traffic/relay/crashing_request_test.go
@@ -119,3 +119,19 @@
 	assert.Equal(t, f.send(http.MethodPost, "/read/"+crashPath).status, http.StatusBadGateway)
 	assert.Equal(t, f.callCount(), 3)
 }
+
+// TestAttemptGivenUpIsSuspect has the only attempt of a call time out at a server that still runs
+// it. If the server crashes soon, the call must be among the suspects.
+func TestAttemptGivenUpIsSuspect(t *testing.T) {
+	route := catalog.Route{
+		Name: "read", Host: "desk.example", Prefix: "/read/", RetryPolicy: catalog.AtMostOnce,
+		Pools: []catalog.WeightedPool{{Pool: "text", Weight: 1}}, MaxAttempts: 1, Timeout: 150, LatencyTarget: 100,
+	}
+	release := make(chan struct{})
+	f := newFixture(t, []catalog.Route{route}, func(int, http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	assert.Equal(t, f.send(http.MethodPost, "/read/"+crashPath).status, http.StatusGatewayTimeout)
+	server, _ := f.currentView().Server("s1")
+	crash, suspicious := f.relay.Quarantine.Suspect(serverStart(&server), f.relay.Clock.Now())
+	assert.Assert(t, suspicious && len(crash.Suspects) == 1)
+}
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -286,6 +286,9 @@
 		Deadline:       deadline,
 		OnSilence:      func() time.Duration { return ex.extendWait(server) },
 	})
+	if err != nil {
+		ex.noteGivenUp(ctx, err)
+	}
 	if err != nil && ex.keptIsDue() {
 		ex.recordExecution(server)
 		ex.lastError = "the largest model was silent"
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -4,11 +4,13 @@
 	"context"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
 )
 
 // minQuarantineRetry is the least retry time stated for a quarantined request.
@@ -63,6 +65,20 @@
 	}
 }
 
+// noteGivenUp notes that the attempt was ended before the response header, if it failed with the
+// error because its time or its context ended. The server may still run the request and crash. An
+// attempt whose server broke off is over.
+func (ex *exchange) noteGivenUp(ctx context.Context, err error) {
+	var callErr *h1.CallError
+	isCallErr := errors.As(err, &callErr)
+	if isCallErr && !callErr.Sent {
+		return
+	}
+	if ctx.Err() != nil || (isCallErr && callErr.TimedOut) {
+		ex.run.GiveUp(ex.relay.Clock.Now())
+	}
+}
+
 // quarantineError ends a request whose attempt was ended by a quarantine.
 func (ex *exchange) quarantineError(server *fleet.Entry, mayHaveRun bool, now clock.Millis) error {
 	ex.relay.Metrics.countAttempt(ex.pool.Name, "quarantined")
