--- a/internal/traffic/relay/attempt.go
+++ b/internal/traffic/relay/attempt.go
@@ -97,6 +97,9 @@
 		Deadline:       deadline,
 		OnSilence:      func() time.Duration { return ex.extendWait(server) },
 	})
+	if err != nil {
+		ex.noteGivenUp(ctx, err)
+	}
 	if err != nil && ex.keptIsDue() {
 		ex.recordExecution(server)
 		ex.lastError = "the largest model was silent"
