--- a/internal/decision/admission/shared_retry_budget.go
+++ b/internal/decision/admission/shared_retry_budget.go
@@ -114,8 +114,8 @@
 	return b.LeavesReserve(pool, 0, now)
 }
 
-// LeavesReserve is AllowsOptional for an attempt that leaves another fraction of the budget to
-// more urgent ones.
+// LeavesReserve is AllowsOptional for an attempt that leaves another fraction of the budget; a
+// negative one is what it may use of the reserve.
 func (b *SharedRetryBudget) LeavesReserve(pool string, reserve float64, now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -90,16 +90,15 @@
 	return escalates
 }
 
-// escalationReserve returns the fraction of the retry budget that an escalation leaves to
-// others, in addition to the reserve for retries after failures: the less urgent the route is,
-// the more.
-func escalationReserve(precedence float64) float64 {
-	return maxEscalationReserve * (1 - precedence) / 2
-}
+// escalationReserve returns the fraction of the retry budget that an escalation leaves, in
+// addition to the reserve for retries after failures. The most urgent routes may use a part of
+// that reserve.
+func escalationReserve(precedence float64) float64 { return -urgentShare * max(precedence, 0) }
 
-// maxEscalationReserve is small: with 0.1, the least urgent requests kept one in ten poor answers
-// under the usual traffic.
-const maxEscalationReserve = 0.03
+// urgentShare is the fraction of the budget that only urgent escalations and retries after
+// failures may use. If the less urgent ones had to leave more than the others do now, they would
+// keep one in ten poor answers under the usual traffic.
+const urgentShare = 0.03
 
 // countPlanned counts whether an escalation that the pool's utilisation allows was planned.
 func (ex *exchange) countPlanned(planned bool, now clock.Millis) {
