--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -96,8 +96,8 @@
 func escalationReserve(precedence float64) float64 { return -urgentShare * max(precedence, 0) }
 
 // urgentShare is the fraction of the budget that only urgent escalations and retries after
-// failures may use. If the less urgent ones had to leave more than the others do now, they would
-// keep one in ten poor answers under the usual traffic.
+// failures may use. A further reserve that the less urgent ones leave would cost them one in ten
+// escalations under the usual traffic.
 const urgentShare = 0.03
 
 // countPlanned counts whether an escalation that the pool's utilisation allows was planned.
