Ask the retry budget for urgent attempts instead of a negative reserve

Cause: LeavesReserve was only called with 0 or a negative reserve, which meant a part of the reserve that may be used. Change: AllowsUrgent takes that part as what it is. Behaviour is the same.

--- a/internal/decision/admission/shared_retry_budget.go
+++ b/internal/decision/admission/shared_retry_budget.go
@@ -111,16 +111,16 @@
 // escalation, leaves the reserve for retries after failures. It takes nothing from
 // the budget.
 func (b *SharedRetryBudget) AllowsOptional(pool string, now clock.Millis) bool {
-	return b.LeavesReserve(pool, 0, now)
+	return b.AllowsUrgent(pool, 0, now)
 }
 
-// LeavesReserve is AllowsOptional for an attempt that leaves another fraction of the budget; a
-// negative one is what it may use of the reserve.
-func (b *SharedRetryBudget) LeavesReserve(pool string, reserve float64, now clock.Millis) bool {
+// AllowsUrgent is AllowsOptional for an attempt that may use the fraction of the budget from the
+// reserve.
+func (b *SharedRetryBudget) AllowsUrgent(pool string, fraction float64, now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.slice(pool, now)
-	return b.allows(pool, 1-reservedFraction-reserve, now)
+	return b.allows(pool, 1-reservedFraction+fraction, now)
 }
 
 // AllowsSecondAttempt reports whether an attempt in place of one that still runs leaves the
--- a/internal/traffic/relay/cascade_under_load.go
+++ b/internal/traffic/relay/cascade_under_load.go
@@ -75,7 +75,7 @@
 	}
 	// The largest model is awaited until the small one's answer would no longer be in time.
 	inTime := now+e.Wait+firstByte+ex.smallAnswerTime(ex.model, now) < ex.deadline
-	inBudget := r.RetryBudget.LeavesReserve(ex.pool.Name, escalationReserve(precedence), now)
+	inBudget := r.RetryBudget.AllowsUrgent(ex.pool.Name, urgentFraction(precedence), now)
 	escalates := inTime && inBudget && threshold.Escalates(e)
 	if confidence >= threshold.Normal {
 		// Kept at any load: not a decision worth a line.
@@ -90,15 +90,12 @@
 	return escalates
 }
 
-// escalationReserve returns the fraction of the retry budget that an escalation leaves, in
-// addition to the reserve for retries after failures. The most urgent routes may use a part of
-// that reserve.
-func escalationReserve(precedence float64) float64 { return -urgentShare * max(precedence, 0) }
+// urgentFraction returns the fraction of the retry budget that an escalation may use from the
+// reserve for retries after failures: the more urgent the route is, the more. A further reserve
+// that the less urgent ones leave would cost them one in ten escalations under the usual traffic.
+func urgentFraction(precedence float64) float64 { return maxUrgentFraction * max(precedence, 0) }
 
-// urgentShare is the fraction of the budget that only urgent escalations and retries after
-// failures may use. A further reserve that the less urgent ones leave would cost them one in ten
-// escalations under the usual traffic.
-const urgentShare = 0.03
+const maxUrgentFraction = 0.03
 
 // countPlanned counts whether an escalation that the pool's utilisation allows was planned.
 func (ex *exchange) countPlanned(planned bool, now clock.Millis) {
--- a/internal/traffic/relay/escalation_reserve_test.go
+++ b/internal/traffic/relay/escalation_reserve_test.go
@@ -42,7 +42,7 @@
 					continue
 				}
 				precedence := float64(rng.IntN(3) - 1)
-				ok := b.LeavesReserve("text", escalationReserve(precedence), now) && b.TryAcquire("text", now)
+				ok := b.AllowsUrgent("text", urgentFraction(precedence), now) && b.TryAcquire("text", now)
 				if precedence == -1 {
 					wanted++
 					if ok {
