--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -164,7 +164,9 @@
 }
 
 // plainAnswer is the complete body of the answer to a plain request.
-func plainAnswer(id string) string { return `{"id":"` + id + `","text":"` + strings.Repeat("x", 760) + `"}` }
+func plainAnswer(id string) string {
+	return `{"id":"` + id + `","text":"` + strings.Repeat("x", 760) + `"}`
+}
 
 // hijack takes the connection over and writes a header without a length.
 func (e *engineProcess) hijack(w http.ResponseWriter, status string) (net.Conn, *bufio.ReadWriter) {
