Review: an engine that crashes after its attempt was given up is not noticed

Cause: only an attempt that the server breaks off starts the check whether it has crashed; one that was given up does not.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -102,7 +102,7 @@
 		"routes": []any{
 			route("draft", "streaming", "writers", 20000, 3000, map[string]any{"resumable": true, "gapAimMs": 1200}),
 			route("post", "unsafe", "desk", 3000, 300, map[string]any{"maxAttempts": 1}),
-			route("read", "safe", "desk", 3000, 300, nil),
+			route("read", "safe", "desk", 800, 100, map[string]any{"maxAttempts": 2}),
 		},
 		"services": []any{
 			map[string]any{"name": "writers", "healthPath": "/healthz", "maxConns": 360},
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -38,6 +38,7 @@
 //	events=N      of a stream; gap=MS is the time between two of them
 //	unframed      answers have neither a length nor chunks and end with their connection
 //	status=N      plain requests are run, and answered with this status
+//	crash=MS      a request whose path ends with "poison" ends the process after that time
 //
 // SIGUSR1 makes it say in its answers that it leaves. Requests whose connection closes are
 // dropped.
@@ -55,6 +56,8 @@
 			e.gap = time.Duration(n) * time.Millisecond
 		case "unframed":
 			e.unframed = true
+		case "crash":
+			e.crash = time.Duration(n) * time.Millisecond
 		case "status":
 			e.status = n
 		}
@@ -76,6 +79,7 @@
 	events   int
 	status   int
 	unframed bool
+	crash    time.Duration
 	leaving  atomic.Bool
 	running  atomic.Int64
 	mu       sync.Mutex
@@ -134,6 +138,18 @@
 		e.stream(w, r, id, first)
 		return
 	}
+	if e.crash > 0 && strings.HasSuffix(r.URL.Path, "poison") {
+		// It works on when the connection closes, and stops at the deadline that it was given.
+		if left, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil && left < int(e.crash.Milliseconds()) {
+			time.Sleep(time.Duration(left) * time.Millisecond)
+			e.report(engineReport{What: "end", ID: id, Status: http.StatusGatewayTimeout})
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return
+		}
+		time.Sleep(e.crash)
+		e.report(engineReport{What: "crash", ID: id})
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
 	select {
 	case <-time.After(e.work):
 	case <-r.Context().Done():
@@ -223,9 +239,13 @@
 	cmd                                 *exec.Cmd
 }
 
-// startEngine starts an engine process and registers it.
+// startEngine starts an engine process at a free address and registers it.
 func (d *deployment) startEngine(id, service, zone, behaviour string) *engine {
-	e := &engine{id: id, address: freeAddress(d.nextIP()), zone: zone, service: service, version: "v1", bornAt: time.Now().UnixMilli()}
+	return d.startEngineAt(freeAddress(d.nextIP()), id, service, zone, behaviour)
+}
+
+func (d *deployment) startEngineAt(address, id, service, zone, behaviour string) *engine {
+	e := &engine{id: id, address: address, zone: zone, service: service, version: "v1", bornAt: time.Now().UnixMilli()}
 	e.cmd = d.start(e.id, nil, d.self, "engine", id, e.address, behaviour)
 	waitListening(e.address)
 	d.register(e, "ready")
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,6 +17,7 @@
 		"cut-unframed":  caseCutUnframed,
 		"leaders":       caseLeaders,
 		"refused-429":   caseRefused429,
+		"late-crash":    caseLateCrash,
 		"settings-stop": caseSettingsStop,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
