Log the evidence of a roll-out and count what is sent to a version

Change: daemons count the requests sent to each version and keep a histogram of the times to the first byte of answers to requests without a prompt, by route and version, in the reports they exchange. The line 'roll-out evidence' gives answers, errors and slow answers of both versions by route, once a second. No decision uses them yet.

--- a/internal/control/peerstats/budget.go
+++ b/internal/control/peerstats/budget.go
@@ -26,6 +26,7 @@
 	headerBytes        = 40 // keys of the parts, and the name of the sender
 	loadBytes          = 6  // without the server's ID
 	answerStatsBytes   = 150
+	latencyBytes       = 14
 	privateTokensBytes = 5
 	sharedTokensBytes  = 11
 	memberBytes        = 5
@@ -63,7 +64,7 @@
 
 // fastBytes returns the size of the parts that every report has, without the demand.
 func (s Snapshot) fastBytes() int {
-	n := headerBytes + len(s.AnswerStats)*answerStatsBytes + len(s.Limits)*limitBytes +
+	n := headerBytes + s.answerBytes() + len(s.Limits)*limitBytes +
 		len(s.Departures)*departureBytes + len(s.Crashes)*crashBytes + len(s.SoundRuns)*soundRunBytes
 	for id := range s.Loads {
 		n += len(id) + loadBytes
@@ -77,6 +78,15 @@
 	return n
 }
 
+// answerBytes returns the size of the answer statistics.
+func (s Snapshot) answerBytes() int {
+	n := len(s.AnswerStats) * answerStatsBytes
+	for _, e := range s.AnswerStats {
+		n += len(e.Stats.Latencies) * latencyBytes
+	}
+	return n
+}
+
 // evidenceBytes returns the size of the speeds and prefixes.
 func (s Snapshot) evidenceBytes() int { return len(s.Speeds)*speedBytes + len(s.Prefixes)*prefixBytes }
 
--- a/internal/control/rolloutcontrol/controller.go
+++ b/internal/control/rolloutcontrol/controller.go
@@ -73,6 +73,7 @@
 	history  map[int64][]map[string]rollout.Comparison // by order version; comparisons by route of the last historyRounds rounds
 	bad      map[int64]bool                            // by order version; the target was found bad
 	judged   map[int64]bool                            // by order version; the target's answers were enough for a verdict
+	loggedAt map[int64]clock.Millis                    // by order version; when the evidence was last logged
 }
 
 // attemptKey identifies the record of a stage. A stage is recorded again, by the same
@@ -104,6 +105,7 @@
 		history:  make(map[int64][]map[string]rollout.Comparison),
 		bad:      make(map[int64]bool),
 		judged:   make(map[int64]bool),
+		loggedAt: make(map[int64]clock.Millis),
 	}
 }
 
@@ -128,6 +130,7 @@
 		c.canaryStopper.StopCanary(r)
 	}
 	c.judge(r)
+	c.logEvidence(r)
 	stage, due := c.nextStage(v, r)
 	if !due {
 		return
--- a/internal/decision/rollout/answer_stats.go
+++ b/internal/decision/rollout/answer_stats.go
@@ -10,15 +10,29 @@
 // the first byte divided by the expected time. The stats of several daemons are
 // combined with Plus. Immutable.
 type AnswerStats struct {
-	Good           int     `json:"g"`
-	Bad            int     `json:"b"`
-	BadServers     uint64  `json:"s"` // bit set of the hashed IDs of servers that gave bad answers
-	Servers        uint64  `json:"a"` // the same for the servers that gave any answers
-	Errors         int     `json:"e"` // bad answers that were errors rather than slow
-	ErrorServers   uint64  `json:"f"` // the same for the servers that gave errors
-	LatencySamples int     `json:"n"` // answers with a known slowness
-	LogSlownessSum float64 `json:"t"`
-	Paces          Paces   `json:"p,omitempty"` // of the streams
+	Good           int       `json:"g"`
+	Bad            int       `json:"b"`
+	BadServers     uint64    `json:"s"` // bit set of the hashed IDs of servers that gave bad answers
+	Servers        uint64    `json:"a"` // the same for the servers that gave any answers
+	Errors         int       `json:"e"` // bad answers that were errors rather than slow
+	ErrorServers   uint64    `json:"f"` // the same for the servers that gave errors
+	LatencySamples int       `json:"n"` // answers with a known slowness
+	LogSlownessSum float64   `json:"t"`
+	Paces          Paces     `json:"p,omitempty"` // of the streams
+	Latencies      Latencies `json:"h,omitempty"` // of the answers to requests without a prompt
+	Sent           int       `json:"q,omitempty"` // requests that were sent to the version's servers, repeats included
+}
+
+// WithLatency returns the stats after one more answer with that time to the first byte.
+func (s AnswerStats) WithLatency(server string, latency clock.Millis) AnswerStats {
+	s.Latencies = s.Latencies.Plus(oneLatency(server, latency))
+	return s
+}
+
+// WithSent returns the stats after one more request that was sent to the version.
+func (s AnswerStats) WithSent() AnswerStats {
+	s.Sent++
+	return s
 }
 
 // WithAnswer returns the stats after one more answer.
@@ -64,7 +78,7 @@
 		Good: s.Good + o.Good, Bad: s.Bad + o.Bad, BadServers: s.BadServers | o.BadServers,
 		Servers: s.Servers | o.Servers, Errors: s.Errors + o.Errors, ErrorServers: s.ErrorServers | o.ErrorServers,
 		LatencySamples: s.LatencySamples + o.LatencySamples, LogSlownessSum: s.LogSlownessSum + o.LogSlownessSum,
-		Paces: s.Paces.Plus(o.Paces),
+		Paces: s.Paces.Plus(o.Paces), Latencies: s.Latencies.Plus(o.Latencies), Sent: s.Sent + o.Sent,
 	}
 }
 
@@ -89,6 +103,6 @@
 		Good: max(s.Good-o.Good, 0), Bad: max(s.Bad-o.Bad, 0), BadServers: s.BadServers,
 		Servers: s.Servers, Errors: max(s.Errors-o.Errors, 0), ErrorServers: s.ErrorServers,
 		LatencySamples: max(s.LatencySamples-o.LatencySamples, 0), LogSlownessSum: s.LogSlownessSum - o.LogSlownessSum,
-		Paces: s.Paces.Minus(o.Paces),
+		Paces: s.Paces.Minus(o.Paces), Latencies: s.Latencies.Minus(o.Latencies), Sent: max(s.Sent-o.Sent, 0),
 	}
 }
--- a/internal/traffic/relay/any_version_router_test.go
+++ b/internal/traffic/relay/any_version_router_test.go
@@ -20,6 +20,9 @@
 // RecordPlacement does nothing.
 func (AnyVersionRouter) RecordPlacement(*Request, *fleet.Entry) {}
 
+// RecordSent does nothing.
+func (AnyVersionRouter) RecordSent(*fleet.View, *fleet.Entry, *catalog.Route) {}
+
 // RecordOutcome does nothing.
 func (AnyVersionRouter) RecordOutcome(*fleet.View, *fleet.Entry, *catalog.Route, Outcome) {}
 
--- a/internal/traffic/relay/attempt.go
+++ b/internal/traffic/relay/attempt.go
@@ -59,6 +59,7 @@
 		server: planned.choice.Server, speed: planned.choice.Speed,
 	}
 	ex.relay.VersionRouter.RecordPlacement(ex.req, &ex.server)
+	ex.relay.VersionRouter.RecordSent(ex.view, &ex.server, ex.route)
 	ex.demand.Start(now)
 }
 
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -49,7 +49,7 @@
 	}
 	if callErr.TimedOut && ex.boundsLatency(choice, now-startedAt) {
 		// The elapsed time is a lower bound of the response time.
-		r.VersionRouter.RecordOutcome(ex.view, server, ex.route, newOutcome(choice, false, now-startedAt))
+		r.VersionRouter.RecordOutcome(ex.view, server, ex.route, ex.newOutcome(choice, ResponseInfo{}, false, now-startedAt))
 	}
 	return ex.recordFailedExecution(server)
 }
@@ -165,7 +165,7 @@
 	if failed {
 		r.Balancer.RecordServerError(&choice.Server, r.Clock.Now())
 	}
-	r.VersionRouter.RecordOutcome(ex.view, &choice.Server, ex.route, newOutcome(choice, failed, elapsed))
+	r.VersionRouter.RecordOutcome(ex.view, &choice.Server, ex.route, ex.newOutcome(choice, info, failed, elapsed))
 }
 
 // handleUnusable handles a response that is not an answer to the request. It returns
@@ -200,11 +200,14 @@
 }
 
 // newOutcome returns the outcome of an attempt whose response header took that long.
-func newOutcome(c *loadbalance.Choice, failed bool, elapsed clock.Millis) Outcome {
+func (ex *exchange) newOutcome(c *loadbalance.Choice, info ResponseInfo, failed bool, elapsed clock.Millis) Outcome {
 	o := Outcome{Conclusive: true, Failed: failed || isSlow(c, elapsed), Error: failed}
 	if c.HasEstimate {
 		o.LatencyRatio = float64(max(elapsed, 1)) / float64(max(c.TypicalFirstByte, 1))
 	}
+	if !failed && ex.req.Prompt.Tokens == 0 && info.ColdRemaining == 0 {
+		o.Latency = max(elapsed, 1)
+	}
 	return o
 }
 
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -65,6 +65,8 @@
 	OverflowVersions(v *fleet.View, pool string, r *Request) func(version string) bool
 	// RecordPlacement records the server that the request is sent to.
 	RecordPlacement(r *Request, e *fleet.Entry)
+	// RecordSent counts a request that is sent to the server.
+	RecordSent(v *fleet.View, e *fleet.Entry, route *catalog.Route)
 	// RecordOutcome records the outcome of an attempt on the server.
 	RecordOutcome(v *fleet.View, e *fleet.Entry, route *catalog.Route, o Outcome)
 	// RecordPace records the pace of a stream of the model from the server, which had
@@ -87,6 +89,9 @@
 	// LatencyRatio is the time to the response header, divided by the time expected at
 	// the server's load; 0 if unknown. After a timeout it is a lower bound.
 	LatencyRatio float64
+	// Latency is the time to the response header of a request without a prompt; 0 if the
+	// answer is an error or comes from a cold server. After a timeout it is a lower bound.
+	Latency clock.Millis
 }
 
 // Relay forwards requests to backend servers. It is safe for concurrent use.
--- a/internal/traffic/versionrouting/router.go
+++ b/internal/traffic/versionrouting/router.go
@@ -220,8 +220,14 @@
 	}
 }
 
-// RecordOutcome counts the outcome of an attempt while the pool has a roll-out.
-func (r *Router) RecordOutcome(v *fleet.View, e *fleet.Entry, route *catalog.Route, o relay.Outcome) {
+// RecordSent counts a request that is sent to the server while the pool has a roll-out.
+func (r *Router) RecordSent(v *fleet.View, e *fleet.Entry, route *catalog.Route) {
+	r.update(v, e, route.Name, rollout.AnswerStats.WithSent)
+}
+
+// update replaces the statistics of the server's version on the route while the pool has a
+// roll-out.
+func (r *Router) update(v *fleet.View, e *fleet.Entry, route string, change func(rollout.AnswerStats) rollout.AnswerStats) {
 	ro, ok := v.Rollouts[e.Pool]
 	if !ok || ro.Stage == fleet.Completed || ro.Stage == fleet.RolledBack {
 		return
@@ -229,32 +235,35 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current := r.statsFor(ro)
-	key := AnswerStatsKey{Pool: e.Pool, OrderVersion: ro.OrderVersion, Canary: e.Version == ro.Target, Route: route.Name}
-	s := current.stats[key]
-	switch {
-	case o.Conclusive && o.Error:
-		s = s.WithError(e.ID)
-	case o.Conclusive:
-		s = s.WithAnswer(e.ID, o.Failed)
-	}
-	if o.LatencyRatio > 0 {
-		s = s.WithSlowness(o.LatencyRatio)
-	}
-	current.stats[key] = s
+	key := AnswerStatsKey{Pool: e.Pool, OrderVersion: ro.OrderVersion, Canary: e.Version == ro.Target, Route: route}
+	current.stats[key] = change(current.stats[key])
+}
+
+// RecordOutcome counts the outcome of an attempt while the pool has a roll-out.
+func (r *Router) RecordOutcome(v *fleet.View, e *fleet.Entry, route *catalog.Route, o relay.Outcome) {
+	r.update(v, e, route.Name, func(s rollout.AnswerStats) rollout.AnswerStats {
+		switch {
+		case o.Conclusive && o.Error:
+			s = s.WithError(e.ID)
+		case o.Conclusive:
+			s = s.WithAnswer(e.ID, o.Failed)
+		}
+		if o.LatencyRatio > 0 {
+			s = s.WithSlowness(o.LatencyRatio)
+		}
+		if o.Latency > 0 {
+			s = s.WithLatency(e.ID, o.Latency)
+		}
+		return s
+	})
 }
 
 // RecordPace counts the pace of a stream while the pool has a roll-out. The pace depends
 // on the model and the server's load, so streams of all routes are counted together.
 func (r *Router) RecordPace(v *fleet.View, e *fleet.Entry, model string, requests int, pace clock.Millis) {
-	ro, ok := v.Rollouts[e.Pool]
-	if !ok || ro.Stage == fleet.Completed || ro.Stage == fleet.RolledBack {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	current := r.statsFor(ro)
-	key := AnswerStatsKey{Pool: e.Pool, OrderVersion: ro.OrderVersion, Canary: e.Version == ro.Target}
-	current.stats[key] = current.stats[key].WithPace(e.ID, rollout.NewPaceClass(model, requests), pace)
+	r.update(v, e, "", func(s rollout.AnswerStats) rollout.AnswerStats {
+		return s.WithPace(e.ID, rollout.NewPaceClass(model, requests), pace)
+	})
 }
 
 // statsFor returns the statistics of the roll-out, new ones after a new order. An order
