Send a request again on another connection than before

Cause: a response is matched to its request by the request's ID. A further attempt of the same request at the same server, over the same connection, has the same ID, so a repeated refusal was taken for its answer: callers could be told 'not run' while it ran. Change: a connection isn't used again for an ID that one of its last 16 calls had. Measured: TestRepeatedRefusalOfSameRequest got 503 in place of 200 before; it passes, with the package's other tests.

--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -122,7 +122,7 @@
 	now := time.Now()
 	c.sweep(now)
 	p := c.pool(call.Address)
-	if pooled := p.get(now, call.FreshConn); pooled != nil {
+	if pooled := p.get(now, call.ID, call.FreshConn); pooled != nil {
 		return pooled, nil
 	}
 	dialCtx, cancel := context.WithDeadline(ctx, call.Deadline)
--- a/internal/traffic/h1/client_test.go
+++ b/internal/traffic/h1/client_test.go
@@ -324,7 +324,7 @@
 				pooled.keepAlive = 10 * time.Second
 			}
 			p.put(pooled, now.Add(-c.idle))
-			assert.Equal(t, p.get(now, c.fresh) != nil, c.reused)
+			assert.Equal(t, p.get(now, "", c.fresh) != nil, c.reused)
 		})
 	}
 }
@@ -427,3 +427,36 @@
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 	assert.Assert(t, time.Now().Before(request.Deadline))
 }
+
+// TestRepeatedRefusalOfSameRequest guards against a refusal that a server writes once more on
+// a kept connection: a later attempt of the same request has the same ID, and would be taken
+// for refused while it runs.
+func TestRepeatedRefusalOfSameRequest(t *testing.T) {
+	address, _ := scriptedServer(t, func(number int, conn net.Conn, r *bufio.Reader) {
+		refusal := ""
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			if number == 1 && refusal == "" {
+				refusal = "HTTP/1.1 503 Service Unavailable\r\n" + headerID + ": " + id + "\r\nContent-Length: 0\r\n\r\n"
+				write(conn, refusal)
+				continue
+			}
+			write(conn, refusal+response(id, "ran"))
+		}
+	})
+	client := newClient()
+	for i, attempt := range []struct {
+		id     string
+		status int
+	}{{"refused", http.StatusServiceUnavailable}, {"other", http.StatusOK}, {"refused", http.StatusOK}, {"refused", http.StatusOK}} {
+		resp, err := client.Do(t.Context(), newCall(address, attempt.id))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Status, attempt.status, "attempt %d", i)
+		_, err = io.Copy(io.Discard, resp)
+		assert.NilError(t, err)
+		resp.Close()
+	}
+}
--- a/internal/traffic/h1/conn.go
+++ b/internal/traffic/h1/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -23,14 +24,30 @@
 	net.Conn
 	reader    *bufio.Reader
 	pool      *pool
-	used      bool // has carried a call
-	longBody  bool // carries a body beyond receiveBufferBytes
+	used      bool     // has carried a call
+	calls     []string // IDs of the last calls
+	longBody  bool     // carries a body beyond receiveBufferBytes
 	idleSince time.Time
 	keepAlive time.Duration // idle time that the server allows; 0 if it did not say
 	patience  patience      // of the current call
 	allowance allowance
 }
 
+// rememberedCalls is how many IDs of its calls a connection remembers. A response that a
+// server repeats mostly comes with one of the next.
+const rememberedCalls = 16
+
+// hasCarried reports whether one of the last calls had the ID. A response to it may come once
+// more, and can't be told from that of a further attempt with the same ID.
+func (c *conn) hasCarried(id string) bool { return id != "" && slices.Contains(c.calls, id) }
+
+// carry remembers the ID of a call.
+func (c *conn) carry(id string) {
+	c.used = true
+	c.calls = append(c.calls, id)
+	c.calls = c.calls[max(len(c.calls)-rememberedCalls, 0):]
+}
+
 const (
 	// maxHeadBytes bounds the heads of a response and of the informational ones before it.
 	maxHeadBytes = 64 << 10
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	reused := conn.used
-	conn.used = true
+	conn.carry(call.ID)
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	_ = conn.SetDeadline(call.Deadline)
 	requestWritten, err := conn.send(call)
--- a/internal/traffic/h1/pool.go
+++ b/internal/traffic/h1/pool.go
@@ -23,9 +23,9 @@
 	idle []*conn // least recently used first
 }
 
-// get returns a usable idle connection, or nil. With fresh, the connection was in
-// use within the last maxFreshIdle.
-func (p *pool) get(now time.Time, fresh bool) *conn {
+// get returns a usable idle connection for a call with the ID, or nil. With fresh, the
+// connection was in use within the last maxFreshIdle.
+func (p *pool) get(now time.Time, id string, fresh bool) *conn {
 	for {
 		c := p.pop()
 		if c == nil {
@@ -41,7 +41,7 @@
 			p.put(c, c.idleSince)
 			return nil
 		}
-		if idle < usable && c.isReusable() {
+		if idle < usable && c.isReusable() && !c.hasCarried(id) {
 			return c
 		}
 		p.discard(c)
