Break a stream off that goes on with something other than its events

Cause: statuses other than 200 were kept out of a stream that has begun, but not the text of an error behind a proper head: a server whose answer has no length could write a second head, which ends with a blank line like an event. Change: after an event with an ID, a block without one that isn't a comment breaks the stream off, and another server goes on.

--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -162,12 +162,16 @@
 }
 
 // nextEvents returns the next complete events of the stream; see eventReader.Next. io.EOF means
-// that the stream is complete.
+// that the stream is complete. After an event with an ID, what has none is no event of the
+// stream, such as the error of a server that writes it behind its stream.
 func (ex *exchange) nextEvents(source *eventReader, server *fleet.Entry, resp *h1.Response) (complete []byte, id string, err error) {
 	complete, id, err = source.Next()
 	if errors.Is(err, io.EOF) && ex.isCutShort(server, resp) {
 		err = io.ErrUnexpectedEOF
 	}
+	if err == nil && ex.lastEventID != "" && !haveIDs(complete) {
+		return nil, "", errNoEventID
+	}
 	return complete, id, err
 }
 
