Pass no promise on that the server did not make

Cause: of the statuses from which callers conclude that a request has not run, only 503 was checked for the server's statement, since the check stood behind 'status of 500 or more'. Change: 408, 421, 429 and 503 without the statement count as failures: retried where allowed, else 502.

--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -116,7 +116,7 @@
 	case ex.headerSent && resp.Status != http.StatusOK:
 		// The caller has received events, which only further events may follow.
 		return false, ex.recordFailure(server, http.StatusText(resp.Status)+" from the server")
-	case failed && (impliesNotExecuted(resp.Status) || (ex.mayRetryAfter(server) && ex.deadline-now > minAttemptTime)):
+	case impliesNotExecuted(resp.Status), failed && ex.mayRetryAfter(server) && ex.deadline-now > minAttemptTime:
 		return false, ex.recordFailure(server, http.StatusText(resp.Status)+" from the server")
 	}
 	return true, nil
@@ -177,7 +177,7 @@
 		r.OnServerReplaced(server.ID, now)
 		return ex.recordRefusal(server, "the address belongs to another server")
 	case info.NotExecuted:
-		if impliesNotExecuted(resp.Status) && info.Pause == 0 {
+		if (resp.Status == http.StatusServiceUnavailable || resp.Status == http.StatusTooManyRequests) && info.Pause == 0 {
 			r.Balancer.RecordAtCapacity(server, now)
 		}
 		return ex.recordRefusal(server, "not run: "+http.StatusText(resp.Status))
@@ -214,7 +214,11 @@
 // impliesNotExecuted reports whether callers conclude from the status that the request
 // did not run. Only the relay, or a server that states it explicitly, may assert that.
 func impliesNotExecuted(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // recordRefusal records that the server did not run the request. It returns nil if
--- a/internal/traffic/relay/retry_policy_test.go
+++ b/internal/traffic/relay/retry_policy_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -53,3 +54,29 @@
 		})
 	}
 }
+
+// TestPromiseNeedsStatement has a server answer with the statuses from which callers conclude
+// that a request has not run. Without the server's statement, none may reach them: the
+// request may have run.
+func TestPromiseNeedsStatement(t *testing.T) {
+	table := append(routes(), streamRoutes()...)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, path := range []string{"/post/1", "/read/1", "/once/1", "/draft/1"} {
+			for _, isStated := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d, %s, stated %v", status, path, isStated), func(t *testing.T) {
+					server := func(_ int, w http.ResponseWriter, _ *http.Request) {
+						w.Header().Set(headerSigned, "yes")
+						if isStated {
+							w.Header().Set(headerNotExecuted, "yes")
+						}
+						w.WriteHeader(status)
+					}
+					f := newFixture(t, table, server, server)
+					got := f.send(http.MethodPost, path, headerModel, "large")
+					assert.NilError(t, got.err)
+					assert.Equal(t, impliesNotExecuted(got.status), isStated, "status %d", got.status)
+				})
+			}
+		}
+	}
+}
