Clear no version in the first half of its roll-out, and split the risk by measure

Change: an early verdict needs half of the time, so that the newer answers are later than a fault that begins after some seconds. Risk is added up by one function a measure.

--- a/internal/control/rolloutcontrol/service_test.go
+++ b/internal/control/rolloutcontrol/service_test.go
@@ -250,7 +250,7 @@
 					t.Parallel()
 					broken := 0
 					for seed := range uint64(rollouts) {
-						r := newService(serviceDay{perSecond: perSecond, duration: duration, faults: f}, seed).run(2*duration)
+						r := newService(serviceDay{perSecond: perSecond, duration: duration, faults: f}, seed).run(2 * duration)
 						if r.exceedsExposure() {
 							broken++
 							t.Logf("seed %d: %d of %d requests, %d late, %s at the deadline", seed, r.exposed, r.all, r.late, r.stage)
--- a/internal/control/rolloutcontrol/verdict.go
+++ b/internal/control/rolloutcontrol/verdict.go
@@ -57,8 +57,8 @@
 	sent      []sentCount // of the last rateSpan
 	// sessionShare is the share of sessions in the second half, chosen at its begin: a lower
 	// one later would return sessions to the old version.
-	sessionShare float64
-	hasShare     bool
+	sessionShare    float64
+	hasSessionShare bool
 }
 
 // snapshot is a state of the statistics.
@@ -155,7 +155,7 @@
 		// A late verdict comes after HeldUntil only.
 		state.judged = progress < rollout.HeldUntil()
 		return reasonPeer
-	case state.risk.Acceptable() && progress < rollout.VerdictBy():
+	case state.risk.Acceptable() && r.PastHalf(now) && progress < rollout.VerdictBy():
 		// An early share needs enough answers on every route.
 		state.judged = boundsHarm(routes)
 		if state.judged {
@@ -188,9 +188,9 @@
 func (c *Controller) newPlan(r fleet.Rollout, routes map[string]rollout.Comparison, state *rolloutState) rollout.Plan {
 	now := c.clock.Now()
 	progress := r.Progress(now)
-	if !state.hasShare && r.PastHalf(now) {
+	if !state.hasSessionShare && r.PastHalf(now) {
 		state.sessionShare = c.allowance.ShareUntil(state.traffic, r.StartedAt+r.Duration-now)
-		state.hasShare = true
+		state.hasSessionShare = true
 		c.log.Info("share of sessions chosen", "pool", r.Pool, "target", r.Target, "share", state.sessionShare)
 	}
 	sent := make(map[string]int, len(routes))
--- a/internal/decision/rollout/risk.go
+++ b/internal/decision/rollout/risk.go
@@ -69,45 +69,40 @@
 
 // add adds the kinds of faults as the comparisons by route show them.
 func (a *riskAssessment) add(routes map[string]Comparison, part float64) {
-	names := slices.Sorted(maps.Keys(routes))
+	a.addMeasure(routes, errorTrials, part*errorPart, 0, false)
+	paces, ok := boundedLagRatio(routes[allRoutes].Canary.Paces, routes[allRoutes].Baseline.Paces)
+	a.addMeasure(routes, slowTrials, part*(1-errorPart), paces, ok)
+}
+
+// addMeasure adds the faults that one measure shows, on all routes and on each of them. other
+// is the log likelihood ratio of a fault on all routes by what else is known, if anything is.
+func (a *riskAssessment) addMeasure(routes map[string]Comparison, m measure, part, other float64, isOtherKnown bool) {
+	byRoute := make(map[string]evidence, len(routes))
+	var whole evidence
 	requests := 0.0
-	for _, c := range routes {
+	for _, name := range slices.Sorted(maps.Keys(routes)) {
+		c := routes[name]
 		requests += float64(c.Canary.Sent + c.Baseline.Sent)
-	}
-	for _, m := range []struct {
-		measure measure
-		part    float64
-		paces   bool
-	}{{errorTrials, errorPart, false}, {slowTrials, 1 - errorPart, true}} {
-		byRoute := make(map[string]evidence, len(names))
-		var whole evidence
-		for _, name := range names {
-			if e := newEvidence([]Comparison{routes[name]}, m.measure); len(e) > 0 {
-				byRoute[name] = e
-				whole = append(whole, e...)
-			}
-		}
-		ratio, known := whole.ratio(harmfulIncrease), len(whole) > 0
-		if m.paces {
-			paces, ok := boundedLagRatio(routes[allRoutes].Canary.Paces, routes[allRoutes].Baseline.Paces)
-			ratio, known = ratio+paces, known || ok
-		}
-		if !known {
-			continue
-		}
-		harm := part * m.part * poolPart * math.Exp(ratio)
-		a.harm += harm
-		a.parts += part * m.part * poolPart
-		for name, e := range byRoute {
-			share := float64(routes[name].Canary.Sent+routes[name].Baseline.Sent) / math.Max(requests, 1)
-			// What a route's callers see often anyway harms them less.
-			own := part * m.part * (1 - poolPart) * share * e.information() / trials{usual: minErrorRate}.information(harmfulIncrease)
-			ownHarm := own * math.Exp(e.ratio(harmfulIncrease))
-			a.harm += ownHarm
-			a.parts += own
-			a.gains[name] += (harm + ownHarm) * e.information()
+		if e := newEvidence([]Comparison{c}, m); len(e) > 0 {
+			byRoute[name] = e
+			whole = append(whole, e...)
 		}
 	}
+	if len(whole) == 0 && !isOtherKnown {
+		return
+	}
+	harm := part * poolPart * math.Exp(whole.ratio(harmfulIncrease)+other)
+	a.harm += harm
+	a.parts += part * poolPart
+	for name, e := range byRoute {
+		share := float64(routes[name].Canary.Sent+routes[name].Baseline.Sent) / math.Max(requests, 1)
+		// What a route's callers see often anyway harms them less.
+		own := part * (1 - poolPart) * share * e.information() / trials{usual: minErrorRate}.information(harmfulIncrease)
+		ownHarm := own * math.Exp(e.ratio(harmfulIncrease))
+		a.harm += ownHarm
+		a.parts += own
+		a.gains[name] += (harm + ownHarm) * e.information()
+	}
 }
 
 // allRoutes is the name of what is counted for all routes together.
