Bound all sources of changes by the time since the last confirmation

Cause: Changes bounded each call to a leader, and called leaders and store one after the other; nobody bounded the sum, which began anew with each call whatever the age of the table was. Leaders send each newer confirmation at once, so followers of sound leaders make no calls to the store.

--- a/internal/control/peerfeed/history.go
+++ b/internal/control/peerfeed/history.go
@@ -27,11 +27,11 @@
 	keys        map[string]rowstore.State // of the rows that the table holds
 	storeTime   clock.Millis              // the store's clock at confirmedAt
 	confirmedAt clock.Millis              // when the store last confirmed version
-	changed     chan struct{}             // closed and replaced when rows arrive
+	updated     chan struct{}             // closed and replaced when rows or a confirmation arrive
 }
 
 func newHistory() *history {
-	return &history{keys: make(map[string]rowstore.State), changed: make(chan struct{})}
+	return &history{keys: make(map[string]rowstore.State), updated: make(chan struct{})}
 }
 
 // positionOf returns the position at which the row was written, or for a difference
@@ -138,15 +138,17 @@
 	}
 }
 
-// confirm records when the store confirmed the position, and wakes waiting requests if
-// the page has rows or starts an epoch.
+// confirm records when the store confirmed the position, and wakes waiting requests. A page
+// of an earlier position confirms the present one as well if its confirmation is newer: the
+// version of a page without changes is the one that the call asked from.
 func (h *history) confirm(page rowstore.Page, confirmedAt clock.Millis, risen bool) {
-	if confirmedAt >= h.confirmedAt {
+	fresher := confirmedAt >= h.confirmedAt
+	if fresher {
 		h.storeTime, h.confirmedAt = page.StoreTime, confirmedAt
 	}
-	if len(page.Rows) > 0 || risen {
-		close(h.changed)
-		h.changed = make(chan struct{})
+	if fresher || len(page.Rows) > 0 || risen {
+		close(h.updated)
+		h.updated = make(chan struct{})
 	}
 }
 
@@ -157,9 +159,14 @@
 
 // age returns the time since the store confirmed the position.
 func (h *history) age(now clock.Millis) clock.Millis {
+	return now - h.confirmationTime()
+}
+
+// confirmationTime returns when the store last confirmed the position.
+func (h *history) confirmationTime() clock.Millis {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return now - h.confirmedAt
+	return h.confirmedAt
 }
 
 // continues reports whether the history has all changes after the position. A position of
@@ -177,13 +184,13 @@
 }
 
 // since returns the changes after the position, and a channel that is closed when more
-// rows arrive. The response is Unavailable if the history does not continue from the
+// rows or a newer confirmation arrive. The response is Unavailable if the history does not continue from the
 // position, or the store last confirmed it more than maxAge ago.
 func (h *history) since(after rowstore.Position, now, maxAge clock.Millis) (ChangesResponse, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.continues(after) || now-h.confirmedAt > maxAge {
-		return ChangesResponse{Unavailable: true}, h.changed
+		return ChangesResponse{Unavailable: true}, h.updated
 	}
 	response := ChangesResponse{Version: h.position.Version, Epoch: h.position.Epoch, Age: now - h.confirmedAt, Now: h.storeTime + now - h.confirmedAt}
 	for _, r := range h.rows {
@@ -191,5 +198,5 @@
 			response.Rows = append(response.Rows, encodeRow(r))
 		}
 	}
-	return response, h.changed
+	return response, h.updated
 }
--- a/internal/control/peerfeed/message.go
+++ b/internal/control/peerfeed/message.go
@@ -10,7 +10,10 @@
 	Table   string       `json:"t"`
 	After   int64        `json:"a"` // store version up to which the requesting daemon has the table
 	Epoch   int64        `json:"e"` // of After
-	MaxWait clock.Millis `json:"w"` // how long the response may be held back while there are no changes
+	MaxWait clock.Millis `json:"w"` // how long the response may be held back while there is nothing new
+	// KnownAge is the time since the store confirmed After, as far as the requesting daemon
+	// knows. A newer confirmation is a reason to respond.
+	KnownAge clock.Millis `json:"k"`
 }
 
 // ChangesResponse holds the rows that changed after the requested version.
@@ -20,6 +23,7 @@
 	Epoch   int64        `json:"e"` // of Version; if it is not the requested one, Rows has all differences
 	Now     clock.Millis `json:"n"` // time of the store's clock
 	Age     clock.Millis `json:"a"` // time since the store confirmed Version
+	Held    clock.Millis `json:"h"` // time for which the response was held back
 	// Unavailable means that the requesting daemon must call the store itself: the
 	// responding daemon is disconnected from the store, or its history does not go
 	// back to the requested version.
--- a/internal/control/peerfeed/store.go
+++ b/internal/control/peerfeed/store.go
@@ -28,12 +28,6 @@
 	// remaining time is for a follower's own call to the store.
 	leaderWaitShare = 0.45
 	maxAgeShare     = 0.65
-	// relistWaitShare is how long a daemon leaves reading a complete table to its leader.
-	relistWaitShare = 0.3
-	// leaderPollInterval is the interval between calls to leaders in that time.
-	leaderPollInterval = 100 * clock.Millis(1)
-	// peerCallMargin is how much longer than its MaxWait a call to the leader may take.
-	peerCallMargin = 500 * clock.Millis(1)
 )
 
 // Config holds the settings and dependencies of a Store.
@@ -60,16 +54,22 @@
 	Config
 	breaker         *breaker
 	leaderResponses atomic.Int64
-	mu              sync.Mutex              // guards the fields below
-	histories       map[string]*history     // by table name
-	skippedUntil    map[string]clock.Millis // by address; leaders whose last response was not usable
+	// callPeer calls the peer at the address; tests replace the network.
+	callPeer     func(ctx context.Context, address string, request ChangesRequest) (ChangesResponse, error)
+	mu           sync.Mutex              // guards the fields below
+	histories    map[string]*history     // by table name
+	skippedUntil map[string]clock.Millis // by address; leaders whose last response was not usable
 }
 
 // New returns a store that calls c.RowStore where no leader responds.
 func New(c Config) *Store {
-	return &Store{
+	s := &Store{
 		Config: c, breaker: newBreaker(c.Clock, c.Recovery), histories: make(map[string]*history), skippedUntil: make(map[string]clock.Millis),
 	}
+	s.callPeer = func(ctx context.Context, address string, request ChangesRequest) (ChangesResponse, error) {
+		return peer.Call[ChangesRequest, ChangesResponse](ctx, s.Peers, address, peer.KindChanges, request)
+	}
+	return s
 }
 
 func (s *Store) history(table string) *history {
@@ -101,29 +101,22 @@
 	return s.RowStore.Commit(ctx, writes...)
 }
 
-// Changes waits for changes of the table. It polls the first usable leader, or the
-// store if there is none or this daemon is the leader.
+// Changes waits for changes of the table. It polls the leaders before this daemon, and the
+// store if there are none or none of them confirms the table in time.
 func (s *Store) Changes(ctx context.Context, table string, after rowstore.Position, wait clock.Millis) (rowstore.Page, error) {
 	leaders, h := s.Leaders(), s.history(table)
 	if len(leaders) > 0 {
 		wait = min(wait, s.timeShare(leaderWaitShare))
 	}
-	for _, address := range leaders {
-		if address == s.SelfAddress {
-			// Followers need a recent confirmation even if nothing has changed.
-			wait = max(wait-h.age(s.Clock.Now()), 0)
-			break
-		}
-		if s.isSkipped(address) {
-			continue
-		}
-		page, err := s.callLeader(ctx, address, ChangesRequest{Table: table, After: after.Version, Epoch: after.Epoch, MaxWait: wait})
-		if err == nil {
-			page.StoreFailedAt = s.breaker.lastFailure()
-			return page, nil
-		}
-		s.skipLeader(address, table, err)
+	if self := slices.Index(leaders, s.SelfAddress); self >= 0 {
+		leaders = leaders[:self]
+		// Followers need a recent confirmation even if nothing has changed.
+		wait = max(wait-h.age(s.Clock.Now()), 0)
+	}
+	if page, ok := s.pollLeaders(ctx, leaders, table, after); ok {
+		return page, nil
 	}
+	startedAt := s.Clock.Now()
 	page, err := s.call(ctx, func() (rowstore.Page, error) {
 		callCtx, cancel := context.WithTimeout(ctx, (wait + answerTimeout).Duration())
 		defer cancel()
@@ -135,30 +128,18 @@
 		}
 	}
 	if err == nil {
-		h.applyChanges(after, page, s.Clock.Now())
+		h.applyChanges(after, page, confirmationTime(page, startedAt, s.Clock.Now(), wait))
 	}
 	return page, errors.WithStack(err)
 }
 
-// awaitLeader polls the leaders before this daemon until one has the differences between
-// the position and a later state, for a share of ApplyTimeout. Otherwise all daemons
-// would read the complete table when the store returns with an older copy.
-func (s *Store) awaitLeader(ctx context.Context, leaders []string, table string, after rowstore.Position) (rowstore.Page, bool) {
-	if self := slices.Index(leaders, s.SelfAddress); self >= 0 {
-		leaders = leaders[:self]
-	}
-	until := s.Clock.Now() + s.timeShare(relistWaitShare)
-	for len(leaders) > 0 && ctx.Err() == nil && s.Clock.Now() < until {
-		for _, address := range leaders {
-			page, err := s.callLeader(ctx, address, ChangesRequest{Table: table, After: after.Version, Epoch: after.Epoch})
-			if err == nil && page.Compare(after) > 0 {
-				page.StoreFailedAt = s.breaker.lastFailure()
-				return page, true
-			}
-		}
-		clock.Sleep(ctx, leaderPollInterval)
+// confirmationTime returns when the store confirmed the page of a call that was started at
+// startedAt. The response may have been delayed on its way.
+func confirmationTime(page rowstore.Page, startedAt, now, wait clock.Millis) clock.Millis {
+	if len(page.Rows) > 0 {
+		return now
 	}
-	return rowstore.Page{}, false
+	return min(startedAt+wait, now)
 }
 
 // call makes a call to the store. While the store fails, calls wait for their turn as
@@ -175,63 +156,6 @@
 	return page, err
 }
 
-// skipTime is how long a leader is not called again after a failed or unusable
-// response.
-const skipTime = 2_000 * clock.Millis(1)
-
-func (s *Store) skipLeader(address, table string, cause error) {
-	s.Log.Info("leader skipped after a failed request", "address", address, "table", table, "error", cause.Error(), "for_ms", int64(skipTime))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.skippedUntil[address] = s.Clock.Now() + skipTime
-}
-
-// LeaderResponses returns the number of leader responses that replaced a call to the
-// store.
-func (s *Store) LeaderResponses() int64 { return s.leaderResponses.Load() }
-
-// errLeaderOutdated means that the leader has not noticed the store's return from an
-// older copy.
-var errLeaderOutdated = errors.New("leader is in an earlier epoch of the store")
-
-// errLeaderUnavailable corresponds to ChangesResponse.Unavailable.
-var errLeaderUnavailable = errors.New("leader is disconnected from the store or its history is too short")
-
-func (s *Store) isSkipped(address string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	until, ok := s.skippedUntil[address]
-	if ok && s.Clock.Now() >= until {
-		delete(s.skippedUntil, address)
-		ok = false
-	}
-	return ok
-}
-
-// callLeader requests the changes from the leader and adds them to the history.
-func (s *Store) callLeader(ctx context.Context, address string, request ChangesRequest) (rowstore.Page, error) {
-	callCtx, cancel := context.WithTimeout(ctx, (request.MaxWait + peerCallMargin).Duration())
-	defer cancel()
-	response, err := peer.Call[ChangesRequest, ChangesResponse](callCtx, s.Peers, address, peer.KindChanges, request)
-	if err != nil {
-		return rowstore.Page{}, err
-	}
-	if response.Unavailable {
-		return rowstore.Page{}, errLeaderUnavailable
-	}
-	after := rowstore.Position{Epoch: request.Epoch, Version: request.After}
-	if response.Epoch < after.Epoch {
-		return rowstore.Page{}, errLeaderOutdated
-	}
-	s.leaderResponses.Add(1)
-	page := rowstore.Page{Position: rowstore.Position{Epoch: response.Epoch, Version: response.Version}, StoreTime: response.Now, FromPeer: true}
-	for _, r := range response.Rows {
-		page.Rows = append(page.Rows, r.decode(request.Table))
-	}
-	s.history(request.Table).applyChanges(after, page, s.Clock.Now()-response.Age)
-	return page, nil
-}
-
 // Register adds the handler of other daemons' ChangesRequests to the server.
 func (s *Store) Register(server *peer.Server) {
 	peer.Handle(server, peer.KindChanges, func(ctx context.Context, request ChangesRequest) (ChangesResponse, error) {
@@ -239,22 +163,29 @@
 	})
 }
 
-// serveChanges returns as soon as there are changes, MaxWait is over, the response becomes
-// Unavailable, or ctx is done.
+// minAgeGain is how much newer than the follower's a confirmation must be for a response
+// without changes.
+const minAgeGain = 100 * clock.Millis(1)
+
+// serveChanges returns as soon as there are changes or a newer confirmation by the store,
+// MaxWait is over, the response becomes Unavailable, or ctx is done.
 func (s *Store) serveChanges(ctx context.Context, request ChangesRequest) ChangesResponse {
 	maxAge := s.timeShare(maxAgeShare)
-	until := s.Clock.Now() + request.MaxWait
+	startedAt := s.Clock.Now()
+	until, knownAt := startedAt+request.MaxWait, startedAt-request.KnownAge
 	h := s.history(request.Table)
 	after := rowstore.Position{Epoch: request.Epoch, Version: request.After}
 	for {
 		now := s.Clock.Now()
-		response, changed := h.since(after, now, maxAge)
-		if response.Unavailable || len(response.Rows) > 0 || response.Epoch != after.Epoch || now >= until || ctx.Err() != nil {
+		response, updated := h.since(after, now, maxAge)
+		response.Held = now - startedAt
+		isFresher := now-response.Age >= knownAt+minAgeGain
+		if response.Unavailable || len(response.Rows) > 0 || response.Epoch != after.Epoch || isFresher || now >= until || ctx.Err() != nil {
 			return response
 		}
 		timer := time.NewTimer(min(until-now, maxAge-response.Age+1).Duration())
 		select {
-		case <-changed:
+		case <-updated:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
--- a/internal/control/peerfeed/store_test.go
+++ b/internal/control/peerfeed/store_test.go
@@ -109,6 +109,12 @@
 	return nil
 }
 
+func (s *daemonStore) setUnavailable(unavailable bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unavailable = unavailable
+}
+
 func (s *daemonStore) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
