End requests with an answer before a planned exit, and take none that may outlast it

Other operators saw requests that were taken late in a planned stop cut at its end with no answer, among them such as may not be repeated (LOST). Cause: plain calls were taken until 1.5 s before the exit, whatever their route allows or their servers need, and the exit closed the connections of all requests that were still open. Change: a request that may not be repeated is taken only if its timeout ends before the exit; another plain call if its usual time, and twice its expected one, does. 200 ms before the last moment the attempts under way are ended; their callers get 504, which doesn't say that the request has not run. Streams that have begun are broken off as before. Measured: TestLateRequestInStop failed in 2 of 5 cases before (200 and 502 in place of 503), and passes; TestStopAnswersOpenRequests passes and fails with the mechanism off.

--- a/internal/program/entry/stop.go
+++ b/internal/program/entry/stop.go
@@ -15,27 +15,33 @@
 	balancerRemovalTime = 2200 * time.Millisecond
 	// exitMargin is the time reserved before SIGKILL for the exit of the process.
 	exitMargin = 400 * time.Millisecond
-	drainPoll  = 50 * time.Millisecond
+	// answerMargin is the time reserved before that for the errors of requests that
+	// outlast the grace period.
+	answerMargin = 200 * time.Millisecond
+	drainPoll    = 50 * time.Millisecond
 )
 
 // stop shuts the daemon down within the grace period. Requests that finish within it are
-// not interrupted. From the start, responses ask callers to close their connections.
+// not interrupted; the others end with an error. From the start, responses ask callers to close their connections.
 // Idle connections are closed last, since a request may already be on its way on them.
 func (d *Daemon) stop(server *callerconn.Server) error {
 	grace := time.Duration(d.Settings.Entry.StopS * float64(time.Second))
 	d.Log.Info("stopping", "open_requests", d.Relay.InFlight(), "grace_ms", grace.Milliseconds())
-	d.Relay.BeginShutdown(grace-exitMargin, balancerRemovalTime)
-	drain, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
+	serve := max(grace-exitMargin-answerMargin, 0)
+	d.Relay.BeginShutdown(serve, balancerRemovalTime)
+	drain, cancel := context.WithTimeout(context.Background(), serve)
 	defer cancel()
 	time.Sleep(min(balancerRemovalTime, grace/2))
 	for d.Relay.InFlight() > 0 && drain.Err() == nil {
 		time.Sleep(drainPoll)
 	}
-	d.Relay.RejectRequests()
+	d.Relay.EndRequests()
+	drain, cancel = context.WithTimeout(context.Background(), answerMargin)
+	defer cancel()
 	err := server.Shutdown(drain)
 	d.Log.Info("stopped", "open_requests", d.Relay.InFlight())
 	if errors.Is(err, context.DeadlineExceeded) {
-		// Requests that outlast the grace period are interrupted; their callers retry.
+		// Streams that outlast the grace period are interrupted; their callers retry.
 		return nil
 	}
 	return err
--- a/internal/traffic/relay/attempt.go
+++ b/internal/traffic/relay/attempt.go
@@ -32,6 +32,9 @@
 	if ex.deadline-now < minAttemptTime {
 		return false, ex.deadlineError()
 	}
+	if r.isEnding() {
+		return false, ex.rejectionError(result.New(result.Stopping, "this daemon is shutting down"))
+	}
 	inBudget := ex.successor != nil // it was taken from the retry budget when it was planned
 	planned := ex.releaseOutdated(ex.successor, now)
 	ex.successor = nil
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -117,18 +117,22 @@
 // finishesBefore reports whether the response is expected to be complete when the
 // daemon exits.
 func (ex *exchange) finishesBefore(exitAt, now clock.Millis) bool {
+	if ex.route.RetryPolicy == catalog.AtMostOnce {
+		// The caller can't repeat it, so it must end here however long it takes.
+		return ex.deadline <= exitAt
+	}
+	longest := clock.Millis(durationFactor * float64(ex.expectedDuration()))
 	if !ex.route.Stream {
-		return now+min(ex.route.Timeout, plainCallMaxTime) <= exitAt
+		return now+min(ex.route.Timeout, max(plainCallMaxTime, longest)) <= exitAt
 	}
-	longest := clock.Millis(streamTimeFactor * float64(ex.expectedDuration()))
 	return now < clock.Millis(ex.relay.noStreamsAfter.Load()) && now+longest <= exitAt
 }
 
-// streamTimeFactor times its expected duration is allowed for a stream: estimates of
-// its length are often far off, and an overloaded pool is slower.
-const streamTimeFactor = 2.0
+// durationFactor times its expected duration is allowed for a response: estimates of
+// the length of a stream are often far off, and an overloaded pool is slower.
+const durationFactor = 2.0
 
-// plainCallMaxTime is the time in which plain calls complete, though their routes may
+// plainCallMaxTime is the time in which most plain calls complete, though their routes may
 // allow more.
 const plainCallMaxTime = 1_500 * clock.Millis(1)
 
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -86,6 +86,9 @@
 	if ex.run.Canceled() {
 		return ex.quarantineError(server, true, now)
 	}
+	if ex.relay.isEnding() {
+		return ex.endingError(server, true)
+	}
 	ex.lastError = "response interrupted: " + err.Error()
 	cause := ex.interruptionCause(now)
 	if cause != causeUnread && !ex.watch.yielded {
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -30,6 +30,9 @@
 	if ex.run.Canceled() {
 		return ex.quarantineError(server, callErr.Sent, now)
 	}
+	if r.isEnding() {
+		return ex.endingError(server, callErr.Sent)
+	}
 	ex.lastError = callErr.Error()
 	r.Metrics.countAttempt(ex.pool.Name, "no_answer")
 	ex.log("attempt failed", server, "sent", callErr.Sent, "reused", callErr.Reused, "error", callErr.Error(),
@@ -54,6 +57,16 @@
 	return ex.recordFailedExecution(server)
 }
 
+// endingError ends a request whose attempt was ended by the exit of this daemon.
+func (ex *exchange) endingError(server *fleet.Entry, mayHaveRun bool) error {
+	ex.log("attempt ended by the exit of this daemon", server, "sent", mayHaveRun)
+	if mayHaveRun {
+		ex.recordExecution(server)
+		return ex.executionError(result.New(result.BackendTimeout, "this daemon exits before the response is complete"))
+	}
+	return ex.rejectionError(result.New(result.Stopping, "this daemon is shutting down"))
+}
+
 // recordUnanswered reports a call that got no response to the Balancer.
 func (ex *exchange) recordUnanswered(choice *loadbalance.Choice, callErr *h1.CallError, startedAt, now clock.Millis) {
 	b := ex.relay.Balancer
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -66,8 +66,10 @@
 	ctx, cancel := context.WithCancel(ex.httpReq.Context())
 	run := ex.relay.Quarantine.Start(serverStart(server), ex.parts, ex.onTrial, cancel, now)
 	ex.run, ex.onTrial = run, false
+	stop := context.AfterFunc(ex.relay.ending, cancel)
 	return ctx, func(complete bool) {
 		run.End(complete, ex.relay.Clock.Now())
+		stop()
 		cancel()
 	}
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -104,7 +104,9 @@
 	shutdownAt      atomic.Int64 // when the daemon exits, in clock ms; 0 until shutdown begins
 	noStreamsAfter  atomic.Int64 // during shutdown, when new streams are no longer accepted, in clock ms
 	rejecting       atomic.Bool  // all requests are rejected
-	waits           waitPools    // requests that wait for free capacity
+	ending          context.Context
+	endAttempts     context.CancelFunc // ends the context ending
+	waits           waitPools          // requests that wait for free capacity
 	features        atomic.Pointer[loadfeatures.Features]
 	memory          callerMemory
 }
@@ -112,6 +114,7 @@
 // New returns a relay that accepts requests.
 func New(d Dependencies) *Relay {
 	r := &Relay{Dependencies: d, startedAt: d.Clock.Now()}
+	r.ending, r.endAttempts = context.WithCancel(context.Background())
 	r.SetFeatures(loadfeatures.Features{})
 	r.Metrics.observeMemory(&r.memory)
 	return r
@@ -137,6 +140,16 @@
 // its connection is being closed must not reach a server.
 func (r *Relay) RejectRequests() { r.rejecting.Store(true) }
 
+// EndRequests rejects further requests and ends the attempts under way. Their callers get an
+// error, and not just the end of their connections, if their responses have not begun.
+func (r *Relay) EndRequests() {
+	r.RejectRequests()
+	r.endAttempts()
+}
+
+// isEnding reports whether EndRequests has been called.
+func (r *Relay) isEnding() bool { return r.ending.Err() != nil }
+
 // shutdownTime returns when the daemon exits, and whether it is shutting down.
 func (r *Relay) shutdownTime() (exitAt clock.Millis, stopping bool) {
 	exitAt = clock.Millis(r.shutdownAt.Load())
