Take no answer for complete because its server was expected to exit

Cause: for a server that drains, has announced its exit, is gone from the view or has been restarted, the end of the connection always counted as the end of the answer. The view decided in place of the answer. Change: an answer without a length is complete only if its server goes on: it has not been restarted and takes connections. For a server that leaves, a new connection must stay open for 50 ms, since a process that exits closes its connections one after the other.

--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -86,6 +87,19 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// RefusesSoon is Refuses for a server that may be about to exit: it also reports true if a new
+// connection ends within the time.
+func (c *Client) RefusesSoon(ctx context.Context, address string, wait time.Duration) bool {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	defer func() { _ = raw.Close() }() // nothing was sent
+	_ = raw.SetReadDeadline(time.Now().Add(wait))
+	_, err = raw.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 func (c *Client) pool(address string) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/traffic/relay/buffered_body.go
+++ b/internal/traffic/relay/buffered_body.go
@@ -47,7 +47,7 @@
 func (ex *exchange) forwardCounted(server *fleet.Entry, resp *h1.Response) (bool, error) {
 	defer ex.held.set(0)
 	body, err := ex.readBuffered(resp)
-	if err == nil && !body.isLong && ex.isCutByCrash(server, resp) {
+	if err == nil && !body.isLong && ex.isCutByExit(server, resp) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
--- a/internal/traffic/relay/close_delimited_test.go
+++ b/internal/traffic/relay/close_delimited_test.go
@@ -5,6 +5,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 )
 
 // unframed sends a response with neither a length nor chunks, and crashes the server if the
@@ -61,3 +64,58 @@
 		})
 	}
 }
+
+// TestUnframedAnswerOfLeavingServer has a server that leaves, has left or has been restarted end
+// an answer that has neither a length nor chunks with its connection. Guards against a part
+// of an answer being passed on as complete because its server was expected to exit.
+func TestUnframedAnswerOfLeavingServer(t *testing.T) {
+	changes := map[string]func(f *fixture, s fleet.Server){
+		"drains": func(f *fixture, s fleet.Server) {
+			s.Draining = true
+			f.view = f.view.WithServer(s, 0)
+		},
+		"has left":      func(f *fixture, s fleet.Server) { f.view = f.view.WithoutServer(s.ID) },
+		"was restarted": func(f *fixture, s fleet.Server) { s.StartedAt++; f.view = f.view.WithServer(s, 0) },
+		"announced its exit": func(f *fixture, s fleet.Server) {
+			f.relay.Balancer.RecordAnnouncement(&fleet.Entry{Server: s}, loadbalance.Announcement{Leaving: true}, f.relay.Clock.Now())
+		},
+	}
+	cases := map[string]struct {
+		path, body, resumed, want string
+		exits                     bool
+		status                    int
+	}{
+		"stream, exit after an event": {"/draft/1", events(1, 2), events(3, 5), events(1, 5), true, http.StatusOK},
+		"safe, exit":                  {"/read/1", "led", "ledger", "ledger", true, http.StatusOK},
+		"unsafe, exit":                {"/post/1", "led", "", "", true, http.StatusBadGateway},
+		"stream, complete":            {"/draft/1", events(1, 5), "", events(1, 5), false, http.StatusOK},
+		"unsafe, complete":            {"/post/1", "ledger", "", "ledger", false, http.StatusOK},
+	}
+	for change, apply := range changes {
+		for name, c := range cases {
+			if change == "was restarted" && !c.exits {
+				continue
+			}
+			t.Run(change+", "+name, func(t *testing.T) {
+				var f *fixture
+				answer := unframed(&f, c.body, c.resumed, c.exits)
+				b := func(n int, w http.ResponseWriter, r *http.Request) {
+					if f.callCount() == 1 {
+						server, _ := f.currentView().Server(w.Header().Get(headerServer))
+						f.mu.Lock()
+						apply(f, server.Server)
+						f.mu.Unlock()
+					}
+					answer(n, w, r)
+				}
+				f = newFixture(t, append(routes(), streamRoutes()...), b, b)
+				got := f.send(http.MethodPost, c.path, headerModel, "large")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, c.status)
+				if c.status == http.StatusOK {
+					assert.Equal(t, got.body, c.want)
+				}
+			})
+		}
+	}
+}
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -26,7 +26,7 @@
 		return ex.forwardCounted(server, resp)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
-	if err == nil && len(body) < maxBufferedBytes && ex.isCutByCrash(server, resp) {
+	if err == nil && len(body) < maxBufferedBytes && ex.isCutByExit(server, resp) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
@@ -135,13 +135,30 @@
 // isCutShort reports whether a stream that seems to have ended after a complete event was
 // broken off. One that is framed by its connection shows no end of its own.
 func (ex *exchange) isCutShort(server *fleet.Entry, resp *h1.Response) bool {
-	return resp.CloseDelimited && ((!ex.headerSent && ex.lastEventID == "") || ex.isCutByCrash(server, resp))
+	return resp.CloseDelimited && ((!ex.headerSent && ex.lastEventID == "") || ex.isCutByExit(server, resp))
 }
 
-// isCutByCrash reports whether the connection that frames the response ended with its
-// server. A server that leaves completes its responses first.
-func (ex *exchange) isCutByCrash(server *fleet.Entry, resp *h1.Response) bool {
-	return resp.CloseDelimited && ex.isExpectedToRun(server) && ex.relay.Client.Refuses(ex.httpReq.Context(), server.Address)
+// isCutByExit reports whether the connection that frames the response ended with its server,
+// by a crash or as it left: only a server that goes on afterwards has completed the response.
+func (ex *exchange) isCutByExit(server *fleet.Entry, resp *h1.Response) bool {
+	if !resp.CloseDelimited {
+		return false
+	}
+	current, known := ex.relay.View().Server(server.ID)
+	hasRestarted := known && current.StartedAt != server.StartedAt
+	return hasRestarted || ex.refuses(server)
+}
+
+// exitWait is how long the connections of a process that exits may end one after the other.
+const exitWait = 50 * time.Millisecond
+
+// refuses reports whether the server, whose connection has ended, takes no new ones.
+func (ex *exchange) refuses(server *fleet.Entry) bool {
+	ctx, client := ex.httpReq.Context(), ex.relay.Client
+	if ex.isExpectedToRun(server) {
+		return client.Refuses(ctx, server.Address)
+	}
+	return client.RefusesSoon(ctx, server.Address, exitWait)
 }
 
 // startResponse sets the headers of the response to the caller.
