Complete short roll-outs of good versions before their deadline

Operators saw good versions of a service with few requests, ordered for 10 s, completed at 0.978 of their time and counted as late. Change: that wait is a tenth of the roll-out's time, at most 1.5 s. A version that is cleared late is completed at 0.9.

--- a/internal/control/rolloutcontrol/controller.go
+++ b/internal/control/rolloutcontrol/controller.go
@@ -37,9 +37,11 @@
 	// completeBy is the fraction of a roll-out's duration after which a good roll-out is
 	// completed even if requests are still running on servers of other versions.
 	completeBy = 0.9
-	// settleTime is the minimum time between sending all requests to the new version and
-	// completing the roll-out, so that every daemon has reached that point.
-	settleTime = 1_500 * clock.Millis(1)
+	// The minimum time between sending all requests to the new version and completing the
+	// roll-out, so that every daemon has reached that point: a share of the roll-out's
+	// duration that leaves as much before the deadline to a version that was cleared late.
+	maxSettleTime = 1_500 * clock.Millis(1)
+	settleShare   = 0.1
 )
 
 // Recorder writes the stage of a roll-out to the store.
@@ -195,7 +197,7 @@
 		return r.Stage, true
 	case r.Stage == fleet.Ordered:
 		return fleet.Running, true
-	case state.verdict != rollout.Cleared || now < c.fullShareAt(r, state)+settleTime:
+	case state.verdict != rollout.Cleared || now < c.fullShareAt(r, state)+settleTime(r):
 		return 0, false
 	case !targetInService(v, r):
 		return 0, false
@@ -203,6 +205,12 @@
 	return fleet.Completed, r.Progress(now) >= completeBy || !c.othersBusy(v, r)
 }
 
+// settleTime returns the minimum time between sending all requests to the target and
+// completing the roll-out.
+func settleTime(r fleet.Rollout) clock.Millis {
+	return min(maxSettleTime, clock.Millis(settleShare*float64(r.Duration)))
+}
+
 // fullShareAt returns when the cleared target gets all requests.
 func (c *Controller) fullShareAt(r fleet.Rollout, state *rolloutState) clock.Millis {
 	progress := rollout.HeldUntil()
--- a/internal/control/rolloutcontrol/controller_test.go
+++ b/internal/control/rolloutcontrol/controller_test.go
@@ -108,6 +108,7 @@
 	routers     []*fakeCanaryRouter
 	canary      rollout.AnswerStats
 	baseline    rollout.AnswerStats
+	duration    clock.Millis // of the roll-out
 }
 
 const (
@@ -116,7 +117,7 @@
 )
 
 func newCluster(n int) *cluster {
-	c := &cluster{clock: clock.NewManual(startedAt), recorder: &fakeRecorder{}}
+	c := &cluster{clock: clock.NewManual(startedAt), recorder: &fakeRecorder{}, duration: duration}
 	view := fleet.NewView()
 	for _, version := range []string{"v1", "v2"} {
 		view = view.WithServer(fleet.Server{ID: version, Pool: "text", Version: version, DataCentre: "dc-1"}, 0)
@@ -142,7 +143,7 @@
 // refreshView updates a daemon's view with the roll-out's record.
 func (c *cluster) refreshView(i int) {
 	c.views[i] = c.views[i].WithRollout(fleet.Rollout{
-		Pool: "text", Target: "v2", Duration: duration, StartedAt: startedAt, OrderVersion: 7, Stage: c.recorder.stage, RecordVersion: c.recorder.version,
+		Pool: "text", Target: "v2", Duration: c.duration, StartedAt: startedAt, OrderVersion: 7, Stage: c.recorder.stage, RecordVersion: c.recorder.version,
 	})
 }
 
@@ -340,6 +341,21 @@
 	}
 }
 
+// TestShortRolloutCompletesInTime checks that a version that is cleared late is completed
+// two evaluation periods after 0.9 of its time at the latest, however short that is. Guards
+// against a good version whose completion is seen after the deadline.
+func TestShortRolloutCompletesInTime(t *testing.T) {
+	for _, length := range []clock.Millis{8_000, 10_000, 12_000, 15_000, 24_000} {
+		c := newCluster(3)
+		c.duration = length
+		c.baseline, c.canary = sound(200), sound(30)
+		c.run(startedAt+length*8/10, 0, 1, 2)
+		assert.Equal(t, c.recorder.stage, fleet.Running, "%d ms", length)
+		c.run(startedAt+length*9/10+2*evaluationPeriod, 0, 1, 2)
+		assert.Equal(t, c.recorder.stage, fleet.Completed, "%d ms", length)
+	}
+}
+
 // TestLoneDaemonRollsBackInTime checks that a version is rolled back within a second if
 // only the last of seven daemons has found it bad.
 func TestLoneDaemonRollsBackInTime(t *testing.T) {
