Complete no version that the evidence speaks against after its verdict

Cause: a verdict 'cleared', of this daemon or a peer, was never looked at again unless the version was found bad; the answers of the two seconds in which it gets everything didn't count for its completion. Change: a version isn't completed while the evidence speaks against it, and is rolled back just before the deadline if it still does, cleared or not.

--- a/internal/control/rolloutcontrol/controller.go
+++ b/internal/control/rolloutcontrol/controller.go
@@ -199,7 +199,8 @@
 		return fleet.Running, true
 	case state.verdict != rollout.Cleared || now < c.fullShareAt(r, state)+settleTime(r):
 		return 0, false
-	case !targetInService(v, r):
+	case state.speaksAgainst() || !targetInService(v, r):
+		// Answers since the verdict count too, of which this daemon may know more.
 		return 0, false
 	}
 	return fleet.Completed, r.Progress(now) >= completeBy || !c.othersBusy(v, r)
--- a/internal/control/rolloutcontrol/controller_test.go
+++ b/internal/control/rolloutcontrol/controller_test.go
@@ -356,6 +356,33 @@
 	}
 }
 
+// TestEvidenceAfterVerdictPreventsCompletion has a version fail after it was cleared, too seldom
+// to be found bad. Guards against a version that is completed because an earlier verdict, or one
+// of a daemon that knows less, is still in force.
+func TestEvidenceAfterVerdictPreventsCompletion(t *testing.T) {
+	c := newCluster(3)
+	c.baseline, c.canary = sound(200), sound(30)
+	c.run(startedAt+duration*83/100, 0, 1, 2)
+	for _, controller := range c.controllers {
+		assert.Equal(t, controller.states[7].verdict, rollout.Cleared)
+	}
+	for i := range lateErrors {
+		c.canary = c.canary.WithError(fmt.Sprintf("engine-%d", i))
+	}
+	c.run(startedAt+duration*96/100, 0, 1, 2)
+	for _, controller := range c.controllers {
+		state := controller.states[7]
+		assert.Equal(t, state.verdict, rollout.Cleared, "not found bad")
+		assert.Assert(t, state.risk.Expected > 1, "risk %v", state.risk.Expected)
+	}
+	assert.Equal(t, c.recorder.stage, fleet.Running)
+	c.run(startedAt+duration, 0, 1, 2)
+	assert.Equal(t, c.recorder.stage, fleet.RolledBack)
+}
+
+// lateErrors speak against a version with 30 good answers without proving it bad.
+const lateErrors = 2
+
 // TestLoneDaemonRollsBackInTime checks that a version is rolled back within a second if
 // only the last of seven daemons has found it bad.
 func TestLoneDaemonRollsBackInTime(t *testing.T) {
--- a/internal/control/rolloutcontrol/verdict.go
+++ b/internal/control/rolloutcontrol/verdict.go
@@ -74,6 +74,10 @@
 	all int
 }
 
+// speaksAgainst reports whether the evidence speaks against the target, though not clearly
+// enough to find it bad.
+func (s *rolloutState) speaksAgainst() bool { return s.risk.Expected > 1 }
+
 // stateOf returns the state of the roll-out, which an order that was renumbered keeps.
 func (c *Controller) stateOf(r fleet.Rollout) *rolloutState {
 	state, ok := c.states[r.OrderVersion]
@@ -134,10 +138,10 @@
 		return reasonPeer
 	case c.isBad(r, routes, state):
 		return reasonFound
+	case progress >= decideBy && state.speaksAgainst():
+		return reasonLikelyBad
 	case state.verdict == rollout.Cleared:
 		return ""
-	case progress >= decideBy && state.risk.Expected > 1:
-		return reasonLikelyBad
 	case progress >= extendedUntil:
 		return reasonUnproven
 	}
@@ -163,7 +167,7 @@
 		}
 	case state.risk.Acceptable() && progress >= rollout.HeldUntil():
 		return reasonCleared
-	case progress >= rollout.HeldUntil() && state.risk.Expected <= 1 && c.allowance.Covers(state.traffic, rest):
+	case progress >= rollout.HeldUntil() && !state.speaksAgainst() && c.allowance.Covers(state.traffic, rest):
 		return reasonIdle
 	}
 	return ""
