Watch the servers of attempts that were given up for a crash

Cause: a crash was noted only where it broke off another attempt at the server, and an attempt that was given up counted as a suspect for 500 ms only. Change: while a server may still run an attempt that was given up, until the deadline of the request and at most 2 s, the daemon looks every 500 ms whether the server refuses connections; if so, all that may have run there is suspected.

--- a/internal/decision/quarantine/runs.go
+++ b/internal/decision/quarantine/runs.go
@@ -26,7 +26,7 @@
 	sentAt   clock.Millis
 	begunAt  clock.Millis // 0 until the response header has arrived
 	sound    bool         // its answer crashed no server
-	givenUp  clock.Millis // 0 unless the attempt was ended while it waited for its answer
+	outlives clock.Millis // until when the server may still run it; 0 unless it was given up
 	ended    bool         // it is kept as a suspect only
 	canceled bool
 }
@@ -78,12 +78,12 @@
 }
 
 // GiveUp notes that the attempt, which has reached the server, is ended before the response
-// header. The server may still run the request.
-func (r *Run) GiveUp(now clock.Millis) {
+// header. The server may still run the request until then, and soon afterwards in any case.
+func (r *Run) GiveUp(now, until clock.Millis) {
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
 	if r.begunAt == 0 {
-		r.givenUp = now
+		r.outlives = max(now+suspectTime, until)
 	}
 }
 
@@ -104,10 +104,9 @@
 }
 
 // mayCrash reports whether a server that crashes at the time may do so under the run, which has
-// ended: soon after its answer began or, without one, soon after it was given up.
+// ended: soon after its answer began or, without one, while the server may still run it.
 func (r *Run) mayCrash(now clock.Millis) bool {
-	last := max(r.begunAt, r.givenUp)
-	return last != 0 && now-last < suspectTime
+	return now < r.outlives || (r.begunAt != 0 && now-r.begunAt < suspectTime)
 }
 
 // Canceled reports whether the attempt was ended because a part was quarantined.
--- a/internal/decision/quarantine/tracker_test.go
+++ b/internal/decision/quarantine/tracker_test.go
@@ -334,12 +334,16 @@
 func TestGivenUpAttemptIsSuspect(t *testing.T) {
 	cases := map[string]struct {
 		gaveUp  bool
+		runs    clock.Millis // how long the server may run the request after that
 		wait    clock.Millis // from the end of the attempt to the crash
 		suspect bool
 	}{
-		"soon afterwards": {true, 100, true},
-		"much later":      {true, suspectTime, false},
-		"not sent":        {false, 100, false},
+		"soon afterwards":          {true, 0, 100, true},
+		"much later":               {true, 0, suspectTime, false},
+		"while it may still run":   {true, 700, 600, true},
+		"after it must have ended": {true, 700, 700, false},
+		"not sent":                 {false, 0, 100, false},
+		"not sent, but may run on": {false, 700, 100, false},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -349,7 +353,7 @@
 				server := ServerStart{ID: fmt.Sprintf("s%d", i)}
 				r := tracker.Start(server, []Part{request("a", 1)}, false, nothing, now)
 				if test.gaveUp {
-					r.GiveUp(now + 50)
+					r.GiveUp(now+50, now+50+test.runs)
 				}
 				r.End(false, now+50)
 				at := now + 50 + test.wait
--- a/internal/traffic/relay/attempt.go
+++ b/internal/traffic/relay/attempt.go
@@ -102,7 +102,7 @@
 		OnSilence:      func() time.Duration { return ex.extendWait(server) },
 	})
 	if err != nil {
-		ex.noteGivenUp(ctx, err)
+		ex.noteGivenUp(ctx, server, err)
 	}
 	if err != nil && ex.keptIsDue() {
 		ex.recordExecution(server)
--- a/internal/traffic/relay/crashing_request_test.go
+++ b/internal/traffic/relay/crashing_request_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
@@ -135,3 +136,42 @@
 	crash, suspicious := f.relay.Quarantine.Suspect(serverStart(&server), f.relay.Clock.Now())
 	assert.Assert(t, suspicious && len(crash.Suspects) == 1)
 }
+
+// TestCrashAfterAttemptGivenUp has a server crash after its only attempt was given up, with nothing
+// else there. Guards against a request that crashes one server after the other so late that no
+// attempt breaks off.
+func TestCrashAfterAttemptGivenUp(t *testing.T) {
+	route := catalog.Route{
+		Name: "read", Host: "desk.example", Prefix: "/read/", RetryPolicy: catalog.Idempotent,
+		Pools: []catalog.WeightedPool{{Pool: "text", Weight: 1}}, MaxAttempts: 1, Timeout: 150, LatencyTarget: 100,
+	}
+	release := make(chan struct{})
+	f := newFixture(t, []catalog.Route{route}, func(int, http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	lines := make(lineWriter, 100)
+	f.relay.Log = hclog.New(&hclog.LoggerOptions{Output: lines})
+	assert.Equal(t, f.send(http.MethodPost, "/read/"+crashPath).status, http.StatusGatewayTimeout)
+	assert.NilError(t, f.servers["s1"].Listener.Close())
+	for deadline := time.After(5 * time.Second); ; {
+		select {
+		case line := <-lines:
+			if strings.Contains(line, "server crashed") {
+				assert.Assert(t, strings.Contains(line, "suspects=1"), line)
+				return
+			}
+		case <-deadline:
+			t.Fatal("the crash isn't noticed")
+		}
+	}
+}
+
+// lineWriter receives log lines; it drops those for which it has no room.
+type lineWriter chan string
+
+func (w lineWriter) Write(p []byte) (int, error) {
+	select {
+	case w <- string(p):
+	default:
+	}
+	return len(p), nil
+}
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -155,7 +155,7 @@
 // refuses reports whether the server, whose connection has ended, takes no new ones.
 func (ex *exchange) refuses(server *fleet.Entry) bool {
 	ctx, client := ex.httpReq.Context(), ex.relay.Client
-	if ex.isExpectedToRun(server) {
+	if ex.relay.isExpectedToRun(server) {
 		return client.Refuses(ctx, server.Address)
 	}
 	return client.RefusesSoon(ctx, server.Address, exitWait)
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -77,17 +77,51 @@
 // noteGivenUp notes that the attempt was ended before the response header, if it failed with the
 // error because its time or its context ended. The server may still run the request and crash. An
 // attempt whose server broke off is over.
-func (ex *exchange) noteGivenUp(ctx context.Context, err error) {
+func (ex *exchange) noteGivenUp(ctx context.Context, server *fleet.Entry, err error) {
 	var callErr *h1.CallError
 	isCallErr := errors.As(err, &callErr)
 	if isCallErr && !callErr.Sent {
 		return
 	}
 	if ctx.Err() != nil || (isCallErr && callErr.TimedOut) {
-		ex.run.GiveUp(ex.relay.Clock.Now())
+		now := ex.relay.Clock.Now()
+		// A crash is noticed up to a period after it, at the end of the watch too.
+		until := min(ex.deadline, now+maxOutlived) + crashWatchPeriod
+		ex.run.GiveUp(now, until+crashWatchPeriod)
+		ex.relay.watchServer(*server, until)
 	}
 }
 
+const (
+	// maxOutlived bounds how long a server counts as running an attempt that was given up:
+	// most drop a request when its connection closes.
+	maxOutlived = 2_000 * clock.Millis(1)
+	// crashWatchPeriod is the time between two looks at a server that may still run one. A
+	// server that has crashed is back after some seconds.
+	crashWatchPeriod = 500 * clock.Millis(1)
+)
+
+// watchServer looks until then whether the server crashes under an attempt that was given up.
+// No other attempt may be there whose end would show it.
+func (r *Relay) watchServer(server fleet.Entry, until clock.Millis) {
+	start := serverStart(&server)
+	if !r.isExpectedToRun(&server) || !r.crashWatches.extend(start, until) {
+		return
+	}
+	go func() {
+		for r.crashWatches.goesOn(start, r.Clock.Now()) {
+			clock.Sleep(r.ending, crashWatchPeriod)
+			if r.isEnding() {
+				return
+			}
+			if r.Client.Refuses(r.ending, server.Address) {
+				r.checkCrash(&server, r.Clock.Now())
+				r.crashWatches.end(start)
+			}
+		}
+	}()
+}
+
 // quarantineError ends a request whose attempt was ended by a quarantine.
 func (ex *exchange) quarantineError(server *fleet.Entry, mayHaveRun bool, now clock.Millis) error {
 	ex.relay.Metrics.countAttempt(ex.pool.Name, "quarantined")
@@ -108,16 +142,23 @@
 }
 
 // isExpectedToRun reports whether nothing is known that would make the server end by itself.
-func (ex *exchange) isExpectedToRun(server *fleet.Entry) bool {
-	current, known := ex.relay.View().Server(server.ID)
-	return known && !current.Draining && current.StartedAt == server.StartedAt && !ex.relay.Balancer.IsLeaving(server)
+func (r *Relay) isExpectedToRun(server *fleet.Entry) bool {
+	current, known := r.View().Server(server.ID)
+	return known && !current.Draining && current.StartedAt == server.StartedAt && !r.Balancer.IsLeaving(server)
 }
 
 // checkCrash checks whether the server, which broke off an answer, has crashed and notes the
-// requests that may have caused it. A server that leaves ends by itself.
+// requests that may have caused it. The request waits for the result.
 func (ex *exchange) checkCrash(server *fleet.Entry, now clock.Millis) {
-	r := ex.relay
-	if !ex.isExpectedToRun(server) {
+	if ex.relay.isExpectedToRun(server) {
+		ex.relay.checkCrash(server, now)
+		ex.relay.crashChecks.wait(ex.httpReq.Context(), serverStart(server))
+	}
+}
+
+// checkCrash begins to check whether the server has crashed, if it is expected to run.
+func (r *Relay) checkCrash(server *fleet.Entry, now clock.Millis) {
+	if !r.isExpectedToRun(server) {
 		return
 	}
 	start := serverStart(server)
@@ -132,7 +173,6 @@
 			LogQuarantines(r.Log, r.Quarantine.Confirm(crash, now, r.Clock.Now()))
 		})
 	}
-	r.crashChecks.wait(ex.httpReq.Context(), start)
 }
 
 // LogQuarantines logs what was quarantined and what was released.
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -99,6 +99,7 @@
 	Dependencies
 	startedAt       clock.Millis
 	crashChecks     crashChecks
+	crashWatches    crashWatches
 	escalationRates cascade.EscalationRates
 	inFlight        atomic.Int64
 	shutdownAt      atomic.Int64 // when the daemon exits, in clock ms; 0 until shutdown begins
