Reset the connections of calls that are given up

Cause: the connection of such a call was closed in order, so the kernel went on delivering what the server had not got. Change: it is reset, on a cancelled context, a deadline, an abandoned body and a request that isn't written whole; complete exchanges are closed in order as before.

--- a/internal/traffic/h1/conn.go
+++ b/internal/traffic/h1/conn.go
@@ -120,6 +120,16 @@
 	return b
 }
 
+// abort closes the connection of a call that is given up. What the server hasn't got yet is
+// dropped: after a close in order, the kernel would go on delivering it for as long as a
+// network failure lasts, and the server would run a request that nobody waits for.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // limitUnread sets how long the peer may leave sent bytes unread. A peer that doesn't read
 // a body which exceeds its receive buffer acknowledges nothing more, and would count as
 // unreachable by the usual limit.
--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -46,7 +46,7 @@
 	}
 	reused := conn.used
 	conn.carry(call.ID)
-	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stopCancel := context.AfterFunc(ctx, conn.abort)
 	_ = conn.SetDeadline(call.Deadline)
 	requestWritten, err := conn.send(call)
 	if err == nil {
@@ -66,6 +66,7 @@
 		}
 	}
 	stopCancel()
+	conn.abort()
 	conn.pool.discard(conn)
 	return nil, &CallError{Sent: true, TimedOut: isTimeout(err), Reused: reused, Err: err}
 }
@@ -182,6 +183,9 @@
 	stopped := r.stopCancel()
 	c := r.conn
 	c.patience = patience{}
+	if !r.bodyRead || !r.requestWritten.Load() {
+		c.abort()
+	}
 	if !stopped || !r.bodyRead || r.CloseDelimited || !r.requestWritten.Load() || r.response.Close || c.reader.Buffered() > 0 {
 		c.pool.discard(c)
 		return
