Leave idle connections the whole grace period in a stop

The deadline of the server's shutdown began anew with the time reserved for errors, 200 ms, though requests may already be on their way on connections that carry none yet.

--- a/internal/program/entry/stop.go
+++ b/internal/program/entry/stop.go
@@ -22,23 +22,24 @@
 )
 
 // stop shuts the daemon down within the grace period. Requests that finish within it are
-// not interrupted; the others end with an error. From the start, responses ask callers to close their connections.
-// Idle connections are closed last, since a request may already be on its way on them.
+// not interrupted; the others end with an error. From the start, responses ask callers to
+// close their connections. Idle connections are closed last, since a request may already be
+// on its way on them.
 func (d *Daemon) stop(server *callerconn.Server) error {
 	grace := time.Duration(d.Settings.Entry.StopS * float64(time.Second))
 	d.Log.Info("stopping", "open_requests", d.Relay.InFlight(), "grace_ms", grace.Milliseconds())
-	serve := max(grace-exitMargin-answerMargin, 0)
-	d.Relay.BeginShutdown(serve, balancerRemovalTime)
-	drain, cancel := context.WithTimeout(context.Background(), serve)
+	serveTime := max(grace-exitMargin-answerMargin, 0)
+	d.Relay.BeginShutdown(serveTime, balancerRemovalTime)
+	exit, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
+	defer cancel()
+	drain, cancel := context.WithTimeout(exit, serveTime)
 	defer cancel()
 	time.Sleep(min(balancerRemovalTime, grace/2))
 	for d.Relay.InFlight() > 0 && drain.Err() == nil {
 		time.Sleep(drainPoll)
 	}
 	d.Relay.EndRequests()
-	drain, cancel = context.WithTimeout(context.Background(), answerMargin)
-	defer cancel()
-	err := server.Shutdown(drain)
+	err := server.Shutdown(exit)
 	d.Log.Info("stopped", "open_requests", d.Relay.InFlight())
 	if errors.Is(err, context.DeadlineExceeded) {
 		// Streams that outlast the grace period are interrupted; their callers retry.
