Let begun streams go on to the exit of a stopping daemon

Cause, from the log of entry-1: the drafts were accepted 300 ms before the end of the time for requests (exits in 300 ms), lasted longer than twice what was expected, and ends all attempts there, 200 ms before the exit; streams went on to the exit before. Change: only attempts of requests whose responses haven't begun are ended. Requests that arrive after the last one has ended are served until then too.

--- a/internal/program/entry/stop.go
+++ b/internal/program/entry/stop.go
@@ -38,8 +38,11 @@
 	for d.Relay.InFlight() > 0 && drain.Err() == nil {
 		time.Sleep(drainPoll)
 	}
-	d.Relay.EndRequests()
+	d.Relay.RejectRequests()
+	// A request may have arrived since the last one ended.
+	keepRequests := context.AfterFunc(drain, d.Relay.EndRequests)
 	err := server.Shutdown(exit)
+	keepRequests()
 	d.Log.Info("stopped", "open_requests", d.Relay.InFlight())
 	if errors.Is(err, context.DeadlineExceeded) {
 		// Streams that outlast the grace period are interrupted; their callers retry.
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -163,6 +163,7 @@
 
 // startResponse sets the headers of the response to the caller.
 func (ex *exchange) startResponse(resp *h1.Response) {
+	ex.outliveEnding()
 	maps.Copy(ex.w.Header(), ex.relay.Dialect.ResponseHeader(resp.Header))
 	ex.headerSent, ex.status = true, resp.Status
 }
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -21,6 +21,8 @@
 	parts   []quarantine.Part // see quarantine.Parts
 	run     *quarantine.Run   // of the last attempt
 	onTrial bool              // the next attempt may have a quarantined segment
+	// outliveEnding detaches the last attempt from Relay.EndRequests.
+	outliveEnding func() bool
 }
 
 // setParts sets what the request has in common with others, by its route and account.
@@ -66,10 +68,12 @@
 	ctx, cancel := context.WithCancel(ex.httpReq.Context())
 	run := ex.relay.Quarantine.Start(serverStart(server), ex.parts, ex.onTrial, cancel, now)
 	ex.run, ex.onTrial = run, false
-	stop := context.AfterFunc(ex.relay.ending, cancel)
+	if !ex.headerSent {
+		ex.outliveEnding = context.AfterFunc(ex.relay.ending, cancel)
+	}
 	return ctx, func(complete bool) {
 		run.End(complete, ex.relay.Clock.Now())
-		stop()
+		ex.outliveEnding()
 		cancel()
 	}
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -141,8 +141,9 @@
 // its connection is being closed must not reach a server.
 func (r *Relay) RejectRequests() { r.rejecting.Store(true) }
 
-// EndRequests rejects further requests and ends the attempts under way. Their callers get an
-// error, and not just the end of their connections, if their responses have not begun.
+// EndRequests rejects further requests and ends the attempts of those whose responses have not
+// begun: their callers get an error, and not just the end of their connections. Streams that
+// have begun go on.
 func (r *Relay) EndRequests() {
 	r.RejectRequests()
 	r.endAttempts()
