Share the sums of counts, and drop what the roll-outs no longer read

AnswerCounts and Paces had the same walk for their sum and their difference: addCounts and subtractCounts serve both. The bit set of the servers that gave errors was still kept and sent between daemons though nothing has read it since the evidence is counted by server; it is gone, and a daemon of another version takes it as empty. An evaluation added up whole comparisons, of up to 16 rounds five times a second, where it needs the sum of the paces only, and only if nothing else decides. allRoutes stood in two packages.

--- a/internal/control/peerfeed/history.go
+++ b/internal/control/peerfeed/history.go
@@ -184,8 +184,8 @@
 }
 
 // since returns the changes after the position, and a channel that is closed when more
-// rows or a newer confirmation arrive. The response is Unavailable if the history does not continue from the
-// position, or the store last confirmed it more than maxAge ago.
+// rows or a newer confirmation arrive. The response is Unavailable if the history does not
+// continue from the position, or the store last confirmed it more than maxAge ago.
 func (h *history) since(after rowstore.Position, now, maxAge clock.Millis) (ChangesResponse, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/control/peerfeed/leaders.go
+++ b/internal/control/peerfeed/leaders.go
@@ -55,8 +55,7 @@
 // many of the leaders have been called: the time since the last confirmation bounds all calls
 // together, so that several unresponsive leaders delay a change no longer than one.
 func (s *Store) pollLeaders(ctx context.Context, leaders []string, table string, after rowstore.Position) (rowstore.Page, bool) {
-	h := s.history(table)
-	confirmedAt := h.confirmationTime()
+	confirmedAt := s.history(table).confirmationTime()
 	storeDue := s.sourceDue(len(leaders), confirmedAt)
 	ctx, cancel := context.WithTimeout(ctx, (storeDue - s.Clock.Now()).Duration())
 	defer cancel()
--- a/internal/control/peerfeed/store.go
+++ b/internal/control/peerfeed/store.go
@@ -128,14 +128,14 @@
 		}
 	}
 	if err == nil {
-		h.applyChanges(after, page, confirmationTime(page, startedAt, s.Clock.Now(), wait))
+		h.applyChanges(after, page, whenConfirmed(page, startedAt, s.Clock.Now(), wait))
 	}
 	return page, errors.WithStack(err)
 }
 
-// confirmationTime returns when the store confirmed the page of a call that was started at
+// whenConfirmed returns when the store confirmed the page of a call that was started at
 // startedAt. The response may have been delayed on its way.
-func confirmationTime(page rowstore.Page, startedAt, now, wait clock.Millis) clock.Millis {
+func whenConfirmed(page rowstore.Page, startedAt, now, wait clock.Millis) clock.Millis {
 	if len(page.Rows) > 0 {
 		return now
 	}
--- a/internal/control/rolloutcontrol/evidence_log.go
+++ b/internal/control/rolloutcontrol/evidence_log.go
@@ -33,7 +33,7 @@
 	var parts []string
 	for _, name := range slices.Sorted(maps.Keys(routes)) {
 		comparison := routes[name]
-		if name == allRoutes {
+		if name == rollout.AllRoutes {
 			continue
 		}
 		slow, usualSlow := comparison.Slow()
--- a/internal/control/rolloutcontrol/verdict.go
+++ b/internal/control/rolloutcontrol/verdict.go
@@ -9,9 +9,6 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 )
 
-// allRoutes is the key of what is counted for all routes of a pool together.
-const allRoutes = ""
-
 const (
 	// historyRounds is the number of earlier evaluation rounds for each of which the
 	// answers since that round are also evaluated alone.
@@ -134,7 +131,7 @@
 func (c *Controller) findBad(r fleet.Rollout, routes map[string]rollout.Comparison, state *rolloutState) string {
 	progress := r.Progress(c.clock.Now())
 	switch {
-	case routes[allRoutes].Canary.Verdict == rollout.Bad:
+	case routes[rollout.AllRoutes].Canary.Verdict == rollout.Bad:
 		return reasonPeer
 	case c.isBad(r, routes, state):
 		return reasonFound
@@ -155,7 +152,7 @@
 	progress := r.Progress(now)
 	rest := r.StartedAt + r.Duration - now
 	switch {
-	case routes[allRoutes].Canary.Verdict == rollout.Cleared:
+	case routes[rollout.AllRoutes].Canary.Verdict == rollout.Cleared:
 		// A late verdict comes after HeldUntil only.
 		state.judged = progress < rollout.HeldUntil()
 		return reasonPeer
@@ -177,7 +174,7 @@
 func boundsHarm(routes map[string]rollout.Comparison) bool {
 	n := 0
 	for route, comparison := range routes {
-		if route == allRoutes {
+		if route == rollout.AllRoutes {
 			continue
 		}
 		if !comparison.BoundsHarm() {
@@ -283,13 +280,13 @@
 	}
 	// A fault that affects every route shows soonest on all routes together.
 	if finding := rollout.EvaluatePool(values(routes)); finding != rollout.Healthy {
-		c.logFinding(r, allRoutes, finding, sum(routes))
+		c.logFinding(r, rollout.AllRoutes, finding, sum(routes))
 		return true
 	}
 	for _, round := range state.history {
 		recent := since(routes, round)
 		if finding := rollout.EvaluateRecentPool(values(recent)); finding != rollout.Healthy {
-			c.logFinding(r, allRoutes, finding, sum(recent))
+			c.logFinding(r, rollout.AllRoutes, finding, sum(recent))
 			return true
 		}
 	}
--- a/internal/decision/rollout/answer_counts.go
+++ b/internal/decision/rollout/answer_counts.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
@@ -40,44 +39,32 @@
 	return int(math.Round(latencyBucketsPerDoubling * math.Log2(float64(max(latency, 1)))))
 }
 
-func compareAnswerCounts(a, b AnswerCount) int {
-	return cmp.Or(cmp.Compare(a.Bucket, b.Bucket), cmp.Compare(a.Group, b.Group))
+func (c AnswerCount) compareKind(o AnswerCount) int {
+	return cmp.Or(cmp.Compare(c.Bucket, o.Bucket), cmp.Compare(c.Group, o.Group))
 }
 
+func (c AnswerCount) plus(o AnswerCount) AnswerCount {
+	c.Answers += o.Answers
+	return c
+}
+
+func (c AnswerCount) minus(earlier AnswerCount) AnswerCount {
+	c.Answers -= earlier.Answers
+	return c
+}
+
+func (c AnswerCount) isEmpty() bool { return c.Answers <= 0 }
+
 // oneAnswer returns the count of a single answer.
 func oneAnswer(server string, bucket int) AnswerCounts {
 	return AnswerCounts{{Bucket: bucket, Group: serverGroup(server), Answers: 1}}
 }
 
 // Plus returns the sum of two counts.
-func (a AnswerCounts) Plus(o AnswerCounts) AnswerCounts {
-	if len(o) == 0 {
-		return a
-	}
-	sum := slices.Clone(a)
-	for _, c := range o {
-		if i, found := slices.BinarySearchFunc(sum, c, compareAnswerCounts); found {
-			sum[i].Answers += c.Answers
-		} else {
-			sum = slices.Insert(sum, i, c)
-		}
-	}
-	return sum
-}
+func (a AnswerCounts) Plus(o AnswerCounts) AnswerCounts { return addCounts(a, o) }
 
 // Minus returns the answers counted since an earlier snapshot of the same counts.
-func (a AnswerCounts) Minus(o AnswerCounts) AnswerCounts {
-	var rest AnswerCounts
-	for _, c := range a {
-		if i, found := slices.BinarySearchFunc(o, c, compareAnswerCounts); found {
-			c.Answers -= o[i].Answers
-		}
-		if c.Answers > 0 {
-			rest = append(rest, c)
-		}
-	}
-	return rest
-}
+func (a AnswerCounts) Minus(o AnswerCounts) AnswerCounts { return subtractCounts(a, o) }
 
 // from returns the number of answers with that bucket or a higher one.
 func (a AnswerCounts) from(first int) int {
--- a/internal/decision/rollout/answer_stats.go
+++ b/internal/decision/rollout/answer_stats.go
@@ -15,7 +15,6 @@
 	BadServers     uint64       `json:"s"` // bit set of the hashed IDs of servers that gave bad answers
 	Servers        uint64       `json:"a"` // the same for the servers that gave any answers
 	Errors         int          `json:"e"` // bad answers that were errors rather than slow
-	ErrorServers   uint64       `json:"f"` // the same for the servers that gave errors
 	LatencySamples int          `json:"n"` // answers with a known slowness
 	LogSlownessSum float64      `json:"t"`
 	Paces          Paces        `json:"p,omitempty"` // of the streams
@@ -68,7 +67,6 @@
 	s = s.withAnswer(server, true)
 	s.Counts = s.Counts.Plus(oneAnswer(server, failedBucket))
 	s.Errors++
-	s.ErrorServers |= serverBit(server)
 	return s
 }
 
@@ -93,7 +91,7 @@
 func (s AnswerStats) Plus(o AnswerStats) AnswerStats {
 	return AnswerStats{
 		Good: s.Good + o.Good, Bad: s.Bad + o.Bad, BadServers: s.BadServers | o.BadServers,
-		Servers: s.Servers | o.Servers, Errors: s.Errors + o.Errors, ErrorServers: s.ErrorServers | o.ErrorServers,
+		Servers: s.Servers | o.Servers, Errors: s.Errors + o.Errors,
 		LatencySamples: s.LatencySamples + o.LatencySamples, LogSlownessSum: s.LogSlownessSum + o.LogSlownessSum,
 		Paces: s.Paces.Plus(o.Paces), Counts: s.Counts.Plus(o.Counts), Sent: s.Sent + o.Sent,
 		Verdict: max(s.Verdict, o.Verdict),
@@ -119,7 +117,7 @@
 func (s AnswerStats) Minus(o AnswerStats) AnswerStats {
 	return AnswerStats{
 		Good: max(s.Good-o.Good, 0), Bad: max(s.Bad-o.Bad, 0), BadServers: s.BadServers,
-		Servers: s.Servers, Errors: max(s.Errors-o.Errors, 0), ErrorServers: s.ErrorServers,
+		Servers: s.Servers, Errors: max(s.Errors-o.Errors, 0),
 		LatencySamples: max(s.LatencySamples-o.LatencySamples, 0), LogSlownessSum: s.LogSlownessSum - o.LogSlownessSum,
 		Paces: s.Paces.Minus(o.Paces), Counts: s.Counts.Minus(o.Counts), Sent: max(s.Sent-o.Sent, 0),
 		Verdict: s.Verdict,
--- a/internal/decision/rollout/comparison.go
+++ b/internal/decision/rollout/comparison.go
@@ -76,10 +76,6 @@
 func (c Comparison) evaluate(proof criteria) Finding { return evaluate([]Comparison{c}, proof) }
 
 func evaluate(routes []Comparison, proof criteria) Finding {
-	var sum Comparison
-	for _, c := range routes {
-		sum = sum.Plus(c)
-	}
 	switch {
 	case isFailing(newEvidence(routes, badTrials), proof.fails):
 		return Failing
@@ -89,7 +85,12 @@
 		return Slow
 	case isSlow(routes, proof.latencySpread):
 		return Slow
-	case lagRatio(sum.Canary.Paces, sum.Baseline.Paces) >= proof.lags:
+	}
+	var canary, baseline Paces
+	for _, c := range routes {
+		canary, baseline = canary.Plus(c.Canary.Paces), baseline.Plus(c.Baseline.Paces)
+	}
+	if lagRatio(canary, baseline) >= proof.lags {
 		return Slow
 	}
 	return Healthy
--- a/internal/decision/rollout/pace.go
+++ b/internal/decision/rollout/pace.go
@@ -47,43 +47,30 @@
 	return int(math.Round(paceBucketsPerDoubling * math.Log2(float64(max(pace, 1)))))
 }
 
-func comparePaceCounts(a, b PaceCount) int {
-	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.LoadBand, b.LoadBand), cmp.Compare(a.Bucket, b.Bucket))
+func (c PaceCount) compareKind(o PaceCount) int {
+	return cmp.Or(cmp.Compare(c.Model, o.Model), cmp.Compare(c.LoadBand, o.LoadBand), cmp.Compare(c.Bucket, o.Bucket))
 }
 
-// Plus returns the sum of two counts.
-func (p Paces) Plus(o Paces) Paces {
-	if len(o) == 0 {
-		return p
-	}
-	sum := slices.Clone(p)
-	for _, c := range o {
-		i, found := slices.BinarySearchFunc(sum, c, comparePaceCounts)
-		if !found {
-			sum = slices.Insert(sum, i, c)
-			continue
-		}
-		sum[i].Streams += c.Streams
-		sum[i].Servers |= c.Servers
-	}
-	return sum
+func (c PaceCount) plus(o PaceCount) PaceCount {
+	c.Streams += o.Streams
+	c.Servers |= o.Servers
+	return c
 }
 
-// Minus returns the streams counted since an earlier snapshot of the same counts. The
-// server sets of the buckets with new streams are kept whole.
-func (p Paces) Minus(o Paces) Paces {
-	var rest Paces
-	for _, c := range p {
-		if i, found := slices.BinarySearchFunc(o, c, comparePaceCounts); found {
-			c.Streams -= o[i].Streams
-		}
-		if c.Streams > 0 {
-			rest = append(rest, c)
-		}
-	}
-	return rest
+// minus keeps the server set whole, since a bit set can't be subtracted.
+func (c PaceCount) minus(earlier PaceCount) PaceCount {
+	c.Streams -= earlier.Streams
+	return c
 }
 
+func (c PaceCount) isEmpty() bool { return c.Streams <= 0 }
+
+// Plus returns the sum of two counts.
+func (p Paces) Plus(o Paces) Paces { return addCounts(p, o) }
+
+// Minus returns the streams counted since an earlier snapshot of the same counts.
+func (p Paces) Minus(o Paces) Paces { return subtractCounts(p, o) }
+
 // onePace returns the count of a single stream.
 func onePace(server string, class PaceClass, pace clock.Millis) Paces {
 	return Paces{{PaceClass: class, Bucket: paceBucket(pace), Streams: 1, Servers: serverBit(server)}}
--- a/internal/decision/rollout/risk.go
+++ b/internal/decision/rollout/risk.go
@@ -70,7 +70,7 @@
 // add adds the kinds of faults as the comparisons by route show them.
 func (a *riskAssessment) add(routes map[string]Comparison, part float64) {
 	a.addMeasure(routes, errorTrials, part*errorPart, 0, false)
-	paces, ok := boundedLagRatio(routes[allRoutes].Canary.Paces, routes[allRoutes].Baseline.Paces)
+	paces, ok := boundedLagRatio(routes[AllRoutes].Canary.Paces, routes[AllRoutes].Baseline.Paces)
 	a.addMeasure(routes, slowTrials, part*(1-errorPart), paces, ok)
 }
 
@@ -105,8 +105,8 @@
 	}
 }
 
-// allRoutes is the name of what is counted for all routes together.
-const allRoutes = ""
+// AllRoutes is the key of what is counted for all routes of a pool together.
+const AllRoutes = ""
 
 // information returns by how much a good answer on the routes lowers the ratio on average.
 func (e evidence) information() float64 {
--- a/internal/traffic/relay/crashing_request_test.go
+++ b/internal/traffic/relay/crashing_request_test.go
@@ -121,16 +121,24 @@
 	assert.Equal(t, f.callCount(), 3)
 }
 
-// TestAttemptGivenUpIsSuspect has the only attempt of a call time out at a server that still runs
-// it. If the server crashes soon, the call must be among the suspects.
-func TestAttemptGivenUpIsSuspect(t *testing.T) {
+// newStuckFixture returns a fixture whose only server answers nothing until the test ends, on a
+// route with a short timeout and a single attempt.
+func newStuckFixture(t *testing.T, policy catalog.RetryPolicy) *fixture {
+	t.Helper()
 	route := catalog.Route{
-		Name: "read", Host: "desk.example", Prefix: "/read/", RetryPolicy: catalog.AtMostOnce,
+		Name: "read", Host: "desk.example", Prefix: "/read/", RetryPolicy: policy,
 		Pools: []catalog.WeightedPool{{Pool: "text", Weight: 1}}, MaxAttempts: 1, Timeout: 150, LatencyTarget: 100,
 	}
 	release := make(chan struct{})
 	f := newFixture(t, []catalog.Route{route}, func(int, http.ResponseWriter, *http.Request) { <-release })
-	defer close(release)
+	t.Cleanup(func() { close(release) })
+	return f
+}
+
+// TestAttemptGivenUpIsSuspect has the only attempt of a call time out at a server that still runs
+// it. If the server crashes soon, the call must be among the suspects.
+func TestAttemptGivenUpIsSuspect(t *testing.T) {
+	f := newStuckFixture(t, catalog.AtMostOnce)
 	assert.Equal(t, f.send(http.MethodPost, "/read/"+crashPath).status, http.StatusGatewayTimeout)
 	server, _ := f.currentView().Server("s1")
 	crash, suspicious := f.relay.Quarantine.Suspect(serverStart(&server), f.relay.Clock.Now())
@@ -141,13 +149,7 @@
 // else there. Guards against a request that crashes one server after the other so late that no
 // attempt breaks off.
 func TestCrashAfterAttemptGivenUp(t *testing.T) {
-	route := catalog.Route{
-		Name: "read", Host: "desk.example", Prefix: "/read/", RetryPolicy: catalog.Idempotent,
-		Pools: []catalog.WeightedPool{{Pool: "text", Weight: 1}}, MaxAttempts: 1, Timeout: 150, LatencyTarget: 100,
-	}
-	release := make(chan struct{})
-	f := newFixture(t, []catalog.Route{route}, func(int, http.ResponseWriter, *http.Request) { <-release })
-	defer close(release)
+	f := newStuckFixture(t, catalog.Idempotent)
 	lines := make(lineWriter, 100)
 	f.relay.Log = hclog.New(&hclog.LoggerOptions{Output: lines})
 	assert.Equal(t, f.send(http.MethodPost, "/read/"+crashPath).status, http.StatusGatewayTimeout)
