--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -125,6 +125,7 @@
 	defer endReadiness()
 	d.startControl(background)
 	callerServer := callerconn.NewServer(accept.Retrying(d.Log, listeners.callers), d.CallerHandler)
+	callerServer.OnDropped = d.recordDropped
 	go clock.Every(background, limitsUpdatePeriod, func() {
 		if c := d.ViewState.View().Catalog; c != nil {
 			callerServer.SetLimits(c.Limits)
--- a/internal/program/entry/stop.go
+++ b/internal/program/entry/stop.go
@@ -44,6 +44,7 @@
 	err := server.Shutdown(exit)
 	keepRequests()
 	d.Log.Info("stopped", "open_requests", d.Relay.InFlight())
+	d.Relay.LogOpen()
 	if errors.Is(err, context.DeadlineExceeded) {
 		// Streams that outlast the grace period are interrupted; their callers retry.
 		return nil
--- a/internal/traffic/callerconn/conn.go
+++ b/internal/traffic/callerconn/conn.go
@@ -24,16 +24,32 @@
 // send a header, by limits that may be raised meanwhile.
 type conn struct {
 	net.Conn
-	current func() catalog.Limits
+	server *Server
 
-	mu     sync.Mutex // guards the fields below
-	limits catalog.Limits
-	phase  phase
-	since  time.Time // when the phase began
+	mu        sync.Mutex // guards the fields below
+	limits    catalog.Limits
+	phase     phase
+	since     time.Time // when the phase began
+	arrivedAt time.Time // first bytes of a request that has not reached the handler; zero if there is none
 }
 
-func newConn(c net.Conn, current func() catalog.Limits) *conn {
-	return &conn{Conn: c, current: current, limits: current(), since: time.Now()}
+func newConn(c net.Conn, s *Server) *conn {
+	return &conn{Conn: c, server: s, limits: s.currentLimits(), since: time.Now()}
+}
+
+// Close closes the connection, and reports the request that it ends before the handler.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	dropped := Dropped{HeaderRead: c.phase == phaseActive}
+	arrivedAt := c.arrivedAt
+	c.arrivedAt = time.Time{}
+	c.mu.Unlock()
+	if !arrivedAt.IsZero() && c.server.OnDropped != nil {
+		dropped.Age = time.Since(arrivedAt)
+		c.server.OnDropped(dropped)
+	}
+	return err
 }
 
 // Read reads from the connection. It returns a timeout error once a limit has passed.
@@ -65,7 +81,7 @@
 
 // deadline returns when the phase must end.
 func (c *conn) deadline() time.Time {
-	c.limits = larger(c.limits, c.current())
+	c.limits = larger(c.limits, c.server.currentLimits())
 	if c.phase == phaseIdle {
 		return c.since.Add(c.limits.IdleTimeout.Duration() + idleSlack)
 	}
@@ -83,11 +99,22 @@
 func (c *conn) bytesArrived() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	if c.phase == phaseIdle {
-		c.phase, c.since = phaseHeader, time.Now()
+		c.phase, c.since = phaseHeader, now
+	}
+	if c.phase == phaseHeader && c.arrivedAt.IsZero() {
+		c.arrivedAt = now
 	}
 }
 
+// handlerCalled notes that the request has reached the handler.
+func (c *conn) handlerCalled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivedAt = time.Time{}
+}
+
 // requestBegan ends the limits of time, until requestEnded.
 func (c *conn) requestBegan() {
 	c.mu.Lock()
@@ -101,7 +128,7 @@
 func (c *conn) headerLimit() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limits = larger(c.limits, c.current())
+	c.limits = larger(c.limits, c.server.currentLimits())
 	return c.limits.HeaderBytes
 }
 
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -20,17 +21,28 @@
 // Server serves the connections of callers. An http.Server can't change its limits, so they
 // are kept by the connections instead. Safe for concurrent use.
 type Server struct {
+	// OnDropped is called for each request whose connection ends before the handler is called.
+	// It must be set before Serve, and may be nil.
+	OnDropped func(Dropped)
+
 	handler  http.Handler
 	listener *connListener
 	http     *http.Server
 	limits   atomic.Pointer[catalog.Limits] // of new connections
 }
 
+// Dropped describes a request that did not reach the handler.
+type Dropped struct {
+	Age time.Duration // since its first bytes arrived
+	// HeaderRead reports that its header was read whole. Otherwise the caller may not have sent it.
+	HeaderRead bool
+}
+
 // NewServer returns a server with default limits. Serve must be called to accept
 // connections. The server closes the listener on Shutdown.
 func NewServer(listener net.Listener, handler http.Handler) *Server {
 	s := &Server{handler: handler}
-	s.listener = &connListener{Listener: listener, limits: s.currentLimits, closed: make(chan struct{})}
+	s.listener = &connListener{Listener: listener, server: s, closed: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveRequest),
 		MaxHeaderBytes: maxHeaderBytes,
@@ -67,6 +79,7 @@
 // serveRequest passes the request to the handler unless its header is too large.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	if conn, ok := r.Context().Value(connKey{}).(*conn); ok {
+		conn.handlerCalled()
 		limit := conn.headerLimit()
 		if size := headerBytes(r); size > limit {
 			w.Header().Set("Connection", "close")
@@ -108,7 +121,7 @@
 // connListener is a listener whose connections keep the limits.
 type connListener struct {
 	net.Listener
-	limits    func() catalog.Limits
+	server    *Server
 	closeOnce sync.Once
 	closed    chan struct{}
 }
@@ -125,7 +138,7 @@
 		_ = c.Close()
 		return nil, net.ErrClosed
 	default:
-		return newConn(c, l.limits), nil
+		return newConn(c, l.server), nil
 	}
 }
 
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -101,7 +101,7 @@
 	crashChecks     crashChecks
 	crashWatches    crashWatches
 	escalationRates cascade.EscalationRates
-	inFlight        atomic.Int64
+	open            openRequests
 	shutdownAt      atomic.Int64 // when the daemon exits, in clock ms; 0 until shutdown begins
 	noStreamsAfter  atomic.Int64 // during shutdown, when new streams are no longer accepted, in clock ms
 	rejecting       atomic.Bool  // all requests are rejected
@@ -125,7 +125,7 @@
 func (r *Relay) SetFeatures(f loadfeatures.Features) { r.features.Store(&f) }
 
 // InFlight returns the number of requests being served.
-func (r *Relay) InFlight() int64 { return r.inFlight.Load() }
+func (r *Relay) InFlight() int64 { return int64(r.open.count()) }
 
 // BeginShutdown announces that the daemon exits after the grace time. Requests that
 // are not expected to finish by then are rejected, and after streamGrace all new
@@ -162,8 +162,8 @@
 // caller disconnects. Serve panics with http.ErrAbortHandler to abort a response
 // that can't be completed.
 func (r *Relay) Serve(w http.ResponseWriter, httpReq *http.Request, req *Request) {
-	r.inFlight.Add(1)
-	defer r.inFlight.Add(-1)
+	r.open.add(req)
+	defer r.open.remove(req)
 	if _, stopping := r.shutdownTime(); stopping {
 		w.Header().Set("Connection", "close")
 	}
