Answer the requests that a stopping daemon has read

Callers of a daemon that is stopped saw the end of their connection in place of an answer, though their request had been read; one that may not be repeated was lost to them.

Cause: http.Server.Shutdown. From its call on, net/http closes each connection whose request it reads without calling the handler, and it closes idle connections by a state that is set only after the request was parsed.

The server now ends idle connections by their read deadline, so that a read either returns a request, which reaches the handler and is rejected as not run, or ends the connection. A connection that hasn't carried a request yet has 500 ms for its first one.

--- a/internal/traffic/callerconn/conn.go
+++ b/internal/traffic/callerconn/conn.go
@@ -33,13 +33,17 @@
 	arrivedAt time.Time // first bytes of a request that has not reached the handler; zero if there is none
 }
 
+// newConn returns a connection that is in the server's set until it is closed.
 func newConn(c net.Conn, s *Server) *conn {
-	return &conn{Conn: c, server: s, limits: s.currentLimits(), since: time.Now()}
+	accepted := &conn{Conn: c, server: s, limits: s.currentLimits(), since: time.Now()}
+	s.conns.add(accepted)
+	return accepted
 }
 
 // Close closes the connection, and reports the request that it ends before the handler.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
+	c.server.conns.remove(c)
 	c.mu.Lock()
 	dropped := Dropped{HeaderRead: c.phase == phaseActive}
 	arrivedAt := c.arrivedAt
@@ -69,6 +73,17 @@
 	}
 }
 
+// applyLimits applies the present limits to a read that is under way. An idle connection of a
+// server that stops ends by that, unless a request arrives first.
+func (c *conn) applyLimits() {
+	// An error means that the connection is closed, which the read returns.
+	_ = c.setDeadline()
+}
+
+// firstRequestTime is how long a server that stops waits for the first request of a connection:
+// callers open one in order to send.
+const firstRequestTime = 500 * time.Millisecond
+
 // setDeadline sets the read deadline of the phase.
 func (c *conn) setDeadline() error {
 	c.mu.Lock()
@@ -82,8 +97,14 @@
 // deadline returns when the phase must end.
 func (c *conn) deadline() time.Time {
 	c.limits = larger(c.limits, c.server.currentLimits())
-	if c.phase == phaseIdle {
+	stopping := c.server.stopping.Load()
+	switch {
+	case c.phase == phaseIdle && stopping:
+		return c.since
+	case c.phase == phaseIdle:
 		return c.since.Add(c.limits.IdleTimeout.Duration() + idleSlack)
+	case c.arrivedAt.IsZero() && stopping:
+		return c.since.Add(firstRequestTime)
 	}
 	return c.since.Add(c.limits.HeaderTimeout.Duration())
 }
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -29,6 +29,8 @@
 	listener *connListener
 	http     *http.Server
 	limits   atomic.Pointer[catalog.Limits] // of new connections
+	conns    connSet
+	stopping atomic.Bool // idle connections are closed
 }
 
 // Dropped describes a request that did not reach the handler.
@@ -112,10 +114,14 @@
 	return errors.Wrap(err, "accept caller connection")
 }
 
-// Shutdown closes the listener and waits for in-flight requests until ctx ends.
+// Shutdown closes the listener and the connections, once each is idle, and waits for that
+// until ctx ends. Requests that arrive meanwhile reach the handler: http.Server.Shutdown would
+// close their connections without an answer, though they have been read.
 func (s *Server) Shutdown(ctx context.Context) error {
 	_ = s.listener.Close()
-	return errors.WithStack(s.http.Shutdown(ctx))
+	s.stopping.Store(true)
+	s.conns.each((*conn).applyLimits)
+	return errors.WithStack(s.conns.awaitEmpty(ctx))
 }
 
 // connListener is a listener whose connections keep the limits.
