Answer the requests that a stopping daemon of gypsumpitchd run has read

The same fault as in the entry daemons: http.Server.Shutdown ends the connections of requests that it reads without an answer. The callers of both programs now have the same server. TLS is above its connections, since it ends reads by their deadlines; the listener of callers no longer brings TLS along.

--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/platform/tableservice"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/bills"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/caller"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/callerconn"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/claims"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/dispatch"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/quality"
@@ -59,7 +60,8 @@
 	Reconciler   *reconciler.Reconciler
 }
 
-// listeners holds the listening sockets of a daemon, wrapped in TLS if it is configured.
+// listeners holds the listening sockets of a daemon, wrapped in TLS if it is configured. That of
+// callers isn't: their server does it.
 type listeners struct {
 	caller   net.Listener
 	operator net.Listener
@@ -94,10 +96,10 @@
 	start(d.syncRatings)
 	start(d.Reconciler.Run)
 
-	callerServer := d.Callers.NewHTTPServer(workerCtx)
+	callerServer := d.Callers.NewConnServer(workerCtx, sockets.caller, d.TLS.Server)
 	operatorServer := d.newOperatorServer()
 	failures := make(chan error, 3)
-	go func() { failures <- errors.Wrap(callerServer.Serve(sockets.caller), "caller listener") }()
+	go func() { failures <- errors.Wrap(callerServer.Serve(), "caller listener") }()
 	go func() { failures <- errors.Wrap(operatorServer.Serve(sockets.operator), "operator listener") }()
 	go func() { failures <- errors.Wrap(d.PeerServer.Serve(workerCtx, sockets.peer), "peer listener") }()
 	d.Common.Log.Info("serving", "caller", sockets.caller.Addr().String(), "operator", sockets.operator.Addr().String(), "peer", sockets.peer.Addr().String())
@@ -127,7 +129,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		if d.TLS.Server != nil {
+		if d.TLS.Server != nil && l.socket != &sockets.caller {
 			socket = tls.NewListener(socket, d.TLS.Server)
 		}
 		*l.socket = socket
@@ -138,7 +140,7 @@
 // shutDown stops the daemon without interrupting requests: it fails the health check,
 // waits for the load balancer to notice, drains in-flight requests, and then releases the
 // lease, flushes claims and hands over bill records.
-func (d *Daemon) shutDown(callerServer, operatorServer *http.Server) error {
+func (d *Daemon) shutDown(callerServer *callerconn.Server, operatorServer *http.Server) error {
 	stop := d.Common.Settings.Stop
 	d.Common.Log.Info("stopping", "open_requests", d.Callers.InFlight())
 	d.Callers.BeginShutdown()
--- a/internal/traffic/caller/caller_test.go
+++ b/internal/traffic/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -175,3 +176,28 @@
 	assert.Equal(t, w.Header().Get("Connection"), "close")
 	assert.Assert(t, !f.server.Ready())
 }
+
+// TestShutdownAnswersRequest has the rest of a request arrive while the server shuts down. Guards
+// against its connection ending without an answer.
+func TestShutdownAnswersRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := newFixture(t).server.NewConnServer(t.Context(), listener, nil)
+	go func() { _ = server.Serve() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /healthz HTTP/1.1\r\n")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond) // until it is read
+	ended := make(chan error, 1)
+	go func() { ended <- server.Shutdown(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(conn, "Host: a\r\n\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.NilError(t, <-ended)
+}
--- a/internal/traffic/caller/server.go
+++ b/internal/traffic/caller/server.go
@@ -2,20 +2,22 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/urfave/negroni/v3"
 
 	"gypsumpitch.example/gypsumpitch/internal/control/controlstate"
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/common"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/app"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/bills"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/callerconn"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/claims"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/dispatch"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/engine"
@@ -104,17 +106,20 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-// NewHTTPServer returns an HTTP server for callers with the limits of the settings. ctx is
-// the base context of its requests.
-func (s *Server) NewHTTPServer(ctx context.Context) *http.Server {
+// maxIdleTime is how long a caller may keep a connection without a request.
+const maxIdleTime = 120_000 * clock.Millis(1)
+
+// NewConnServer returns a server of callers' connections with the limits of the settings. ctx is
+// the base context of its requests; config is nil without TLS.
+func (s *Server) NewConnServer(ctx context.Context, listener net.Listener, config *tls.Config) *callerconn.Server {
 	limits := s.Common.Settings.Limits
-	return &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: clock.Millis(limits.HeaderReadMs).Duration(),
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    int(limits.MaxHeaderBytes),
-		BaseContext:       func(net.Listener) context.Context { return ctx },
-	}
+	server := callerconn.NewServer(listener, s.Handler())
+	server.SetBaseContext(ctx)
+	server.SetTLS(config)
+	server.SetLimits(catalog.Limits{
+		HeaderTimeout: clock.Millis(limits.HeaderReadMs), IdleTimeout: maxIdleTime, HeaderBytes: int(limits.MaxHeaderBytes),
+	})
+	return server
 }
 
 // newRequestID returns an ID that is unique among all daemons and their restarts.
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -28,6 +29,7 @@
 	handler  http.Handler
 	listener *connListener
 	http     *http.Server
+	tls      *tls.Config                    // nil without TLS
 	limits   atomic.Pointer[catalog.Limits] // of new connections
 	conns    connSet
 	stopping atomic.Bool // idle connections are closed
@@ -49,16 +51,15 @@
 		Handler:        http.HandlerFunc(s.serveRequest),
 		MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
+			return context.WithValue(ctx, connKey{}, underlying(c))
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
-			conn, ok := c.(*conn)
-			switch {
-			case !ok:
-			case state == http.StateActive:
-				conn.requestBegan()
-			case state == http.StateIdle:
-				conn.requestEnded()
+			switch state {
+			case http.StateActive:
+				underlying(c).requestBegan()
+			case http.StateIdle:
+				underlying(c).requestEnded()
+			case http.StateNew, http.StateHijacked, http.StateClosed:
 			}
 		},
 	}
@@ -69,6 +70,24 @@
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
+// underlying returns the connection of the listener, below TLS.
+func underlying(c net.Conn) *conn {
+	if secured, ok := c.(*tls.Conn); ok {
+		c = secured.NetConn()
+	}
+	accepted, _ := c.(*conn)
+	return accepted
+}
+
+// SetTLS makes the server use TLS. It must be called before Serve.
+func (s *Server) SetTLS(config *tls.Config) { s.tls = config }
+
+// SetBaseContext sets the context that those of all requests derive from. It must be called
+// before Serve.
+func (s *Server) SetBaseContext(ctx context.Context) {
+	s.http.BaseContext = func(net.Listener) context.Context { return ctx }
+}
+
 // SetLimits sets the limits; limits of 0 get their defaults. An open connection keeps a
 // limit that is lowered: its caller may have sent a request under the old one.
 func (s *Server) SetLimits(limits catalog.Limits) {
@@ -107,7 +126,11 @@
 
 // Serve accepts connections until the listener is closed or fails.
 func (s *Server) Serve() error {
-	err := s.http.Serve(s.listener)
+	var listener net.Listener = s.listener
+	if s.tls != nil {
+		listener = tls.NewListener(listener, s.tls)
+	}
+	err := s.http.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
