Keep an escalation whose route has lost its models

A caller whose small answer had been discarded saw its connection closed without an answer, after a configuration that names no models for the route. Cause: the attempt on the largest model follows the newest configuration. planSmallInTime, which looks for the small model while the largest one is silent, indexed the empty list: index out of range [-1], a panic in the handler. Change: without models there is no small one to go back to, and the request stays or is placed anew as any other.

--- a/internal/traffic/relay/escalation_test.go
+++ b/internal/traffic/relay/escalation_test.go
@@ -60,3 +60,24 @@
 	assert.NilError(t, got.err)
 	assert.Check(t, got.status == http.StatusOK, "status %d, body %q, %d calls", got.status, got.body, f.callCount())
 }
+
+// TestModelsDroppedDuringEscalation guards against a panic, and a closed connection, when a configuration
+// without models for the route comes into force while the largest model is awaited.
+func TestModelsDroppedDuringEscalation(t *testing.T) {
+	var f *fixture
+	small := withConfidence("20", sendEvents(5, 5))
+	server := byModel(map[string]behaviour{
+		"small": func(n int, w http.ResponseWriter, r *http.Request) {
+			list := append([]catalog.Route(nil), f.routes...)
+			list[0].Models = nil
+			f.setCatalog(2, list)
+			small(n, w, r)
+		},
+		"": hang,
+	})
+	f = newFixture(t, streamRoutes(), server, server, server)
+	f.underLoad(0)
+	got := f.send(http.MethodPost, "/draft/1", headerModel, "*", headerLengthHint, "80")
+	assert.NilError(t, got.err)
+	assert.Equal(t, f.callCount(), 2, "not escalated")
+}
--- a/internal/traffic/relay/second_attempt.go
+++ b/internal/traffic/relay/second_attempt.go
@@ -159,7 +159,7 @@
 // answer was discarded, is silent and little more time is left than the small one needs. It
 // reports false if there is no need or no server.
 func (ex *exchange) planSmallInTime(server *fleet.Entry, now clock.Millis) bool {
-	if ex.escalation != escalated || ex.headerSent || ex.watch.streaming {
+	if ex.escalation != escalated || ex.headerSent || ex.watch.streaming || len(ex.route.Models) == 0 {
 		return false
 	}
 	small := ex.route.Models[min(ex.smallModel, len(ex.route.Models)-1)]
