Keep the route of a stream that was given up for a successor

A caller's stream breaks off beside a configuration: its server was sound and only silent, the relay gave it up for a successor, and that one refused. Before another try a configuration moved the route to a pool whose server answers the resumption with an error or not at all, allowed fewer attempts, took the pool away, or made the route one whose requests run once. Cause: such a request kept its route only where the newest configuration had none for it. The rest of a stream that the relay itself interrupted was planned by the new one, which may lead to servers that can't go on with it, or count the attempts that were allowed before. Change: until a server goes on with it, a begun stream keeps the route and the pool under which its server was given up, as long as that pool has a server in service; the client account is the newest. A stream whose server broke off follows the newest configuration as before.

--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -94,6 +94,9 @@
 		return nil, rejection
 	}
 	pool, ok := view.Catalog.Pool(route.PoolAt(ex.poolPoint()))
+	if !ok && ex.replaced && route == ex.route {
+		pool, ok = ex.pool, true
+	}
 	if !ok {
 		return nil, result.New(result.NoServer, "the pool of route %s does not exist", route.Name)
 	}
@@ -186,13 +189,20 @@
 
 // match returns the request's route and client account by the newest configuration, which
 // applies to retries too. A request whose last attempt was ended by the relay, and not by
-// the server, keeps those of that attempt if the configuration no longer allows it.
+// the server, keeps those of that attempt if the configuration no longer allows it. If its
+// response has begun it keeps its route as well: another may lead to servers that can't go on
+// with it, or allow no further attempt.
 func (ex *exchange) match(v *fleet.View) (*catalog.Route, catalog.ClientAccount, error) {
 	route, account, err := ex.relay.match(v, ex.req)
-	if err != nil && ex.replaced {
+	switch {
+	case !ex.replaced:
+		return route, account, err
+	case err != nil:
 		return ex.route, ex.account, nil
+	case ex.headerSent && slices.ContainsFunc(v.Pool(ex.pool.Name), func(e fleet.Entry) bool { return v.InService(&e) }):
+		return ex.route, account, nil
 	}
-	return route, account, err
+	return route, account, nil
 }
 
 // acquireRetry takes the planned attempt from the retry budget if the request has
--- /dev/null
+++ b/internal/traffic/relay/planned_work_test.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+)
+
+// setTables sets a configuration with the routes and pools.
+func (f *fixture) setTables(routes []catalog.Route, pools ...string) {
+	tables := catalog.Tables{Version: 2, Routes: routes, RequireKey: true, Accounts: map[string]catalog.ClientAccount{"key-1": {Name: "smiths"}}}
+	for _, name := range pools {
+		tables.Pools = append(tables.Pools, catalog.Pool{Name: name, TokenMemory: 100_000, TokensPerEvent: 8})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view = f.view.WithCatalog(catalog.New(tables))
+}
+
+// TestGivenUpStreamOutlivesPlannedWork guards against a stream that is cut because the relay gave up
+// its silent server for one that refuses, and a configuration of that moment keeps others from going on.
+func TestGivenUpStreamOutlivesPlannedWork(t *testing.T) {
+	changed := func(change func(*catalog.Route)) func(*fixture) {
+		return func(f *fixture) {
+			list := append([]catalog.Route(nil), f.routes...)
+			change(&list[0])
+			f.setTables(list, "text", "other")
+		}
+	}
+	move := changed(func(r *catalog.Route) { r.Pools = []catalog.WeightedPool{{Pool: "other", Weight: 1}} })
+	cases := map[string]struct {
+		onRefusal func(*fixture)
+		elsewhere behaviour // of the server of the other pool
+	}{
+		"fewer attempts":                     {changed(func(r *catalog.Route) { r.MaxAttempts = 1 }), nil},
+		"no longer resumable":                {changed(func(r *catalog.Route) { r.RetryPolicy = catalog.AtMostOnce }), nil},
+		"shorter time-out":                   {changed(func(r *catalog.Route) { r.Timeout = 500 }), nil},
+		"route moved, server error":          {move, respondStatus(http.StatusInternalServerError)},
+		"route moved, not found":             {move, respondStatus(http.StatusNotFound)},
+		"route moved to a pool that is full": {move, respondStatus(http.StatusServiceUnavailable, headerNotExecuted, "yes")},
+		"pool removed, route moved": {func(f *fixture) {
+			list := append([]catalog.Route(nil), f.routes...)
+			list[0].Pools = []catalog.WeightedPool{{Pool: "other", Weight: 1}}
+			f.setTables(list, "other")
+		}, respondStatus(http.StatusNotFound)},
+		"pool and route removed": {func(f *fixture) { f.setTables(nil, "other") }, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var f *fixture
+			silent := func(n int, w http.ResponseWriter, r *http.Request) {
+				sendEvents(2, 2)(n, w, r)
+				f.mu.Lock()
+				f.view = f.view.WithoutServer("s1")
+				f.mu.Unlock()
+				hang(n, w, r)
+			}
+			elsewhere := c.elsewhere
+			if elsewhere == nil {
+				elsewhere = hang
+			}
+			list := streamRoutes()
+			list[0].Timeout = 12_000
+			f = newFixture(t, list, silent, func(n int, w http.ResponseWriter, r *http.Request) {
+				if n > 1 {
+					sendEvents(5, 5)(n, w, r)
+					return
+				}
+				c.onRefusal(f)
+				respondStatus(http.StatusServiceUnavailable, headerNotExecuted, "yes")(n, w, r)
+			}, elsewhere)
+			second, _ := f.view.Server("s2")
+			third, _ := f.view.Server("s3")
+			other := third.Server
+			other.Pool = "other"
+			f.view = f.view.WithoutServer("s2").WithoutServer("s3").WithServer(other, f.relay.Clock.Now())
+			time.AfterFunc(time.Second, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.view = f.view.WithServer(second.Server, 0)
+			})
+			got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, events(1, 5))
+		})
+	}
+}
