--- a/internal/traffic/relay/planned_work_test.go
+++ b/internal/traffic/relay/planned_work_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 )
 
 // setTables sets a configuration with the routes and pools.
@@ -22,7 +23,8 @@
 }
 
 // TestGivenUpStreamOutlivesPlannedWork guards against a stream that is cut because the relay gave up
-// its silent server for one that refuses, and a configuration of that moment keeps others from going on.
+// its silent server for one that refuses, and a configuration of that moment or a lack of servers for some
+// seconds keeps others from going on.
 func TestGivenUpStreamOutlivesPlannedWork(t *testing.T) {
 	changed := func(change func(*catalog.Route)) func(*fixture) {
 		return func(f *fixture) {
@@ -48,6 +50,25 @@
 			f.setTables(list, "other")
 		}, respondStatus(http.StatusNotFound)},
 		"pool and route removed": {func(f *fixture) { f.setTables(nil, "other") }, nil},
+		"no server for 3 s": {func(f *fixture) {
+			e, _ := f.currentView().Server("s2")
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.view = f.view.WithoutServer("s2")
+			time.AfterFunc(3*time.Second, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.view = f.view.WithServer(e.Server, 0)
+			})
+		}, nil},
+		"no retry budget for 3 s": {func(f *fixture) {
+			f.relay.RetryBudget.SetLimits(0, 0)
+			time.AfterFunc(3*time.Second, func() { f.relay.RetryBudget.SetLimits(10, 100) })
+		}, nil},
+		"pause of 4 s": {func(f *fixture) {
+			e, _ := f.currentView().Server("s2")
+			f.relay.Balancer.RecordAnnouncement(&e, loadbalance.Announcement{Pause: 4_000}, f.relay.Clock.Now())
+		}, nil},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
