--- a/internal/program/entry/entry_test.go
+++ b/internal/program/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -266,3 +267,49 @@
 	assert.Equal(t, <-answered, 200)
 	assert.ErrorIs(t, <-daemon.exited, errBroken)
 }
+
+// interruptedListener returns one network error from Accept, in place of the first connection.
+type interruptedListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *interruptedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil && l.failed.CompareAndSwap(false, true) {
+		_ = conn.Close()
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EHOSTUNREACH)}
+	}
+	return conn, err
+}
+
+// TestListenersOutlastNetworkErrors guards against a daemon that ends because accept returned the
+// error of one connection, which Linux passes on there.
+func TestListenersOutlastNetworkErrors(t *testing.T) {
+	cases := map[string]func(*listenerSet) *net.Listener{
+		"callers":   func(set *listenerSet) *net.Listener { return &set.callers },
+		"readiness": func(set *listenerSet) *net.Listener { return &set.readiness },
+		"peers":     func(set *listenerSet) *net.Listener { return &set.peers },
+		"metrics":   func(set *listenerSet) *net.Listener { return &set.metrics },
+	}
+	for name, listenerOf := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.startBackendServer("e1")
+			d.configure(1, "k1")
+			interrupted := &interruptedListener{}
+			daemon := d.startDaemonWith("entry-1", func(set *listenerSet) {
+				listener := listenerOf(set)
+				interrupted.Listener, *listener = *listener, interrupted
+			})
+			conn, err := net.Dial("tcp", interrupted.Addr().String())
+			assert.NilError(t, err)
+			assert.NilError(t, conn.Close())
+			eventually(t, "interrupted", interrupted.failed.Load)
+			eventually(t, "served", func() bool { status, _ := daemon.request("k1"); return status == 200 })
+			eventually(t, "ready", func() bool { status, _ := daemon.get(daemon.settings.Entry.Ready, "/"); return status == 200 })
+			assert.Equal(t, len(daemon.exited), 0)
+		})
+	}
+}
