Test that streams and waiting requests outlive changed settings

No fault was seen: the settings signal may switch shared capacity and uneven servers on and off while a stream runs or a request waits for a place. Nothing tested it.

--- a/internal/traffic/relay/planned_work_test.go
+++ b/internal/traffic/relay/planned_work_test.go
@@ -9,6 +9,7 @@
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
 )
 
 // setTables sets a configuration with the routes and pools.
@@ -111,3 +112,53 @@
 		})
 	}
 }
+
+// TestStreamsOutliveSettings guards against a stream that breaks off because the settings signal
+// switches what is counted for requests on or off meanwhile.
+func TestStreamsOutliveSettings(t *testing.T) {
+	all, none := loadfeatures.Features{SharedCapacity: true, UnevenServers: loadfeatures.On}, loadfeatures.Features{}
+	cases := map[string][2]loadfeatures.Features{"on": {none, all}, "off": {all, none}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var f *fixture
+			set := func(features loadfeatures.Features) {
+				f.relay.Balancer.SetFeatures(features)
+				f.relay.SetFeatures(features)
+			}
+			server := func(n int, w http.ResponseWriter, r *http.Request) {
+				sendEvents(2, 2)(n, w, r)
+				if n == 1 {
+					set(c[1])
+				}
+				time.Sleep(streamPause / 10)
+				_, _ = w.Write([]byte(events(3, 5)))
+			}
+			f = newFixture(t, streamRoutes(), server, server)
+			set(c[0])
+			for range 4 {
+				got := f.send(http.MethodPost, "/draft/1", headerModel, "large", headerPrompt, "shared,own", headerLengthHint, "80")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.body, events(1, 5))
+			}
+		})
+	}
+}
+
+// TestWaitingRequestsOutliveSettings guards against a request that waits for ever, or is dropped, because
+// the settings signal switches the queue off that it waits in.
+func TestWaitingRequestsOutliveSettings(t *testing.T) {
+	f := newFixture(t, streamRoutes(), sendEvents(5, 5))
+	f.relay.SetFeatures(loadfeatures.Features{SharedCapacity: true})
+	f.underLoad(8)
+	f.keepReporting(loadbalance.Load{Calls: 8})
+	time.AfterFunc(400*time.Millisecond, func() {
+		assert.Check(t, f.relay.waits.pool(f.relay, "text").queue.Len() == 1, "the request doesn't wait")
+		f.relay.Balancer.SetFeatures(loadfeatures.Features{})
+		f.relay.SetFeatures(loadfeatures.Features{})
+	})
+	got := f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLengthHint, "8")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Equal(t, got.body, events(1, 5))
+}
