Tell apart why requests end without a complete answer

The line "ended" said "caller disconnected" for a caller that closed its connection, for any error of reading from it and for each failed write. It now has a cause, the error of the read or the write, what the caller had got and the time past the deadline; a metric counts the causes. The connection passes on its read error as the cause of the request's context, which the HTTP server ends without one. No change of behaviour.

--- a/internal/traffic/callerconn/conn.go
+++ b/internal/traffic/callerconn/conn.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"context"
 	"net"
 	"os"
 	"sync"
@@ -25,6 +26,7 @@
 type conn struct {
 	net.Conn
 	current func() catalog.Limits
+	fail    context.CancelCauseFunc // ends the context of the connection's requests; nil without a server
 
 	mu     sync.Mutex // guards the fields below
 	limits catalog.Limits
@@ -47,9 +49,20 @@
 			c.bytesArrived()
 			return n, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.wasExtended() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.noteFailure(err)
 			return n, err
 		}
+		if !c.wasExtended() {
+			return n, err
+		}
+	}
+}
+
+// noteFailure makes the error the cause with which the context of the request ends.
+func (c *conn) noteFailure(err error) {
+	if err != nil && c.fail != nil {
+		c.fail(errors.Wrap(err, "read from the caller"))
 	}
 }
 
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -35,7 +35,12 @@
 		Handler:        http.HandlerFunc(s.serveRequest),
 		MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
+			ctx = context.WithValue(ctx, connKey{}, c)
+			if conn, ok := c.(*conn); ok {
+				// The HTTP server would end the context without the error of the read.
+				ctx, conn.fail = context.WithCancelCause(ctx)
+			}
+			return ctx
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			conn, ok := c.(*conn)
--- a/internal/traffic/relay/announcements_test.go
+++ b/internal/traffic/relay/announcements_test.go
@@ -267,9 +267,10 @@
 	now := f.relay.Clock.Now()
 	httpReq := httptest.NewRequestWithContext(f.t.Context(), http.MethodPost, "/read/1", nil)
 	ex := &exchange{
-		relay: f.relay, httpReq: httpReq, w: httptest.NewRecorder(), deadline: now + 2_000,
+		relay: f.relay, httpReq: httpReq, deadline: now + 2_000,
 		req: &Request{ID: "request-1", Method: http.MethodPost, Host: "desk.example", Path: "/read/1", Target: "/read/1", Header: http.Header{}, APIKey: "key-1", ReceivedAt: now},
 	}
+	ex.w = &callerWriter{ResponseWriter: httptest.NewRecorder(), ex: ex}
 	planned, rejection := ex.plan(planRequest{now: now, paidLater: true})
 	assert.Assert(f.t, rejection == nil)
 	ex.successor = planned
--- a/internal/traffic/relay/caller_memory.go
+++ b/internal/traffic/relay/caller_memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -139,7 +140,7 @@
 func acceptError(err error) error {
 	switch {
 	case errors.Is(err, errCallerTooSlow):
-		return errors.Wrap(errResponseInterrupted, err.Error())
+		return fmt.Errorf("%w: %w", err, errResponseInterrupted)
 	case err != nil:
 		return errCallerDisconnected
 	}
--- a/internal/traffic/relay/caller_writer.go
+++ b/internal/traffic/relay/caller_writer.go
@@ -17,6 +17,8 @@
 	http.ResponseWriter
 	ex      *exchange
 	limited bool
+	written int64 // bytes of the body
+	err     error // of the first write that failed
 }
 
 // Unwrap returns the writer of the HTTP server, for http.ResponseController.
@@ -31,7 +33,23 @@
 // Write writes a part of the body.
 func (w *callerWriter) Write(p []byte) (int, error) {
 	w.limit()
-	return w.ResponseWriter.Write(p)
+	n, err := w.ResponseWriter.Write(p)
+	w.written += int64(n)
+	w.noteError(err)
+	return n, err
+}
+
+// FlushError sends what was written to the caller.
+func (w *callerWriter) FlushError() error {
+	err := http.NewResponseController(w.ResponseWriter).Flush()
+	w.noteError(err)
+	return err
+}
+
+func (w *callerWriter) noteError(err error) {
+	if w.err == nil {
+		w.err = err
+	}
 }
 
 // limit sets the deadline of writes at the first call. A request that was rejected before it
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -21,7 +21,7 @@
 	relay      *Relay
 	req        *Request
 	httpReq    *http.Request
-	w          http.ResponseWriter
+	w          *callerWriter
 	controller *http.ResponseController // of w
 	deadline   clock.Millis             // for the complete response
 	demand     *demand.Request          // in the ledger; nil before the route is known
--- a/internal/traffic/relay/metrics.go
+++ b/internal/traffic/relay/metrics.go
@@ -98,6 +98,11 @@
 	m.set.GetOrCreateGauge(fmt.Sprintf(`gypsumpitch_token_memory_used{pool=%q,of="mean"}`, pool), nil).Set(mean)
 }
 
+// countUnanswered counts a request that ends without a complete answer by its cause.
+func (m *Metrics) countUnanswered(cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_unanswered_total{cause=%q}`, cause)).Inc()
+}
+
 // countPause counts a server's request for a pause by how it was understood.
 func (m *Metrics) countPause(kind PauseKind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_relay_pauses_total{kind=%q}`, string(kind))).Inc()
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -313,8 +313,9 @@
 // finishWithError ends a request that has no complete response.
 func (ex *exchange) finishWithError(err error) {
 	ex.countOutcome(resultCode(err))
-	ex.log("ended", nil, "code", resultCode(err).Number, "error", err.Error())
-	if errors.Is(err, errCallerDisconnected) || ex.headerSent || errors.Is(err, context.Canceled) {
+	unanswered := errors.Is(err, errCallerDisconnected) || ex.headerSent || errors.Is(err, context.Canceled)
+	ex.log("ended", nil, append([]any{"code", resultCode(err).Number, "error", err.Error()}, ex.unansweredFields(unanswered, err)...)...)
+	if unanswered {
 		// Aborts the connection, so that the caller can't take the response for complete.
 		panic(http.ErrAbortHandler)
 	}
