Ask a leaving server whether it goes on after an answer without a length

Cause: whether such an answer is complete was judged by a connection that had to stay open for 50 ms. A process whose connections outlast that passed for one that goes on. By reading: a full server, which resets new connections, passed for one that exits, so that its complete answers ended in 502 or, in a stream without attempts left, in a reset. Change: a server that leaves must answer a health check under its own ID, or keep it waiting for 500 ms or until the request's deadline. One that ends the connection is asked again; one that exits refuses then. A host that takes no connection no longer counts as going on.

--- a/internal/traffic/h1/client.go
+++ b/internal/traffic/h1/client.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -87,17 +87,41 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// RefusesSoon is Refuses for a server that may be about to exit: it also reports true if a new
-// connection ends within the time.
-func (c *Client) RefusesSoon(ctx context.Context, address string, wait time.Duration) bool {
+// CheckHealth returns the header of the response to a health check, whatever its status. It uses
+// a new connection; with an empty path it only waits there. Errors are of type *CallError: Sent
+// means that there was a connection, and TimedOut that the server kept it open until the end.
+func (c *Client) CheckHealth(ctx context.Context, address, path string, end time.Time) (http.Header, error) {
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		wasReset := errors.Is(err, syscall.ECONNRESET) // once it was open, but before the dialer looked
+		return nil, &CallError{Sent: wasReset, TimedOut: isTimeout(err), Err: errors.Wrap(err, "connect")}
+	}
+	closeConn := func() { _ = raw.Close() } // the server needs no more
+	defer closeConn()
+	defer context.AfterFunc(ctx, closeConn)()
+	_ = raw.SetDeadline(end)
+	header, err := readHealth(raw, address, path)
+	if err != nil {
+		isOpen := errors.Is(ctx.Err(), context.DeadlineExceeded) || isTimeout(err)
+		return nil, &CallError{Sent: true, TimedOut: isOpen, Err: errors.Wrap(err, "health check")}
+	}
+	return header, nil
+}
+
+// readHealth sends a health check and returns the header of the response.
+func readHealth(raw net.Conn, address, path string) (http.Header, error) {
+	if path != "" {
+		if _, err := io.WriteString(raw, "GET "+path+" HTTP/1.1\r\nHost: "+address+"\r\nConnection: close\r\n\r\n"); err != nil {
+			return nil, err
+		}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(raw, maxHeadBytes)), nil)
+	if err != nil {
+		return nil, err
 	}
-	defer func() { _ = raw.Close() }() // nothing was sent
-	_ = raw.SetReadDeadline(time.Now().Add(wait))
-	_, err = raw.Read(make([]byte, 1))
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	return response.Header, response.Body.Close()
 }
 
 func (c *Client) pool(address string) *pool {
--- a/internal/traffic/relay/close_delimited_test.go
+++ b/internal/traffic/relay/close_delimited_test.go
@@ -119,3 +119,56 @@
 		}
 	}
 }
+
+// TestUnframedAnswerOfExitingServer has a server that leaves end an answer that has neither a
+// length nor chunks, as it exits while its address still takes connections, as another server
+// has taken the address over, or while it is busy or has as many connections as it accepts. Guards
+// against a part of an answer being passed on as complete because the connections of a process that
+// exits end one after the other, and against a complete one being taken for a part.
+func TestUnframedAnswerOfExitingServer(t *testing.T) {
+	cases := map[string]struct {
+		path, body, resumed, want string
+		exits, busy, rejects      bool
+		replacedBy                string
+		timeout                   string // of the request, in ms
+		status                    int
+	}{
+		"stream, exit after an event":  {path: "/draft/1", body: events(1, 2), resumed: events(3, 5), want: events(1, 5), exits: true, status: http.StatusOK},
+		"safe, exit":                   {path: "/read/1", body: "led", resumed: "ledger", want: "ledger", exits: true, status: http.StatusOK},
+		"unsafe, exit":                 {path: "/post/1", body: "led", exits: true, status: http.StatusBadGateway},
+		"unsafe, address taken over":   {path: "/post/1", body: "led", replacedBy: "other", status: http.StatusBadGateway},
+		"stream, complete":             {path: "/draft/1", body: events(1, 5), want: events(1, 5), status: http.StatusOK},
+		"unsafe, complete":             {path: "/post/1", body: "ledger", want: "ledger", status: http.StatusOK},
+		"unsafe, complete, busy":       {path: "/post/1", body: "ledger", want: "ledger", busy: true, status: http.StatusOK},
+		"unsafe, complete, rejects":    {path: "/post/1", body: "ledger", want: "ledger", rejects: true, status: http.StatusOK},
+		"safe, complete, near its end": {path: "/read/1", body: "ledger", want: "ledger", busy: true, timeout: "400", status: http.StatusOK},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			answer := unframed(&f, c.body, c.resumed, false)
+			b := func(n int, w http.ResponseWriter, r *http.Request) {
+				if f.callCount() == 1 {
+					server, _ := f.currentView().Server(w.Header().Get(headerServer))
+					server.Draining = true
+					f.mu.Lock()
+					f.view = f.view.WithServer(server.Server, 0)
+					f.mu.Unlock()
+					f.rejects.Store(c.rejects)
+				}
+				answer(n, w, r)
+			}
+			f = newFixture(t, append(routes(), streamRoutes()...), b, b)
+			f.exits.Store(c.exits)
+			f.busy.Store(c.busy)
+			f.healthPath, f.healthServer = "/health", c.replacedBy
+			f.setCatalog(2, f.routes)
+			got := f.send(http.MethodPost, c.path, headerModel, "large", headerRemaining, c.timeout)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.status)
+			if c.status == http.StatusOK {
+				assert.Equal(t, got.body, c.want)
+			}
+		})
+	}
+}
--- a/internal/traffic/relay/dialect.go
+++ b/internal/traffic/relay/dialect.go
@@ -61,6 +61,8 @@
 	Encode(req *Request, a Attempt) http.Header
 	// Decode reads the response to a call that was meant for the given server.
 	Decode(server string, status int, h http.Header) ResponseInfo
+	// ServerID returns the ID of the server that sent the response; empty if it isn't stated.
+	ServerID(h http.Header) string
 	// ResponseHeader returns the headers that are passed on to the caller.
 	ResponseHeader(h http.Header) http.Header
 }
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -141,24 +141,49 @@
 // isCutByExit reports whether the connection that frames the response ended with its server,
 // by a crash or as it left: only a server that goes on afterwards has completed the response.
 func (ex *exchange) isCutByExit(server *fleet.Entry, resp *h1.Response) bool {
-	if !resp.CloseDelimited {
-		return false
-	}
-	current, known := ex.relay.View().Server(server.ID)
-	hasRestarted := known && current.StartedAt != server.StartedAt
-	return hasRestarted || ex.refuses(server)
+	return resp.CloseDelimited && !ex.goesOn(server)
 }
 
-// exitWait is how long the connections of a process that exits may end one after the other.
-const exitWait = 50 * time.Millisecond
+const (
+	// exitTime is how long the connections of a process that exits may end one after the other.
+	exitTime = 500 * time.Millisecond
+	// exitPoll is the first time between two health checks in the exitTime. It doubles.
+	exitPoll = 50 * time.Millisecond
+)
 
-// refuses reports whether the server, whose connection has ended, takes no new ones.
-func (ex *exchange) refuses(server *fleet.Entry) bool {
-	ctx, client := ex.httpReq.Context(), ex.relay.Client
+// goesOn reports whether the server, whose connection has ended, still runs. The connections of
+// a process that exits end one after the other, so one that leaves is asked.
+func (ex *exchange) goesOn(server *fleet.Entry) bool {
+	view, ctx, client := ex.relay.View(), ex.httpReq.Context(), ex.relay.Client
+	if current, known := view.Server(server.ID); known && current.StartedAt != server.StartedAt {
+		return false
+	}
 	if ex.relay.isExpectedToRun(server) {
-		return client.Refuses(ctx, server.Address)
+		return !client.Refuses(ctx, server.Address)
+	}
+	pool, _ := view.Catalog.Pool(server.Pool)
+	end := time.Now().Add(exitTime)
+	if deadline := ex.deadlineTime(); deadline.Before(end) {
+		end = deadline
+	}
+	for poll := exitPoll; ; poll *= 2 {
+		header, err := client.CheckHealth(ctx, server.Address, pool.HealthPath, end)
+		var callErr *h1.CallError
+		switch {
+		case err == nil:
+			id := ex.relay.Dialect.ServerID(header)
+			return id == "" || id == server.ID
+		case !errors.As(err, &callErr) || !callErr.Sent:
+			return false
+		case callErr.TimedOut:
+			return true // the check waits for a slot
+		case time.Until(end) < poll:
+			// A process that exits would refuse connections by now. One that has as many as it
+			// accepts ends new ones.
+			return true
+		}
+		clock.Sleep(ctx, clock.Millis(poll.Milliseconds()))
 	}
-	return client.RefusesSoon(ctx, server.Address, exitWait)
 }
 
 // startResponse sets the headers of the response to the caller.
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -99,6 +100,8 @@
 	return info
 }
 
+func (testDialect) ServerID(h http.Header) string { return h.Get(headerServer) }
+
 func (testDialect) ResponseHeader(h http.Header) http.Header {
 	header := h.Clone()
 	header.Del("Content-Length")
@@ -126,6 +129,17 @@
 	routes []catalog.Route
 	// servers by ID
 	servers map[string]*httptest.Server
+	// healthPath is that of the pool; "" until a test sets it and sets the catalog anew.
+	healthPath string
+	// healthServer is the server that health checks reach; "" for the one that is meant.
+	healthServer string
+	// exits makes servers accept connections and end them after lastConnTime, with the listener, as
+	// the kernel does while a process exits.
+	exits atomic.Bool
+	// busy makes servers keep health checks waiting.
+	busy atomic.Bool
+	// rejects makes servers reset new connections, as with as many as they accept.
+	rejects atomic.Bool
 	// smallBuffers limits what the kernel holds of what is sent on new connections.
 	smallBuffers atomic.Bool
 }
@@ -140,6 +154,10 @@
 		if tcp, ok := c.(*net.TCPConn); ok && f.smallBuffers.Load() {
 			assert.Check(f.t, tcp.SetWriteBuffer(smallBufferBytes))
 		}
+		if tcp, ok := c.(*net.TCPConn); ok && f.rejects.Load() {
+			assert.Check(f.t, tcp.SetLinger(0))
+			_ = tcp.Close()
+		}
 		return ctx
 	}
 	s.Start()
@@ -168,6 +186,10 @@
 		id := fmt.Sprintf("s%d", i+1)
 		n := 0
 		s := f.start(func(w http.ResponseWriter, r *http.Request) {
+			if f.healthPath != "" && r.URL.Path == f.healthPath {
+				f.answerHealthCheck(w, r, id)
+				return
+			}
 			body, _ := io.ReadAll(r.Body)
 			f.mu.Lock()
 			n++
@@ -217,6 +239,23 @@
 	return f
 }
 
+// lastConnTime is how long the connections of a process that exits may outlast the first.
+const lastConnTime = 150 * time.Millisecond
+
+func (f *fixture) answerHealthCheck(w http.ResponseWriter, r *http.Request, id string) {
+	switch {
+	case f.busy.Load():
+		<-r.Context().Done()
+		return
+	case f.exits.Load():
+		time.Sleep(lastConnTime)
+		_ = f.servers[id].Listener.Close()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(headerServer, cmp.Or(f.healthServer, id))
+	w.WriteHeader(http.StatusServiceUnavailable) // as a server that drains
+}
+
 func (f *fixture) currentView() *fleet.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -229,7 +268,7 @@
 
 // setKeys sets a configuration with the routes and the client accounts by key.
 func (f *fixture) setKeys(version int64, routes []catalog.Route, accounts map[string]catalog.ClientAccount) {
-	pool := catalog.Pool{Name: "text"}
+	pool := catalog.Pool{Name: "text", HealthPath: f.healthPath}
 	for _, r := range routes {
 		if r.Stream {
 			pool.TokenMemory, pool.TokensPerEvent = 100_000, 8
