Answer requests that the daemon panics under

Cause: the HTTP server closes the caller's connection without an answer, and writes the panic to standard error only. A server could cause one with a status below 100, which the HTTP client takes and the HTTP server doesn't. Change: the panic of a request ends it with 9002, or as an interrupted response, and is logged with its stack. A status below 100 is no answer.

--- a/internal/traffic/h1/exchange.go
+++ b/internal/traffic/h1/exchange.go
@@ -132,7 +132,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode < 100 {
+			return nil, errors.Errorf("read response: status %d", response.StatusCode)
+		}
+		if response.StatusCode < 200 {
 			continue
 		}
 		if c.requestID(response.Header) == call.ID {
--- a/internal/traffic/relay/exchange_state.go
+++ b/internal/traffic/relay/exchange_state.go
@@ -33,6 +33,9 @@
 // complete response.
 func (ex *exchange) serve() (err error) {
 	defer func() {
+		if fault := recover(); fault != nil {
+			err = ex.panicError(fault)
+		}
 		ex.endAttempt(false)
 		ex.releaseSuccessor()
 		ex.demand.End(ex.relay.Clock.Now())
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 
 	"github.com/pkg/errors"
 
@@ -310,6 +312,12 @@
 	return e
 }
 
+// panicError returns the error of a request that the daemon panicked under.
+func (ex *exchange) panicError(fault any) error {
+	ex.relay.Log.Error("panic", "request", ex.req.ID, "error", fmt.Sprint(fault), "stack", string(debug.Stack()))
+	return ex.executionError(result.New(result.Internal, "a fault of the daemon"))
+}
+
 // finishWithError ends a request that has no complete response.
 func (ex *exchange) finishWithError(err error) {
 	ex.countOutcome(resultCode(err))
