--- a/internal/traffic/callerconn/conn.go
+++ b/internal/traffic/callerconn/conn.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"context"
 	"net"
 	"os"
 	"sync"
@@ -25,6 +26,7 @@
 type conn struct {
 	net.Conn
 	server *Server
+	fail   context.CancelCauseFunc // ends the context of the connection's requests; nil without a server
 
 	mu        sync.Mutex // guards the fields below
 	limits    catalog.Limits
@@ -44,6 +46,9 @@
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.server.conns.remove(c)
+	if c.fail != nil {
+		c.fail(net.ErrClosed) // releases the context
+	}
 	c.mu.Lock()
 	dropped := Dropped{HeaderRead: c.phase == phaseActive}
 	arrivedAt := c.arrivedAt
@@ -67,12 +72,23 @@
 			c.bytesArrived()
 			return n, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.wasExtended() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.noteFailure(err)
+			return n, err
+		}
+		if !c.wasExtended() {
 			return n, err
 		}
 	}
 }
 
+// noteFailure makes the error the cause with which the context of the request ends.
+func (c *conn) noteFailure(err error) {
+	if err != nil && c.fail != nil {
+		c.fail(errors.Wrap(err, "read from the caller"))
+	}
+}
+
 // applyLimits applies the present limits to a read that is under way. An idle connection of a
 // server that stops ends by that, unless a request arrives first.
 func (c *conn) applyLimits() {
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -51,7 +51,10 @@
 		Handler:        http.HandlerFunc(s.serveRequest),
 		MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, underlying(c))
+			accepted := underlying(c)
+			// The HTTP server would end the context without the error of the read.
+			ctx, accepted.fail = context.WithCancelCause(ctx)
+			return context.WithValue(ctx, connKey{}, accepted)
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			switch state {
