Count a request's runs before its silent server is given up

A caller's stream breaks off though its server was sound and only silent: a server had broken it off as often as the route allows runs, the next one fell silent, and the relay gave it up for a planned successor. Cause: the successor was planned by the number of servers, and the request was ended by the number of runs, which is larger where a pool has few servers and one of them is used again. Change: the successor is planned by both; where no further run is allowed, the request stays.

--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -214,6 +214,10 @@
 	if used > 0 && (p.route.RetryPolicy == catalog.AtMostOnce || used >= max(p.route.MaxAttempts, 1)) {
 		return result.New(result.BackendFailed, "route %s allows no further attempt; %s", p.route.Name, ex.lastError)
 	}
+	if running != nil && ex.executions >= max(ex.route.MaxAttempts, 1) {
+		// See recordFailedExecution, which would end the request once the server is given up.
+		return result.New(result.BackendFailed, "the request has run %d times; %s", ex.executions, ex.lastError)
+	}
 	if ex.reachedServer && !ex.relay.RetryBudget.TryAcquire(p.pool.Name, now) {
 		return result.New(result.BackendRefused, "the retry budget is exhausted; %s", ex.lastError)
 	}
--- a/internal/traffic/relay/successor_test.go
+++ b/internal/traffic/relay/successor_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 )
 
 // TestSilentServerKeptWhenRouteMoves has a configuration move the route to another pool while a
@@ -173,3 +174,35 @@
 	f.send(http.MethodPost, "/draft/1", headerModel, "large")
 	assert.Equal(t, taken.Load(), int32(0))
 }
+
+// TestSilentServerKeptAfterManyRuns guards against a stream that is given up for a successor and cut at
+// once, because it has run as often as it may: its first server broke off again and again.
+func TestSilentServerKeptAfterManyRuns(t *testing.T) {
+	var f *fixture
+	hide := func(id string) fleet.Server {
+		e, _ := f.currentView().Server(id)
+		f.setView(func(v *fleet.View) *fleet.View { return v.WithoutServer(id) })
+		return e.Server
+	}
+	var others []fleet.Server
+	breaking := func(n int, w http.ResponseWriter, r *http.Request) {
+		if n == 3 {
+			f.setView(func(v *fleet.View) *fleet.View {
+				return v.WithoutServer("s1").WithServer(others[0], 0).WithServer(others[1], 0)
+			})
+		}
+		sendEvents(n, 5)(n, w, r)
+	}
+	pausing := func(n int, w http.ResponseWriter, r *http.Request) {
+		sendEvents(4, 4)(n, w, r)
+		time.Sleep(streamPause)
+		_, _ = w.Write([]byte(events(5, 5)))
+	}
+	list := streamRoutes()
+	list[0].Timeout = 10_000
+	f = newFixture(t, list, breaking, pausing, pausing)
+	others = []fleet.Server{hide("s2"), hide("s3")}
+	got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, events(1, 5))
+}
