Keep a silent server until another has accepted its stream

Cause: a server that was silent for 1.9 s was given up for another one before that had accepted the stream. In a full pool it refuses, and after 2.5 s the caller's connection was closed, though the first server would have gone on.

The other server is now called while the silent one still has the stream. Once its response has begun, the silent one is ended, at most 50 ms later; if the silent one goes on first, the other call is ended. A refusal costs nothing but its part of the retry budget, as before.

--- a/internal/traffic/relay/attempt.go
+++ b/internal/traffic/relay/attempt.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
@@ -16,6 +18,7 @@
 type activeAttempt struct {
 	choice    loadbalance.Choice
 	startedAt clock.Millis
+	call      *successorCall      // nil unless it was called while the server before was silent
 	endRun    func(complete bool) // nil until the server is called
 	resp      *h1.Response        // nil until its header has arrived
 	info      ResponseInfo        // in that header
@@ -35,6 +38,9 @@
 	if r.isEnding() {
 		return false, ex.rejectionError(result.New(result.Stopping, "this daemon is shutting down"))
 	}
+	if ex.successor == nil {
+		ex.successor, ex.called = ex.called, nil
+	}
 	inBudget := ex.successor != nil // it was taken from the retry budget when it was planned
 	planned := ex.releaseOutdated(ex.successor, now)
 	ex.successor = nil
@@ -56,13 +62,17 @@
 
 // begin makes the planned attempt the current one.
 func (ex *exchange) begin(planned *plannedAttempt, now clock.Millis) {
-	ex.current = &activeAttempt{choice: planned.choice, startedAt: now}
+	ex.current = &activeAttempt{choice: planned.choice, startedAt: now, call: planned.call}
 	ex.placement = placement{
 		view: planned.view, route: planned.route, account: planned.account, pool: planned.pool, model: planned.model,
 		server: planned.choice.Server, speed: planned.choice.Speed,
 	}
 	ex.relay.VersionRouter.RecordPlacement(ex.req, &ex.server)
-	ex.relay.VersionRouter.RecordSent(ex.view, &ex.server, ex.route)
+	if planned.call == nil {
+		ex.relay.VersionRouter.RecordSent(ex.view, &ex.server, ex.route)
+	} else {
+		ex.current.startedAt = planned.call.sentAt
+	}
 	ex.demand.Start(now)
 }
 
@@ -72,35 +82,11 @@
 	r, req := ex.relay, ex.req
 	choice, startedAt := &ex.current.choice, ex.current.startedAt
 	server := &choice.Server
-	ctx, endRun := ex.startRun(server, startedAt)
+	ctx, endRun := ex.startRun(server, ex.current.call, startedAt)
 	ex.current.endRun = endRun
-	attempt := Attempt{
-		Server:      *server,
-		Account:     ex.account.Name,
-		Remaining:   ex.deadline - startedAt,
-		Priority:    ex.priority(),
-		LastEventID: ex.lastEventID,
-	}
-	if req.AnyModel {
-		attempt.Model = ex.model
-	}
-	ex.attempts++
 	ex.unread = false
-	deadline := ex.deadlineTime()
 	timeout := ex.watchAttempt(choice, ex.headerTimeout(choice.ExpectedFirstByte), startedAt)
-	resp, err := r.Client.Do(ctx, &h1.Call{
-		Address:        server.Address,
-		Method:         req.Method,
-		Target:         req.Target,
-		Host:           req.Host,
-		Header:         r.Dialect.Encode(req, attempt),
-		Body:           req.Body,
-		ID:             req.ID,
-		FreshConn:      ex.route.RetryPolicy == catalog.AtMostOnce,
-		HeaderDeadline: ex.headerDeadline(timeout, deadline),
-		Deadline:       deadline,
-		OnSilence:      func() time.Duration { return ex.extendWait(server) },
-	})
+	resp, err := ex.doCall(ctx, server, timeout)
 	if err != nil {
 		ex.noteGivenUp(ctx, server, err)
 	}
@@ -122,6 +108,49 @@
 	return true, nil
 }
 
+// doCall sends the request of the current attempt and returns the response once its header has
+// arrived. A successor has been called before.
+func (ex *exchange) doCall(ctx context.Context, server *fleet.Entry, timeout time.Duration) (*h1.Response, error) {
+	if c := ex.current.call; c != nil {
+		<-c.done
+		return c.resp, c.err
+	}
+	ex.attempts++
+	call := ex.newCall(server, ex.account, ex.model, ex.current.startedAt)
+	call.HeaderDeadline = ex.headerDeadline(timeout, call.Deadline)
+	return ex.relay.Client.Do(ctx, call)
+}
+
+// newCall returns the call of an attempt that is sent now, and whose response header is awaited
+// until the request's deadline.
+func (ex *exchange) newCall(server *fleet.Entry, account catalog.ClientAccount, model string, now clock.Millis) *h1.Call {
+	r, req := ex.relay, ex.req
+	attempt := Attempt{
+		Server:      *server,
+		Account:     account.Name,
+		Remaining:   ex.deadline - now,
+		Priority:    ex.priority(),
+		LastEventID: ex.lastEventID,
+	}
+	if req.AnyModel {
+		attempt.Model = model
+	}
+	deadline := ex.deadlineTime()
+	return &h1.Call{
+		Address:        server.Address,
+		Method:         req.Method,
+		Target:         req.Target,
+		Host:           req.Host,
+		Header:         r.Dialect.Encode(req, attempt),
+		Body:           req.Body,
+		ID:             req.ID,
+		FreshConn:      ex.route.RetryPolicy == catalog.AtMostOnce,
+		HeaderDeadline: deadline,
+		Deadline:       deadline,
+		OnSilence:      func() time.Duration { return ex.extendWait(server) },
+	}
+}
+
 // forward forwards the response of the current attempt. It reports whether the caller has all
 // of it. If it has not and err is nil, the request may be retried.
 func (ex *exchange) forward() (done bool, err error) {
--- a/internal/traffic/relay/attempt_plan.go
+++ b/internal/traffic/relay/attempt_plan.go
@@ -37,10 +37,18 @@
 	pool    catalog.Pool
 	model   string
 	choice  loadbalance.Choice
+	call    *successorCall // nil unless it has been made
 }
 
-// release frees the slot of an attempt that is not made.
-func (ex *exchange) release(p *plannedAttempt) { ex.relay.Balancer.Cancel(&p.choice) }
+// release frees the slot of an attempt that is not made, or whose response isn't used.
+func (ex *exchange) release(p *plannedAttempt) {
+	if p.call == nil {
+		ex.relay.Balancer.Cancel(&p.choice)
+		return
+	}
+	p.call.abandon(ex.relay.Clock.Now())
+	ex.relay.Balancer.Done(&p.choice)
+}
 
 // attemptPlanner plans attempts of an exchange. Its fields describe the last plan.
 type attemptPlanner struct {
@@ -94,7 +102,7 @@
 		return nil, rejection
 	}
 	pool, ok := view.Catalog.Pool(route.PoolAt(ex.poolPoint()))
-	if !ok && ex.replaced && route == ex.route {
+	if !ok && ex.keepsRoute() && route == ex.route {
 		pool, ok = ex.pool, true
 	}
 	if !ok {
@@ -187,6 +195,10 @@
 	return planned, rejection
 }
 
+// keepsRoute reports whether the relay itself looks for another server for a request that its
+// server would have gone on with.
+func (ex *exchange) keepsRoute() bool { return ex.replaced || ex.refused }
+
 // match returns the request's route and client account by the newest configuration, which
 // applies to retries too. A request whose last attempt was ended by the relay, and not by
 // the server, keeps those of that attempt if the configuration no longer allows it. If its
@@ -195,7 +207,7 @@
 func (ex *exchange) match(v *fleet.View) (*catalog.Route, catalog.ClientAccount, error) {
 	route, account, err := ex.relay.match(v, ex.req)
 	switch {
-	case !ex.replaced:
+	case !ex.keepsRoute():
 		return route, account, err
 	case err != nil:
 		return ex.route, ex.account, nil
--- a/internal/traffic/relay/exchange_state.go
+++ b/internal/traffic/relay/exchange_state.go
@@ -38,6 +38,7 @@
 		}
 		ex.endAttempt(false)
 		ex.releaseSuccessor()
+		ex.abandonCalled()
 		ex.demand.End(ex.relay.Clock.Now())
 	}()
 	for ex.state != stateEnd {
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -242,6 +242,7 @@
 			return false, ex.handleInterruption(server, err)
 		}
 		if hasEvent(complete) {
+			ex.serverWentOn()
 			idle.restart()
 		} else if idle.exceeded() && ex.onSilence(server) == 0 {
 			return false, ex.handleInterruption(server, errNoEvents)
--- a/internal/traffic/relay/planned_work_test.go
+++ b/internal/traffic/relay/planned_work_test.go
@@ -150,14 +150,14 @@
 func TestWaitingRequestsOutliveSettings(t *testing.T) {
 	f := newFixture(t, streamRoutes(), sendEvents(5, 5))
 	f.relay.SetFeatures(loadfeatures.Features{SharedCapacity: true})
-	f.underLoad(8)
-	f.keepReporting(loadbalance.Load{Calls: 8})
-	time.AfterFunc(400*time.Millisecond, func() {
-		assert.Check(t, f.relay.waits.pool(f.relay, "text").queue.Len() == 1, "the request doesn't wait")
-		f.relay.Balancer.SetFeatures(loadfeatures.Features{})
-		f.relay.SetFeatures(loadfeatures.Features{})
-	})
-	got := f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLengthHint, "8")
+	f.underLoad(400)
+	responses := make(chan callerResponse, 1)
+	go func() { responses <- f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLengthHint, "8") }()
+	waitFor(t, 5*time.Second, func() bool { return f.relay.waits.pool(f.relay, "text").queue.Len() == 1 })
+	f.relay.Balancer.SetFeatures(loadfeatures.Features{})
+	f.relay.SetFeatures(loadfeatures.Features{})
+	f.setLoads(func(string) loadbalance.Load { return loadbalance.Load{} }) // there is a place
+	got := <-responses
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, http.StatusOK, got.body)
 	assert.Equal(t, got.body, events(1, 5))
--- a/internal/traffic/relay/quarantine.go
+++ b/internal/traffic/relay/quarantine.go
@@ -63,10 +63,17 @@
 }
 
 // startRun notes that the request is sent to the server. The context that it returns also
-// ends when the request or a segment of its prompt is quarantined.
-func (ex *exchange) startRun(server *fleet.Entry, now clock.Millis) (ctx context.Context, end func(complete bool)) {
+// ends when the request or a segment of its prompt is quarantined. That of a successor which
+// has been called before has its own.
+func (ex *exchange) startRun(server *fleet.Entry, called *successorCall, now clock.Millis) (ctx context.Context, end func(complete bool)) {
 	ctx, cancel := context.WithCancel(ex.httpReq.Context())
-	run := ex.relay.Quarantine.Start(serverStart(server), ex.parts, ex.onTrial, cancel, now)
+	run := (*quarantine.Run)(nil)
+	if called != nil {
+		run = called.run
+		context.AfterFunc(ctx, called.cancel)
+	} else {
+		run = ex.relay.Quarantine.Start(serverStart(server), ex.parts, ex.onTrial, cancel, now)
+	}
 	ex.run, ex.onTrial = run, false
 	if !ex.headerSent {
 		ex.outliveEnding = context.AfterFunc(ex.relay.ending, cancel)
--- a/internal/traffic/relay/second_attempt.go
+++ b/internal/traffic/relay/second_attempt.go
@@ -50,6 +50,12 @@
 // the server may go on being silent; 0 once another attempt is planned.
 func (ex *exchange) onSilence(server *fleet.Entry) time.Duration {
 	now := ex.relay.Clock.Now()
+	if ex.called != nil && ex.takeCalled() {
+		return 0
+	}
+	if ex.called != nil {
+		return successorPoll.Duration()
+	}
 	if ex.relay.Balancer.AdaptsToLoad(ex.pool.Name, now) {
 		if ex.planSmallInTime(server, now) {
 			return 0
@@ -62,7 +68,7 @@
 	if ex.planSuccessor(server) {
 		return 0
 	}
-	return successorPeriod.Duration()
+	return ex.nextLook()
 }
 
 // recordKeptInFullPool records, once for each server, that only the pool's utilisation keeps the
--- a/internal/traffic/relay/successor.go
+++ b/internal/traffic/relay/successor.go
@@ -11,6 +11,11 @@
 	successor  *plannedAttempt // the next attempt, if it was planned while the last one still ran
 	keptOn     string          // the silent server that the request was last kept on
 	placedAnew bool            // another server was expected to be sooner; happens once
+
+	called         *plannedAttempt // see successorCall; nil if there is none
+	refused        bool            // a called successor didn't accept the request
+	successorPause clock.Millis    // the last pause after that
+	callAgainAt    clock.Millis    // its end
 }
 
 // successorPeriod is how often a silent attempt is checked for a server that can take
@@ -24,6 +29,9 @@
 func (ex *exchange) planSuccessor(server *fleet.Entry) bool {
 	now := ex.relay.Clock.Now()
 	ex.reachedServer = true
+	if ex.headerSent {
+		return ex.callSuccessor(server)
+	}
 	next, rejection := ex.planReplacement(server, now)
 	if rejection != nil {
 		ex.logKept(server, rejection, now)
@@ -37,7 +45,7 @@
 // planReplacement plans an attempt that is likelier to succeed than the one that still runs
 // on the server. The error states why there is none.
 func (ex *exchange) planReplacement(server *fleet.Entry, now clock.Millis) (*plannedAttempt, *result.Error) {
-	if _, _, err := ex.relay.match(ex.relay.View(), ex.req); err != nil {
+	if _, _, err := ex.relay.match(ex.relay.View(), ex.req); err != nil && !ex.refused {
 		return nil, result.From(err)
 	}
 	return ex.plan(planRequest{now: now, running: server, excluded: []string{server.ID}, failed: true, check: func(next *plannedAttempt) *result.Error {
