Answer in time what a planned stop finds between two attempts

Cause: at the end of the grace period open attempts were ended, but not the pause of up to 0.8 s before a request is planned again, nor the wait for the tables: both outlast the 0.2 s that are left for the errors, so the exit closed such connections without an answer. A begun stream whose server was silent then was given up for another one, and broken off at once, since no attempt may begin any more. A stream whose attempt was ended between its head and its first event was begun and broken off. Change: pauses and the wait end with the open requests; silence and a late stream give up no server then; no response is begun on an attempt that has ended, so its caller gets the error.

--- a/internal/traffic/relay/attempt.go
+++ b/internal/traffic/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -17,6 +18,7 @@
 	choice    loadbalance.Choice
 	startedAt clock.Millis
 	endRun    func(complete bool) // nil until the server is called
+	ctx       context.Context     // of the call
 	resp      *h1.Response        // nil until its header has arrived
 	info      ResponseInfo        // in that header
 }
@@ -73,7 +75,7 @@
 	choice, startedAt := &ex.current.choice, ex.current.startedAt
 	server := &choice.Server
 	ctx, endRun := ex.startRun(server, startedAt)
-	ex.current.endRun = endRun
+	ex.current.ctx, ex.current.endRun = ctx, endRun
 	attempt := Attempt{
 		Server:      *server,
 		Account:     ex.account.Name,
--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -109,11 +110,20 @@
 func (ex *exchange) awaitTables() {
 	r := ex.relay
 	until := admission.StartupHold(r.startedAt, ex.req.ReceivedAt, ex.req.Timeout)
-	for !r.Loaded() && r.Clock.Now() < until && ex.httpReq.Context().Err() == nil {
+	for !r.Loaded() && r.Clock.Now() < until && !r.isEnding() && ex.httpReq.Context().Err() == nil {
 		clock.Sleep(ex.httpReq.Context(), tablesPollPeriod)
 	}
 }
 
+// sleep waits for the time, or until the caller leaves or open requests are ended: the daemon may
+// exit before the time is over.
+func (ex *exchange) sleep(pause clock.Millis) {
+	ctx, cancel := context.WithCancel(ex.httpReq.Context())
+	defer cancel()
+	defer context.AfterFunc(ex.relay.ending, cancel)()
+	clock.Sleep(ctx, pause)
+}
+
 // finishesBefore reports whether the response is expected to be complete when the
 // daemon exits.
 func (ex *exchange) finishesBefore(exitAt, now clock.Millis) bool {
--- a/internal/traffic/relay/exchange_state.go
+++ b/internal/traffic/relay/exchange_state.go
@@ -1,10 +1,6 @@
 package relay
 
-import (
-	"net/http"
-
-	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
-)
+import "net/http"
 
 // state is what an exchange does. All transitions are in this file.
 //
@@ -66,7 +62,7 @@
 		ex.endAttempt(false)
 		return stateWait, nil
 	case stateResume:
-		clock.Sleep(ex.httpReq.Context(), ex.pause)
+		ex.sleep(ex.pause)
 		ex.pause = 0
 		return stateWait, nil
 	case stateEnd:
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -207,6 +207,13 @@
 	}
 }
 
+// errAttemptOver means that the daemon or the caller ended an attempt whose first events had arrived.
+var errAttemptOver = errors.New("the attempt was ended")
+
+// isAttemptOver reports whether the current attempt was ended, so that a response would be begun
+// and at once broken off. If not, the end of open requests no longer ends it.
+func (ex *exchange) isAttemptOver() bool { return !ex.outliveEnding() || ex.current.ctx.Err() != nil }
+
 // nextEvents returns the next complete events of the stream; see eventReader.Next. io.EOF means
 // that the stream is complete. After an event with an ID, what has none is no event of the
 // stream, such as the error of a server that writes it behind its stream.
@@ -215,6 +222,9 @@
 	if errors.Is(err, io.EOF) && ex.isCutShort(server, resp) {
 		err = io.ErrUnexpectedEOF
 	}
+	if err == nil && !ex.headerSent && ex.isAttemptOver() {
+		return nil, "", errAttemptOver
+	}
 	if err == nil && ex.lastEventID != "" && !haveIDs(complete) {
 		return nil, "", errNoEventID
 	}
--- a/internal/traffic/relay/second_attempt.go
+++ b/internal/traffic/relay/second_attempt.go
@@ -49,6 +49,9 @@
 // onSilence decides what becomes of a request whose server is silent. It returns how long
 // the server may go on being silent; 0 once another attempt is planned.
 func (ex *exchange) onSilence(server *fleet.Entry) time.Duration {
+	if ex.relay.isEnding() {
+		return successorPeriod.Duration() // no other attempt may begin
+	}
 	now := ex.relay.Clock.Now()
 	if ex.relay.Balancer.AdaptsToLoad(ex.pool.Name, now) {
 		if ex.planSmallInTime(server, now) {
@@ -225,7 +228,7 @@
 	ex.watch.progressAt = now
 	ex.events++
 	interEvent := progress.record(now)
-	if interEvent == 0 || ex.placedAnew || ex.lastEventID == "" || ex.req.LastEventID != "" || !ex.mayRetryAfter(server) || !r.Balancer.AdaptsToLoad(ex.pool.Name, now) {
+	if interEvent == 0 || r.isEnding() || ex.placedAnew || ex.lastEventID == "" || ex.req.LastEventID != "" || !ex.mayRetryAfter(server) || !r.Balancer.AdaptsToLoad(ex.pool.Name, now) {
 		return false
 	}
 	remaining := float64(ex.expectedTokens())/float64(max(ex.pool.TokensPerEvent, 1)) - float64(ex.events)
--- a/internal/traffic/relay/unanswered_test.go
+++ b/internal/traffic/relay/unanswered_test.go
@@ -47,6 +47,13 @@
 	return nil
 }
 
+// has reports whether there is a line with the message.
+func (l *logLines) has(message string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Contains(l.text.Bytes(), []byte(message))
+}
+
 // unanswered returns the number of requests without a complete answer by the cause.
 func (f *fixture) unanswered(cause string) uint64 {
 	return f.relay.Metrics.set.GetOrCreateCounter(fmt.Sprintf("gypsumpitch_relay_unanswered_total{cause=%q}", cause)).Get()
