Send the error to a caller that may still be there

Cause: the end of a request whose context had ended, by whomever, closed the connection without an answer. A caller that closes only its sending side waits for one, and an error of a context that the daemon itself ended would have counted as the caller's leaving (none was found that gets that far). Change: only a response that has begun is broken off. An error before it is sent, 3008 for a caller whose side is closed; one that has left altogether doesn't read it.

--- a/internal/foundation/result/code.go
+++ b/internal/foundation/result/code.go
@@ -52,7 +52,7 @@
 	BackendTimeout   = Code{3004, "backend_timeout", http.StatusGatewayTimeout, RunUnknown, 1000, "The backend server didn't answer in time."}
 	AnswerMismatch   = Code{3005, "answer_mismatch", http.StatusBadGateway, RunUnknown, 1000, "The backend server answered another request; that answer was dropped."}
 	StreamCut        = Code{3006, "stream_cut", http.StatusBadGateway, RunUnknown, 1000, "The stream ended before its final mark and couldn't be resumed."}
-	CallerLeft       = Code{3008, "caller_left", http.StatusBadGateway, RunUnknown, 0, "The caller closed its connection before the answer was complete; nobody gets this code."}
+	CallerLeft       = Code{3008, "caller_left", http.StatusBadGateway, RunUnknown, 0, "The caller closed its connection before the answer was complete; one that closed only its sending side gets this."}
 	VersionWithdrawn = Code{3007, "version_withdrawn", http.StatusServiceUnavailable, RunNo, 1000, "The chosen version was withdrawn before the request was handed over."}
 	KeyRequired      = Code{4001, "idempotency_key_required", http.StatusBadRequest, RunNo, 0, "This route runs calls at most once and needs an Idempotency-Key header."}
 	KeyReused        = Code{4002, "idempotency_key_reused", http.StatusUnprocessableEntity, RunNo, 0, "The key was used before with another request; this request was not run."}
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"math"
 	"net/http"
 	"strconv"
@@ -85,7 +84,7 @@
 // resultCode returns the code under which a failed request is counted.
 func resultCode(err error) result.Code {
 	switch {
-	case errors.Is(err, errCallerDisconnected), errors.Is(err, context.Canceled):
+	case errors.Is(err, errCallerDisconnected):
 		return result.CallerLeft
 	case errors.Is(err, errResponseInterrupted):
 		return result.StreamCut
--- a/internal/traffic/relay/outcome.go
+++ b/internal/traffic/relay/outcome.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -321,13 +320,19 @@
 // finishWithError ends a request that has no complete response.
 func (ex *exchange) finishWithError(err error) {
 	ex.countOutcome(resultCode(err))
-	unanswered := errors.Is(err, errCallerDisconnected) || ex.headerSent || errors.Is(err, context.Canceled)
+	hasLeft := errors.Is(err, errCallerDisconnected)
+	unanswered := hasLeft || ex.headerSent
 	ex.log("ended", nil, append([]any{"code", resultCode(err).Number, "error", err.Error()}, ex.unansweredFields(unanswered, err)...)...)
-	if unanswered {
+	if ex.headerSent {
 		// Aborts the connection, so that the caller can't take the response for complete.
 		panic(http.ErrAbortHandler)
 	}
 	e := result.From(err)
+	if hasLeft {
+		// It may have closed only its sending side, which can't be told from a close of both.
+		ex.w.Header().Set("Connection", "close")
+		e = result.New(result.CallerLeft, "the connection was closed by its caller")
+	}
 	if e.RetryAfterMs() > 0 {
 		ex.w.Header().Set("Retry-After", ex.retryAfter(e))
 	}
--- a/internal/traffic/relay/unanswered.go
+++ b/internal/traffic/relay/unanswered.go
@@ -16,7 +16,6 @@
 	unansweredQuarantined  = "quarantined" // the request or a segment of its prompt, after the response had begun
 	unansweredExit         = "exit"        // of this daemon
 	unansweredInterrupted  = "interrupted" // the response had begun, and no server goes on with it
-	unansweredCanceled     = "canceled"    // the daemon cancelled the request
 )
 
 // unansweredCause returns why a request that failed with the error has no complete answer.
@@ -37,10 +36,8 @@
 		return unansweredQuarantined
 	case ex.relay.isEnding():
 		return unansweredExit
-	case errors.Is(err, errResponseInterrupted):
-		return unansweredInterrupted
 	}
-	return unansweredCanceled
+	return unansweredInterrupted
 }
 
 // unansweredFields counts a request that ends without a complete answer, and returns the
