--- a/internal/traffic/relay/attempt.go
+++ b/internal/traffic/relay/attempt.go
@@ -20,6 +20,7 @@
 	startedAt clock.Millis
 	call      *successorCall      // nil unless it was called while the server before was silent
 	endRun    func(complete bool) // nil until the server is called
+	ctx       context.Context     // of the call
 	resp      *h1.Response        // nil until its header has arrived
 	info      ResponseInfo        // in that header
 }
@@ -83,7 +84,7 @@
 	choice, startedAt := &ex.current.choice, ex.current.startedAt
 	server := &choice.Server
 	ctx, endRun := ex.startRun(server, ex.current.call, startedAt)
-	ex.current.endRun = endRun
+	ex.current.ctx, ex.current.endRun = ctx, endRun
 	ex.unread = false
 	timeout := ex.watchAttempt(choice, ex.headerTimeout(choice.ExpectedFirstByte), startedAt)
 	resp, err := ex.doCall(ctx, server, timeout)
