--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -23,6 +23,6 @@
   fi
   echo "KNOWN RED: $name"
 done
-# A package that fails without a failed test, such as by a build error, fails the run.
-[ "$(grep -c '^FAIL.*\[' "$output")" -eq 0 ] || exit 1
+# A package that fails without a failed test, such as by a build error or a panic after its tests, fails the run.
+[ "$(grep -cE '^FAIL.*\[|^panic: ' "$output")" -eq 0 ] || exit 1
 exit 0
