Bound the header of a request that arrives in a stop

Found by a review: one byte of a header, or a TLS handshake, held the stop for the whole header time-out. It has 500 ms now, as the first request of a connection. And request dropped claimed to know whether a header was read whole, which the state of a connection doesn't tell: net/http counts a malformed one in.

--- a/internal/program/entry/metrics.go
+++ b/internal/program/entry/metrics.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -9,14 +8,13 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
-	"gypsumpitch.example/gypsumpitch/internal/traffic/callerconn"
 	"gypsumpitch.example/gypsumpitch/platform"
 )
 
 // recordDropped logs and counts a request of a caller that ended before it was handled.
-func (d *Daemon) recordDropped(dropped callerconn.Dropped) {
-	d.Log.Info("request dropped", "age_ms", dropped.Age.Milliseconds(), "header_read", dropped.HeaderRead)
-	d.Metrics.GetOrCreateCounter(fmt.Sprintf("gypsumpitch_caller_requests_dropped_total{header_read=\"%t\"}", dropped.HeaderRead)).Inc()
+func (d *Daemon) recordDropped(age time.Duration) {
+	d.Log.Info("request dropped", "age_ms", age.Milliseconds())
+	d.Metrics.GetOrCreateCounter("gypsumpitch_caller_requests_dropped_total").Inc()
 }
 
 // registerGauges registers gauges of the daemon's view and of its components.
--- a/internal/traffic/callerconn/conn.go
+++ b/internal/traffic/callerconn/conn.go
@@ -45,19 +45,17 @@
 // Close closes the connection, and reports the request that it ends before the handler.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
-	c.server.conns.remove(c)
 	if c.fail != nil {
 		c.fail(net.ErrClosed) // releases the context
 	}
 	c.mu.Lock()
-	dropped := Dropped{HeaderRead: c.phase == phaseActive}
 	arrivedAt := c.arrivedAt
 	c.arrivedAt = time.Time{}
 	c.mu.Unlock()
 	if !arrivedAt.IsZero() && c.server.OnDropped != nil {
-		dropped.Age = time.Since(arrivedAt)
-		c.server.OnDropped(dropped)
+		c.server.OnDropped(time.Since(arrivedAt))
 	}
+	c.server.conns.remove(c)
 	return err
 }
 
@@ -96,9 +94,9 @@
 	_ = c.setDeadline()
 }
 
-// firstRequestTime is how long a server that stops waits for the first request of a connection:
-// callers open one in order to send.
-const firstRequestTime = 500 * time.Millisecond
+// stopHeaderTime is the most that a server which stops waits for a request header, and for the
+// first request of a connection: callers open one in order to send.
+const stopHeaderTime = 500 * time.Millisecond
 
 // setDeadline sets the read deadline of the phase.
 func (c *conn) setDeadline() error {
@@ -119,8 +117,8 @@
 		return c.since
 	case c.phase == phaseIdle:
 		return c.since.Add(c.limits.IdleTimeout.Duration() + idleSlack)
-	case c.arrivedAt.IsZero() && stopping:
-		return c.since.Add(firstRequestTime)
+	case stopping:
+		return c.since.Add(min(c.limits.HeaderTimeout.Duration(), stopHeaderTime))
 	}
 	return c.since.Add(c.limits.HeaderTimeout.Duration())
 }
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -22,9 +22,10 @@
 // Server serves the connections of callers. An http.Server can't change its limits, so they
 // are kept by the connections instead. Safe for concurrent use.
 type Server struct {
-	// OnDropped is called for each request whose connection ends before the handler is called.
-	// It must be set before Serve, and may be nil.
-	OnDropped func(Dropped)
+	// OnDropped is called for each request whose connection ends before the handler is called,
+	// with the time since its first bytes arrived; its caller may not have sent all of it. It
+	// must be set before Serve, and may be nil.
+	OnDropped func(age time.Duration)
 
 	handler  http.Handler
 	listener *connListener
@@ -35,13 +36,6 @@
 	stopping atomic.Bool // idle connections are closed
 }
 
-// Dropped describes a request that did not reach the handler.
-type Dropped struct {
-	Age time.Duration // since its first bytes arrived
-	// HeaderRead reports that its header was read whole. Otherwise the caller may not have sent it.
-	HeaderRead bool
-}
-
 // NewServer returns a server with default limits. Serve must be called to accept
 // connections. The server closes the listener on Shutdown.
 func NewServer(listener net.Listener, handler http.Handler) *Server {
--- a/internal/traffic/callerconn/shutdown_test.go
+++ b/internal/traffic/callerconn/shutdown_test.go
@@ -38,7 +38,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}))
-	f.OnDropped = func(Dropped) { f.dropped.Add(1) }
+	f.OnDropped = func(time.Duration) { f.dropped.Add(1) }
 	go func() { _ = f.Serve() }()
 	f.dial(t, "GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-f.held
