Break long answers off whose server ended with their connection

Found by a review: an answer without a length from 256 KB on was passed on as complete when its server crashed at its end (MIXED); shorter ones were checked.

--- a/internal/traffic/relay/buffered_body.go
+++ b/internal/traffic/relay/buffered_body.go
@@ -74,6 +74,9 @@
 		if err := ex.copyRest(resp); err != nil {
 			return false, errors.Wrap(errResponseInterrupted, err.Error())
 		}
+		if ex.isCutByExit(server, resp) {
+			return false, errors.Wrap(errResponseInterrupted, "its server ended with its connection")
+		}
 	}
 	return true, nil
 }
--- a/internal/traffic/relay/close_delimited_test.go
+++ b/internal/traffic/relay/close_delimited_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
+	"gypsumpitch.example/gypsumpitch/internal/decision/loadfeatures"
 )
 
 // unframed sends a response with neither a length nor chunks, and crashes the server if the
@@ -172,3 +174,19 @@
 		})
 	}
 }
+
+// TestLongUnframedAnswerOfCrashedServer has a server crash at the end of an answer without a length
+// that is too long to be held back. Guards against a part of it being passed on as complete.
+func TestLongUnframedAnswerOfCrashedServer(t *testing.T) {
+	for name, features := range map[string]loadfeatures.Features{"": {}, "shared capacity": {SharedCapacity: true}} {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			f = newFixture(t, routes(), func(n int, w http.ResponseWriter, r *http.Request) {
+				unframed(&f, strings.Repeat("x", 400<<10), "", true)(n, w, r)
+			})
+			f.relay.SetFeatures(features)
+			got := f.send(http.MethodPost, "/post/1")
+			assert.ErrorContains(t, got.err, "EOF")
+		})
+	}
+}
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -45,6 +45,9 @@
 		if _, err := io.Copy(ex.w, resp); err != nil {
 			return false, errors.Wrap(errResponseInterrupted, err.Error())
 		}
+		if ex.isCutByExit(server, resp) {
+			return false, errors.Wrap(errResponseInterrupted, "its server ended with its connection")
+		}
 	}
 	return true, nil
 }
