End the health check of a leaving server with a planned stop

Found by a review: the check whether an answer without a length is complete takes up to 500 ms, and went on beyond the 200 ms between the end of open requests and the exit, which then closed the caller's connection without an answer.

--- a/internal/traffic/relay/exchange.go
+++ b/internal/traffic/relay/exchange.go
@@ -115,12 +115,21 @@
 	}
 }
 
-// sleep waits for the time, or until the caller leaves or open requests are ended: the daemon may
-// exit before the time is over.
-func (ex *exchange) sleep(pause clock.Millis) {
+// untilEnding returns a context that ends when the caller leaves or open requests are ended: the
+// daemon may exit before a longer wait is over.
+func (ex *exchange) untilEnding() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ex.httpReq.Context())
+	stop := context.AfterFunc(ex.relay.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// sleep waits for the time, or until untilEnding.
+func (ex *exchange) sleep(pause clock.Millis) {
+	ctx, cancel := ex.untilEnding()
 	defer cancel()
-	defer context.AfterFunc(ex.relay.ending, cancel)()
 	clock.Sleep(ctx, pause)
 }
 
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -157,7 +157,9 @@
 // goesOn reports whether the server, whose connection has ended, still runs. The connections of
 // a process that exits end one after the other, so one that leaves is asked.
 func (ex *exchange) goesOn(server *fleet.Entry) bool {
-	view, ctx, client := ex.relay.View(), ex.httpReq.Context(), ex.relay.Client
+	view, client := ex.relay.View(), ex.relay.Client
+	ctx, cancel := ex.untilEnding()
+	defer cancel()
 	if current, known := view.Server(server.ID); known && current.StartedAt != server.StartedAt {
 		return false
 	}
@@ -173,6 +175,8 @@
 		header, err := client.CheckHealth(ctx, server.Address, pool.HealthPath, end)
 		var callErr *h1.CallError
 		switch {
+		case ctx.Err() != nil:
+			return false
 		case err == nil:
 			id := ex.relay.Dialect.ServerID(header)
 			return id == "" || id == server.ID
--- a/internal/traffic/relay/stop_answers_test.go
+++ b/internal/traffic/relay/stop_answers_test.go
@@ -93,3 +93,34 @@
 	assert.Equal(t, got.status, http.StatusBadGateway)
 	assert.Assert(t, time.Since(endedAt) < maxResumeDelay.Duration()/2, "after %s", time.Since(endedAt))
 }
+
+// TestStopEndsHealthCheck has the open requests end while a busy server that leaves is asked whether
+// it goes on after its answer. Guards against callers whose answers come after the exit.
+func TestStopEndsHealthCheck(t *testing.T) {
+	const answerMargin = 200 * time.Millisecond // of the daemon, between EndRequests and the exit
+	for path, body := range map[string]string{"/post/1": "ledger", "/read/1": "ledger"} {
+		t.Run(path, func(t *testing.T) {
+			var f *fixture
+			endedAt := make(chan time.Time, 1)
+			f = newFixture(t, routes(), func(n int, w http.ResponseWriter, r *http.Request) {
+				server, _ := f.currentView().Server(w.Header().Get(headerServer))
+				server.Draining = true
+				f.mu.Lock()
+				f.view = f.view.WithServer(server.Server, 0)
+				f.mu.Unlock()
+				time.AfterFunc(50*time.Millisecond, func() {
+					endedAt <- time.Now()
+					f.relay.EndRequests()
+				})
+				unframed(&f, body, "", false)(n, w, r)
+			})
+			f.busy.Store(true)
+			f.healthPath = "/health"
+			f.setCatalog(2, f.routes)
+			got := f.send(http.MethodPost, path)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusGatewayTimeout)
+			assert.Assert(t, time.Since(<-endedAt) < answerMargin)
+		})
+	}
+}
