--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -135,10 +135,14 @@
 	d.registerGauges()
 	failures := make(chan error, listenerCount)
 	go func() { failures <- callerServer.Serve() }()
-	go func() { failures <- errors.Wrap(readiness.Serve(accept.Retrying(d.Log, listeners.readiness)), "readiness listener") }()
+	go func() {
+		failures <- errors.Wrap(readiness.Serve(accept.Retrying(d.Log, listeners.readiness)), "readiness listener")
+	}()
 	go func() { failures <- d.PeerServer.Serve(background, listeners.peers) }()
 	if listeners.metrics != nil {
-		go func() { failures <- errors.Wrap(d.metricsServer().Serve(accept.Retrying(d.Log, listeners.metrics)), "metrics listener") }()
+		go func() {
+			failures <- errors.Wrap(d.metricsServer().Serve(accept.Retrying(d.Log, listeners.metrics)), "metrics listener")
+		}()
 	}
 	d.Log.Info("serving", "caller", d.Settings.Entry.Caller, "ready", d.Settings.Entry.Ready,
 		"store", d.Settings.Entry.Store, "peer", d.Settings.Listen.Peer)
