Have requests wait in the test of changed settings

TestWaitingRequestsOutliveSettings of never had a request wait: all were served at once, its check ran after the test had ended, and that ended a run of the package with a panic.

--- a/internal/traffic/relay/planned_work_test.go
+++ b/internal/traffic/relay/planned_work_test.go
@@ -148,17 +148,16 @@
 // TestWaitingRequestsOutliveSettings guards against a request that waits for ever, or is dropped, because
 // the settings signal switches the queue off that it waits in.
 func TestWaitingRequestsOutliveSettings(t *testing.T) {
-	f := newFixture(t, streamRoutes(), sendEvents(5, 5))
-	f.relay.SetFeatures(loadfeatures.Features{SharedCapacity: true})
-	f.underLoad(8)
-	f.keepReporting(loadbalance.Load{Calls: 8})
-	time.AfterFunc(400*time.Millisecond, func() {
-		assert.Check(t, f.relay.waits.pool(f.relay, "text").queue.Len() == 1, "the request doesn't wait")
-		f.relay.Balancer.SetFeatures(loadfeatures.Features{})
-		f.relay.SetFeatures(loadfeatures.Features{})
-	})
-	got := f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLengthHint, "8")
-	assert.NilError(t, got.err)
-	assert.Equal(t, got.status, http.StatusOK, got.body)
-	assert.Equal(t, got.body, events(1, 5))
+	g := newGate(t)
+	f := newWaitingFixture(t, waitRoutes(), g.serve)
+	responses := f.sendAsync(5, "/read/1")
+	f.awaitWaiting(3)
+	f.relay.Balancer.SetFeatures(loadfeatures.Features{})
+	f.relay.SetFeatures(loadfeatures.Features{})
+	g.open()
+	for range 5 {
+		response := <-responses
+		assert.NilError(t, response.err)
+		assert.Equal(t, response.status, http.StatusOK, response.body)
+	}
 }
