Blame no server for a call that the daemon ended, and test stops beside unfinished headers

Found in the second read: a called successor whose call ended with its caller or by a quarantine counted as a server that gave no answer.

--- a/internal/traffic/callerconn/shutdown_test.go
+++ b/internal/traffic/callerconn/shutdown_test.go
@@ -95,19 +95,30 @@
 }
 
 // TestShutdownClosesConnections shuts the server down while connections are open on which no
-// request is under way. Guards against a stop that lasts as long as its callers stay connected.
+// whole request is under way. Guards against a stop that lasts as long as its callers stay
+// connected, or as one of them takes for a header.
 func TestShutdownClosesConnections(t *testing.T) {
-	for name, text := range map[string]string{"unused": "", "kept": small} {
+	cases := map[string]struct {
+		text     string
+		answered bool
+	}{
+		"unused":                    {"", false},
+		"kept":                      {small, true},
+		"new, part of a header":     {small[:10], false},
+		"kept, part of the next":    {small + small[:10], true},
+		"kept, a line break behind": {small + "\r\n", true},
+	}
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newStoppingServer(t)
-			caller := f.dial(t, text)
-			if text != "" {
+			caller := f.dial(t, c.text)
+			if c.answered {
 				caller.wantStatus(http.StatusOK)
 			}
-			time.Sleep(50 * time.Millisecond) // until it is idle
+			time.Sleep(50 * time.Millisecond) // until it is read
 			close(f.release)                  // the connection of this request becomes idle in the shutdown
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), 4*stopHeaderTime)
 			defer cancel()
 			assert.NilError(t, f.Shutdown(ctx))
 			caller.wantClosed(time.Second)
--- a/internal/traffic/relay/successor.go
+++ b/internal/traffic/relay/successor.go
@@ -25,12 +25,14 @@
 // planSuccessor plans the attempt that takes over from one that the server is silent
 // about. It reports false if there is none that is likelier to succeed: the request then
 // stays where it is, since the server may only be slow. Going on there is no new work,
-// so a configuration that no longer allows the request doesn't end it.
+// so a configuration that no longer allows the request doesn't end it. For a response that has
+// begun, see callSuccessor.
 func (ex *exchange) planSuccessor(server *fleet.Entry) bool {
 	now := ex.relay.Clock.Now()
 	ex.reachedServer = true
 	if ex.headerSent {
-		return ex.callSuccessor(server)
+		ex.callSuccessor(server)
+		return false
 	}
 	next, rejection := ex.planReplacement(server, now)
 	if rejection != nil {
--- a/internal/traffic/relay/successor_call.go
+++ b/internal/traffic/relay/successor_call.go
@@ -50,25 +50,20 @@
 // both servers work on it until the next look.
 const successorPoll = 50 * clock.Millis(1)
 
-// callSuccessor calls a successor of the silent server that streams to the caller, and reports
-// whether one has accepted the request. Until then the server keeps it: it may go on, while all
-// others refuse.
-func (ex *exchange) callSuccessor(server *fleet.Entry) bool {
+// callSuccessor calls a successor of the silent server that streams to the caller. Until it has
+// accepted the request the server keeps it: it may go on, while all others refuse.
+func (ex *exchange) callSuccessor(server *fleet.Entry) {
 	now := ex.relay.Clock.Now()
-	if ex.called != nil {
-		return ex.takeCalled()
-	}
 	if now < ex.callAgainAt {
-		return false
+		return
 	}
 	next, rejection := ex.planReplacement(server, now)
 	if rejection != nil {
 		ex.logKept(server, rejection, now)
-		return false
+		return
 	}
 	next.call = ex.startCall(next, now)
 	ex.called = next
-	return false
 }
 
 // nextLook returns when the silence of the server is looked at next.
@@ -125,15 +120,16 @@
 	r, server, c := ex.relay, &p.choice.Server, p.call
 	now := r.Clock.Now()
 	if c.err != nil {
+		outcome := "not_run"
 		var callErr *h1.CallError
-		if errors.As(c.err, &callErr) && !callErr.Sent {
+		if !errors.As(c.err, &callErr) || callErr.Sent {
+			ex.recordExecution(server)
+			outcome = "no_answer"
+		}
+		if !c.run.Canceled() && ex.httpReq.Context().Err() == nil {
 			r.Balancer.RecordNoAnswer(server, now)
-			ex.dropCalled(server, "not_run", c.err.Error())
-			return false
 		}
-		ex.recordExecution(server)
-		r.Balancer.RecordNoAnswer(server, now)
-		ex.dropCalled(server, "no_answer", c.err.Error())
+		ex.recordDropped(server, outcome, c.err.Error())
 		return false
 	}
 	info := r.Dialect.Decode(server.ID, c.resp.Status, c.resp.Header)
@@ -156,12 +152,12 @@
 	if !isRefusal {
 		outcome = "failed"
 	}
-	ex.dropCalled(server, outcome, http.StatusText(c.resp.Status))
+	ex.recordDropped(server, outcome, http.StatusText(c.resp.Status))
 	return false
 }
 
-// dropCalled logs and counts a called server that doesn't take the request over.
-func (ex *exchange) dropCalled(server *fleet.Entry, outcome, reason string) {
+// recordDropped logs and counts a called server that doesn't take the request over.
+func (ex *exchange) recordDropped(server *fleet.Entry, outcome, reason string) {
 	ex.log("successor dropped", server, "outcome", outcome, "reason", reason, "last_event", ex.lastEventID)
 	ex.relay.Metrics.countAttempt(ex.pool.Name, outcome)
 }
