--- a/internal/traffic/relay/escalation_test.go
+++ b/internal/traffic/relay/escalation_test.go
@@ -79,5 +79,6 @@
 	f.underLoad(0)
 	got := f.send(http.MethodPost, "/draft/1", headerModel, "*", headerLengthHint, "80")
 	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusGatewayTimeout) // a panic would be answered with 500
 	assert.Equal(t, f.callCount(), 2, "not escalated")
 }
