--- a/internal/decision/admission/memory_budget.go
+++ b/internal/decision/admission/memory_budget.go
@@ -7,6 +7,22 @@
 type MemoryBudget struct {
 	mu          sync.Mutex
 	limit, used int64
+	parent      *ConnBudget // counts what is used, too; nil for none
+}
+
+// SetParent makes a budget count what is used from now on. It doesn't limit this one.
+func (b *MemoryBudget) SetParent(parent *ConnBudget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.parent = parent
+}
+
+// add counts the bytes. b.mu must be held.
+func (b *MemoryBudget) add(bytes int64) {
+	b.used += bytes
+	if b.parent != nil {
+		b.parent.Add(bytes)
+	}
 }
 
 // SetLimit replaces the limit in bytes; 0 means none. Bytes that are held already stay held.
@@ -23,7 +39,7 @@
 	if b.limit > 0 && b.used+bytes > b.limit {
 		return false
 	}
-	b.used += bytes
+	b.add(bytes)
 	return true
 }
 
@@ -32,14 +48,14 @@
 func (b *MemoryBudget) Acquire(bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used += bytes
+	b.add(bytes)
 }
 
 // Release gives back bytes that were acquired.
 func (b *MemoryBudget) Release(bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used -= bytes
+	b.add(-bytes)
 }
 
 // Used returns the bytes in use.
--- a/internal/traffic/relay/caller_memory.go
+++ b/internal/traffic/relay/caller_memory.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
-	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/logging"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
@@ -20,33 +20,17 @@
 	pauses   atomic.Int64 // reads from servers that were paused
 	rejected atomic.Int64 // requests rejected since the budget was used up
 
-	behindLog, fullLog logLimit
+	behindLog, fullLog logging.Limit
 }
 
+// SetConnBudget makes the memory for responses count in the budget, too. It must be called before
+// requests are served.
+func (r *Relay) SetConnBudget(b *admission.ConnBudget) { r.memory.budget.SetParent(b) }
+
 // SetMemoryLimit sets how many bytes the relay may hold for its callers' responses; 0 means no
 // limit. It applies to requests with shared capacity.
 func (r *Relay) SetMemoryLimit(bytes int64) { r.memory.budget.SetLimit(bytes) }
 
-// logPeriod is the least time between two log lines of a kind about memory.
-const logPeriod = 1_000 * clock.Millis(1)
-
-// logLimit bounds the number of log lines of one kind.
-type logLimit struct {
-	lastAt     atomic.Int64 // in clock ms
-	suppressed atomic.Int64
-}
-
-// allows reports whether a line may be logged at the time, and how many were not since the
-// last one.
-func (l *logLimit) allows(now clock.Millis) (ok bool, suppressed int64) {
-	last := l.lastAt.Load()
-	if (last != 0 && int64(now)-last < int64(logPeriod)) || !l.lastAt.CompareAndSwap(last, int64(now)) {
-		l.suppressed.Add(1)
-		return false, 0
-	}
-	return true, l.suppressed.Swap(0)
-}
-
 // errCallerTooSlow means that the caller had not read the response by the deadline.
 var errCallerTooSlow = errors.New("the caller had not read the response by its deadline")
 
@@ -94,7 +78,7 @@
 	}
 	if !r.memory.budget.TryAcquire(requestBytes) {
 		r.memory.rejected.Add(1)
-		if ok, suppressed := r.memory.fullLog.allows(r.Clock.Now()); ok {
+		if ok, suppressed := r.memory.fullLog.Allow(r.Clock.Now()); ok {
 			ex.log("memory for responses used up", nil, "bytes", r.memory.budget.Used(), "behind", r.memory.behind.Load(), "suppressed", suppressed)
 		}
 		return result.New(result.ResponseMemoryFull, "%d bytes are held for callers", r.memory.budget.Used())
@@ -173,7 +157,7 @@
 		return
 	}
 	memory.behind.Add(1)
-	if ok, suppressed := memory.behindLog.allows(ex.relay.Clock.Now()); ok {
+	if ok, suppressed := memory.behindLog.Allow(ex.relay.Clock.Now()); ok {
 		ex.log("caller reads slowly", nil, "last_event", ex.lastEventID, "held_bytes", memory.budget.Used(), "remaining_ms", int64(ex.deadline-ex.relay.Clock.Now()), "suppressed", suppressed)
 	}
 }
