Bound headers before they are parsed

Callers saw a daemon end for lack of memory. Cause: http.Server.MaxHeaderBytes is 1 MB whatever the configuration says, and the size was checked after the parser had made a map of all of it, 8 MB for short lines. A header lives on beside its request, copied for each attempt, and nothing counted that.

Change: the connection counts bytes and lines before the parser gets them. Over the limit of the configuration it answers 431 itself; what headers take counts in ConnBudget, also while a request is served, and a caller that is ended for others gets 503 with code 2017 and Retry-After. Refusals are logged once a second at most and counted by listener and reason.

Headers of 1 MB in calm are served.

--- a/internal/foundation/result/code.go
+++ b/internal/foundation/result/code.go
@@ -45,6 +45,7 @@
 	RejectedForDeadline = Code{2014, "rejected_for_deadline", http.StatusServiceUnavailable, RunNo, 1000, "The pool is full, and the response can't be complete before the request's deadline; the stated time is when a place is expected."}
 	ResponseMemoryFull  = Code{2015, "response_memory_full", http.StatusServiceUnavailable, RunNo, 1000, "The daemon's memory for responses that callers haven't read is used up."}
 	PromptTooLarge      = Code{2016, "prompt_too_large", http.StatusServiceUnavailable, RunNo, 0, "The prompt and its answer exceed the memory of every backend server of the pool; a retry doesn't help."}
+	ConnectionRefused   = Code{2017, "connection_refused", http.StatusServiceUnavailable, RunNo, 200, "The daemon's memory or file descriptors for connections are used up, and this connection held much of them and moved little."}
 
 	NoServer         = Code{3001, "no_server", http.StatusServiceUnavailable, RunNo, 1000, "No backend server in service holds an allowed model and version."}
 	BackendRefused   = Code{3002, "backend_refused", http.StatusServiceUnavailable, RunNo, 1000, "The backend servers refused the request before running it."}
@@ -73,7 +74,7 @@
 	return []Code{
 		OK,
 		MalformedRequest, BodyTooLarge, UnknownCredential, NoRoute, NotAllowed, BadSessionToken, SessionEnded, SlowRequest, UpgradeRefused, HeaderTooLarge,
-		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured, PromptQuarantined, RateLimited, RequestQuarantined, RejectedForAccount, RejectedForDeadline, ResponseMemoryFull, PromptTooLarge,
+		NotConfirmed, Stopping, AccountOverShare, Overloaded, DeadlineTooShort, BillsFull, PinUnavailable, OutOfService, NotConfigured, PromptQuarantined, RateLimited, RequestQuarantined, RejectedForAccount, RejectedForDeadline, ResponseMemoryFull, PromptTooLarge, ConnectionRefused,
 		NoServer, BackendRefused, BackendFailed, BackendTimeout, AnswerMismatch, StreamCut, VersionWithdrawn, CallerLeft,
 		KeyRequired, KeyReused, InProgress, OutcomeUnknown, ClaimUnavailable,
 		EditConflict, EditInvalid, EditPending, StoreUnavailable, EditUnknown,
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -33,6 +33,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/foundation/logging"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/callerconn"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/conngroups"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/relay"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/versionrouting"
 	"gypsumpitch.example/gypsumpitch/platform"
@@ -58,6 +59,7 @@
 	Quarantine    *quarantine.Tracker
 	Quarantines   *quarantinecontrol.Recorder
 	LimitBroker   *peerlimits.Broker
+	Conns         *conngroups.Groups
 	Metrics       *metrics.Set
 }
 
@@ -82,8 +84,8 @@
 	// memory above which the host ends the daemon.
 	memoryLimitShare = 0.6
 	// responseMemoryDivisor gives the memory for responses that callers haven't read as a
-	// fraction of the memory above which the host ends the daemon. With the sixth for request
-	// bodies, about half of the soft limit is left for everything else: 44 MB of 144 MB.
+	// fraction of the memory above which the host ends the daemon. It is a part of that for
+	// all connections.
 	responseMemoryDivisor = 8
 	logFlushTimeout       = time.Second
 )
@@ -126,6 +128,7 @@
 	d.startControl(background)
 	callerServer := callerconn.NewServer(accept.Retrying(d.Log, listeners.callers), d.CallerHandler)
 	callerServer.OnDropped = d.recordDropped
+	callerServer.SetGroup(d.Conns.Callers)
 	go clock.Every(background, limitsUpdatePeriod, func() {
 		if c := d.ViewState.View().Catalog; c != nil {
 			callerServer.SetLimits(c.Limits)
@@ -304,6 +307,7 @@
 	d.Balancer.SetFeatures(features)
 	d.Relay.SetFeatures(features)
 	d.Relay.SetMemoryLimit(s.Entry.MemoryMB << 20 / responseMemoryDivisor)
+	d.Conns.SetLimits(s.Entry.MemoryMB)
 	d.Log.Info("load features", "shared_capacity", features.SharedCapacity, "uneven_servers", s.Entry.UnevenServers)
 	d.Log.SetLevel(hclog.LevelFromString(s.Log.Level))
 }
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -19,6 +19,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/rollout"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/settings"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/conngroups"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/h1"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/relay"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/versionrouting"
@@ -58,6 +59,10 @@
 	return peer.NewServer(log, s.Peer.Key)
 }
 
+func newConnGroups(log hclog.Logger, c clock.Clock, s settings.Settings, set *metrics.Set) *conngroups.Groups {
+	return conngroups.New(log, c, set, s.Entry.MemoryMB)
+}
+
 func newPeerClient(s settings.Settings) *peer.Client { return peer.NewClient(s.Peer.Key, nil) }
 
 func newPeerFeed(log hclog.Logger, c clock.Clock, s settings.Settings, store *platform.Store, peers *peer.Client, exchange *peerstats.Exchange) *peerfeed.Store {
@@ -117,9 +122,9 @@
 func newRelay(
 	log hclog.Logger, c clock.Clock, s settings.Settings, manager *viewstate.Manager, client *h1.Client,
 	balancer *loadbalance.Balancer, retryBudget *admission.SharedRetryBudget, router *versionrouting.Router, metrics *relay.Metrics,
-	tracker *quarantine.Tracker, feed *quarantineFeed, broker *peerlimits.Broker, ledger *demand.Ledger,
+	tracker *quarantine.Tracker, feed *quarantineFeed, broker *peerlimits.Broker, ledger *demand.Ledger, conns *conngroups.Groups,
 ) *relay.Relay {
-	return relay.New(relay.Dependencies{
+	r := relay.New(relay.Dependencies{
 		Log:                 log,
 		Clock:               c,
 		Host:                s.Host,
@@ -141,6 +146,8 @@
 			manager.TryApply(func(state *viewstate.State) { state.RemoveReplacedServer(id, now) })
 		},
 	})
+	r.SetConnBudget(conns.Budget)
+	return r
 }
 
 func newCallerHandler(c clock.Clock, s settings.Settings, r *relay.Relay, view viewFunc) *platform.CallerHandler {
--- a/internal/program/entry/wire.go
+++ b/internal/program/entry/wire.go
@@ -28,6 +28,7 @@
 		newDemandFeed,
 		newViewFunc,
 		newStore,
+		newConnGroups,
 		newServerClient,
 		newVersionRouter,
 		newRetryBudget,
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -39,7 +39,8 @@
 	h1Client := newServerClient()
 	relayMetrics := relay.NewMetrics(set)
 	broker := newLimitBroker(system, s, manager, balancer, client)
-	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics, tracker, entryQuarantineFeed, broker, ledger)
+	groups := newConnGroups(log, system, s, set)
+	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics, tracker, entryQuarantineFeed, broker, ledger, groups)
 	entryViewFunc := newViewFunc(manager)
 	callerHandler := newCallerHandler(system, s, relayRelay, entryViewFunc)
 	server := newPeerServer(log, s)
@@ -64,6 +65,7 @@
 		Quarantine:    tracker,
 		Quarantines:   recorder,
 		LimitBroker:   broker,
+		Conns:         groups,
 		Metrics:       set,
 	}
 	return daemon, nil
--- a/internal/traffic/callerconn/conn.go
+++ b/internal/traffic/callerconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"os"
 	"sync"
@@ -9,7 +10,9 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
 // phase is what the server waits for on a connection.
@@ -25,19 +28,30 @@
 // send a header, by limits that may be raised meanwhile.
 type conn struct {
 	net.Conn
-	server *Server
-	fail   context.CancelCauseFunc // ends the context of the connection's requests; nil without a server
+	server  *Server
+	holding *admission.ConnHolding // nil if nothing is counted
+	// head and held are used by the goroutine that reads and serves requests.
+	head headMeter
+	held int64 // bytes, by the request
 
-	mu        sync.Mutex // guards the fields below
+	mu        sync.Mutex              // guards the fields below
+	fail      context.CancelCauseFunc // ends the context of the connection's requests; nil without a server
+	secured   *tls.Conn               // on top of this connection; nil without TLS
 	limits    catalog.Limits
 	phase     phase
-	since     time.Time // when the phase began
-	arrivedAt time.Time // first bytes of a request that has not reached the handler; zero if there is none
+	since     time.Time          // when the phase began
+	arrivedAt time.Time          // first bytes of a request that has not reached the handler; zero if there is none
+	refusal   *admission.Refusal // why the connection is ended; nil if it isn't
 }
 
-// newConn returns a connection that is in the server's set until it is closed.
+// newConn returns a connection that is in the server's set until it is closed; nil if there is no
+// room for it.
 func newConn(c net.Conn, s *Server) *conn {
 	accepted := &conn{Conn: c, server: s, limits: s.currentLimits(), since: time.Now()}
+	accepted.holding = s.group.NewHolding(accepted.end)
+	if !accepted.holding.Open(connBytes, s.now()) {
+		return nil
+	}
 	s.conns.add(accepted)
 	return accepted
 }
@@ -45,21 +59,23 @@
 // Close closes the connection, and reports the request that it ends before the handler.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
-	if c.fail != nil {
-		c.fail(net.ErrClosed) // releases the context
-	}
 	c.mu.Lock()
-	arrivedAt := c.arrivedAt
+	arrivedAt, fail := c.arrivedAt, c.fail
 	c.arrivedAt = time.Time{}
 	c.mu.Unlock()
+	if fail != nil {
+		fail(net.ErrClosed) // releases the context
+	}
 	if !arrivedAt.IsZero() && c.server.OnDropped != nil {
 		c.server.OnDropped(time.Since(arrivedAt))
 	}
 	c.server.conns.remove(c)
+	c.holding.Close()
 	return err
 }
 
-// Read reads from the connection. It returns a timeout error once a limit has passed.
+// Read reads from the connection. It returns a timeout error once a limit of time has passed. A
+// request whose header is refused is answered here, before the HTTP server has parsed it.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		if err := c.setDeadline(); err != nil {
@@ -67,13 +83,18 @@
 		}
 		n, err := c.Conn.Read(p)
 		if n > 0 {
-			c.bytesArrived()
+			if refused := c.bytesArrived(p[:n]); refused != nil {
+				return 0, c.refuseHeader(refused)
+			}
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.noteFailure(err)
 			return n, err
 		}
+		if refused := c.endedInHeader(); refused != nil {
+			return 0, c.refuseHeader(refused)
+		}
 		if !c.wasExtended() {
 			return n, err
 		}
@@ -82,11 +103,28 @@
 
 // noteFailure makes the error the cause with which the context of the request ends.
 func (c *conn) noteFailure(err error) {
-	if err != nil && c.fail != nil {
-		c.fail(errors.Wrap(err, "read from the caller"))
+	c.mu.Lock()
+	fail := c.fail
+	c.mu.Unlock()
+	if err != nil && fail != nil {
+		fail(errors.Wrap(err, "read from the caller"))
 	}
 }
 
+// attach sets what the HTTP server has put on top of the connection, before it reads.
+func (c *conn) attach(fail context.CancelCauseFunc, secured *tls.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail, c.secured = fail, secured
+}
+
+// tlsConn returns the TLS connection on top of this one; nil without TLS.
+func (c *conn) tlsConn() *tls.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.secured
+}
+
 // applyLimits applies the present limits to a read that is under way. An idle connection of a
 // server that stops ends by that, unless a request arrives first.
 func (c *conn) applyLimits() {
@@ -102,6 +140,9 @@
 func (c *conn) setDeadline() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refusal != nil {
+		return c.Conn.SetReadDeadline(past)
+	}
 	if c.phase == phaseActive {
 		return nil
 	}
@@ -127,20 +168,27 @@
 func (c *conn) wasExtended() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase != phaseActive && time.Now().Before(c.deadline())
+	return c.refusal == nil && c.phase != phaseActive && time.Now().Before(c.deadline())
 }
 
-// bytesArrived ends the idle phase: a request header begins.
-func (c *conn) bytesArrived() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// bytesArrived counts what has arrived. It ends the idle phase: a request header begins. It returns
+// an error if the header is refused.
+func (c *conn) bytesArrived(p []byte) *result.Error {
 	now := time.Now()
+	c.mu.Lock()
 	if c.phase == phaseIdle {
 		c.phase, c.since = phaseHeader, now
 	}
 	if c.phase == phaseHeader && c.arrivedAt.IsZero() {
 		c.arrivedAt = now
 	}
+	inHeader := c.phase == phaseHeader
+	c.mu.Unlock()
+	if !inHeader {
+		c.holding.Moved(len(p), c.server.now())
+		return nil
+	}
+	return c.headerArrived(p)
 }
 
 // handlerCalled notes that the request has reached the handler.
@@ -155,6 +203,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseActive
+	if c.refusal != nil {
+		return
+	}
 	// An error means that the connection is closed, which the next read returns.
 	_ = c.Conn.SetReadDeadline(time.Time{})
 }
@@ -169,6 +220,7 @@
 
 // requestEnded begins the idle phase.
 func (c *conn) requestEnded() {
+	c.releaseRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.since = phaseIdle, time.Now()
@@ -179,7 +231,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t.IsZero() && c.phase != phaseActive {
+	if c.refusal != nil || (t.IsZero() && c.phase != phaseActive) {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -12,11 +12,14 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
-// maxHeaderBytes is the largest request header that a configuration can allow, in bytes.
+// maxHeaderBytes is the largest request header that a configuration can allow, in bytes. Smaller
+// limits are kept by the connections.
 const maxHeaderBytes = 1 << 20
 
 // Server serves the connections of callers. An http.Server can't change its limits, so they
@@ -32,6 +35,8 @@
 	http     *http.Server
 	tls      *tls.Config                    // nil without TLS
 	limits   atomic.Pointer[catalog.Limits] // of new connections
+	group    *admission.ConnGroup           // nil if nothing is counted
+	clock    *clock.System
 	conns    connSet
 	stopping atomic.Bool // idle connections are closed
 }
@@ -39,7 +44,7 @@
 // NewServer returns a server with default limits. Serve must be called to accept
 // connections. The server closes the listener on Shutdown.
 func NewServer(listener net.Listener, handler http.Handler) *Server {
-	s := &Server{handler: handler}
+	s := &Server{handler: handler, clock: clock.NewSystem()}
 	s.listener = &connListener{Listener: listener, server: s, closed: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveRequest),
@@ -47,7 +52,9 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			accepted := underlying(c)
 			// The HTTP server would end the context without the error of the read.
-			ctx, accepted.fail = context.WithCancelCause(ctx)
+			ctx, fail := context.WithCancelCause(ctx)
+			secured, _ := c.(*tls.Conn)
+			accepted.attach(fail, secured)
 			return context.WithValue(ctx, connKey{}, accepted)
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
@@ -79,6 +86,12 @@
 // SetTLS makes the server use TLS. It must be called before Serve.
 func (s *Server) SetTLS(config *tls.Config) { s.tls = config }
 
+// SetGroup makes the connections count in the group. It must be called before Serve.
+func (s *Server) SetGroup(group *admission.ConnGroup) { s.group = group }
+
+// now returns the time for the group.
+func (s *Server) now() clock.Millis { return s.clock.Now() }
+
 // SetBaseContext sets the context that those of all requests derive from. It must be called
 // before Serve.
 func (s *Server) SetBaseContext(ctx context.Context) {
@@ -94,31 +107,23 @@
 
 func (s *Server) currentLimits() catalog.Limits { return *s.limits.Load() }
 
-// serveRequest passes the request to the handler unless its header is too large.
+// serveRequest passes the request to the handler unless its header is too large or there is no
+// memory for it.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	if conn, ok := r.Context().Value(connKey{}).(*conn); ok {
 		conn.handlerCalled()
-		limit := conn.headerLimit()
-		if size := headerBytes(r); size > limit {
-			w.Header().Set("Connection", "close")
-			result.Write(w, result.New(result.HeaderTooLarge, "the header has %d bytes, more than %d", size, limit), "")
+		limit, size := conn.headerLimit(), headerBytes(r)
+		if size > limit {
+			s.group.Refuse(admission.RefusedHeader, admission.ConnReading, s.now())
+			refuseRequest(w, result.New(result.HeaderTooLarge, "the header has %d bytes, more than %d", size, limit))
 			return
 		}
-	}
-	s.handler.ServeHTTP(w, r)
-}
-
-// headerBytes returns the least size in which the header of the request can be sent, in
-// bytes: optional white space is not counted.
-func headerBytes(r *http.Request) int {
-	const separators = len(":\r\n")
-	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host") + len(r.Host) + separators
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value) + separators
+		if refused := conn.beginServing(r, size); refused != nil {
+			refuseRequest(w, refused)
+			return
 		}
 	}
-	return size
+	s.handler.ServeHTTP(w, r)
 }
 
 // Serve accepts connections until the listener is closed or fails.
@@ -152,19 +157,25 @@
 	closed    chan struct{}
 }
 
-// Accept returns the next connection, or net.ErrClosed after Close.
+// Accept returns the next connection that there is room for, or net.ErrClosed after Close. Others
+// are closed unread, so that their callers can safely send their requests elsewhere.
 func (l *connListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case <-l.closed:
-		// The HTTP server no longer serves it. The caller sees that nothing was read.
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-l.closed:
+			// The HTTP server no longer serves it. The caller sees that nothing was read.
+			_ = c.Close()
+			return nil, net.ErrClosed
+		default:
+		}
+		if accepted := newConn(c, l.server); accepted != nil {
+			return accepted, nil
+		}
 		_ = c.Close()
-		return nil, net.ErrClosed
-	default:
-		return newConn(c, l.server), nil
 	}
 }
 
--- /dev/null
+++ b/internal/traffic/conngroups/groups.go
@@ -0,0 +1,57 @@
+// Package conngroups sets up the budget of a daemon's connections, and shows in logs and metrics
+// which are refused and why.
+package conngroups
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/logging"
+)
+
+const bytesPerMB = 1 << 20
+
+// Groups are the connections to a daemon by listener, with the budget for all of them. A daemon
+// has some of the listeners.
+type Groups struct {
+	Budget  *admission.ConnBudget
+	Callers *admission.ConnGroup
+
+	log   hclog.Logger
+	clock clock.Clock
+	set   *metrics.Set
+	limit logging.Limit
+}
+
+// New returns groups for a host with the memory. See SetLimits.
+func New(log hclog.Logger, c clock.Clock, set *metrics.Set, memoryMB int64) *Groups {
+	b := admission.NewConnBudget(0)
+	g := &Groups{
+		Budget: b, Callers: b.NewGroup("callers", 0, true), log: log, clock: c, set: set,
+	}
+	b.OnRefused = g.recordRefusal
+	g.SetLimits(memoryMB)
+	set.GetOrCreateGauge("gypsumpitch_connections_held_bytes", func() float64 { return float64(b.Used()) })
+	for _, group := range []*admission.ConnGroup{g.Callers} {
+		set.GetOrCreateGauge(fmt.Sprintf(`gypsumpitch_connections{listener=%q}`, group.Listener()), func() float64 { return float64(group.Count()) })
+	}
+	return g
+}
+
+// SetLimits sets the limits for a host with the memory in MB; 0 means no limit.
+func (g *Groups) SetLimits(memoryMB int64) {
+	g.Budget.SetLimit(admission.ConnMemory(memoryMB * bytesPerMB))
+}
+
+// recordRefusal counts a refusal and logs one a second.
+func (g *Groups) recordRefusal(r admission.Refusal) {
+	g.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_connections_refused_total{listener=%q,reason=%q}`, r.Listener, string(r.Reason))).Inc()
+	if ok, suppressed := g.limit.Allow(g.clock.Now()); ok {
+		g.log.Warn("connection refused", "listener", r.Listener, "reason", string(r.Reason), "phase", string(r.Phase),
+			"held_bytes", r.Bytes, "stalled_ms", int64(r.Stalled), "all_held_bytes", g.Budget.Used(), "suppressed", suppressed)
+	}
+}
