Count bodies as they are read, and end those that stall

Callers with small chunked bodies got 503 for good while 400 others had stopped after a byte. Cause: each body without a length counted as 64 KB from its first byte and without shared capacity as no more than that, however long; buffers that grow count twice; and nothing bounded the time for a body once its header was complete.

Change: callerconn.ReadBody counts the capacity of the buffer, with a length or without, in ConnBudget; a body that stalls is among the first to be ended for others, with 503 and code 2017. A body must be complete within the caller's own timeout, or entry.body_ms (60 s), or gets 408. A stated length over the limit gets 413 at once. platform/ loses its budget. TestBodyBudget and TestChunkedBody tested what is gone; TestConnBudget, TestReadAllCountsBuffers and TestStalledRequestsGiveWay are as strict and also check who is refused.

--- a/internal/foundation/settings/defaults.go
+++ b/internal/foundation/settings/defaults.go
@@ -40,6 +40,6 @@
 		Bills: Bills{FlushMs: 250, BatchRows: 200, MaxPending: 100_000, HolderWaitMs: 1_000},
 		Stop:  Stop{BalancerWaitMs: 1_000, DrainMs: 120_000},
 		Log:   Log{Level: "info"},
-		Entry: Entry{RepeatRatio: 0.1, RepeatSlack: 10, RepeatWindowS: 10, StopS: 8, SessionS: 5, ExposedShare: 0.1, ExposedSlack: 10, AcceptCalm: 58, AcceptBusy: 44, CalmMs: 3_000, ApplyMs: 2_000, DrainMs: 2_000, SharedCapacity: "auto", UnevenServers: "auto"},
+		Entry: Entry{RepeatRatio: 0.1, RepeatSlack: 10, RepeatWindowS: 10, BodyMs: 60_000, StopS: 8, SessionS: 5, ExposedShare: 0.1, ExposedSlack: 10, AcceptCalm: 58, AcceptBusy: 44, CalmMs: 3_000, ApplyMs: 2_000, DrainMs: 2_000, SharedCapacity: "auto", UnevenServers: "auto"},
 	}
 }
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -26,10 +26,6 @@
 	"gypsumpitch.example/gypsumpitch/platform"
 )
 
-// bodyMemoryDivisor gives the memory for request bodies as a fraction of the memory
-// above which the host ends the daemon.
-const bodyMemoryDivisor = 6
-
 // viewFunc returns the current view.
 type viewFunc func() *fleet.View
 
@@ -151,5 +147,5 @@
 }
 
 func newCallerHandler(c clock.Clock, s settings.Settings, r *relay.Relay, view viewFunc) *platform.CallerHandler {
-	return platform.NewCallerHandler(c, r, view, s.Entry.MemoryMB<<20/bodyMemoryDivisor)
+	return platform.NewCallerHandler(c, r, view, clock.Millis(s.Entry.BodyMs))
 }
--- a/internal/traffic/callerconn/refuse.go
+++ b/internal/traffic/callerconn/refuse.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
@@ -65,7 +67,11 @@
 // beginServing counts a request whose header is complete. It returns an error if it is refused.
 func (c *conn) beginServing(r *http.Request, size int) *result.Error {
 	c.head = headMeter{}
-	if !c.hold(headerMemory(r, size)+servingBytes) || !c.holding.SetPhase(admission.ConnServing, c.server.now()) {
+	phase := admission.ConnServing
+	if r.ContentLength != 0 {
+		phase = admission.ConnReading
+	}
+	if !c.hold(headerMemory(r, size)+servingBytes) || !c.holding.SetPhase(phase, c.server.now()) {
 		return c.server.memoryError()
 	}
 	return nil
@@ -106,6 +112,13 @@
 	return c.server.memoryError()
 }
 
+// wasEnded reports whether the connection was ended for others.
+func (c *conn) wasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusal != nil
+}
+
 // refuseHeader answers a request whose header is not read to its end. It returns an error with
 // which the HTTP server closes the connection without an answer of its own.
 func (c *conn) refuseHeader(e *result.Error) error {
@@ -174,3 +187,6 @@
 func (r *recorder) Header() http.Header         { return r.header }
 func (r *recorder) WriteHeader(status int)      { r.status = status }
 func (r *recorder) Write(p []byte) (int, error) { return r.body.Write(p) }
+
+// errRefused means that the connection was ended for others while a body arrived.
+var errRefused = errors.New("the connection is ended for others")
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -22,6 +22,9 @@
 // limits are kept by the connections.
 const maxHeaderBytes = 1 << 20
 
+// defaultBodyTimeout is the time for a body that its handler sets no limit for.
+const defaultBodyTimeout = 60 * time.Second
+
 // Server serves the connections of callers. An http.Server can't change its limits, so they
 // are kept by the connections instead. Safe for concurrent use.
 type Server struct {
@@ -122,6 +125,10 @@
 			refuseRequest(w, refused)
 			return
 		}
+		if r.ContentLength != 0 {
+			_ = conn.SetReadDeadline(time.Now().Add(defaultBodyTimeout)) // an error means that it is closed
+			r.Body = &requestBody{r.Body, conn}
+		}
 	}
 	s.handler.ServeHTTP(w, r)
 }
