Keep descriptors for ordinary callers and for the daemon itself

With more connections than the host allows descriptors, nobody got an answer: entry.max_files was read and used nowhere, and callers, peers, servers and the store share the descriptors. Cause: no listener bounded its connections.

Change: callers get three eighths at most, of the smaller of entry.max_files and the limit of the process; a new one ends the connection that has stalled or idled the longest with the most, never one that is being served. If all are, the new one is closed unread, so that its request can safely be sent elsewhere.

--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -27,7 +27,7 @@
 	Store         string  `json:"store" doc:"IP and port of the metadata store"`
 	MemoryMB      int64   `json:"memory_mb" doc:"memory above which the host ends the daemon; 30% are for connections and their requests; 0 sets no limit" unit:"MB" min:"0" max:"1048576"`
 	LinkMbps      float64 `json:"link_mbps" doc:"speed of the host's network link in Mbit/s; daemons on the fastest ones speak for their data centre"`
-	MaxFiles      int64   `json:"max_files" doc:"file descriptors that the host allows" unit:"files" min:"0" max:"10000000"`
+	MaxFiles      int64   `json:"max_files" doc:"file descriptors that the host allows; three eighths or less are for callers, a sixth for peers; 0 takes the limit of the process" unit:"files" min:"0" max:"10000000"`
 	BodyMs        int64   `json:"body_ms" doc:"time in which a caller must send its body, unless its own timeout is shorter" unit:"ms" min:"10" max:"3600000"`
 	RepeatRatio   float64 `json:"repeat_ratio" doc:"sendings to a second server as a share of a pool's requests, by all daemons"`
 	RepeatSlack   float64 `json:"repeat_slack" doc:"such sendings that are allowed besides, by all daemons"`
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -307,7 +307,7 @@
 	d.Balancer.SetFeatures(features)
 	d.Relay.SetFeatures(features)
 	d.Relay.SetMemoryLimit(s.Entry.MemoryMB << 20 / responseMemoryDivisor)
-	d.Conns.SetLimits(s.Entry.MemoryMB)
+	d.Conns.SetLimits(s.Entry.MemoryMB, s.Entry.MaxFiles)
 	d.Log.Info("load features", "shared_capacity", features.SharedCapacity, "uneven_servers", s.Entry.UnevenServers)
 	d.Log.SetLevel(hclog.LevelFromString(s.Log.Level))
 }
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -56,7 +56,7 @@
 }
 
 func newConnGroups(log hclog.Logger, c clock.Clock, s settings.Settings, set *metrics.Set) *conngroups.Groups {
-	return conngroups.New(log, c, set, s.Entry.MemoryMB)
+	return conngroups.New(log, c, set, s.Entry.MemoryMB, s.Entry.MaxFiles)
 }
 
 func newPeerClient(s settings.Settings) *peer.Client { return peer.NewClient(s.Peer.Key, nil) }
--- a/internal/traffic/conngroups/groups.go
+++ b/internal/traffic/conngroups/groups.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
@@ -27,14 +28,14 @@
 	limit logging.Limit
 }
 
-// New returns groups for a host with the memory. See SetLimits.
-func New(log hclog.Logger, c clock.Clock, set *metrics.Set, memoryMB int64) *Groups {
+// New returns groups for a host with the memory and file descriptors. See SetLimits.
+func New(log hclog.Logger, c clock.Clock, set *metrics.Set, memoryMB, maxFiles int64) *Groups {
 	b := admission.NewConnBudget(0)
 	g := &Groups{
 		Budget: b, Callers: b.NewGroup("callers", 0, true), log: log, clock: c, set: set,
 	}
 	b.OnRefused = g.recordRefusal
-	g.SetLimits(memoryMB)
+	g.SetLimits(memoryMB, maxFiles)
 	set.GetOrCreateGauge("gypsumpitch_connections_held_bytes", func() float64 { return float64(b.Used()) })
 	for _, group := range []*admission.ConnGroup{g.Callers} {
 		set.GetOrCreateGauge(fmt.Sprintf(`gypsumpitch_connections{listener=%q}`, group.Listener()), func() float64 { return float64(group.Count()) })
@@ -42,11 +43,30 @@
 	return g
 }
 
-// SetLimits sets the limits for a host with the memory in MB; 0 means no limit.
-func (g *Groups) SetLimits(memoryMB int64) {
+// SetLimits sets the limits for a host with the memory in MB, 0 for no limit, and the file
+// descriptors, 0 for those that the process may have.
+func (g *Groups) SetLimits(memoryMB, maxFiles int64) {
 	g.Budget.SetLimit(admission.ConnMemory(memoryMB * bytesPerMB))
+	limits := admission.DivideFiles(processFiles(maxFiles))
+	g.Callers.SetMax(limits.Callers)
 }
 
+// processFiles returns the file descriptors that both the host and the process allow; 0 if neither
+// states a limit.
+func processFiles(hostFiles int64) int64 {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > maxProcessFiles {
+		return hostFiles
+	}
+	if hostFiles <= 0 {
+		return int64(limit.Cur)
+	}
+	return min(hostFiles, int64(limit.Cur))
+}
+
+// maxProcessFiles is the limit of a process from which on it counts as none.
+const maxProcessFiles = 1 << 30
+
 // recordRefusal counts a refusal and logs one a second.
 func (g *Groups) recordRefusal(r admission.Refusal) {
 	g.set.GetOrCreateCounter(fmt.Sprintf(`gypsumpitch_connections_refused_total{listener=%q,reason=%q}`, r.Listener, string(r.Reason))).Inc()
