Bound readiness checks and metrics like callers

Anybody who reached the listeners for readiness checks and metrics could end a daemon, or keep the platform's checks out. Cause: they took headers of 1 MB, connections without number that could idle for ever, and bodies of any duration.

Change: both use callerconn's server, with headers of 4 KB at most and a 32nd of the descriptors, 64 at most, each; they count in the same budget as callers.

--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -25,6 +25,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/rolloutcontrol"
 	"gypsumpitch.example/gypsumpitch/internal/control/viewstate"
 	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/decision/loadbalance"
 	"gypsumpitch.example/gypsumpitch/internal/decision/quarantine"
@@ -135,18 +136,15 @@
 		}
 	})
 	go d.watchSettings(background, file)
-	readiness := &http.Server{Handler: d.readinessHandler(ctx), ReadHeaderTimeout: readHeaderTimeout}
+	readiness := newCheckServer(accept.Retrying(d.Log, listeners.readiness), d.readinessHandler(ctx), d.Conns.Readiness)
 	d.registerGauges()
 	failures := make(chan error, listenerCount)
 	go func() { failures <- callerServer.Serve() }()
-	go func() {
-		failures <- errors.Wrap(readiness.Serve(accept.Retrying(d.Log, listeners.readiness)), "readiness listener")
-	}()
+	go func() { failures <- errors.Wrap(readiness.Serve(), "readiness listener") }()
 	go func() { failures <- d.PeerServer.Serve(background, listeners.peers) }()
 	if listeners.metrics != nil {
-		go func() {
-			failures <- errors.Wrap(d.metricsServer().Serve(accept.Retrying(d.Log, listeners.metrics)), "metrics listener")
-		}()
+		exposition := newCheckServer(accept.Retrying(d.Log, listeners.metrics), d.metricsHandler(), d.Conns.Metrics)
+		go func() { failures <- errors.Wrap(exposition.Serve(), "metrics listener") }()
 	}
 	d.Log.Info("serving", "caller", d.Settings.Entry.Caller, "ready", d.Settings.Entry.Ready,
 		"store", d.Settings.Entry.Store, "peer", d.Settings.Listen.Peer)
@@ -168,9 +166,19 @@
 	// server for callers.
 	limitsUpdatePeriod = 500 * clock.Millis(1)
 	listenerCount      = 4
-	readHeaderTimeout  = 5 * time.Second // of readiness checks and metrics requests
 )
 
+// checkLimits apply to readiness checks and requests for metrics.
+var checkLimits = catalog.Limits{HeaderBytes: 4 << 10, HeaderTimeout: 5_000, IdleTimeout: 60_000}
+
+// newCheckServer returns a server of readiness checks or metrics.
+func newCheckServer(listener net.Listener, handler http.Handler, group *admission.ConnGroup) *callerconn.Server {
+	server := callerconn.NewServer(listener, handler)
+	server.SetLimits(checkLimits)
+	server.SetGroup(group)
+	return server
+}
+
 // startControl starts the exchange of state with the store and the peers.
 func (d *Daemon) startControl(ctx context.Context) {
 	go d.ViewState.Run(ctx)
--- a/internal/program/entry/metrics.go
+++ b/internal/program/entry/metrics.go
@@ -109,21 +109,19 @@
 	}
 }
 
-// metricsServer returns a server of the metrics in the Prometheus text format.
-func (d *Daemon) metricsServer() *http.Server {
-	return &http.Server{
-		ReadHeaderTimeout: readHeaderTimeout,
-		WriteTimeout:      metricsWriteTimeout,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if !strings.HasPrefix(r.URL.Path, "/metrics") {
-				w.WriteHeader(http.StatusNotFound)
-				return
-			}
-			d.updateTokenMemory()
-			d.Metrics.WritePrometheus(w)
-			metrics.WriteProcessMetrics(w)
-		}),
-	}
+// metricsHandler serves the metrics in the Prometheus text format.
+func (d *Daemon) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Fails only with test recorders, which have no deadlines.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(metricsWriteTimeout))
+		if !strings.HasPrefix(r.URL.Path, "/metrics") {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		d.updateTokenMemory()
+		d.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
 }
 
 const metricsWriteTimeout = 5 * time.Second
--- a/internal/traffic/conngroups/groups.go
+++ b/internal/traffic/conngroups/groups.go
@@ -19,8 +19,10 @@
 // Groups are the connections to a daemon by listener, with the budget for all of them. A daemon
 // has some of the listeners.
 type Groups struct {
-	Budget  *admission.ConnBudget
-	Callers *admission.ConnGroup
+	Budget    *admission.ConnBudget
+	Callers   *admission.ConnGroup
+	Readiness *admission.ConnGroup
+	Metrics   *admission.ConnGroup
 
 	log   hclog.Logger
 	clock clock.Clock
@@ -32,12 +34,13 @@
 func New(log hclog.Logger, c clock.Clock, set *metrics.Set, memoryMB, maxFiles int64) *Groups {
 	b := admission.NewConnBudget(0)
 	g := &Groups{
-		Budget: b, Callers: b.NewGroup("callers", 0, true), log: log, clock: c, set: set,
+		Budget: b, Callers: b.NewGroup("callers", 0, true),
+		Readiness: b.NewGroup("readiness", 0, false), Metrics: b.NewGroup("metrics", 0, false), log: log, clock: c, set: set,
 	}
 	b.OnRefused = g.recordRefusal
 	g.SetLimits(memoryMB, maxFiles)
 	set.GetOrCreateGauge("gypsumpitch_connections_held_bytes", func() float64 { return float64(b.Used()) })
-	for _, group := range []*admission.ConnGroup{g.Callers} {
+	for _, group := range []*admission.ConnGroup{g.Callers, g.Readiness, g.Metrics} {
 		set.GetOrCreateGauge(fmt.Sprintf(`gypsumpitch_connections{listener=%q}`, group.Listener()), func() float64 { return float64(group.Count()) })
 	}
 	return g
@@ -49,6 +52,9 @@
 	g.Budget.SetLimit(admission.ConnMemory(memoryMB * bytesPerMB))
 	limits := admission.DivideFiles(processFiles(maxFiles))
 	g.Callers.SetMax(limits.Callers)
+	for _, group := range []*admission.ConnGroup{g.Readiness, g.Metrics} {
+		group.SetMax(limits.Checks)
+	}
 }
 
 // processFiles returns the file descriptors that both the host and the process allow; 0 if neither
