Bound what peers may send, before and after the handshake

Whoever reached the listener for peers could end a daemon. Cause: frames of up to 64 MB were read from clients that hadn't proved that they are daemons, of as many connections as came, for a minute each; 64 calls a connection were decoded at once.

Failed handshakes are logged once a second.

--- a/internal/control/peer/frame.go
+++ b/internal/control/peer/frame.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"gypsumpitch.example/gypsumpitch/internal/foundation/readall"
 )
 
 const (
@@ -36,22 +38,47 @@
 	return errors.Wrap(err, "write frame")
 }
 
+// uncounted is memory of frames from peers that this daemon calls itself.
+type uncounted struct{}
+
+func (uncounted) Grow(int64) bool { return true }
+func (uncounted) Shrink(int64)    {}
+
 // readFrame reads one frame and decodes it into the value, which must be a pointer.
 func readFrame(r io.Reader, value any) error {
+	size, err := readFrameSize(r, maxFrameBytes)
+	if err != nil {
+		return err
+	}
+	_, err = readFrameBody(r, size, value, uncounted{})
+	return err
+}
+
+// readFrameSize reads the size of a frame. It returns an error if that exceeds the limit.
+func readFrameSize(r io.Reader, limit uint32) (int64, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return errors.Wrap(err, "read frame header")
+		return 0, errors.Wrap(err, "read frame header")
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size > maxFrameBytes {
-		return errors.Errorf("frame of %d bytes exceeds the limit of %d", size, maxFrameBytes)
+	if size > limit {
+		return 0, errors.Errorf("frame of %d bytes exceeds the limit of %d", size, limit)
+	}
+	return int64(size), nil
+}
+
+// readFrameBody reads a frame of the size and decodes it into the value. It returns how many bytes
+// stay counted in the memory.
+func readFrameBody(r io.Reader, size int64, value any, memory readall.Memory) (int64, error) {
+	body, err := readall.ReadAll(io.LimitReader(r, size), size, memory)
+	if err != nil {
+		return 0, errors.Wrap(err, "read frame")
 	}
-	// The buffer grows with what arrives, since a peer may claim any size.
-	var body bytes.Buffer
-	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
-		return errors.Wrap(err, "read frame")
+	held := int64(cap(body))
+	if int64(len(body)) < size {
+		return held, errors.Wrap(io.ErrUnexpectedEOF, "read frame")
 	}
-	return decode(body.Bytes(), value)
+	return held, decode(body, value)
 }
 
 func decode(body []byte, value any) error {
--- a/internal/control/peer/handshake.go
+++ b/internal/control/peer/handshake.go
@@ -9,7 +9,11 @@
 	"github.com/pkg/errors"
 )
 
-const nonceBytes = 16
+const (
+	nonceBytes = 16
+	// maxHandshakeBytes is more than any message of the handshake has.
+	maxHandshakeBytes = 256
+)
 
 // The role is part of the proof, so that a proof can't be sent back to its author.
 const (
@@ -36,14 +40,14 @@
 		return err
 	}
 	var other nonceMessage
-	if err := readFrame(conn, &other); err != nil {
+	if err := readHandshake(conn, &other); err != nil {
 		return err
 	}
 	if err := writeFrame(conn, proofMessage{computeProof(key, role, ownNonce, other.Nonce)}); err != nil {
 		return err
 	}
 	var proof proofMessage
-	if err := readFrame(conn, &proof); err != nil {
+	if err := readHandshake(conn, &proof); err != nil {
 		return err
 	}
 	if !hmac.Equal(proof.Proof, computeProof(key, otherRole, other.Nonce, ownNonce)) {
@@ -52,6 +56,16 @@
 	return nil
 }
 
+// readHandshake reads a message of the handshake.
+func readHandshake(conn io.Reader, message any) error {
+	size, err := readFrameSize(conn, maxHandshakeBytes)
+	if err != nil {
+		return err
+	}
+	_, err = readFrameBody(conn, size, message, uncounted{})
+	return err
+}
+
 func computeProof(key, role string, ownNonce, otherNonce []byte) []byte {
 	h := hmac.New(sha256.New, []byte(key))
 	_, _ = h.Write([]byte(role))
--- a/internal/control/peer/server.go
+++ b/internal/control/peer/server.go
@@ -10,7 +10,10 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"gypsumpitch.example/gypsumpitch/internal/decision/admission"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/accept"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/logging"
 )
 
 const (
@@ -26,7 +29,11 @@
 type Server struct {
 	log      hclog.Logger
 	key      string
+	clock    *clock.System
 	handlers map[Kind]handler
+	group    *admission.ConnGroup // nil if nothing is counted
+
+	handshakeLog logging.Limit
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{} // guarded by mu
@@ -35,9 +42,13 @@
 // NewServer returns a server without handlers that only serves daemons that have the same
 // key.
 func NewServer(log hclog.Logger, key string) *Server {
-	return &Server{log: log.Named("peer"), key: key, handlers: make(map[Kind]handler), conns: make(map[net.Conn]struct{})}
+	return &Server{log: log.Named("peer"), key: key, clock: clock.NewSystem(), handlers: make(map[Kind]handler), conns: make(map[net.Conn]struct{})}
 }
 
+// SetGroup makes the connections and their calls count in the group. It must be called before
+// Serve.
+func (s *Server) SetGroup(group *admission.ConnGroup) { s.group = group }
+
 // Handle registers the handler of a kind of call. It must be called before Serve. The
 // caller receives the text of an error that the handler returns.
 func Handle[Req, Resp any](s *Server, kind Kind, handle func(context.Context, Req) (Resp, error)) {
@@ -94,25 +105,26 @@
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	defer s.track(conn, false)
 	defer func() { _ = conn.Close() }()
+	calls := &connCalls{server: s, conn: conn, slots: make(chan struct{}, maxConcurrentCalls)}
+	calls.holding = s.group.NewHolding(func(admission.Refusal) { _ = conn.Close() })
+	if !calls.holding.Open(connBytes, s.clock.Now()) {
+		return
+	}
+	defer calls.holding.Close()
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	if err := handshake(conn, s.key, roleServer, roleClient); err != nil {
-		s.log.Warn("peer handshake failed", "address", conn.RemoteAddr().String(), "error", err)
+		s.logHandshake(conn, err)
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	var writeMu sync.Mutex
-	slots := make(chan struct{}, maxConcurrentCalls)
-	for {
-		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
-		var call envelope
-		if err := readFrame(conn, &call); err != nil {
-			return
-		}
-		slots <- struct{}{}
-		go func() {
-			defer func() { <-slots }()
-			s.handleCall(ctx, conn, &writeMu, call)
-		}()
+	for calls.serveNext(ctx) == nil {
+	}
+}
+
+// logHandshake logs a failed handshake, unless one was logged a moment ago.
+func (s *Server) logHandshake(conn net.Conn, err error) {
+	if ok, suppressed := s.handshakeLog.Allow(s.clock.Now()); ok {
+		s.log.Warn("peer handshake failed", "address", conn.RemoteAddr().String(), "error", err, "suppressed", suppressed)
 	}
 }
 
@@ -126,25 +138,3 @@
 	}()
 	return handle(ctx, body)
 }
-
-// handleCall runs the handler of the call and writes the response. It closes the connection
-// if the write fails.
-func (s *Server) handleCall(ctx context.Context, conn net.Conn, writeMu *sync.Mutex, call envelope) {
-	reply := envelope{ID: call.ID}
-	handle, ok := s.handlers[call.Kind]
-	if !ok {
-		reply.Error = "unknown call kind " + string(call.Kind)
-	} else {
-		body, err := s.callHandler(ctx, call.Kind, handle, call.Body)
-		reply.Body = body
-		if err != nil {
-			reply.Error = err.Error()
-		}
-	}
-	writeMu.Lock()
-	defer writeMu.Unlock()
-	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := writeFrame(conn, reply); err != nil {
-		_ = conn.Close()
-	}
-}
--- a/internal/program/entry/providers.go
+++ b/internal/program/entry/providers.go
@@ -51,8 +51,10 @@
 	return b
 }
 
-func newPeerServer(log hclog.Logger, s settings.Settings) *peer.Server {
-	return peer.NewServer(log, s.Peer.Key)
+func newPeerServer(log hclog.Logger, s settings.Settings, conns *conngroups.Groups) *peer.Server {
+	server := peer.NewServer(log, s.Peer.Key)
+	server.SetGroup(conns.Peers)
+	return server
 }
 
 func newConnGroups(log hclog.Logger, c clock.Clock, s settings.Settings, set *metrics.Set) *conngroups.Groups {
--- a/internal/program/entry/wire_gen.go
+++ b/internal/program/entry/wire_gen.go
@@ -43,7 +43,7 @@
 	relayRelay := newRelay(log, system, s, manager, h1Client, balancer, sharedRetryBudget, router, relayMetrics, tracker, entryQuarantineFeed, broker, ledger, groups)
 	entryViewFunc := newViewFunc(manager)
 	callerHandler := newCallerHandler(system, s, relayRelay, entryViewFunc)
-	server := newPeerServer(log, s)
+	server := newPeerServer(log, s, groups)
 	controller := newRolloutController(log, system, s, entryViewFunc, aggregator, router, store, balancer, set)
 	recorder := newQuarantineRecorder(log, system, s, manager, tracker, store)
 	daemon := &Daemon{
--- a/internal/traffic/conngroups/groups.go
+++ b/internal/traffic/conngroups/groups.go
@@ -21,6 +21,7 @@
 type Groups struct {
 	Budget    *admission.ConnBudget
 	Callers   *admission.ConnGroup
+	Peers     *admission.ConnGroup
 	Readiness *admission.ConnGroup
 	Metrics   *admission.ConnGroup
 
@@ -34,13 +35,13 @@
 func New(log hclog.Logger, c clock.Clock, set *metrics.Set, memoryMB, maxFiles int64) *Groups {
 	b := admission.NewConnBudget(0)
 	g := &Groups{
-		Budget: b, Callers: b.NewGroup("callers", 0, true),
+		Budget: b, Callers: b.NewGroup("callers", 0, true), Peers: b.NewGroup("peers", 0, false),
 		Readiness: b.NewGroup("readiness", 0, false), Metrics: b.NewGroup("metrics", 0, false), log: log, clock: c, set: set,
 	}
 	b.OnRefused = g.recordRefusal
 	g.SetLimits(memoryMB, maxFiles)
 	set.GetOrCreateGauge("gypsumpitch_connections_held_bytes", func() float64 { return float64(b.Used()) })
-	for _, group := range []*admission.ConnGroup{g.Callers, g.Readiness, g.Metrics} {
+	for _, group := range []*admission.ConnGroup{g.Callers, g.Peers, g.Readiness, g.Metrics} {
 		set.GetOrCreateGauge(fmt.Sprintf(`gypsumpitch_connections{listener=%q}`, group.Listener()), func() float64 { return float64(group.Count()) })
 	}
 	return g
@@ -52,6 +53,7 @@
 	g.Budget.SetLimit(admission.ConnMemory(memoryMB * bytesPerMB))
 	limits := admission.DivideFiles(processFiles(maxFiles))
 	g.Callers.SetMax(limits.Callers)
+	g.Peers.SetMax(limits.Peers)
 	for _, group := range []*admission.ConnGroup{g.Readiness, g.Metrics} {
 		group.SetMax(limits.Checks)
 	}
