Bound the connections of gypsumpitchd run

Change: its listeners for callers, operators and peers count in one budget, 0.3 of limits.memory_mb (1,024 MB by default, which is also the base of the Go runtime's soft limit), and share the descriptors (limits.max_files or those of the process). Bodies of callers and operators are read by callerconn.ReadBody. Operators' connections use callerconn's server.

--- a/internal/control/operator/server.go
+++ b/internal/control/operator/server.go
@@ -1,11 +1,13 @@
 package operator
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/negroni/v3"
@@ -16,11 +18,13 @@
 	"gypsumpitch.example/gypsumpitch/internal/platform/objectstore"
 	"gypsumpitch.example/gypsumpitch/internal/platform/rest"
 	"gypsumpitch.example/gypsumpitch/internal/platform/tableservice"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/callerconn"
 )
 
 const (
 	maxTablesBytes = 16 << 20
 	maxRowsPerPage = 1000
+	bodyTimeout    = 30 * time.Second // for tables and actions
 )
 
 // Sources provides the status and metrics that the server returns. The functions must be
@@ -115,9 +119,9 @@
 }
 
 func (s *Server) putTables(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTablesBytes))
-	if err != nil {
-		result.Write(w, result.New(result.BodyTooLarge, "tables exceed %d bytes", maxTablesBytes), "")
+	text, rejection := callerconn.ReadBody(w, r, maxTablesBytes, bodyTimeout)
+	if rejection != nil {
+		result.Write(w, rejection, "")
 		return
 	}
 	doc, err := tables.Parse(text)
@@ -144,8 +148,13 @@
 }
 
 func (s *Server) postAction(w http.ResponseWriter, r *http.Request) {
+	text, rejection := callerconn.ReadBody(w, r, maxTablesBytes, bodyTimeout)
+	if rejection != nil {
+		result.Write(w, rejection, "")
+		return
+	}
 	var action tables.Action
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTablesBytes))
+	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&action); err != nil {
 		result.Write(w, result.Wrap(err, result.MalformedRequest), "")
--- a/internal/foundation/settings/defaults.go
+++ b/internal/foundation/settings/defaults.go
@@ -20,6 +20,7 @@
 			MaxInFlight:    2_000,
 			QueueMs:        1_000,
 			RetryPercent:   10,
+			MemoryMB:       1024,
 			PinCache:       50_000,
 		},
 		Control: Control{
--- a/internal/foundation/settings/settings.go
+++ b/internal/foundation/settings/settings.go
@@ -87,6 +87,8 @@
 	MaxInFlight    int64 `json:"max_in_flight" doc:"requests that one daemon has under way" unit:"requests" min:"1" max:"1000000"`
 	QueueMs        int64 `json:"queue_ms" doc:"longest wait for a backend server" unit:"ms" min:"0" max:"60000"`
 	RetryPercent   int64 `json:"retry_percent" doc:"retries as a share of first attempts" unit:"%" min:"0" max:"100"`
+	MemoryMB       int64 `json:"memory_mb" doc:"memory of the host for the daemon; 30% are for connections and their requests; 0 sets no limit" unit:"MB" min:"0" max:"1048576"`
+	MaxFiles       int64 `json:"max_files" doc:"file descriptors that the host allows; three eighths or less are for callers, a sixth for peers; 0 takes the limit of the process" unit:"files" min:"0" max:"10000000"`
 	PinCache       int64 `json:"pin_cache" doc:"session pins kept in memory" unit:"pins" min:"16" max:"10000000"`
 }
 
--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -4,7 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -24,6 +24,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/traffic/caller"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/callerconn"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/claims"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/conngroups"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/dispatch"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/quality"
 )
@@ -33,6 +34,9 @@
 	// the lease, flushing claims and handing over bill records.
 	handoverTimeout    = 30 * time.Second
 	claimFlushInterval = 100 * time.Millisecond
+	// memoryLimitShare is the soft memory limit of the Go runtime, as a share of the host's
+	// memory for the daemon.
+	memoryLimitShare = 0.6
 )
 
 // billRetryDelay is the delay after a failed write of bill records.
@@ -58,10 +62,11 @@
 	Backlog      *claims.Backlog
 	Quality      *quality.Tracker
 	Reconciler   *reconciler.Reconciler
+	Conns        *conngroups.Groups
 }
 
-// listeners holds the listening sockets of a daemon, wrapped in TLS if it is configured. That of
-// callers isn't: their server does it.
+// listeners holds the listening sockets of a daemon. That of peers is wrapped in TLS if it is
+// configured; for the others their servers do it.
 type listeners struct {
 	caller   net.Listener
 	operator net.Listener
@@ -71,6 +76,9 @@
 // Run serves until ctx is cancelled, then shuts down gracefully. It returns early, without a
 // graceful shutdown, if a listener fails.
 func (d *Daemon) Run(ctx context.Context) error {
+	if mb := d.Common.Settings.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryLimitShare))
+	}
 	sockets, err := d.listen()
 	if err != nil {
 		return err
@@ -97,10 +105,11 @@
 	start(d.Reconciler.Run)
 
 	callerServer := d.Callers.NewConnServer(workerCtx, sockets.caller, d.TLS.Server)
-	operatorServer := d.newOperatorServer()
+	callerServer.SetGroup(d.Conns.Callers)
+	operatorServer := d.newOperatorServer(sockets.operator)
 	failures := make(chan error, 3)
 	go func() { failures <- errors.Wrap(callerServer.Serve(), "caller listener") }()
-	go func() { failures <- errors.Wrap(operatorServer.Serve(sockets.operator), "operator listener") }()
+	go func() { failures <- errors.Wrap(operatorServer.Serve(), "operator listener") }()
 	go func() { failures <- errors.Wrap(d.PeerServer.Serve(workerCtx, sockets.peer), "peer listener") }()
 	d.Common.Log.Info("serving", "caller", sockets.caller.Addr().String(), "operator", sockets.operator.Addr().String(), "peer", sockets.peer.Addr().String())
 
@@ -129,7 +138,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		if d.TLS.Server != nil && l.socket != &sockets.caller {
+		if d.TLS.Server != nil && l.socket == &sockets.peer {
 			socket = tls.NewListener(socket, d.TLS.Server)
 		}
 		*l.socket = socket
@@ -140,7 +149,7 @@
 // shutDown stops the daemon without interrupting requests: it fails the health check,
 // waits for the load balancer to notice, drains in-flight requests, and then releases the
 // lease, flushes claims and hands over bill records.
-func (d *Daemon) shutDown(callerServer *callerconn.Server, operatorServer *http.Server) error {
+func (d *Daemon) shutDown(callerServer, operatorServer *callerconn.Server) error {
 	stop := d.Common.Settings.Stop
 	d.Common.Log.Info("stopping", "open_requests", d.Callers.InFlight())
 	d.Callers.BeginShutdown()
--- a/internal/program/daemon/providers.go
+++ b/internal/program/daemon/providers.go
@@ -24,6 +24,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/traffic/bills"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/caller"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/claims"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/conngroups"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/dispatch"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/engine"
 	"gypsumpitch.example/gypsumpitch/internal/traffic/pins"
@@ -112,8 +113,15 @@
 	return peer.NewClient(s.Peer.Key, t.Client)
 }
 
-func newPeerServer(c *common.Common) *peer.Server {
-	return peer.NewServer(c.Log, c.Settings.Peer.Key)
+func newPeerServer(c *common.Common, conns *conngroups.Groups) *peer.Server {
+	server := peer.NewServer(c.Log, c.Settings.Peer.Key)
+	server.SetGroup(conns.Peers)
+	return server
+}
+
+func newConnGroups(c *common.Common, m *caller.Metrics) *conngroups.Groups {
+	limits := c.Settings.Limits
+	return conngroups.New(c.Log, c.Clock, m.Set(), limits.MemoryMB, limits.MaxFiles)
 }
 
 func newSnapshots(l *eventloop.Loop) func() *controlstate.Snapshot { return l.Snapshot }
--- a/internal/program/daemon/status.go
+++ b/internal/program/daemon/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sort"
 	"sync"
@@ -11,8 +12,11 @@
 	"gypsumpitch.example/gypsumpitch/internal/control/controlstate"
 	"gypsumpitch.example/gypsumpitch/internal/control/operator"
 	"gypsumpitch.example/gypsumpitch/internal/control/peer"
+	"gypsumpitch.example/gypsumpitch/internal/decision/catalog"
 	"gypsumpitch.example/gypsumpitch/internal/decision/placement"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/accept"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
+	"gypsumpitch.example/gypsumpitch/internal/traffic/callerconn"
 )
 
 const (
@@ -85,18 +89,20 @@
 	return list
 }
 
-func (d *Daemon) newOperatorServer() *http.Server {
+// newOperatorServer returns a server of the operators' connections.
+func (d *Daemon) newOperatorServer(listener net.Listener) *callerconn.Server {
 	server := operator.NewServer(d.Common, d.Editor, d.TableService, d.ObjectStore, operator.Sources{
 		Status:      d.status,
 		AllStatuses: d.allStatuses,
 		Ready:       d.Callers.Ready,
 		Metrics:     func(w io.Writer) { d.Metrics.Write(w) },
 	})
-	return &http.Server{
-		Handler:           server.Handler(),
-		ReadHeaderTimeout: clock.Millis(d.Common.Settings.Limits.HeaderReadMs).Duration(),
-		MaxHeaderBytes:    int(d.Common.Settings.Limits.MaxHeaderBytes),
-	}
+	limits := d.Common.Settings.Limits
+	conns := callerconn.NewServer(accept.Retrying(d.Common.Log, listener), server.Handler())
+	conns.SetTLS(d.TLS.Server)
+	conns.SetLimits(catalog.Limits{HeaderTimeout: clock.Millis(limits.HeaderReadMs), HeaderBytes: int(limits.MaxHeaderBytes)})
+	conns.SetGroup(d.Conns.Operators)
+	return conns
 }
 
 // registerGauges registers the gauges that show the daemon's backlog and the age of its
--- a/internal/program/daemon/wire.go
+++ b/internal/program/daemon/wire.go
@@ -33,6 +33,7 @@
 		wire.Bind(new(bills.Peers), new(*peer.Client)),
 		wire.Bind(new(pins.Peers), new(*peer.Client)),
 		newPeerServer,
+		newConnGroups,
 		newMachine,
 		placement.NewInFlightCounters,
 		quality.NewTracker,
--- a/internal/program/daemon/wire_gen.go
+++ b/internal/program/daemon/wire_gen.go
@@ -33,7 +33,9 @@
 	service := newTableService(s)
 	client := newObjectStore(s)
 	peerClient := newPeerClient(s, tlsConfigs)
-	server := newPeerServer(commonCommon)
+	metrics := caller.NewMetrics()
+	groups := newConnGroups(commonCommon, metrics)
+	server := newPeerServer(commonCommon, groups)
 	machine := newMachine(commonCommon, incarnation)
 	hostlistClient := newHostListClient(s)
 	qualityService := newRatingService(s)
@@ -57,7 +59,6 @@
 	appClient := newAppClient(s)
 	backlog := claims.NewBacklog(service)
 	coordinator := claims.NewCoordinator(commonCommon, service, v, backlog)
-	metrics := caller.NewMetrics()
 	callerServer := newCallerServer(commonCommon, incarnation, loop, v, dispatcher, engineClient, appClient, recorder, resolver, coordinator, tracker, metrics)
 	editor := operator.NewEditor(commonCommon, service, client, loop)
 	modelLoader := reconciler.NewModelLoader(commonCommon)
@@ -81,6 +82,7 @@
 		Backlog:      backlog,
 		Quality:      tracker,
 		Reconciler:   reconcilerReconciler,
+		Conns:        groups,
 	}
 	return daemon, nil
 }
--- a/internal/traffic/callerconn/server.go
+++ b/internal/traffic/callerconn/server.go
@@ -146,6 +146,9 @@
 	return errors.Wrap(err, "accept caller connection")
 }
 
+// Close closes the listener and all connections at once.
+func (s *Server) Close() error { return errors.WithStack(s.http.Close()) }
+
 // Shutdown closes the listener and the connections, once each is idle, and waits for that
 // until ctx ends. Requests that arrive meanwhile reach the handler: http.Server.Shutdown would
 // close their connections without an answer, though they have been read.
--- a/internal/traffic/conngroups/groups.go
+++ b/internal/traffic/conngroups/groups.go
@@ -24,6 +24,7 @@
 	Peers     *admission.ConnGroup
 	Readiness *admission.ConnGroup
 	Metrics   *admission.ConnGroup
+	Operators *admission.ConnGroup
 
 	log   hclog.Logger
 	clock clock.Clock
@@ -36,12 +37,13 @@
 	b := admission.NewConnBudget(0)
 	g := &Groups{
 		Budget: b, Callers: b.NewGroup("callers", 0, true), Peers: b.NewGroup("peers", 0, false),
-		Readiness: b.NewGroup("readiness", 0, false), Metrics: b.NewGroup("metrics", 0, false), log: log, clock: c, set: set,
+		Readiness: b.NewGroup("readiness", 0, false), Metrics: b.NewGroup("metrics", 0, false),
+		Operators: b.NewGroup("operators", 0, true), log: log, clock: c, set: set,
 	}
 	b.OnRefused = g.recordRefusal
 	g.SetLimits(memoryMB, maxFiles)
 	set.GetOrCreateGauge("gypsumpitch_connections_held_bytes", func() float64 { return float64(b.Used()) })
-	for _, group := range []*admission.ConnGroup{g.Callers, g.Peers, g.Readiness, g.Metrics} {
+	for _, group := range []*admission.ConnGroup{g.Callers, g.Peers, g.Readiness, g.Metrics, g.Operators} {
 		set.GetOrCreateGauge(fmt.Sprintf(`gypsumpitch_connections{listener=%q}`, group.Listener()), func() float64 { return float64(group.Count()) })
 	}
 	return g
@@ -54,7 +56,7 @@
 	limits := admission.DivideFiles(processFiles(maxFiles))
 	g.Callers.SetMax(limits.Callers)
 	g.Peers.SetMax(limits.Peers)
-	for _, group := range []*admission.ConnGroup{g.Readiness, g.Metrics} {
+	for _, group := range []*admission.ConnGroup{g.Readiness, g.Metrics, g.Operators} {
 		group.SetMax(limits.Checks)
 	}
 }
