Bound what a daemon remembers of names that callers choose

Found by reading what lives on beside a header. Sessions were remembered by their name, which a header may make as long as its limit, for 8,192 sessions; times of models by the name in the request, without a bound in number, on routes whose servers don't check it; log lines held names of any length before they were dropped as too long.

No crowd was played for it.

--- a/internal/decision/loadbalance/balancer.go
+++ b/internal/decision/loadbalance/balancer.go
@@ -28,10 +28,12 @@
 // Balancer holds this daemon's knowledge of the servers' load, health and
 // latency. It is safe for concurrent use.
 type Balancer struct {
-	mu        sync.Mutex
-	servers   map[string]*serverState
-	models    map[modelKey]LatencyModel
-	prefixBuf []Prefix // reused by Choose
+	mu      sync.Mutex
+	servers map[string]*serverState
+	models  map[modelKey]LatencyModel
+	// modelNames are the keys of models, runTimes and decode; runTimes also has those of pools.
+	modelNames map[modelKey]struct{}
+	prefixBuf  []Prefix // reused by Choose
 
 	announcements announcements
 	limits        serverLimits
@@ -78,7 +80,7 @@
 // NewBalancer returns a balancer without any measurements.
 func NewBalancer() *Balancer {
 	return &Balancer{
-		servers: make(map[string]*serverState), models: make(map[modelKey]LatencyModel),
+		servers: make(map[string]*serverState), models: make(map[modelKey]LatencyModel), modelNames: make(map[modelKey]struct{}),
 		announcements: announcements{servers: make(map[string]*announcement)},
 		limits:        serverLimits{servers: make(map[string]*serverLimit), members: newLimitMembers()},
 		returns:       make(map[string]clock.Millis),
--- a/internal/decision/loadbalance/latency_records.go
+++ b/internal/decision/loadbalance/latency_records.go
@@ -16,6 +16,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := modelKey{c.Server.Pool, model}
+	if !b.remembers(key) {
+		return
+	}
 	if b.isUneven(c.Server.Pool, now) {
 		b.recordUnevenFirstByte(c, key, firstByte, now)
 		return
@@ -33,6 +36,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := modelKey{e.Pool, model}
+	if !b.remembers(key) {
+		return
+	}
 	if b.isUneven(e.Pool, now) {
 		b.recordUnevenEventTime(e, key, ms, now)
 	}
--- a/internal/decision/loadbalance/room.go
+++ b/internal/decision/loadbalance/room.go
@@ -133,7 +133,7 @@
 	defer b.mu.Unlock()
 	ofPool, ofModel := modelKey{pool: pool}, modelKey{pool, model}
 	b.runTimes[ofPool] = b.runTimes[ofPool].with(elapsed)
-	if ofModel != ofPool {
+	if ofModel != ofPool && b.remembers(ofModel) {
 		b.runTimes[ofModel] = b.runTimes[ofModel].with(elapsed)
 	}
 }
--- a/internal/foundation/logging/limit.go
+++ b/internal/foundation/logging/limit.go
@@ -26,3 +26,10 @@
 	}
 	return true, l.suppressed.Swap(0)
 }
+
+// maxTextBytes bounds a text in a log line that a caller has chosen.
+const maxTextBytes = 64
+
+// Text returns the beginning of a text that a caller has chosen: a line with all of it may be too
+// long for the Writer.
+func Text(text string) string { return text[:min(len(text), maxTextBytes)] }
--- a/internal/traffic/relay/log.go
+++ b/internal/traffic/relay/log.go
@@ -10,6 +10,7 @@
 	"gypsumpitch.example/gypsumpitch/internal/decision/fleet"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/clock"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/container"
+	"gypsumpitch.example/gypsumpitch/internal/foundation/logging"
 	"gypsumpitch.example/gypsumpitch/internal/foundation/result"
 )
 
@@ -17,7 +18,7 @@
 func (ex *exchange) log(message string, server *fleet.Entry, extra ...any) {
 	r := ex.relay
 	fields := make([]any, 0, 16+len(extra))
-	fields = append(fields, "request", ex.req.ID, "after_ms", int64(r.Clock.Now()-ex.req.ReceivedAt))
+	fields = append(fields, "request", logging.Text(ex.req.ID), "after_ms", int64(r.Clock.Now()-ex.req.ReceivedAt))
 	if ex.route != nil {
 		fields = append(fields, "route", ex.route.Name, "pool", ex.pool.Name)
 	}
@@ -31,7 +32,7 @@
 		fields = append(fields, "server", server.ID, "version", server.Version)
 	}
 	if ex.req.Session != "" {
-		fields = append(fields, "session", ex.req.Session)
+		fields = append(fields, "session", logging.Text(ex.req.Session))
 	}
 	fields = append(fields, "attempts", ex.attempts)
 	r.Log.Info(message, append(fields, extra...)...)
@@ -47,7 +48,7 @@
 	segments = segments[:min(len(segments), maxLoggedSegments)]
 	ids := make([]string, 0, len(segments))
 	for _, s := range segments {
-		ids = append(ids, s.ID)
+		ids = append(ids, logging.Text(s.ID))
 	}
 	return ids
 }
