Close refused connections first when a listener is full

Found by reading: a refused client is given half a second to read its answer, in which its connection takes a descriptor. A crowd that sends headers over the limit faster than that could fill the listener, and new callers would be closed unread though nobody is served.

Change: what was refused stays known until it is closed, and goes before all others when a new connection comes.

Measured: TestRefusedConnGoesFirst, which fails without the change: the idle connection is ended in place of the refused one.

--- a/internal/decision/admission/conn_budget.go
+++ b/internal/decision/admission/conn_budget.go
@@ -281,10 +281,8 @@
 	}
 	h.closed = true
 	h.group.count--
-	if !h.refused {
-		b.resize(h, 0)
-		delete(b.holdings, h)
-	}
+	b.resize(h, 0)
+	delete(b.holdings, h)
 }
 
 // decayingCount is a count that halves every second.
--- a/internal/decision/admission/conn_budget_test.go
+++ b/internal/decision/admission/conn_budget_test.go
@@ -131,6 +131,23 @@
 	assert.Assert(t, g.NewHolding(nil).Open(10, 5000))
 }
 
+// TestRefusedConnGoesFirst guards against newcomers that are turned away, or sound connections that are
+// ended, while refused ones are waited for until they have read their answer.
+func TestRefusedConnGoesFirst(t *testing.T) {
+	b := NewConnBudget(100)
+	reported := 0
+	b.OnRefused = func(Refusal) { reported++ }
+	g := b.NewGroup("callers", 2, false)
+	idle, refused := openConn(t, g, 10, 0), openConn(t, g, 0, 5000)
+	refused.SetPhase(ConnServing, 5000)
+	assert.Assert(t, !refused.Grow(1000, 5000))
+	assert.Equal(t, g.Count(), 2)
+	openConn(t, g, 10, 5000)
+	assert.Equal(t, refused.ended, RefusedConnections)
+	assert.Equal(t, idle.ended, RefusalReason(""))
+	assert.Equal(t, reported, 1)
+}
+
 // TestRetryDelayFollowsRefusals checks that callers are told to return soon, and later the more are
 // refused, until the refusals have passed.
 func TestRetryDelayFollowsRefusals(t *testing.T) {
--- a/internal/decision/admission/conn_victims.go
+++ b/internal/decision/admission/conn_victims.go
@@ -23,8 +23,9 @@
 
 // endedConn is a connection to be ended once the lock is released.
 type endedConn struct {
-	end     func(Refusal)
-	refusal Refusal
+	end      func(Refusal)
+	refusal  Refusal
+	reported bool // it was refused before
 }
 
 // endAll ends and reports the connections. b.mu must not be held.
@@ -33,7 +34,9 @@
 		if c.end != nil {
 			c.end(c.refusal)
 		}
-		b.report(c.refusal)
+		if !c.reported {
+			b.report(c.refusal)
+		}
 	}
 }
 
@@ -110,7 +113,7 @@
 // first, and the sum of their bytes.
 func (b *ConnBudget) candidates(h *ConnHolding, own float64, now clock.Millis) (list []*ConnHolding, bytes int64) {
 	for other := range b.holdings {
-		if other != h && other.phase != ConnServing && rank(other, other.bytes, now) > own {
+		if other != h && !other.refused && other.phase != ConnServing && rank(other, other.bytes, now) > own {
 			list = append(list, other)
 			bytes += other.countedBytes()
 		}
@@ -121,11 +124,15 @@
 	return list, bytes
 }
 
-// stalest returns the connection of the group that is to be ended for a new one; nil if all are
-// being served.
+// stalest returns the connection of the group that is to be ended for a new one: one that was
+// refused and isn't closed yet, or that with the highest rank. It returns nil if all are being served.
 func (b *ConnBudget) stalest(g *ConnGroup, now clock.Millis) (worst *ConnHolding) {
 	for h := range b.holdings {
-		if h.group == g && h.phase != ConnServing && (worst == nil || rank(h, h.bytes, now) > rank(worst, worst.bytes, now)) {
+		switch {
+		case h.group != g:
+		case h.refused:
+			return h
+		case h.phase != ConnServing && (worst == nil || rank(h, h.bytes, now) > rank(worst, worst.bytes, now)):
 			worst = h
 		}
 	}
@@ -137,12 +144,15 @@
 	return float64(bytes) * float64(now-h.movedAt+1)
 }
 
-// remove gives back what the connection holds and marks it as refused. b.mu must be held.
+// remove gives back what the connection holds and marks it as refused. It stays in holdings until it
+// is closed. b.mu must be held.
 func (b *ConnBudget) remove(h *ConnHolding, reason RefusalReason, now clock.Millis) endedConn {
-	r := Refusal{Listener: h.group.listener, Reason: reason, Phase: h.phase, Bytes: h.bytes, Stalled: now - h.movedAt}
-	b.resize(h, 0)
-	b.refusals.add(1, now)
-	delete(b.holdings, h)
-	h.refused = true
-	return endedConn{end: h.end, refusal: r}
+	ended := endedConn{end: h.end, reported: h.refused}
+	ended.refusal = Refusal{Listener: h.group.listener, Reason: reason, Phase: h.phase, Bytes: h.bytes, Stalled: now - h.movedAt}
+	if !h.refused {
+		b.resize(h, 0)
+		b.refusals.add(1, now)
+		h.refused = true
+	}
+	return ended
 }
--- a/internal/traffic/callerconn/refuse.go
+++ b/internal/traffic/callerconn/refuse.go
@@ -87,6 +87,7 @@
 // serves it.
 func (c *conn) end(r admission.Refusal) {
 	c.mu.Lock()
+	first := c.refusal == nil
 	c.refusal = &r
 	c.arrivedAt = time.Time{}
 	_ = c.Conn.SetReadDeadline(past) // an error means that it is closed
@@ -94,7 +95,7 @@
 	if r.Reason != admission.RefusedConnections {
 		return
 	}
-	if r.Phase == admission.ConnReading {
+	if first && r.Phase == admission.ConnReading {
 		c.answer(c.server.memoryError())
 	}
 	_ = c.Close()
@@ -124,6 +125,9 @@
 func (c *conn) refuseHeader(e *result.Error) error {
 	c.mu.Lock()
 	c.arrivedAt = time.Time{}
+	if c.refusal == nil {
+		c.refusal = &admission.Refusal{}
+	}
 	c.mu.Unlock()
 	c.answer(e)
 	_ = c.CloseWrite()
