Release a refused header before its caller is waited for

Cause: a refused client was waited for inside the read of the HTTP server, whose parser held what it had made for half a second more. A call between daemons that could never fit was read before it was refused.

--- a/internal/control/peer/conn_calls.go
+++ b/internal/control/peer/conn_calls.go
@@ -43,6 +43,10 @@
 	if err != nil {
 		return err
 	}
+	if !c.server.group.Fits(size * decodedFactor) {
+		c.server.group.Refuse(admission.RefusedFrame, admission.ConnReading, c.server.clock.Now())
+		return errors.Wrap(readall.ErrNoMemory, "read frame")
+	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(frameTimeout))
 	c.update(func() { c.reading = true })
 	var call envelope
--- a/internal/decision/admission/conn_budget.go
+++ b/internal/decision/admission/conn_budget.go
@@ -25,6 +25,7 @@
 	RefusedMemory      RefusalReason = "memory"           // the memory for connections is used up
 	RefusedConnections RefusalReason = "connections"      // the listener has as many as the descriptors allow
 	RefusedHeader      RefusalReason = "header_too_large" // over the limit of one request
+	RefusedFrame       RefusalReason = "frame_too_large"  // a call between daemons that never fits
 	RefusedBodyTime    RefusalReason = "body_too_slow"    // over the time for one body
 )
 
--- a/internal/decision/admission/conn_victims.go
+++ b/internal/decision/admission/conn_victims.go
@@ -15,7 +15,7 @@
 	largeDivisor  = 64
 	minLargeBytes = 256 << 10
 	// aloneFactor bounds what a single large request may hold, as a multiple of the budget.
-	aloneFactor = 2
+	aloneFactor = 3
 	// spareDivisor gives the part of the budget that is freed beyond what is needed, so that
 	// the next connections find room without a search.
 	spareDivisor = 32
@@ -78,6 +78,16 @@
 // largeLimit returns the part of the budget that is for large requests, too.
 func (b *ConnBudget) largeLimit() int64 { return b.limit - b.limit/reserveDivisor }
 
+// Fits reports whether a connection of the group may ever hold the bytes.
+func (g *ConnGroup) Fits(bytes int64) bool {
+	if g == nil {
+		return true
+	}
+	g.budget.mu.Lock()
+	defer g.budget.mu.Unlock()
+	return g.budget.limit <= 0 || bytes <= g.budget.largeLimit()
+}
+
 // isAlone reports whether h may exceed the budget: no other connection is large, and the small ones
 // have room.
 func (b *ConnBudget) isAlone(h *ConnHolding) bool {
--- a/internal/traffic/callerconn/conn.go
+++ b/internal/traffic/callerconn/conn.go
@@ -42,6 +42,7 @@
 	since     time.Time          // when the phase began
 	arrivedAt time.Time          // first bytes of a request that has not reached the handler; zero if there is none
 	refusal   *admission.Refusal // why the connection is ended; nil if it isn't
+	drains    bool               // its caller may still read an answer; see drain
 }
 
 // newConn returns a connection that is in the server's set until it is closed; nil if there is no
@@ -56,12 +57,12 @@
 	return accepted
 }
 
-// Close closes the connection, and reports the request that it ends before the handler.
+// Close closes the connection, and reports the request that it ends before the handler. One that was
+// refused is closed a moment later, unless Close is called again.
 func (c *conn) Close() error {
-	err := c.Conn.Close()
 	c.mu.Lock()
-	arrivedAt, fail := c.arrivedAt, c.fail
-	c.arrivedAt = time.Time{}
+	arrivedAt, fail, drains := c.arrivedAt, c.fail, c.drains
+	c.arrivedAt, c.drains = time.Time{}, false
 	c.mu.Unlock()
 	if fail != nil {
 		fail(net.ErrClosed) // releases the context
@@ -69,6 +70,11 @@
 	if !arrivedAt.IsZero() && c.server.OnDropped != nil {
 		c.server.OnDropped(time.Since(arrivedAt))
 	}
+	if drains {
+		go c.drain()
+		return nil
+	}
+	err := c.Conn.Close()
 	c.server.conns.remove(c)
 	c.holding.Close()
 	return err
--- a/internal/traffic/callerconn/refuse.go
+++ b/internal/traffic/callerconn/refuse.go
@@ -128,12 +128,19 @@
 	if c.refusal == nil {
 		c.refusal = &admission.Refusal{}
 	}
+	c.drains = true
 	c.mu.Unlock()
 	c.answer(e)
+	return &net.OpError{Op: "read", Net: "tcp", Err: e}
+}
+
+// drain discards for a moment what a refused caller still sends, so that it can read its answer, and
+// closes the connection. The HTTP server has released what it had parsed by then.
+func (c *conn) drain() {
 	_ = c.CloseWrite()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalTime))
 	_, _ = io.CopyN(io.Discard, c.Conn, refusedBytes)
-	return &net.OpError{Op: "read", Net: "tcp", Err: e}
+	_ = c.Close()
 }
 
 // answer writes an error to the connection, past the HTTP server. It writes nothing in a TLS
