Remove a question that nobody asks

HasSharedCapacity told the handler of callers how to count bodies, which are counted alike since. Change: relay.HasSharedCapacity is gone. Measured: builds; no behaviour changes.

--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -185,9 +185,6 @@
 	ended = true
 }
 
-// HasSharedCapacity reports whether requests that arrive now have shared capacity.
-func (r *Relay) HasSharedCapacity() bool { return r.features.Load().SharedCapacity }
-
 // match returns the request's route and client account in the view's configuration.
 func (r *Relay) match(v *fleet.View, req *Request) (*catalog.Route, catalog.ClientAccount, error) {
 	c := v.Catalog
