Read a body over the limit before it is refused

Cause: since such a body was refused unread, and the connection closed while its caller still wrote.

Change: what is over the limit is discarded as it comes, up to twice the limit and within the time for bodies, without being held.

Measured: TestTooLargeBodyIsAnswered fails at the first of 20 requests without the change; TestInvalidRequests passed 5 of 5.

--- a/internal/traffic/callerconn/body.go
+++ b/internal/traffic/callerconn/body.go
@@ -73,13 +73,15 @@
 		return nil, nil
 	}
 	c, _ := r.Context().Value(connKey{}).(*conn)
-	if r.ContentLength > limit {
-		return nil, rejectBody(w, result.New(result.BodyTooLarge, "the body has %d bytes, more than %d", r.ContentLength, limit))
-	}
 	controller := http.NewResponseController(w)
 	// Fails only with test recorders, which have no deadlines; the size limit applies to
 	// them too.
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
+	if r.ContentLength > limit {
+		// A caller may read the answer only once it has sent its body.
+		_, _ = io.CopyN(io.Discard, r.Body, min(r.ContentLength, 2*limit))
+		return nil, rejectBody(w, result.New(result.BodyTooLarge, "the body has %d bytes, more than %d", r.ContentLength, limit))
+	}
 	body, err := readall.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, bodyMemory{c})
 	if err == nil {
 		return body, nil
--- a/internal/traffic/callerconn/refuse_test.go
+++ b/internal/traffic/callerconn/refuse_test.go
@@ -153,6 +153,21 @@
 	s.wantRefusal(admission.RefusedBodyTime, admission.ConnReading)
 }
 
+// TestTooLargeBodyIsAnswered guards against a connection that is closed while its caller still sends a
+// body over the limit: many read the answer only then. None of the body is held.
+func TestTooLargeBodyIsAnswered(t *testing.T) {
+	const memory = 300 << 10
+	s := newCountedServer(t, memory, 0, catalog.Limits{}, time.Minute)
+	for range 20 {
+		body := strings.NewReader(strings.Repeat("x", maxTestBody*5/4))
+		response, err := http.Post("http://"+s.address, "", body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusRequestEntityTooLarge)
+	}
+	assert.Equal(t, len(s.refusals), 0)
+}
+
 // TestTooManyConnections guards against connections that take the place of ordinary callers: the one
 // that was idle the longest is closed.
 func TestTooManyConnections(t *testing.T) {
