--- /dev/null
+++ b/review/harness3/removed_machines.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	badPart       = "badc0de1"
+	stableWindow  = 3 * time.Second
+	crashDownTime = 3 * time.Second
+)
+
+// playRemovedMachines sends prompts with a part that crashes engines to a deployment. With trouble,
+// machines were removed from it for good before.
+func playRemovedMachines(r *record, trouble bool) (broken bool, err error) {
+	d, err := newDeployment(r)
+	if err != nil {
+		return false, err
+	}
+	defer d.close()
+	d.configure()
+	removed, _ := strconv.Atoi(os.Getenv("REMOVED"))
+	if removed == 0 {
+		removed = 120
+	}
+	if trouble {
+		if err := d.removeMachines(removed); err != nil {
+			return false, err
+		}
+	}
+	c := &crashCase{runs: &runs{record: r}, record: r}
+	for i := range 9 {
+		if _, err := d.addEngine(fmt.Sprintf("i-%d", i+1), "pitch", zones[i%3], 64, c.serve); err != nil {
+			return false, err
+		}
+	}
+	if err := d.startDaemons(7); err != nil {
+		return false, err
+	}
+	time.Sleep(settleTime)
+	c.load(d)
+	return c.check(), nil
+}
+
+// removeMachines starts daemons and removes them for good, some at a time.
+func (d *deployment) removeMachines(count int) error {
+	const batch = 40
+	for from := 0; from < count; from += batch {
+		var group []*daemon
+		for i := from; i < min(from+batch, count); i++ {
+			n, err := newDaemon(fmt.Sprintf("edge-%s-old-%d", zones[i%3], i), zones[i%3], d.store.address, d.dir)
+			if err != nil {
+				return err
+			}
+			if err := n.start(); err != nil {
+				return err
+			}
+			group = append(group, n)
+		}
+		for _, n := range group {
+			if err := n.awaitReady(readyTime); err != nil {
+				return err
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, n := range group {
+			n.kill()
+		}
+		d.record.note("%d machines were removed for good", len(group))
+	}
+	return nil
+}
+
+type crashCase struct {
+	*runs
+	record  *record
+	mu      sync.Mutex
+	crashes []time.Time
+	bad     []time.Time // arrivals of requests with the bad part at engines
+	sound   []soundRequest
+}
+
+type soundRequest struct {
+	sentAt time.Time
+	begun  bool
+	status int
+}
+
+func (c *crashCase) serve(e *engine, w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("Request-Id")
+	_, _ = io.Copy(io.Discard, q.Body)
+	isBad := strings.Contains(q.Header.Get("Prompt-Prefix"), badPart)
+	run := c.begin(e.id, id, "")
+	if isBad {
+		c.mu.Lock()
+		c.bad = append(c.bad, time.Now())
+		c.mu.Unlock()
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Engine-Stamp", e.stamp(id))
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	if !sleep(q.Context(), 60*time.Millisecond) {
+		c.end(run, "its connection closed")
+		return
+	}
+	for n := last + 1; n <= 30; n++ {
+		_, _ = io.WriteString(w, event(id, n))
+		_ = http.NewResponseController(w).Flush()
+		if isBad {
+			c.end(run, "it crashes the engine")
+			c.mu.Lock()
+			c.crashes = append(c.crashes, time.Now())
+			c.mu.Unlock()
+			c.record.note("%s crashes", e.id)
+			go func() {
+				address := e.address
+				e.crash()
+				time.Sleep(crashDownTime)
+				if err := e.start(address); err != nil {
+					c.record.note("%s can't start again: %v", e.id, err)
+				}
+			}()
+			<-q.Context().Done()
+			return
+		}
+		if !sleep(q.Context(), 50*time.Millisecond) {
+			c.end(run, "its connection closed")
+			return
+		}
+	}
+	c.end(run, "it is complete")
+}
+
+func (c *crashCase) load(d *deployment) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var clients sync.WaitGroup
+	began := time.Now()
+	for i := 0; time.Since(began) < 40*time.Second; i++ {
+		q := request{id: fmt.Sprintf("%016x", rng.Uint64()), method: http.MethodPost, path: "/draft/1", body: fmt.Sprint(i), deadline: 12 * time.Second}
+		bad := i%8 == 7 && time.Since(began) > 8*time.Second
+		q.prompt = fmt.Sprintf("5c1e07a2:512,%08x:100,%08x:288", 0x77000000+rng.IntN(20), rng.Uint32())
+		if bad {
+			q.prompt = fmt.Sprintf("5c1e07a2:512,%s:100,%08x:288", badPart, rng.Uint32())
+		}
+		n := d.daemons[len(d.daemons)-7+rng.IntN(7)]
+		clients.Go(func() {
+			sentAt := time.Now()
+			got := d.send(n, q)
+			if bad {
+				c.record.note("client gets %d for bad %s at %s", got.status, q.id, n.name)
+				return
+			}
+			runs := c.of(q.id)
+			c.mu.Lock()
+			c.sound = append(c.sound, soundRequest{sentAt, len(runs) > 0, got.status})
+			c.mu.Unlock()
+		})
+		time.Sleep(time.Duration(30+rng.IntN(40)) * time.Millisecond)
+	}
+	clients.Wait()
+}
+
+func (c *crashCase) check() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record.show("%d crashes, %d arrivals of bad requests", len(c.crashes), len(c.bad))
+	if len(c.crashes) < 5 {
+		return false
+	}
+	from, late := c.crashes[4].Add(stableWindow), 0
+	for _, at := range c.bad {
+		if at.After(from) {
+			late++
+		}
+	}
+	c.record.show("%d of them later than %v after the fifth crash", late, stableWindow)
+	count := func(from, to time.Time) (n, begun int) {
+		for _, s := range c.sound {
+			if s.sentAt.After(from) && s.sentAt.Before(to) {
+				n++
+				if s.begun {
+					begun++
+				}
+			}
+		}
+		return n, begun
+	}
+	n0, b0 := count(time.Time{}, c.crashes[0])
+	n1, b1 := count(c.crashes[4].Add(2*stableWindow), time.Now())
+	c.record.show("sound requests that began: %d of %d before, %d of %d later", b0, n0, b1, n1)
+	return late > 3
+}
