--- a/review/harness3/daemon.go
+++ b/review/harness3/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -53,19 +54,23 @@
 	}
 }
 
-// usedPorts are those that freeAddress has returned. The kernel may give a closed port out again.
+// usedPorts are those that freeAddress has returned.
 var usedPorts sync.Map
 
+// The ports of daemons and engines are below those that the kernel gives to outgoing connections.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+)
+
 func freeAddress() (string, error) {
-	for range 50 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
+	for range 500 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if _, used := usedPorts.LoadOrStore(address, true); used {
+			continue
 		}
-		address := listener.Addr().String()
-		_ = listener.Close()
-		if _, used := usedPorts.LoadOrStore(address, true); !used {
-			return address, nil
+		if listener, err := net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
 		}
 	}
 	return "", errors.New("no free port")
@@ -134,18 +139,6 @@
 	}
 }
 
-// isRunning reports whether the process has not exited.
-func (d *daemon) isRunning() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	select {
-	case <-d.exited:
-		return false
-	default:
-		return d.process != nil
-	}
-}
-
 // awaitReady waits until the daemon answers the readiness check with 200.
 func (d *daemon) awaitReady(timeout time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -57,10 +57,10 @@
 }
 
 // addEngine starts an engine of the service in the zone.
-func (d *deployment) addEngine(id, service, zone string, slots int, serve func(*engine, http.ResponseWriter, *http.Request)) (*engine, error) {
-	e := &engine{id: id, service: service, zone: zone, slots: slots, store: d.store, record: d.record, serve: serve}
+func (d *deployment) addEngine(id, service, zone string, slots int, serve func(*engine, http.ResponseWriter, *http.Request)) error {
+	e := &engine{id: id, service: service, zone: zone, slots: slots, store: d.store, serve: serve}
 	d.engines = append(d.engines, e)
-	return e, e.start("")
+	return e.start("")
 }
 
 // newDaemon adds a daemon, which is not started.
--- a/review/harness3/engine.go
+++ b/review/harness3/engine.go
@@ -14,7 +14,6 @@
 	id, service, zone string
 	slots             int
 	store             *store
-	record            *record
 	// serve handles a request that the engine begins to run.
 	serve func(e *engine, w http.ResponseWriter, r *http.Request)
 
@@ -89,13 +88,6 @@
 	}
 }
 
-// isUp reports whether the engine runs.
-func (e *engine) isUp() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.server != nil
-}
-
 func (e *engine) handle(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h["Date"] = nil
--- a/review/harness3/lost_successor.go
+++ b/review/harness3/lost_successor.go
@@ -52,7 +52,7 @@
 	for i := range engineCount {
 		id := fmt.Sprintf("i-%d", i+1)
 		c.silent[id] = &atomic.Int64{}
-		if _, err := d.addEngine(id, "pitch", zones[i%len(zones)], 64, c.serve); err != nil {
+		if err := d.addEngine(id, "pitch", zones[i%len(zones)], 64, c.serve); err != nil {
 			return false, err
 		}
 	}
--- a/review/harness3/removed_machines.go
+++ b/review/harness3/removed_machines.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,7 +12,17 @@
 )
 
 const (
+	// Each of the machines of the deployment has been replaced by another one twelve times.
+	machines        = 7
+	removedMachines = 12 * machines
+	removedAtATime  = 6 * machines
+
+	// badPart is the part of prompts that crashes engines.
 	badPart       = "badc0de1"
+	badShare      = 8 // one request in so many has it
+	maxLateBad    = 3 // by BUDGET
+	loadTime      = 40 * time.Second
+	calmLoadTime  = 8 * time.Second // at its beginning, without the part
 	stableWindow  = 3 * time.Second
 	crashDownTime = 3 * time.Second
 )
@@ -27,22 +36,18 @@
 	}
 	defer d.close()
 	d.configure()
-	removed, _ := strconv.Atoi(os.Getenv("REMOVED"))
-	if removed == 0 {
-		removed = 120
-	}
 	if trouble {
-		if err := d.removeMachines(removed); err != nil {
+		if err := d.removeMachines(); err != nil {
 			return false, err
 		}
 	}
 	c := &crashCase{runs: &runs{record: r}, record: r}
-	for i := range 9 {
-		if _, err := d.addEngine(fmt.Sprintf("i-%d", i+1), "pitch", zones[i%3], 64, c.serve); err != nil {
+	for i := range engineCount {
+		if err := d.addEngine(fmt.Sprintf("i-%d", i+1), "pitch", zones[i%len(zones)], 64, c.serve); err != nil {
 			return false, err
 		}
 	}
-	if err := d.startDaemons(7); err != nil {
+	if err := d.startDaemons(machines); err != nil {
 		return false, err
 	}
 	time.Sleep(settleTime)
@@ -50,13 +55,12 @@
 	return c.check(), nil
 }
 
-// removeMachines starts daemons and removes them for good, some at a time.
-func (d *deployment) removeMachines(count int) error {
-	const batch = 40
-	for from := 0; from < count; from += batch {
+// removeMachines starts machines and removes them for good, some at a time.
+func (d *deployment) removeMachines() error {
+	for from := 0; from < removedMachines; from += removedAtATime {
 		var group []*daemon
-		for i := from; i < min(from+batch, count); i++ {
-			n, err := newDaemon(fmt.Sprintf("edge-%s-old-%d", zones[i%3], i), zones[i%3], d.store.address, d.dir)
+		for i := from; i < from+removedAtATime; i++ {
+			n, err := newDaemon(fmt.Sprintf("edge-%s-old-%d", zones[i%len(zones)], i), zones[i%len(zones)], d.store.address, d.dir)
 			if err != nil {
 				return err
 			}
@@ -79,6 +83,7 @@
 	return nil
 }
 
+// crashCase is a case in which prompts with one part crash engines.
 type crashCase struct {
 	*runs
 	record  *record
@@ -88,12 +93,15 @@
 	sound   []soundRequest
 }
 
+// soundRequest is a request without the bad part.
 type soundRequest struct {
 	sentAt time.Time
 	begun  bool
 	status int
 }
 
+// serve is what an engine does with a stream. It crashes once it has written the first event of an
+// answer on the bad part, and is back after crashDownTime.
 func (c *crashCase) serve(e *engine, w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("Request-Id")
 	_, _ = io.Copy(io.Discard, q.Body)
@@ -111,27 +119,16 @@
 		c.end(run, "its connection closed")
 		return
 	}
-	for n := last + 1; n <= 30; n++ {
+	for n := last + 1; n <= streamEvents; n++ {
 		_, _ = io.WriteString(w, event(id, n))
 		_ = http.NewResponseController(w).Flush()
 		if isBad {
 			c.end(run, "it crashes the engine")
-			c.mu.Lock()
-			c.crashes = append(c.crashes, time.Now())
-			c.mu.Unlock()
-			c.record.note("%s crashes", e.id)
-			go func() {
-				address := e.address
-				e.crash()
-				time.Sleep(crashDownTime)
-				if err := e.start(address); err != nil {
-					c.record.note("%s can't start again: %v", e.id, err)
-				}
-			}()
+			go c.crash(e)
 			<-q.Context().Done()
 			return
 		}
-		if !sleep(q.Context(), 50*time.Millisecond) {
+		if !sleep(q.Context(), eventPause) {
 			c.end(run, "its connection closed")
 			return
 		}
@@ -139,18 +136,32 @@
 	c.end(run, "it is complete")
 }
 
+// crash has the engine crash and come back.
+func (c *crashCase) crash(e *engine) {
+	c.mu.Lock()
+	c.crashes = append(c.crashes, time.Now())
+	c.mu.Unlock()
+	c.record.note("%s crashes", e.id)
+	e.crash()
+	time.Sleep(crashDownTime)
+	if err := e.start(e.address); err != nil {
+		c.record.note("%s can't start again: %v", e.id, err)
+	}
+}
+
+// load sends requests to the daemons, some of them with the bad part.
 func (c *crashCase) load(d *deployment) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	var clients sync.WaitGroup
 	began := time.Now()
-	for i := 0; time.Since(began) < 40*time.Second; i++ {
+	for i := 0; time.Since(began) < loadTime; i++ {
 		q := request{id: fmt.Sprintf("%016x", rng.Uint64()), method: http.MethodPost, path: "/draft/1", body: fmt.Sprint(i), deadline: 12 * time.Second}
-		bad := i%8 == 7 && time.Since(began) > 8*time.Second
+		bad := i%badShare == badShare-1 && time.Since(began) > calmLoadTime
 		q.prompt = fmt.Sprintf("5c1e07a2:512,%08x:100,%08x:288", 0x77000000+rng.IntN(20), rng.Uint32())
 		if bad {
 			q.prompt = fmt.Sprintf("5c1e07a2:512,%s:100,%08x:288", badPart, rng.Uint32())
 		}
-		n := d.daemons[len(d.daemons)-7+rng.IntN(7)]
+		n := d.daemons[rng.IntN(len(d.daemons))]
 		clients.Go(func() {
 			sentAt := time.Now()
 			got := d.send(n, q)
@@ -168,6 +179,7 @@
 	clients.Wait()
 }
 
+// check reports whether more requests with the bad part reached engines than BUDGET allows.
 func (c *crashCase) check() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -196,5 +208,5 @@
 	n0, b0 := count(time.Time{}, c.crashes[0])
 	n1, b1 := count(c.crashes[4].Add(2*stableWindow), time.Now())
 	c.record.show("sound requests that began: %d of %d before, %d of %d later", b0, n0, b1, n1)
-	return late > 3
+	return late > maxLateBad
 }
