Add a review case: a lost completion of a roll-out ends a service

All daemons are killed while the store comes back from a copy in which a good roll-out isn't completed yet. Daemons without answers find a risk just above 1 by rounding, roll the version back and refuse everything, since the engines of the other version have stopped.

--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -27,6 +28,7 @@
 	store   *store
 	daemons []*daemon
 	engines []*engine
+	silent  []net.Listener // addresses at which nothing responds
 }
 
 func newDeployment(r *record) (*deployment, error) {
@@ -49,6 +51,9 @@
 	for _, e := range d.engines {
 		e.crash()
 	}
+	for _, listener := range d.silent {
+		_ = listener.Close()
+	}
 	if os.Getenv("KEEP_LOGS") != "" {
 		fmt.Println("logs are kept in", d.dir)
 		return
@@ -58,7 +63,12 @@
 
 // addEngine starts an engine of the service in the zone.
 func (d *deployment) addEngine(id, service, zone string, slots int, serve func(*engine, http.ResponseWriter, *http.Request)) error {
-	e := &engine{id: id, service: service, zone: zone, slots: slots, store: d.store, serve: serve}
+	return d.addEngineOf("v1", id, service, zone, slots, serve)
+}
+
+// addEngineOf starts an engine of the version.
+func (d *deployment) addEngineOf(version, id, service, zone string, slots int, serve func(*engine, http.ResponseWriter, *http.Request)) error {
+	e := &engine{id: id, service: service, zone: zone, version: version, slots: slots, store: d.store, serve: serve}
 	d.engines = append(d.engines, e)
 	return e.start("")
 }
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -22,6 +22,7 @@
 var plays = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"lost-successor":   playLostSuccessor,
 	"removed-machines": playRemovedMachines,
+	"lost-completion":  playLostCompletion,
 }
 
 func main() { os.Exit(runCase(os.Args[1:])) }
--- a/review/harness3/removed_machines.go
+++ b/review/harness3/removed_machines.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -77,6 +78,12 @@
 		time.Sleep(1500 * time.Millisecond)
 		for _, n := range group {
 			n.kill()
+			// The address of a removed machine doesn't respond.
+			listener, err := net.Listen("tcp", n.peer)
+			if err != nil {
+				return err
+			}
+			d.silent = append(d.silent, listener)
 		}
 		d.record.note("%d machines were removed for good", len(group))
 	}
