--- a/review/harness3/lost_successor.go
+++ b/review/harness3/lost_successor.go
@@ -152,16 +152,17 @@
 	c.end(run, "it is complete")
 }
 
-// check reports whether an engine worked on a request while it went on at another one.
+// check reports whether two engines worked on a request at the same time for longer than TWICE
+// allows the one before.
 func (c *lostSuccessor) check() (broken bool) {
 	byRequest := make(map[string][]*run)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.all {
 		for _, before := range byRequest[r.request] {
-			overlap := before.ended.Sub(r.begun)
+			overlap := min(before.ended.Sub(r.begun), r.ended.Sub(r.begun))
 			if before.engine != r.engine && overlap > overlapAllowed {
-				c.record.show("TWICE: %s went on at %s while %s still worked on it for %d ms", r.request, r.engine, before.engine, overlap.Milliseconds())
+				c.record.show("TWICE: %s went on at %s, and both that engine and %s worked on it for %d ms", r.request, r.engine, before.engine, overlap.Milliseconds())
 				broken = true
 			}
 		}
