Add a review case: an error behind the first event is passed on as complete

A stream whose engine fails in the same write as its first event ends as complete, with the engine's error head behind one of twelve events. Bytes without an event ID are noticed only from the second block on.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case-3.sh" lost-completion review/11
+exec "$(dirname "$0")/../run-case-3.sh" error-in-first-events review/11
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -20,9 +20,9 @@
 
 // plays are the cases by name. A play reports whether the rule was broken.
 var plays = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"lost-successor":   playLostSuccessor,
-	"removed-machines": playRemovedMachines,
-	"lost-completion":  playLostCompletion,
+	"lost-successor":        playLostSuccessor,
+	"removed-machines":      playRemovedMachines,
+	"error-in-first-events": playErrorInFirstEvents,
 }
 
 func main() { os.Exit(runCase(os.Args[1:])) }
