--- a/review/harness3/daemon.go
+++ b/review/harness3/daemon.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -54,26 +54,29 @@
 	}
 }
 
-// usedPorts are those that freeAddress has returned.
-var usedPorts sync.Map
-
-// The ports of daemons and engines are below those that the kernel gives to outgoing connections.
+// The ports of daemons and engines are below those that the kernel gives to outgoing connections. Each
+// process of the harness has a range of its own among them, so that several can run at once.
 const (
-	firstPort = 12_000
-	portCount = 20_000
+	firstPort  = 12_000
+	portRanges = 50
+	rangePorts = 400
 )
 
+// portsTaken is the number of ports of the range that freeAddress has tried.
+var portsTaken atomic.Int64
+
 func freeAddress() (string, error) {
-	for range 500 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
-		if _, used := usedPorts.LoadOrStore(address, true); used {
-			continue
+	first := firstPort + os.Getpid()%portRanges*rangePorts
+	for {
+		n := portsTaken.Add(1) - 1
+		if n >= rangePorts {
+			return "", errors.New("no free port")
 		}
+		address := fmt.Sprintf("127.0.0.1:%d", first+int(n))
 		if listener, err := net.Listen("tcp", address); err == nil {
 			return address, listener.Close()
 		}
 	}
-	return "", errors.New("no free port")
 }
 
 // newDaemon returns a daemon that is not started. Its files are in dir.
--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -77,9 +77,12 @@
 	return n, err
 }
 
-// startDaemons starts daemons, spread over the zones, and waits until all are ready.
-func (d *deployment) startDaemons(count int) error {
-	for i := range count {
+// machines is the number of machines of kitami-commons.
+const machines = 7
+
+// startDaemons starts the daemons, spread over the zones, and waits until all are ready.
+func (d *deployment) startDaemons() error {
+	for i := range machines {
 		n, err := d.newDaemon("edge-"+zones[i%len(zones)]+"-"+strconv.Itoa(i/len(zones)+1), zones[i%len(zones)])
 		if err != nil {
 			return err
--- a/review/harness3/engine.go
+++ b/review/harness3/engine.go
@@ -16,6 +16,8 @@
 	store             *store
 	// serve handles a request that the engine begins to run.
 	serve func(e *engine, w http.ResponseWriter, r *http.Request)
+	// silent engines don't register themselves.
+	silent bool
 
 	address string
 
@@ -67,6 +69,9 @@
 
 // beat writes the engine's entry.
 func (e *engine) beat() {
+	if e.silent {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.seq++
--- a/review/harness3/error_in_first_events.go
+++ b/review/harness3/error_in_first_events.go
@@ -49,7 +49,7 @@
 			return false, err
 		}
 	}
-	if err := d.startDaemons(machines); err != nil {
+	if err := d.startDaemons(); err != nil {
 		return false, err
 	}
 	time.Sleep(settleTime)
--- a/review/harness3/lost_successor.go
+++ b/review/harness3/lost_successor.go
@@ -56,7 +56,7 @@
 			return false, err
 		}
 	}
-	if err := d.startDaemons(7); err != nil {
+	if err := d.startDaemons(); err != nil {
 		return false, err
 	}
 	time.Sleep(settleTime)
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -21,6 +21,7 @@
 // plays are the cases by name. A play reports whether the rule was broken.
 var plays = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"lost-successor":        playLostSuccessor,
+	"foreign-entry":         playForeignEntry,
 	"removed-machines":      playRemovedMachines,
 	"error-in-first-events": playErrorInFirstEvents,
 }
--- a/review/harness3/removed_machines.go
+++ b/review/harness3/removed_machines.go
@@ -14,7 +14,6 @@
 
 const (
 	// Each of the machines of the deployment has been replaced by another one twelve times.
-	machines        = 7
 	removedMachines = 12 * machines
 	removedAtATime  = 6 * machines
 
@@ -48,7 +47,7 @@
 			return false, err
 		}
 	}
-	if err := d.startDaemons(machines); err != nil {
+	if err := d.startDaemons(); err != nil {
 		return false, err
 	}
 	time.Sleep(settleTime)
