Add a review case: a stream without an event is passed on as complete

An engine fails before the first event and its answer ends in order. The same answer without chunks is sent on to another engine, this one isn't.

--- a/review/harness3/error_in_first_events.go
+++ b/review/harness3/error_in_first_events.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,6 +31,8 @@
 	*runs
 	d        *deployment
 	spoiling atomic.Bool
+	// empty makes spoiled answers end in order before their first event. All answers are chunked then.
+	empty bool
 
 	mu              sync.Mutex
 	streams, broken int
@@ -37,12 +40,21 @@
 
 // playErrorInFirstEvents plays the case. Without trouble, no answer is spoiled.
 func playErrorInFirstEvents(r *record, trouble bool) (broken bool, err error) {
+	return playSpoiled(r, trouble, false)
+}
+
+// playEmptyStream is playErrorInFirstEvents with engines that end streams before their first event.
+func playEmptyStream(r *record, trouble bool) (broken bool, err error) {
+	return playSpoiled(r, trouble, true)
+}
+
+func playSpoiled(r *record, trouble, empty bool) (broken bool, err error) {
 	d, err := newDeployment(r)
 	if err != nil {
 		return false, err
 	}
 	defer d.close()
-	c := &errorInFirstEvents{runs: &runs{record: r}, d: d}
+	c := &errorInFirstEvents{runs: &runs{record: r}, d: d, empty: empty}
 	d.configure()
 	for i := range engineCount {
 		if err := d.addEngine(fmt.Sprintf("i-%d", i+1), "pitch", zones[i%len(zones)], 64, c.serve); err != nil {
@@ -100,6 +112,11 @@
 	}
 	defer func() { _ = conn.Close() }()
 	head := "Request-Id: " + id + "\r\nEngine-Stamp: " + e.stamp(id) + "\r\nContent-Type: text/event-stream\r\n\r\n"
+	if c.empty {
+		c.serveChunked(e, conn, head, id, last)
+		c.end(run, "it is over")
+		return
+	}
 	if c.spoils(e, id) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+event(id, last+1)+
 			"HTTP/1.1 500 Internal Server Error\r\nRequest-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
@@ -117,6 +134,23 @@
 	c.end(run, "it is complete")
 }
 
+// serveChunked writes a stream in chunks. One that is spoiled ends in order without an event.
+func (c *errorInFirstEvents) serveChunked(e *engine, conn net.Conn, head, id string, last int) {
+	if c.spoils(e, id) {
+		last = shortEvents
+		c.record.note("%s fails before its first event of %s, and ends the answer in order", e.id, id)
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n"+head)
+	for n := last + 1; n <= shortEvents; n++ {
+		text := event(id, n)
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text); err != nil {
+			return
+		}
+		time.Sleep(shortEventPause)
+	}
+	_, _ = io.WriteString(conn, "0\r\n\r\n")
+}
+
 // runClient sends one stream after the other.
 func (c *errorInFirstEvents) runClient(ctx context.Context, client int) {
 	n := c.d.daemons[client%len(c.d.daemons)]
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -23,6 +23,7 @@
 	"lost-successor":        playLostSuccessor,
 	"foreign-entry":         playForeignEntry,
 	"removed-machines":      playRemovedMachines,
+	"empty-stream":          playEmptyStream,
 	"error-in-first-events": playErrorInFirstEvents,
 }
 
