--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -50,6 +50,7 @@
 	done := make(chan result, 1)
 	go func() {
 		broken, err := plays[args[0]](r, trouble)
+		killStarted() // also what a play that has failed leaves behind
 		done <- result{broken, err}
 	}()
 	signals := make(chan os.Signal, 1)
