Ask the first events of a stream for their IDs, too

Cause: nextEvents asked each event for an ID only if an event with an ID had been passed on before. The block that brings the first IDs was never asked, so that what stood before, between or behind its events went on to the caller. How the answer was framed and whether it might be resumed made no difference.

TestErrorInFirstEvents: 21 of 21 cases failed before (7 contents in 3 framings), also on routes that run once. TestErrorInLaterEvents, TestErrorInResumedEvents, TestErrorInSuccessorsEvents, TestErrorInMovedStream and TestSoundStreams held before and are kept as guards.

Change: an ID in the block that was just read counts, too. The check comes before a response counts as begun. The text of the error no longer says that the stream goes on, since it may not have begun.

Package relay and lint pass.

--- a/internal/traffic/relay/event_reader.go
+++ b/internal/traffic/relay/event_reader.go
@@ -98,8 +98,8 @@
 	return 0
 }
 
-// errNoEventID means that a stream of events with IDs goes on with something else.
-var errNoEventID = errors.New("stream goes on without event IDs")
+// errNoEventID means that a stream of events with IDs holds something else.
+var errNoEventID = errors.New("stream with event IDs holds something without one")
 
 // haveIDs reports whether each of the events has an ID. Comments need none.
 func haveIDs(events []byte) bool {
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -220,18 +220,18 @@
 func (ex *exchange) isAttemptOver() bool { return !ex.outliveEnding() || ex.current.ctx.Err() != nil }
 
 // nextEvents returns the next complete events of the stream; see eventReader.Next. io.EOF means
-// that the stream is complete. After an event with an ID, what has none is no event of the
-// stream, such as the error of a server that writes it behind its stream.
+// that the stream is complete. In a stream with event IDs, what has none is no event, such as the
+// error that a server writes into its stream.
 func (ex *exchange) nextEvents(source *eventReader, server *fleet.Entry, resp *h1.Response) (complete []byte, id string, err error) {
 	complete, id, err = source.Next()
 	if errors.Is(err, io.EOF) && ex.isCutShort(server, resp) {
 		err = io.ErrUnexpectedEOF
 	}
-	if err == nil && !ex.headerSent && ex.isAttemptOver() {
-		return nil, "", errAttemptOver
+	if err == nil && (ex.lastEventID != "" || id != "") && !haveIDs(complete) {
+		err = errNoEventID
 	}
-	if err == nil && ex.lastEventID != "" && !haveIDs(complete) {
-		return nil, "", errNoEventID
+	if err == nil && !ex.headerSent && ex.isAttemptOver() {
+		err = errAttemptOver
 	}
 	return complete, id, err
 }
