Ask the events of a kept small answer for their IDs

Callers saw (in a test): the head of an engine's error, or other bytes without an event ID, as a part of a complete answer, when a small model's answer was kept while the largest model was asked, and that one failed or was late.

A short answer is read in one piece and kept; it was only asked to end with a blank line, as an error's head does.

--- a/internal/traffic/relay/error_in_events_test.go
+++ b/internal/traffic/relay/error_in_events_test.go
@@ -259,3 +259,20 @@
 		assert.Equal(t, f.callCount(), 2)
 	})
 }
+
+// TestErrorInKeptAnswer has a small model's answer hold an error, and the largest model's server
+// break off. Guards against the small answer being served as complete: it is read in one piece and
+// kept, and was only asked to end with an event.
+func TestErrorInKeptAnswer(t *testing.T) {
+	for name, rest := range streamsWithErrors(1) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := byModel(map[string]behaviour{"small": withConfidence("20", respond(rest)), "large": closeConn})
+			f := newFixture(t, streamRoutes(), server, server, server)
+			f.relay.Balancer.SetFeatures(loadfeatures.Features{SharedCapacity: true})
+			got := f.send(http.MethodPost, "/draft/1", headerModel, "*")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusBadGateway)
+		})
+	}
+}
--- a/internal/traffic/relay/event_reader.go
+++ b/internal/traffic/relay/event_reader.go
@@ -98,28 +98,6 @@
 	return 0
 }
 
-// errNoEventID means that a stream of events with IDs holds something else.
-var errNoEventID = errors.New("stream with event IDs holds something without one")
-
-// haveIDs reports whether each of the events has an ID. Comments need none.
-func haveIDs(events []byte) bool {
-	hasID, needsID := false, false
-	for line := range bytes.Lines(events) {
-		switch line = bytes.TrimRight(line, "\r\n"); {
-		case len(line) == 0:
-			if needsID && !hasID {
-				return false
-			}
-			hasID, needsID = false, false
-		case bytes.HasPrefix(line, []byte("id:")):
-			hasID = true
-		case line[0] != ':':
-			needsID = true
-		}
-	}
-	return hasID || !needsID
-}
-
 // hasEvent reports whether the bytes, which end with a blank line, hold an event and not only
 // comments and line ends.
 func hasEvent(b []byte) bool {
--- a/internal/traffic/relay/forward.go
+++ b/internal/traffic/relay/forward.go
@@ -219,16 +219,15 @@
 // and at once broken off. If not, the end of open requests no longer ends it.
 func (ex *exchange) isAttemptOver() bool { return !ex.outliveEnding() || ex.current.ctx.Err() != nil }
 
-// nextEvents returns the next complete events of the stream; see eventReader.Next. io.EOF means
-// that the stream is complete. In a stream with event IDs, what has none is no event, such as the
-// error that a server writes into its stream.
+// nextEvents returns the next complete events of the stream; see eventReader.Next and checkEvents.
+// io.EOF means that the stream is complete.
 func (ex *exchange) nextEvents(source *eventReader, server *fleet.Entry, resp *h1.Response) (complete []byte, id string, err error) {
 	complete, id, err = source.Next()
 	if errors.Is(err, io.EOF) && ex.isCutShort(server, resp) {
 		err = io.ErrUnexpectedEOF
 	}
-	if err == nil && (ex.lastEventID != "" || id != "") && !haveIDs(complete) {
-		err = errNoEventID
+	if err == nil {
+		err = ex.checkEvents(complete, id)
 	}
 	if err == nil && !ex.headerSent && ex.isAttemptOver() {
 		err = errAttemptOver
--- a/internal/traffic/relay/kept_answer.go
+++ b/internal/traffic/relay/kept_answer.go
@@ -56,8 +56,12 @@
 	resp.LimitSilence(longest.Duration())
 	body, err := readall.ReadAll(io.LimitReader(resp, maxKeptBytes), -1, &ex.keptMemory)
 	ex.keeping = false
+	if err == nil {
+		err = ex.checkEvents(body, lastEventID(body))
+	}
 	switch {
 	case err != nil:
+		ex.keptMemory.release()
 		ex.log("small answer not kept", server, "error", err.Error())
 	case len(body) == maxKeptBytes || endOfLastEvent(body) != len(body):
 		ex.keptMemory.release()
