Ask all streams of the platform for event IDs

A stream none of whose events has an ID was taken as it is, whatever the protocol says of IDs.

PROTOCOL.md says of all streaming routes "a series of events with increasing ids", so platform.Dialect states that events are numbered, and each needs an ID, the first one, too. Chunks of run's chat streams have no IDs; there [DONE] and a finish reason end a stream. A dialect that doesn't state it lets streams do without IDs as before: close_delimited_test.go is unchanged and passes.

--- a/internal/traffic/relay/dialect.go
+++ b/internal/traffic/relay/dialect.go
@@ -65,4 +65,12 @@
 	ServerID(h http.Header) string
 	// ResponseHeader returns the headers that are passed on to the caller.
 	ResponseHeader(h http.Header) http.Header
+	// EventFormat returns what all streams of the servers have in common.
+	EventFormat() EventFormat
+}
+
+// EventFormat is what streams hold beyond the rules of server-sent events.
+type EventFormat struct {
+	// Numbered means that each event has an ID. Without it, a stream may do without IDs.
+	Numbered bool
 }
--- a/internal/traffic/relay/event_check.go
+++ b/internal/traffic/relay/event_check.go
@@ -7,13 +7,14 @@
 )
 
 // errNoEventID means that a stream of events with IDs holds something else.
-var errNoEventID = errors.New("stream with event IDs holds something without one")
+var errNoEventID = errors.New("stream holds something without an event ID")
 
 // checkEvents returns an error unless the events, the last ID among them given, may follow what the
 // caller has of the stream. In a stream with event IDs, what has none is no event, such as the error
 // that a server writes into its stream.
 func (ex *exchange) checkEvents(events []byte, id string) error {
-	if (ex.lastEventID != "" || id != "") && !haveIDs(events) {
+	format := ex.relay.Dialect.EventFormat()
+	if (format.Numbered || ex.lastEventID != "" || id != "") && !haveIDs(events) {
 		return errNoEventID
 	}
 	return nil
--- a/internal/traffic/relay/harness_test.go
+++ b/internal/traffic/relay/harness_test.go
@@ -108,6 +108,9 @@
 	return header
 }
 
+// EventFormat lets streams do without event IDs.
+func (testDialect) EventFormat() EventFormat { return EventFormat{} }
+
 // noLender lends no tokens.
 type noLender struct{}
 
