Break streams off whose events come again or out of order

Callers would have seen (in tests): an event twice, or an earlier one behind a later one, in one answer or as another server went on with a stream (ORDER).

Cause: nothing compared the IDs of events, neither within an answer nor with the last one that was passed on.

Change: where events are numbered, each ID must be a decimal number above the one before, or above the caller's Last-Event-Id.

Evidence: 27 of 27 cases of TestEventsOutOfOrder and 6 of 6 of TestResumedEventsOutOfOrder failed before.

Measured: these, TestNumberedEventsInOrder, TestSoundStreams (each form now also with numbered events), TestErrorIn* and lint pass.

--- a/internal/traffic/relay/dialect.go
+++ b/internal/traffic/relay/dialect.go
@@ -71,6 +71,7 @@
 
 // EventFormat is what streams hold beyond the rules of server-sent events.
 type EventFormat struct {
-	// Numbered means that each event has an ID. Without it, a stream may do without IDs.
+	// Numbered means that each event has an ID, a decimal number above that of the event before.
+	// Without it, a stream may do without IDs, and they may be any text.
 	Numbered bool
 }
--- a/internal/traffic/relay/error_in_events_test.go
+++ b/internal/traffic/relay/error_in_events_test.go
@@ -224,7 +224,8 @@
 }
 
 // TestSoundStreams sends forms of streams that are sound, in one write, in two with a part of the
-// stream each, and behind a part by another server. They must be passed on as they are.
+// stream each, and behind a part by another server. They must be passed on as they are, also where
+// events are numbered.
 func TestSoundStreams(t *testing.T) {
 	rests := map[string]string{
 		"events":                   events(3, 5),
@@ -244,15 +245,18 @@
 		whole := events(1, 2) + rest
 		for _, parts := range [][]string{{whole}, {events(1, 2), rest}, {whole[:len(whole)/2], whole[len(whole)/2:]}, {whole[:len(whole)-1], whole[len(whole)-1:]}} {
 			f := newFixture(t, streamRoutes(), sendParts(framing, parts...))
-			for _, path := range []string{"/draft/1", "/once/1"} {
-				got := f.send(http.MethodPost, path, headerModel, "large")
-				assert.NilError(t, got.err)
-				assert.Equal(t, got.body, whole)
+			for _, dialect := range []Dialect{testDialect{}, numberedDialect{}} {
+				f.relay.Dialect = dialect
+				for _, path := range []string{"/draft/1", "/once/1"} {
+					got := f.send(http.MethodPost, path, headerModel, "large")
+					assert.NilError(t, got.err)
+					assert.Equal(t, got.body, whole)
+				}
 			}
-			assert.Equal(t, f.callCount(), 2)
+			assert.Equal(t, f.callCount(), 4)
 		}
 		server := inOrder(sendEvents(2, 5), sendParts(framing, rest))
-		f := newFixture(t, streamRoutes(), server, server)
+		f := newNumberedFixture(t, server, server)
 		got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 		assert.NilError(t, got.err)
 		assert.Equal(t, got.body, whole)
--- a/internal/traffic/relay/event_check.go
+++ b/internal/traffic/relay/event_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -9,6 +10,9 @@
 // errNoEventID means that a stream of events with IDs holds something else.
 var errNoEventID = errors.New("stream holds something without an event ID")
 
+// errEventOrder means that an event comes twice or too late, or that its ID is no number.
+var errEventOrder = errors.New("event IDs of the stream don't increase")
+
 // checkEvents returns an error unless the events, the last ID among them given, may follow what the
 // caller has of the stream. In a stream with event IDs, what has none is no event, such as the error
 // that a server writes into its stream.
@@ -17,6 +21,9 @@
 	if (format.Numbered || ex.lastEventID != "" || id != "") && !haveIDs(events) {
 		return errNoEventID
 	}
+	if format.Numbered && !idsIncrease(events, ex.lastEventID) {
+		return errEventOrder
+	}
 	return nil
 }
 
@@ -38,3 +45,22 @@
 	}
 	return hasID || !needsID
 }
+
+// idsIncrease reports whether the IDs of the events are decimal numbers, each above the one before.
+// last is the ID before the first of them; it is passed over if it is no number.
+func idsIncrease(events []byte, last string) bool {
+	before, err := strconv.ParseUint(last, 10, 64)
+	isKnown := err == nil
+	for line := range bytes.Lines(events) {
+		value, isID := bytes.CutPrefix(line, []byte("id:"))
+		if !isID {
+			continue
+		}
+		number, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		if err != nil || (isKnown && number <= before) {
+			return false
+		}
+		before, isKnown = number, true
+	}
+	return true
+}
--- a/internal/traffic/relay/numbered_events_test.go
+++ b/internal/traffic/relay/numbered_events_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
-// numberedDialect is testDialect for servers whose events all have IDs.
+// numberedDialect is testDialect for servers whose events all have increasing IDs.
 type numberedDialect struct{ testDialect }
 
 func (numberedDialect) EventFormat() EventFormat { return EventFormat{Numbered: true} }
@@ -47,3 +48,77 @@
 		assert.Equal(t, got.body, comment)
 	})
 }
+
+// withIDs returns events with the IDs.
+func withIDs(ids ...string) string {
+	var b strings.Builder
+	for _, id := range ids {
+		b.WriteString("id: " + id + "\ndata: piece-" + id + "\n\n")
+	}
+	return b.String()
+}
+
+// TestEventsOutOfOrder has a server send an event twice, or one behind a later one. Guards against
+// them being passed on.
+func TestEventsOutOfOrder(t *testing.T) {
+	rests := map[string]string{
+		"event twice":           withIDs("3", "3", "4", "5"),
+		"event before":          withIDs("3", "2", "4", "5"),
+		"all events twice":      withIDs("3", "4", "5", "3", "4", "5"),
+		"twice behind comments": withIDs("3") + ": busy\n\n" + withIDs("3", "4", "5"),
+		"larger digits first":   withIDs("9", "10", "9"),
+		"no number":             withIDs("3", "four", "5"),
+		"negative":              withIDs("3", "-4", "5"),
+		"empty":                 withIDs("3", "", "5"),
+		"too large":             withIDs("3", "18446744073709551616"),
+	}
+	forEachFraming(t, rests, func(t *testing.T, framing, rest string) {
+		behindPause := sendParts(framing, events(1, 2), rest)
+		for _, spoiled := range []behaviour{sendParts(framing, events(1, 2)+rest), behindPause} {
+			server := inOrder(spoiled, sendEvents(5, 5))
+			f := newNumberedFixture(t, server, server)
+			got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, events(1, 5))
+		}
+		f := newNumberedFixture(t, behindPause)
+		got := f.send(http.MethodPost, "/once/1", headerModel, "large")
+		assert.Assert(t, got.err != nil, "looks complete")
+		assert.Equal(t, got.body, events(1, 2))
+	})
+}
+
+// TestResumedEventsOutOfOrder has a server go on with a stream at an event that was passed on
+// before. Guards against that event being passed on twice.
+func TestResumedEventsOutOfOrder(t *testing.T) {
+	rests := map[string]string{
+		"from the beginning":  events(1, 5),
+		"from the last event": events(2, 5),
+	}
+	forEachFraming(t, rests, func(t *testing.T, framing, rest string) {
+		server := inOrder(sendEvents(2, 5), sendParts(framing, rest), sendEvents(5, 5))
+		f := newNumberedFixture(t, server, server, server)
+		got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, events(1, 5))
+
+		server = inOrder(sendParts(framing, rest), sendEvents(5, 5))
+		f = newNumberedFixture(t, server, server)
+		got = f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLastEventID, "2")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, events(3, 5))
+	})
+}
+
+// TestNumberedEventsInOrder sends IDs that increase by more than one, and resumes behind an ID that
+// is no number. Guards against a sound stream being broken off.
+func TestNumberedEventsInOrder(t *testing.T) {
+	whole := withIDs("3", "7", "10", "100", "1000")
+	for _, last := range []string{"", "2", "piece-2"} {
+		f := newNumberedFixture(t, sendParts(byChunks, whole))
+		got := f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLastEventID, last)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, whole)
+		assert.Equal(t, f.callCount(), 1)
+	}
+}
