Break streams off in which an error follows a part of an event

Callers would have seen (in tests): an event that was cut, with the head of the engine's error behind it, as one whole event, and the stream as complete. It was known by reading only.

Cause: the blank line behind the head ends the cut event, and the ID that was sent before the cut counts for all of it.

Change: on the platform, lines of events that are neither comments nor fields with names in lowercase belong to something else. PROTOCOL.md names the field of a new version in lowercase; the headers of its answers, which an error's head repeats (Request-Id), and the status line aren't. New fields in lowercase pass.

Evidence: TestErrorBehindCutEvent cuts an event after each byte: 51 of 69 cases failed before; the others lack an ID, or it is no number.

Not noticed: an error's text, or a status line without any header, glued to the data of a cut event. It can't be told from data.

Measured: this, all of relay and platform, and lint pass.

--- a/internal/traffic/relay/dialect.go
+++ b/internal/traffic/relay/dialect.go
@@ -74,4 +74,7 @@
 	// Numbered means that each event has an ID, a decimal number above that of the event before.
 	// Without it, a stream may do without IDs, and they may be any text.
 	Numbered bool
+	// LowercaseFields means that the names of an event's fields are in lowercase, unlike those of
+	// the headers of a response.
+	LowercaseFields bool
 }
--- a/internal/traffic/relay/event_check.go
+++ b/internal/traffic/relay/event_check.go
@@ -13,6 +13,10 @@
 // errEventOrder means that an event comes twice or too late, or that its ID is no number.
 var errEventOrder = errors.New("event IDs of the stream don't increase")
 
+// errNoEventField means that an event holds a line of something else, such as the head of an error
+// that a server writes behind a part of the event.
+var errNoEventField = errors.New("event holds a line that is no field")
+
 // checkEvents returns an error unless the events, the last ID among them given, may follow what the
 // caller has of the stream. In a stream with event IDs, what has none is no event, such as the error
 // that a server writes into its stream.
@@ -24,6 +28,9 @@
 	if format.Numbered && !idsIncrease(events, ex.lastEventID) {
 		return errEventOrder
 	}
+	if format.LowercaseFields && !haveLowercaseFields(events) {
+		return errNoEventField
+	}
 	return nil
 }
 
@@ -64,3 +71,20 @@
 	}
 	return true
 }
+
+// haveLowercaseFields reports whether each line of the events is a comment or a field whose name is in
+// lowercase.
+func haveLowercaseFields(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if bytes.ContainsFunc(name, isOutsideField) {
+			return false
+		}
+	}
+	return true
+}
+
+// isOutsideField reports whether no name of a field in lowercase holds the character.
+func isOutsideField(r rune) bool {
+	return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '_'
+}
--- a/internal/traffic/relay/numbered_events_test.go
+++ b/internal/traffic/relay/numbered_events_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -8,10 +9,13 @@
 	"gotest.tools/v3/assert"
 )
 
-// numberedDialect is testDialect for servers whose events all have increasing IDs.
+// numberedDialect is testDialect for servers whose events all have increasing IDs, and fields in
+// lowercase.
 type numberedDialect struct{ testDialect }
 
-func (numberedDialect) EventFormat() EventFormat { return EventFormat{Numbered: true} }
+func (numberedDialect) EventFormat() EventFormat {
+	return EventFormat{Numbered: true, LowercaseFields: true}
+}
 
 // newNumberedFixture is newFixture with numberedDialect.
 func newNumberedFixture(t *testing.T, servers ...behaviour) *fixture {
@@ -122,3 +126,29 @@
 		assert.Equal(t, f.callCount(), 1)
 	}
 }
+
+// TestErrorBehindCutEvent has a server break an event off anywhere and write the head of an error
+// behind it. Guards against the two being passed on as one event, which has an ID.
+func TestErrorBehindCutEvent(t *testing.T) {
+	third := events(3, 3)
+	rests := make(map[string]string)
+	for cut := range len(third) {
+		rests[fmt.Sprintf("after %d bytes", cut)] = third[:cut] + errorHead
+	}
+	crlf := strings.ReplaceAll(third, "\n", "\r\n")
+	rests["within a line that ends with CRLF"] = crlf[:len(crlf)-6] + errorHead
+	rests["within a line that ends with CRLF, behind all events"] = events(3, 4) + strings.ReplaceAll(crlf[:len(crlf)-6], "3", "5") + errorHead
+	forEachFraming(t, rests, func(t *testing.T, framing, rest string) {
+		for _, spoiled := range []behaviour{sendParts(framing, events(1, 2)+rest), sendParts(framing, events(1, 2), rest)} {
+			server := inOrder(spoiled, sendEvents(5, 5))
+			f := newNumberedFixture(t, server, server)
+			got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, events(1, 5))
+		}
+		f := newNumberedFixture(t, sendParts(framing, rest))
+		got := f.send(http.MethodPost, "/once/1", headerModel, "large")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusBadGateway)
+	})
+}
