--- a/internal/traffic/relay/event_check.go
+++ b/internal/traffic/relay/event_check.go
@@ -18,8 +18,8 @@
 var errNoEventField = errors.New("event holds a line that is no field")
 
 // checkEvents returns an error unless the events, the last ID among them given, may follow what the
-// caller has of the stream. In a stream with event IDs, what has none is no event, such as the error
-// that a server writes into its stream.
+// caller has of the stream: errNoEventID, errEventOrder or errNoEventField. The caller gets none of
+// the events then, since the server may have failed before any of them.
 func (ex *exchange) checkEvents(events []byte, id string) error {
 	format := ex.relay.Dialect.EventFormat()
 	if (format.Numbered || ex.lastEventID != "" || id != "") && !haveIDs(events) {
