--- a/internal/traffic/relay/error_in_events_test.go
+++ b/internal/traffic/relay/error_in_events_test.go
@@ -3,10 +3,9 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"strconv"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +17,7 @@
 const (
 	// errorHead is the head of the error of a server that fails while it streams.
 	errorHead = "HTTP/1.1 500 Internal Server Error\r\n" + headerID + ": request-1\r\nContent-Length: 0\r\n\r\n"
+	comment   = ": busy\n\n"
 	// partPause separates two writes for the reader.
 	partPause = 30 * time.Millisecond
 )
@@ -54,27 +54,15 @@
 					part += "0\r\n\r\n"
 				}
 			}
-			writePart(conn, next+part, i > 0)
+			if i > 0 {
+				time.Sleep(partPause)
+			}
+			_, _ = io.WriteString(conn, next+part)
 			next = ""
 		}
 	}
 }
 
-func writePart(conn net.Conn, part string, pause bool) {
-	if pause {
-		time.Sleep(partPause)
-	}
-	_, _ = io.WriteString(conn, part)
-}
-
-// inOrder uses the nth behaviour for the nth call of all servers, and the last one for all further calls.
-func inOrder(list ...behaviour) behaviour {
-	var calls atomic.Int32
-	return func(n int, w http.ResponseWriter, r *http.Request) {
-		list[min(int(calls.Add(1)), len(list))-1](n, w, r)
-	}
-}
-
 // streamsWithErrors are the rests of streams that begin with the given event and hold an error.
 func streamsWithErrors(n int) map[string]string {
 	return map[string]string{
@@ -105,7 +93,7 @@
 // because event IDs were only asked for once an event had been passed on.
 func TestErrorInFirstEvents(t *testing.T) {
 	forEachFraming(t, streamsWithErrors(1), func(t *testing.T, framing, rest string) {
-		server := inOrder(sendParts(framing, rest), sendEvents(5, 5))
+		server := sequenceOfCalls(sendParts(framing, rest), sendEvents(5, 5))
 		f := newFixture(t, streamRoutes(), server, server)
 		got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 		assert.NilError(t, got.err)
@@ -118,8 +106,7 @@
 		assert.Equal(t, got.status, http.StatusBadGateway)
 		assert.Equal(t, f.callCount(), 1)
 
-		const comment = ": busy\n\n"
-		server = inOrder(sendParts(framing, comment, rest), sendEvents(5, 5))
+		server = sequenceOfCalls(sendParts(framing, comment, rest), sendEvents(5, 5))
 		f = newFixture(t, streamRoutes(), server, server)
 		got = f.send(http.MethodPost, "/draft/1", headerModel, "large")
 		assert.NilError(t, got.err)
@@ -131,7 +118,7 @@
 func TestErrorInLaterEvents(t *testing.T) {
 	forEachFraming(t, streamsWithErrors(3), func(t *testing.T, framing, rest string) {
 		spoiled := sendParts(framing, events(1, 2), rest)
-		server := inOrder(spoiled, sendEvents(5, 5))
+		server := sequenceOfCalls(spoiled, sendEvents(5, 5))
 		f := newFixture(t, streamRoutes(), server, server)
 		got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 		assert.NilError(t, got.err)
@@ -148,13 +135,13 @@
 // another one broke off or at the request of the caller.
 func TestErrorInResumedEvents(t *testing.T) {
 	forEachFraming(t, streamsWithErrors(3), func(t *testing.T, framing, rest string) {
-		server := inOrder(sendEvents(2, 5), sendParts(framing, rest), sendEvents(5, 5))
+		server := sequenceOfCalls(sendEvents(2, 5), sendParts(framing, rest), sendEvents(5, 5))
 		f := newFixture(t, streamRoutes(), server, server, server)
 		got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 		assert.NilError(t, got.err)
 		assert.Equal(t, got.body, events(1, 5))
 
-		server = inOrder(sendParts(framing, rest), sendEvents(5, 5))
+		server = sequenceOfCalls(sendParts(framing, rest), sendEvents(5, 5))
 		f = newFixture(t, streamRoutes(), server, server)
 		got = f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLastEventID, "2")
 		assert.NilError(t, got.err)
@@ -165,19 +152,17 @@
 // TestErrorInSuccessorsEvents is TestErrorInFirstEvents for a server that is called while the one
 // before is silent.
 func TestErrorInSuccessorsEvents(t *testing.T) {
-	silent := pauseBetween(streamPause, rawStreamHead+events(1, 2), "", func() {})
+	silent := pauseAfterTwo(func() {})
 	forEachFraming(t, streamsWithErrors(3), func(t *testing.T, framing, rest string) {
-		server := inOrder(silent, sendParts(framing, rest), sendEvents(5, 5))
+		server := sequenceOfCalls(silent, sendParts(framing, rest), sendEvents(5, 5))
 		f := newFixture(t, streamRoutes(), server, server, server)
 		got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 		assert.NilError(t, got.err)
 		assert.Equal(t, got.body, events(1, 5))
+		assert.Equal(t, f.callCount(), 3)
 	})
 }
 
-// rawStreamHead begins a stream that ends with its connection; ID stands for the request's.
-const rawStreamHead = "HTTP/1.1 200 OK\r\n" + headerID + ": ID\r\n" + headerSigned + ": yes\r\n\r\n"
-
 // TestErrorInMovedStream is TestErrorInFirstEvents for a server that a stream is moved to since it
 // would miss its deadline where it is.
 func TestErrorInMovedStream(t *testing.T) {
@@ -194,11 +179,10 @@
 		t.Run("framed by "+framing, func(t *testing.T) {
 			t.Parallel()
 			spoil := func(n int, w http.ResponseWriter, r *http.Request) {
-				var last int
-				_, _ = fmt.Sscan(r.Header.Get(headerLastEventID), &last)
+				last, _ := strconv.Atoi(r.Header.Get(headerLastEventID))
 				sendParts(framing, events(last+1, last+1)+errorHead)(n, w, r)
 			}
-			measured := inOrder(slow, spoil, sendEvents(total, total))
+			measured := sequenceOfCalls(slow, spoil, sendEvents(total, total))
 			server := func(n int, w http.ResponseWriter, r *http.Request) {
 				if r.Header.Get(headerID) == warmUpID {
 					sendEvents(total, total)(n, w, r)
@@ -211,10 +195,7 @@
 			for range warmUp {
 				f.send(http.MethodPost, "/draft/1", headerID, warmUpID, headerModel, "large")
 			}
-			first, _ := f.currentView().Server("s1")
-			for range 100 {
-				f.relay.Balancer.RecordInterEvent(&first, "large", 10, f.relay.Clock.Now())
-			}
+			f.recordInterEvent(10)
 			got := f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLengthHint, fmt.Sprint(total*8))
 			assert.NilError(t, got.err)
 			assert.Equal(t, got.body, events(1, total))
@@ -255,7 +236,7 @@
 			}
 			assert.Equal(t, f.callCount(), 4)
 		}
-		server := inOrder(sendEvents(2, 5), sendParts(framing, rest))
+		server := sequenceOfCalls(sendEvents(2, 5), sendParts(framing, rest))
 		f := newNumberedFixture(t, server, server)
 		got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 		assert.NilError(t, got.err)
--- a/internal/traffic/relay/numbered_events_test.go
+++ b/internal/traffic/relay/numbered_events_test.go
@@ -34,7 +34,7 @@
 		"data":                   "data: overloaded\n\n",
 	}
 	forEachFraming(t, rests, func(t *testing.T, framing, rest string) {
-		server := inOrder(sendParts(framing, rest), sendEvents(5, 5))
+		server := sequenceOfCalls(sendParts(framing, rest), sendEvents(5, 5))
 		f := newNumberedFixture(t, server, server)
 		got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 		assert.NilError(t, got.err)
@@ -45,7 +45,6 @@
 		assert.NilError(t, got.err)
 		assert.Equal(t, got.status, http.StatusBadGateway)
 
-		const comment = ": busy\n\n"
 		f = newNumberedFixture(t, sendParts(framing, comment, rest))
 		got = f.send(http.MethodPost, "/once/1", headerModel, "large")
 		assert.Assert(t, got.err != nil, "looks complete")
@@ -79,7 +78,7 @@
 	forEachFraming(t, rests, func(t *testing.T, framing, rest string) {
 		behindPause := sendParts(framing, events(1, 2), rest)
 		for _, spoiled := range []behaviour{sendParts(framing, events(1, 2)+rest), behindPause} {
-			server := inOrder(spoiled, sendEvents(5, 5))
+			server := sequenceOfCalls(spoiled, sendEvents(5, 5))
 			f := newNumberedFixture(t, server, server)
 			got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 			assert.NilError(t, got.err)
@@ -100,13 +99,13 @@
 		"from the last event": events(2, 5),
 	}
 	forEachFraming(t, rests, func(t *testing.T, framing, rest string) {
-		server := inOrder(sendEvents(2, 5), sendParts(framing, rest), sendEvents(5, 5))
+		server := sequenceOfCalls(sendEvents(2, 5), sendParts(framing, rest), sendEvents(5, 5))
 		f := newNumberedFixture(t, server, server, server)
 		got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 		assert.NilError(t, got.err)
 		assert.Equal(t, got.body, events(1, 5))
 
-		server = inOrder(sendParts(framing, rest), sendEvents(5, 5))
+		server = sequenceOfCalls(sendParts(framing, rest), sendEvents(5, 5))
 		f = newNumberedFixture(t, server, server)
 		got = f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLastEventID, "2")
 		assert.NilError(t, got.err)
@@ -140,7 +139,7 @@
 	rests["within a line that ends with CRLF, behind all events"] = events(3, 4) + strings.ReplaceAll(crlf[:len(crlf)-6], "3", "5") + errorHead
 	forEachFraming(t, rests, func(t *testing.T, framing, rest string) {
 		for _, spoiled := range []behaviour{sendParts(framing, events(1, 2)+rest), sendParts(framing, events(1, 2), rest)} {
-			server := inOrder(spoiled, sendEvents(5, 5))
+			server := sequenceOfCalls(spoiled, sendEvents(5, 5))
 			f := newNumberedFixture(t, server, server)
 			got := f.send(http.MethodPost, "/draft/1", headerModel, "large")
 			assert.NilError(t, got.err)
--- a/internal/traffic/relay/second_attempt_test.go
+++ b/internal/traffic/relay/second_attempt_test.go
@@ -184,6 +184,14 @@
 	}
 }
 
+// recordInterEvent has the time between two events of the largest model, in ms, become the pool's usual one.
+func (f *fixture) recordInterEvent(ms float64) {
+	server, _ := f.currentView().Server("s1")
+	for range 100 {
+		f.relay.Balancer.RecordInterEvent(&server, "large", ms, f.relay.Clock.Now())
+	}
+}
+
 // TestStreamBehindItsDeadline has a server send its events too slowly for the deadline. The
 // stream must go on at another server, once, where that one is expected to end it in time.
 func TestStreamBehindItsDeadline(t *testing.T) {
@@ -211,16 +219,10 @@
 				// Time for a second move.
 				total, table[0].Timeout = 100, 12_000
 			}
-			recordPace := func() {
-				server1, _ := f.currentView().Server("s1")
-				for range 100 {
-					f.relay.Balancer.RecordInterEvent(&server1, "large", c.interEvent, f.relay.Clock.Now())
-				}
-			}
 			server := func(n int, w http.ResponseWriter, r *http.Request) {
 				if r.Header.Get(headerLastEventID) != "" {
 					o.set(&o.begins)
-					recordPace()
+					f.recordInterEvent(c.interEvent)
 				}
 				if (r.Header.Get(headerLastEventID) != "" && !c.allSlow) || r.Header.Get(headerID) == warmUpID {
 					sendEvents(total, total)(n, w, r)
@@ -242,7 +244,7 @@
 			for range warmUp {
 				f.send(http.MethodPost, "/draft/1", headerID, warmUpID, headerModel, "large")
 			}
-			recordPace()
+			f.recordInterEvent(c.interEvent)
 			got := f.send(http.MethodPost, "/draft/1", headerModel, "large", headerLengthHint, fmt.Sprint(total*8))
 			assert.Equal(t, got.err == nil && got.body == events(1, total), c.complete, "%v", got.err)
 			assert.Equal(t, f.callCount()-warmUp, c.calls)
